--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The command line tool `celerypond`.
+fn main() {}
--- /dev/null
+++ b/crates/answer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Continuity of an answer: splice, digest, resume, stall detection.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, gossip and the service between instances.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to engines.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform: objects, instance list, weight store.
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rollout state machine: stages, evidence, brake, endings.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a target, account limits, admission, ejection, retry budget.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, counters and spans.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,18 @@
+//! Typed keys, names and units shared by all crates.
+
+mod counts;
+mod digest;
+mod keys;
+mod names;
+mod outcome;
+mod priority;
+
+pub use counts::{Attempt, FencingNumber, Position, Revision, TokenId};
+pub use digest::{Digest, DigestError};
+pub use keys::{AccountKey, InstanceKey, TargetKey, VersionKey};
+pub use names::{
+    AccountName, AdapterName, DataCentre, InstanceName, ModelName, OperatorName, RequestKey,
+    ServiceName, TargetName, VersionName,
+};
+pub use outcome::{NotRunReason, Outcome};
+pub use priority::Priority;
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon as a library.
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon `celerypondd`.
+fn main() {}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and services, and history checks.
