--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,64 @@
+//! Takes one measure, or all, and prints a table; `--json FILE` writes the rows as well.
+//!
+//! Every measure compares with a baseline in the same run. Nothing here asserts a time.
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+mod answer;
+mod fleet;
+mod ledger;
+mod orders;
+mod rollout;
+mod route;
+mod table;
+
+use table::Row;
+
+/// A measure: its name and the function that takes it with a number of seeds.
+type Measure = (&'static str, fn(u64) -> Vec<Row>);
+
+const MEASURES: [Measure; 6] = [
+    ("answer", answer::run),
+    ("ledger", ledger::run),
+    ("route", route::run),
+    ("rollout", rollout::run),
+    ("fleet", fleet::run),
+    ("orders", orders::run),
+];
+
+const DEFAULT_SEEDS: u64 = 20;
+
+xflags::xflags! {
+    /// Takes measures of celerypond against baselines.
+    cmd celerypond-bench {
+        /// The measure to take; all when left out.
+        optional measure: String
+        /// How many seeds each row covers.
+        optional --seeds seeds: u64
+        /// Writes the rows to this file as JSON.
+        optional --json json: PathBuf
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = CelerypondBench::from_env_or_exit();
+    let seeds = flags.seeds.unwrap_or(DEFAULT_SEEDS);
+    let rows: Vec<Row> = MEASURES
+        .iter()
+        .filter(|(name, _)| {
+            flags
+                .measure
+                .as_deref()
+                .is_none_or(|wanted| wanted == *name)
+        })
+        .flat_map(|(_, run)| run(seeds))
+        .collect();
+    table::print(&rows);
+    match flags.json.map(|path| fs::write(path, table::json(&rows))) {
+        Some(Err(error)) => {
+            eprintln!("the rows could not be written: {error}");
+            ExitCode::FAILURE
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
