--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,9 +2,10 @@
 //!
 //! Every measure compares with a baseline in the same run. Nothing here asserts a time.
 
-use std::{fs, path::PathBuf, process::ExitCode};
+use std::{fs, process::ExitCode};
 
 mod answer;
+mod flags;
 mod fleet;
 mod ledger;
 mod orders;
@@ -28,20 +29,8 @@
 
 const DEFAULT_SEEDS: u64 = 20;
 
-xflags::xflags! {
-    /// Takes measures of celerypond against baselines.
-    cmd celerypond-bench {
-        /// The measure to take; all when left out.
-        optional measure: String
-        /// How many seeds each row covers.
-        optional --seeds seeds: u64
-        /// Writes the rows to this file as JSON.
-        optional --json json: PathBuf
-    }
-}
-
 fn main() -> ExitCode {
-    let flags = CelerypondBench::from_env_or_exit();
+    let flags = flags::CelerypondBench::from_env_or_exit();
     let seeds = flags.seeds.unwrap_or(DEFAULT_SEEDS);
     let rows: Vec<Row> = MEASURES
         .iter()
