--- a/bench/src/flags.rs
+++ b/bench/src/flags.rs
@@ -1,9 +1,4 @@
 //! The command line of the program.
-#![expect(
-    missing_docs,
-    unreachable_pub,
-    reason = "the macro writes items without docs"
-)]
 
 use std::path::PathBuf;
 
--- /dev/null
+++ b/bench/src/host.rs
@@ -0,0 +1,21 @@
+//! The speed of the machine, by which figures of different runs can be told apart.
+
+use std::time::Instant;
+
+use celerypond_types::Digest;
+
+use crate::table::Row;
+
+const BLOCK: [u8; 4096] = [7; 4096];
+
+/// Times one digest of 4 KiB.
+pub(crate) fn run(seeds: u64) -> Vec<Row> {
+    let samples = (0..seeds * 100).map(|_| digest_us()).collect();
+    vec![Row::of("digest of 4 KiB", "machine speed", "us", samples)]
+}
+
+fn digest_us() -> f64 {
+    let start = Instant::now();
+    std::hint::black_box(Digest::of(std::hint::black_box(&BLOCK)));
+    start.elapsed().as_secs_f64() * 1e6
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod flags;
 mod fleet;
+mod host;
 mod ledger;
 mod orders;
 mod rollout;
@@ -18,7 +19,8 @@
 /// A measure: its name and the function that takes it with a number of seeds.
 type Measure = (&'static str, fn(u64) -> Vec<Row>);
 
-const MEASURES: [Measure; 6] = [
+const MEASURES: [Measure; 7] = [
+    ("host", host::run),
     ("answer", answer::run),
     ("ledger", ledger::run),
     ("route", route::run),
