--- /dev/null
+++ b/crates/route/src/gauge.rs
@@ -0,0 +1,197 @@
+//! What an instance knows of one target's load, in atomics that outlive a snapshot.
+
+use std::sync::{
+    atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
+    Arc,
+};
+
+/// How long one mark of the history of open requests covers.
+const MARK_MS: u64 = 250;
+/// How many marks are kept: reports may lag by 16 * 250 ms = 4 s.
+const MARKS: usize = 16;
+/// The time in which trust in a report falls to a half.
+const HALF_LIFE_MS: u64 = 4_000;
+/// The age at which a word of a target about itself is too old to send work on it unasked.
+pub const FRESH_MS: u64 = 2_000;
+/// The unit of [`Gauge::weight`]: a target that takes its whole part of the work.
+pub const FULL_WEIGHT: u32 = 1_024;
+/// The bits of a packed report that hold the load.
+const LOAD_BITS: u32 = 24;
+
+/// What an instance knows of one target's load and state.
+///
+/// It is shared by all snapshots that contain the target, so a new snapshot loses no count. Loads
+/// are in requests, running and queued.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_route::Gauge;
+///
+/// let gauge = Gauge::new();
+/// gauge.report(5_000, 3); // Three requests, sampled at 5 s.
+/// let first = gauge.begin(5_100).unwrap();
+/// assert_eq!(gauge.load(5_200, 0), 4); // The report and one sent since.
+/// drop(first);
+/// assert_eq!(gauge.load(5_200, 0), 3);
+/// ```
+#[derive(Debug)]
+pub struct Gauge {
+    open: AtomicU32,
+    closed: AtomicBool,
+    weight: AtomicU32,
+    /// The sampling time in milliseconds above the load; 0 when nothing was reported.
+    report: AtomicU64,
+    /// When the target last said that it is live, in milliseconds; 0 when it never did.
+    word: AtomicU64,
+    /// The open requests at the last change in each slice of time: the slice above the count.
+    marks: [AtomicU64; MARKS],
+}
+
+impl Gauge {
+    /// Makes the gauge of a target that takes work.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            open: AtomicU32::new(0),
+            closed: AtomicBool::new(false),
+            weight: AtomicU32::new(FULL_WEIGHT),
+            report: AtomicU64::new(0),
+            word: AtomicU64::new(0),
+            marks: Default::default(),
+        })
+    }
+
+    /// Counts a request in, or returns `None` when the target is leaving.
+    ///
+    /// Call this immediately before the first byte is sent, also for resumes and retries: a request
+    /// that was queued behind a choice would otherwise start on a target that has left meanwhile.
+    pub fn begin(self: &Arc<Self>, now_ms: u64) -> Option<InFlight> {
+        if self.is_closed() {
+            return None;
+        }
+        let open = self.open.fetch_add(1, Relaxed) + 1;
+        self.mark(now_ms, open);
+        Some(InFlight {
+            gauge: Arc::clone(self),
+            began: now_ms,
+        })
+    }
+
+    /// Takes a load report of the target, sampled at `sampled_ms`; an older one than the last is
+    /// dropped.
+    pub fn report(&self, sampled_ms: u64, load: u32) {
+        let load = u64::from(load).min((1 << LOAD_BITS) - 1);
+        let packed = sampled_ms << LOAD_BITS | load;
+        self.report.fetch_max(packed, Relaxed);
+    }
+
+    /// Takes the target's own word that it is live, from a probe that was sent at `sent_ms`.
+    pub fn confirm(&self, sent_ms: u64) {
+        self.word.fetch_max(sent_ms, Relaxed);
+    }
+
+    /// Returns whether the target's last word is too old to send work without asking first.
+    pub fn is_stale(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.word.load(Relaxed)) > FRESH_MS
+    }
+
+    /// Closes the target to new work, or opens it again.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Relaxed);
+    }
+
+    /// Returns whether the target takes no new work.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Relaxed)
+    }
+
+    /// Sets the part of its work that the target gets: 0 is ejected, [`FULL_WEIGHT`] the whole.
+    pub fn set_weight(&self, weight: u32) {
+        self.weight.store(weight.min(FULL_WEIGHT), Relaxed);
+    }
+
+    /// Returns the part of its work that the target gets.
+    pub fn weight(&self) -> u32 {
+        self.weight.load(Relaxed)
+    }
+
+    /// Returns how many requests of this instance are open.
+    pub fn open(&self) -> u32 {
+        self.open.load(Relaxed)
+    }
+
+    /// Estimates the load now: the last report, aged, plus what this instance has sent since.
+    ///
+    /// As a report ages, the load that others put on the target is taken to go towards
+    /// `others_mean`, the mean over its peers, since a silent target is as likely busy as they are.
+    pub fn load(&self, now_ms: u64, others_mean: u32) -> u32 {
+        self.open() + self.others(now_ms, others_mean)
+    }
+
+    /// Estimates the load that other instances put on the target.
+    pub fn others(&self, now_ms: u64, others_mean: u32) -> u32 {
+        let packed = self.report.load(Relaxed);
+        if packed == 0 {
+            return others_mean;
+        }
+        let sampled = packed >> LOAD_BITS;
+        let reported = (packed & ((1 << LOAD_BITS) - 1)) as u32;
+        let others = reported.saturating_sub(self.open_at(sampled));
+        age(others, others_mean, now_ms.saturating_sub(sampled))
+    }
+
+    /// Returns how many requests of this instance were open at `at_ms`.
+    fn open_at(&self, at_ms: u64) -> u32 {
+        // A change in the slice of the sample itself is not counted. It may be counted twice then,
+        // which keeps work away for a moment; counted never, it would draw more work.
+        let slice = at_ms / MARK_MS + 1;
+        let mut best = 0;
+        for mark in &self.marks {
+            let packed = mark.load(Relaxed);
+            if packed >> 32 < slice && packed > best {
+                best = packed;
+            }
+        }
+        best as u32
+    }
+
+    fn mark(&self, now_ms: u64, open: u32) {
+        // Slices count from 1, so that an empty mark is the oldest.
+        let slice = now_ms / MARK_MS + 1;
+        let at = slice as usize % MARKS;
+        self.marks[at].store(slice << 32 | u64::from(open), Relaxed);
+    }
+}
+
+/// Moves `value` towards `goal` by the share that `age_ms` has taken from its trust.
+fn age(value: u32, goal: u32, age_ms: u64) -> u32 {
+    let trust = 0.5_f64.powf(age_ms as f64 / HALF_LIFE_MS as f64);
+    let aged = f64::from(value) * trust + f64::from(goal) * (1.0 - trust);
+    aged.round() as u32
+}
+
+/// A request that is open at a target; dropping it counts the request out.
+#[derive(Debug)]
+pub struct InFlight {
+    gauge: Arc<Gauge>,
+    began: u64,
+}
+
+impl InFlight {
+    /// Counts the request out at `now_ms`, so that reports sampled before still find it open.
+    pub fn end(self, now_ms: u64) {
+        let open = self.gauge.open().saturating_sub(1);
+        self.gauge.mark(now_ms, open);
+    }
+
+    /// Returns when the request began, in milliseconds of the process's clock.
+    pub const fn began(&self) -> u64 {
+        self.began
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gauge.open.fetch_sub(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,161 @@
+//! The targets that serve one version of a model or one service.
+
+use std::{
+    ops::Range,
+    sync::{
+        atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
+        Arc,
+    },
+};
+
+use celerypond_types::{DataCentre, TargetKey};
+
+use crate::{hash::hash, ring::Ring, Gauge, Target};
+
+/// The fixed-point unit of a load per slot: 1,024 is one request for each slot.
+pub(crate) const SLOT_UNIT: u64 = 1_024;
+
+/// One target as the request path needs it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) key: TargetKey,
+    pub(crate) gauge: Arc<Gauge>,
+    pub(crate) slots: u32,
+}
+
+impl Member {
+    /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`].
+    pub(crate) fn pressure(&self, now_ms: u64, others_mean: u32) -> u64 {
+        let next = u64::from(self.gauge.load(now_ms, others_mean)) + 1;
+        let weight = u64::from(self.gauge.weight().max(1));
+        let part = next * SLOT_UNIT / u64::from(self.slots.max(1));
+        part * u64::from(crate::gauge::FULL_WEIGHT) / weight
+    }
+}
+
+/// The members of a pool in one data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    pub(crate) name: DataCentre,
+    pub(crate) range: Range<usize>,
+    pub(crate) ring: Ring,
+}
+
+/// What changes about a pool between snapshots.
+#[derive(Debug, Default)]
+pub(crate) struct PoolGauge {
+    /// The mean load per slot at the last survey, in [`SLOT_UNIT`].
+    pub(crate) mean: AtomicU32,
+    /// The mean number of requests that other instances have at a target.
+    pub(crate) others: AtomicU32,
+    /// Whether so many targets seem bad that all are used.
+    pub(crate) panic: AtomicBool,
+}
+
+/// The targets that serve one version of a model or one service.
+#[derive(Debug)]
+pub struct Pool {
+    pub(crate) members: Box<[Member]>,
+    /// The index of each member, sorted by key.
+    by_key: Box<[(TargetKey, u32)]>,
+    pub(crate) sites: Box<[Site]>,
+    pub(crate) ring: Ring,
+    pub(crate) gauge: PoolGauge,
+}
+
+impl Pool {
+    /// Makes the pool of `targets`.
+    pub(crate) fn new(mut targets: Vec<(TargetKey, Arc<Target>)>) -> Self {
+        targets.sort_by(|(_, a), (_, b)| (&a.data_centre, &a.name).cmp(&(&b.data_centre, &b.name)));
+        let points: Vec<(u64, u32)> = targets
+            .iter()
+            .enumerate()
+            .map(|(at, (_, target))| (hash(target.name.as_str().as_bytes()), at as u32))
+            .collect();
+        Self {
+            ring: Ring::new(points.iter().copied()),
+            sites: sites(&targets, &points),
+            by_key: by_key(&targets),
+            members: targets.iter().map(member).collect(),
+            gauge: PoolGauge::default(),
+        }
+    }
+
+    /// Returns the keys of the targets, by data centre and then by name.
+    pub fn keys(&self) -> impl Iterator<Item = TargetKey> + '_ {
+        self.members.iter().map(|member| member.key)
+    }
+
+    /// Takes the means over the pool, against which single targets are compared until the next
+    /// survey.
+    pub fn survey(&self, now_ms: u64) {
+        let live = || self.members.iter().filter(|m| !m.gauge.is_closed());
+        let count = live().count().max(1) as u64;
+        let last = self.gauge.others.load(Relaxed);
+        let others: u64 = live()
+            .map(|m| u64::from(m.gauge.others(now_ms, last)))
+            .sum();
+        let mean = (others / count) as u32;
+        let (load, slots) = live().fold((0, 0), |(load, slots), m| {
+            let of = u64::from(m.gauge.load(now_ms, mean));
+            (load + of, slots + u64::from(m.slots))
+        });
+        self.gauge.others.store(mean, Relaxed);
+        let per_slot = load * SLOT_UNIT / u64::max(slots, 1);
+        self.gauge.mean.store(per_slot as u32, Relaxed);
+    }
+
+    /// Sets whether targets that seem bad are used all the same.
+    pub fn set_panic(&self, panic: bool) {
+        self.gauge.panic.store(panic, Relaxed);
+    }
+
+    /// Returns whether targets that seem bad are used all the same.
+    pub fn is_panic(&self) -> bool {
+        self.gauge.panic.load(Relaxed)
+    }
+
+    /// Finds a member by key.
+    pub(crate) fn member(&self, key: TargetKey) -> Option<&Member> {
+        let at = self.by_key.binary_search_by_key(&key, |(key, _)| *key);
+        let (_, index) = self.by_key[at.ok()?];
+        self.members.get(index as usize)
+    }
+
+    pub(crate) fn site(&self, name: &DataCentre) -> Option<&Site> {
+        self.sites.iter().find(|site| site.name == *name)
+    }
+}
+
+fn member((key, target): &(TargetKey, Arc<Target>)) -> Member {
+    Member {
+        key: *key,
+        gauge: Arc::clone(&target.gauge),
+        slots: target.slots,
+    }
+}
+
+fn by_key(targets: &[(TargetKey, Arc<Target>)]) -> Box<[(TargetKey, u32)]> {
+    let mut by_key: Vec<_> = (0..)
+        .zip(targets)
+        .map(|(at, (key, _))| (*key, at))
+        .collect();
+    by_key.sort_unstable();
+    by_key.into_boxed_slice()
+}
+
+fn sites(targets: &[(TargetKey, Arc<Target>)], points: &[(u64, u32)]) -> Box<[Site]> {
+    let mut start = 0;
+    targets
+        .chunk_by(|(_, a), (_, b)| a.data_centre == b.data_centre)
+        .map(|chunk| {
+            let range = start..start + chunk.len();
+            start = range.end;
+            Site {
+                name: chunk[0].1.data_centre.clone(),
+                ring: Ring::new(points[range.clone()].iter().copied()),
+                range,
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/route/src/target.rs
@@ -0,0 +1,49 @@
+//! A target in the arena.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use celerypond_bundle::TargetKind;
+use celerypond_types::{DataCentre, TargetName};
+
+use crate::Gauge;
+
+/// A target in the arena of a [`crate::View`].
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The name in the bundle.
+    pub name: TargetName,
+    /// What the target is.
+    pub kind: TargetKind,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// How many requests it serves at once before they queue.
+    pub slots: u32,
+    /// Its load and state.
+    pub gauge: Arc<Gauge>,
+}
+
+impl Target {
+    /// Makes a target as the bundle declares it, with a new gauge.
+    pub fn new(declared: &celerypond_bundle::Target) -> Self {
+        Self {
+            name: declared.name.clone(),
+            kind: declared.kind,
+            address: declared.address,
+            data_centre: declared.data_centre.clone(),
+            slots: declared.slots,
+            gauge: Gauge::new(),
+        }
+    }
+
+    /// Returns the target as a later bundle declares it, with the same gauge, or `None` when
+    /// another process is meant.
+    pub(crate) fn updated(&self, declared: &celerypond_bundle::Target) -> Option<Self> {
+        let same = self.address == declared.address && self.kind == declared.kind;
+        same.then(|| Self {
+            gauge: Arc::clone(&self.gauge),
+            ..Self::new(declared)
+        })
+    }
+}
