rollout: submit, approve and roll bundles by conditional writes

Operators race, replies are lost and daemons die between two calls. Each step is now a pure state machine over single conditional writes.

--- /dev/null
+++ b/crates/rollout/tests/fake_store.rs
@@ -0,0 +1,92 @@
+//! A small fake of the object API, with outages, lost replies and stale reads.
+
+use std::collections::BTreeMap;
+
+use celerypond_rollout::{
+    Condition, Desk, DeskError, Done, Request, Signature, Step, StoreCall, StoreReply,
+};
+use rand::{rngs::SmallRng, Rng};
+use smol_str::SmolStr;
+
+/// How likely each fault is at one call.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) down: f64,
+    pub(crate) lost: f64,
+}
+
+/// Objects by key, with a version that counts all writes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakeStore {
+    pub(crate) objects: BTreeMap<SmolStr, (u64, Vec<u8>)>,
+    pub(crate) version: u64,
+    pub(crate) down: bool,
+}
+
+impl FakeStore {
+    pub(crate) fn call(&mut self, call: &StoreCall) -> StoreReply {
+        if self.down {
+            return StoreReply::Down;
+        }
+        let found = self.objects.get(call.key()).cloned();
+        match call {
+            StoreCall::Read { .. } => found.map_or(StoreReply::Missing, |(version, value)| {
+                StoreReply::Found { version, value }
+            }),
+            StoreCall::Write {
+                key,
+                condition,
+                value,
+            } => {
+                let holds = match condition {
+                    Condition::Absent => found.is_none(),
+                    Condition::Version(version) => found.is_some_and(|found| found.0 == *version),
+                };
+                if !holds {
+                    return StoreReply::Conflict;
+                }
+                self.version += 1;
+                self.objects
+                    .insert(key.clone(), (self.version, value.clone()));
+                StoreReply::Written {
+                    version: self.version,
+                }
+            }
+        }
+    }
+
+    /// Makes a call that may be refused, or carried out without a reply.
+    pub(crate) fn faulty(
+        &mut self,
+        call: &StoreCall,
+        faults: Faults,
+        rng: &mut SmallRng,
+    ) -> StoreReply {
+        if rng.random_bool(faults.down) {
+            return StoreReply::Down;
+        }
+        let takes_effect = rng.random_bool(0.5);
+        if rng.random_bool(faults.lost) {
+            if takes_effect {
+                self.call(call);
+            }
+            return StoreReply::Lost;
+        }
+        self.call(call)
+    }
+
+    /// Runs one step to its end without faults.
+    pub(crate) fn run(
+        &mut self,
+        request: Request,
+        signature: Signature,
+    ) -> Result<Done, DeskError> {
+        let (mut desk, mut step) = Desk::begin(request, signature);
+        loop {
+            match step {
+                Step::Call(call) => step = desk.reply(self.call(&call)),
+                Step::End(end) => return end,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/runner.rs
@@ -0,0 +1,4 @@
+//! Runs all tests of the crate as one program.
+
+mod fake_store;
+mod test_desk;
