--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -2,12 +2,22 @@
 
 mod account;
 mod bundle;
+mod check;
+mod diff;
+mod document;
+mod fault;
 mod model;
+mod schema;
 mod service;
+mod settings;
 mod target;
 
 pub use account::Account;
 pub use bundle::{Bundle, FORMAT};
+pub use diff::{diff, Change};
+pub use fault::{Expected, Fault, Kind};
 pub use model::{Model, Share, Version};
+pub use schema::{bundle_schema, settings_schema};
 pub use service::{Call, Service};
+pub use settings::{LogFormat, LogLevel, LogSettings, Operator, Settings};
 pub use target::{Fencing, Target, TargetKind};
--- /dev/null
+++ b/crates/bundle/src/schema.rs
@@ -0,0 +1,15 @@
+//! The published JSON Schemas.
+
+use serde_json::Value;
+
+use crate::{Bundle, Settings};
+
+/// Returns the JSON Schema of a bundle.
+pub fn bundle_schema() -> Value {
+    schemars::schema_for!(Bundle).to_value()
+}
+
+/// Returns the JSON Schema of the settings.
+pub fn settings_schema() -> Value {
+    schemars::schema_for!(Settings).to_value()
+}
