platform: add the client of objects, instance list and weight store

Every call is bounded by a timeout and by the share of the instance; a call beyond the share is refused with the time to come back, not queued. A write without an answer is Ambiguous unless the connection was never made.

A 503 to a write counts as Down, as docs/design/wire.md says so; any other 5xx to a write is Ambiguous.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,337 @@
+//! The client of the platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use error_stack::Report;
+use http::{
+    header::{ETAG, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER},
+    request::Builder,
+    HeaderMap, Method, Request, Response, StatusCode,
+};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use crate::{
+    path::escape,
+    pool::{Lost, Pool},
+    Budget, CallKind, Changes, InstanceList, Listing, Object, PlatformError, Rates, Settled,
+    Version,
+};
+
+/// The largest value of an object, in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+/// The largest answer that is read, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+/// How many objects one call of a list asks for.
+const PAGE: usize = 500;
+/// When to come back if the platform does not say.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
+type Result<T> = std::result::Result<T, Report<PlatformError>>;
+
+/// Where the platform is and how much of it may be used.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The address of the platform.
+    pub address: SocketAddr,
+    /// How long a connection may take.
+    pub connect: Duration,
+    /// How long a call may take, its connection included; a watch has its wait on top.
+    pub timeout: Duration,
+    /// The share of this instance.
+    pub rates: Rates,
+}
+
+/// A client of the platform; a clone shares its connections and its budget.
+///
+/// Every call ends within its timeout. A connection whose answer did not arrive in time is closed
+/// and never used again, see [`Settings::timeout`].
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    pool: Pool,
+    budget: Arc<Mutex<Budget>>,
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Client {
+    /// Makes a client; connects when the first call is made.
+    pub fn new(settings: &Settings) -> Self {
+        let budget = Budget::new(settings.rates, Instant::now());
+        Self {
+            address: settings.address,
+            timeout: settings.timeout,
+            pool: Pool::new(settings.connect),
+            budget: Arc::new(Mutex::new(budget)),
+        }
+    }
+
+    /// Changes the share of this instance.
+    pub fn set_rates(&self, rates: Rates) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.set_rates(rates, Instant::now());
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// `Missing`, or a failure of the call.
+    pub async fn get(&self, key: &str) -> Result<Object> {
+        let request = self.request(Method::GET, &object(key));
+        let answer = self.send(CallKind::Read, request, Bytes::new()).await?;
+        Ok(Object {
+            key: key.into(),
+            version: answer.version()?,
+            value: answer.body,
+        })
+    }
+
+    /// Creates an object if there is none with this key.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` when there is one; `Ambiguous` when no answer came.
+    pub async fn create(&self, key: &str, value: Bytes) -> Result<Version> {
+        let request = self.request(Method::PUT, &object(key));
+        self.write(request.header(IF_NONE_MATCH, "*"), value).await
+    }
+
+    /// Replaces an object if it still has the version `before`.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` when it has another; `Ambiguous` when no answer came.
+    pub async fn update(&self, key: &str, before: Version, value: Bytes) -> Result<Version> {
+        let request = self.request(Method::PUT, &object(key));
+        let request = request.header(IF_MATCH, format!("\"{before}\""));
+        self.write(request, value).await
+    }
+
+    /// Deletes an object if it still has the version `before`.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` when it has another, `Missing` when it is gone, `Ambiguous` when no answer came.
+    pub async fn delete(&self, key: &str, before: Version) -> Result<()> {
+        let request = self.request(Method::DELETE, &object(key));
+        let request = request.header(IF_MATCH, format!("\"{before}\""));
+        self.send(CallKind::Write, request, Bytes::new()).await?;
+        Ok(())
+    }
+
+    /// Reads back a write that ended with `Ambiguous`; see [`Settled::of`].
+    ///
+    /// # Errors
+    ///
+    /// A failure of the read; the write stays ambiguous.
+    pub async fn settle(
+        &self,
+        key: &str,
+        before: Option<Version>,
+        value: &[u8],
+    ) -> Result<Settled> {
+        let found = match self.get(key).await {
+            Ok(object) => Some(object),
+            Err(report) if *report.current_context() == PlatformError::Missing => None,
+            Err(report) => return Err(report),
+        };
+        Ok(Settled::of(before, value, found))
+    }
+
+    /// Lists up to `limit` objects under `prefix` whose keys are greater than `after`.
+    ///
+    /// # Errors
+    ///
+    /// A failure of the call.
+    pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Listing> {
+        let (prefix, after) = (escape(prefix), escape(after));
+        let path = format!("/v1/objects?prefix={prefix}&after={after}&limit={limit}");
+        self.read(&path, self.timeout).await
+    }
+
+    /// Lists all objects under `prefix`, page by page.
+    ///
+    /// The revision is that of the first page, so a watch from there misses nothing that changed
+    /// while the pages were read.
+    ///
+    /// # Errors
+    ///
+    /// A failure of one of the calls.
+    pub async fn list_all(&self, prefix: &str) -> Result<Listing> {
+        let mut all = self.list(prefix, "", PAGE).await?;
+        while let Some(last) = all.objects.last() {
+            let page = self.list(prefix, &last.key, PAGE).await?;
+            if page.objects.is_empty() {
+                break;
+            }
+            all.objects.extend(page.objects);
+        }
+        Ok(all)
+    }
+
+    /// Waits up to `wait` for a change under `prefix` after the revision `since`.
+    ///
+    /// # Errors
+    ///
+    /// A failure of the call.
+    pub async fn watch(&self, prefix: &str, since: Version, wait: Duration) -> Result<Changes> {
+        let prefix = escape(prefix);
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/watch?prefix={prefix}&since={since}&wait_ms={wait_ms}");
+        self.read(&path, wait + self.timeout).await
+    }
+
+    /// Reads the list of instances and targets.
+    ///
+    /// # Errors
+    ///
+    /// A failure of the call.
+    pub async fn instances(&self) -> Result<InstanceList> {
+        self.read("/v1/instances", self.timeout).await
+    }
+
+    /// Reads weights of the weight store.
+    ///
+    /// # Errors
+    ///
+    /// `RateLimited` when the weight store is busy, or a failure of the call.
+    pub async fn weights(&self, name: &str) -> Result<Bytes> {
+        let request = self.request(Method::GET, &format!("/v1/weights/{}", escape(name)));
+        let answer = self.send(CallKind::Read, request, Bytes::new()).await?;
+        Ok(answer.body)
+    }
+
+    fn request(&self, method: Method, path: &str) -> Builder {
+        let uri = format!("http://{}{path}", self.address);
+        Request::builder().method(method).uri(uri)
+    }
+
+    async fn write(&self, request: Builder, value: Bytes) -> Result<Version> {
+        if value.len() > VALUE_BYTES {
+            return Err(Report::new(PlatformError::TooLarge));
+        }
+        self.send(CallKind::Write, request, value).await?.version()
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<T> {
+        let request = self.request(Method::GET, path);
+        let answer = self
+            .exchange(CallKind::Read, request, Bytes::new(), limit)
+            .await?;
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))
+    }
+
+    async fn send(&self, kind: CallKind, request: Builder, body: Bytes) -> Result<Answer> {
+        self.exchange(kind, request, body, self.timeout).await
+    }
+
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        request: Builder,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer> {
+        self.take(kind)?;
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))?;
+        let answer = self.pool.call(request, limit, collect).await;
+        answer
+            .map_err(|lost| no_answer(kind, lost))
+            .and_then(|answer| answer.map_err(|error| cut_off(kind, error)))
+            .and_then(|answer| answer.check(kind))
+            .map_err(Report::new)
+    }
+
+    fn take(&self, kind: CallKind) -> Result<()> {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget
+            .take(kind, Instant::now())
+            .map_err(|retry_after| Report::new(PlatformError::OverBudget { retry_after }))
+    }
+}
+
+impl Answer {
+    fn version(&self) -> Result<Version> {
+        let tag = self.headers.get(ETAG).and_then(|tag| tag.to_str().ok());
+        tag.and_then(|tag| tag.trim_matches('"').parse().ok())
+            .map(Version)
+            .ok_or_else(|| Report::new(PlatformError::Malformed))
+    }
+
+    fn retry_after(&self) -> Duration {
+        let header = self.headers.get(RETRY_AFTER);
+        header
+            .and_then(|text| text.to_str().ok())
+            .and_then(|text| text.parse().ok())
+            .map_or(RETRY_AFTER_DEFAULT, Duration::from_secs)
+    }
+
+    fn check(self, kind: CallKind) -> std::result::Result<Self, PlatformError> {
+        match self.status {
+            status if status.is_success() => Ok(self),
+            StatusCode::NOT_FOUND => Err(PlatformError::Missing),
+            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(PlatformError::TooLarge),
+            StatusCode::SERVICE_UNAVAILABLE => Err(PlatformError::Down),
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::RateLimited {
+                retry_after: self.retry_after(),
+            }),
+            // The store saw the write and failed somewhere on the way.
+            status if status.is_server_error() && kind == CallKind::Write => {
+                Err(PlatformError::Ambiguous)
+            }
+            status => Err(PlatformError::Status(status.as_u16())),
+        }
+    }
+}
+
+fn object(key: &str) -> String {
+    format!("/v1/objects/{}", escape(key))
+}
+
+async fn collect(response: Response<Incoming>) -> std::result::Result<Answer, PlatformError> {
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+        true => PlatformError::TooLarge,
+        false => PlatformError::Down,
+    })?;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
+/// A lost connection proves nothing about a write unless it was never made.
+const fn no_answer(kind: CallKind, lost: Lost) -> PlatformError {
+    match (kind, lost) {
+        (CallKind::Write, Lost::Sent) => PlatformError::Ambiguous,
+        (CallKind::Read, _) | (CallKind::Write, Lost::Unsent) => PlatformError::Down,
+    }
+}
+
+/// An answer that broke off came after the write was processed, in a way that was not read.
+const fn cut_off(kind: CallKind, error: PlatformError) -> PlatformError {
+    match kind {
+        CallKind::Write => PlatformError::Ambiguous,
+        CallKind::Read => error,
+    }
+}
