answer: splice frames of several attempts, seal resume tokens, learn gaps

The parts that the daemon needs first. A splice takes a frame only if request, attempt, version and position match; the end counts only if the length agrees and an end by limit has reached the limit. Resume tokens are sealed for one request and body. The progress timeout follows the observed gaps of a target.

--- /dev/null
+++ b/crates/answer/src/seal.rs
@@ -0,0 +1,162 @@
+//! Seals resume tokens, so that a changed, shortened or foreign one is refused.
+
+use std::fmt;
+
+use base64::{prelude::BASE64_URL_SAFE_NO_PAD, Engine as _};
+use celerypond_types::{Attempt, Digest, Position, RequestKey, VersionName};
+use sha2::{Digest as _, Sha256};
+use smol_str::SmolStr;
+
+use crate::{resume, ChainDigest, ResumeError, ResumeToken, Stream};
+
+pub(crate) const TAG_BYTES: usize = 16;
+const KEY_BYTES: usize = 32;
+
+/// The secret that all instances share for sealing.
+#[derive(Clone)]
+pub struct SealKey([u8; KEY_BYTES]);
+
+/// Seals the resume tokens of one request.
+///
+/// The tag is SHA-256 over the key, the request key, a digest of the request's body and the token,
+/// cut to 128 bits; a cut tag can't be extended. The request is part of the tag but not of the
+/// text, so a token of another request is refused like a forged one.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_answer::{ChainDigest, ResumeError, ResumeToken, Seal, SealKey, Stream};
+/// use celerypond_types::{Attempt, Digest, Position};
+///
+/// let seal = Seal::new(&SealKey::new([7; 32]), &"r".into(), &Digest::of(b"body"));
+/// let token = ResumeToken {
+///     attempt: Attempt(1),
+///     stream: Stream { target: "e1".into(), attempt: Attempt(1) },
+///     version: "v1".into(),
+///     seed: 42,
+///     position: Position(3),
+///     digest: ChainDigest(5),
+/// };
+/// let text = seal.encode(&token);
+/// assert_eq!(seal.decode(&text), Ok(token));
+/// let other = Seal::new(&SealKey::new([7; 32]), &"q".into(), &Digest::of(b"body"));
+/// assert_eq!(other.decode(&text), Err(ResumeError::Tag));
+/// ```
+#[derive(Clone)]
+pub struct Seal {
+    state: Sha256,
+}
+
+/// A seal with the parts of a token that stay the same within an attempt already in place.
+#[derive(Clone)]
+pub struct Sealed {
+    state: Sha256,
+    head: SmolStr,
+}
+
+impl SealKey {
+    /// Makes a key from 32 secret bytes.
+    pub const fn new(bytes: [u8; KEY_BYTES]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl fmt::Debug for SealKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SealKey(..)")
+    }
+}
+
+impl fmt::Debug for Seal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Seal(..)")
+    }
+}
+
+impl fmt::Debug for Sealed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Sealed({})", self.head)
+    }
+}
+
+impl Seal {
+    /// Makes the seal of the request `request` whose body has the digest `body`.
+    pub fn new(key: &SealKey, request: &RequestKey, body: &Digest) -> Self {
+        let name = Sha256::digest(request.as_str().as_bytes());
+        let state = Sha256::new()
+            .chain_update(key.0)
+            .chain_update(name)
+            .chain_update(body.as_bytes());
+        Self { state }
+    }
+
+    /// Prepares the seal for the tokens of one attempt, which then cost one short digest each.
+    pub fn attempt(
+        &self,
+        attempt: Attempt,
+        stream: &Stream,
+        version: &VersionName,
+        seed: u64,
+    ) -> Sealed {
+        let head = resume::head(attempt, stream, version, seed);
+        Sealed {
+            state: self.state.clone().chain_update(&head),
+            head: SmolStr::new(BASE64_URL_SAFE_NO_PAD.encode(head)),
+        }
+    }
+
+    /// Encodes a token as text for the `id` field of a server-sent event.
+    pub fn encode(&self, token: &ResumeToken) -> SmolStr {
+        self.attempt(token.attempt, &token.stream, &token.version, token.seed)
+            .encode(token.position, token.digest)
+    }
+
+    /// Decodes a token.
+    ///
+    /// # Errors
+    ///
+    /// A [`ResumeError`] when the text is cut short, changed, or sealed for another request, body
+    /// or key.
+    pub fn decode(&self, text: &str) -> Result<ResumeToken, ResumeError> {
+        let (head, tail) = text
+            .split_once(resume::SEPARATOR)
+            .ok_or(ResumeError::Parts)?;
+        let head = BASE64_URL_SAFE_NO_PAD
+            .decode(head)
+            .map_err(|_| ResumeError::Digits)?;
+        let tail = BASE64_URL_SAFE_NO_PAD
+            .decode(tail)
+            .map_err(|_| ResumeError::Digits)?;
+        if tail.len() != resume::TAIL_BYTES + TAG_BYTES {
+            return Err(ResumeError::Length(tail.len()));
+        }
+        let (body, found) = tail.split_at(resume::TAIL_BYTES);
+        let state = self.state.clone().chain_update(&head);
+        if tag(state, body) != found {
+            return Err(ResumeError::Tag);
+        }
+        resume::parse(&head, body)
+    }
+}
+
+impl Sealed {
+    /// Encodes the token for `position` tokens with the digest `digest`.
+    pub fn encode(&self, position: Position, digest: ChainDigest) -> SmolStr {
+        let mut tail = [0; resume::TAIL_BYTES + TAG_BYTES];
+        tail[..resume::TAIL_BYTES].copy_from_slice(&resume::tail(position, digest));
+        let tag = tag(self.state.clone(), &tail[..resume::TAIL_BYTES]);
+        tail[resume::TAIL_BYTES..].copy_from_slice(&tag);
+        let mut text = String::with_capacity(self.head.len() + 2 * tail.len());
+        text.push_str(&self.head);
+        text.push(resume::SEPARATOR);
+        BASE64_URL_SAFE_NO_PAD.encode_string(tail, &mut text);
+        SmolStr::from(text)
+    }
+}
+
+fn tag(state: Sha256, body: &[u8]) -> [u8; TAG_BYTES] {
+    let whole = state.chain_update(body).finalize();
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&whole[..TAG_BYTES]);
+    tag
+}
--- /dev/null
+++ b/crates/answer/src/stall.rs
@@ -0,0 +1,134 @@
+//! How long to wait for the next token of a target.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// The longest gap that is told apart from longer ones.
+const LONGEST_GAP: Duration = Duration::from_secs(60);
+const SIGNIFICANT_DIGITS: u8 = 2;
+/// How many gaps make a window; the estimate covers the last one to two windows.
+const WINDOW_GAPS: u64 = 4096;
+/// Below this number of gaps the ceiling is used.
+const ENOUGH_GAPS: u64 = 100;
+
+/// Bounds of the progress timeout.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StallLimits {
+    /// The shortest timeout between two tokens.
+    pub floor: Duration,
+    /// The longest timeout between two tokens, and the one for a target not yet observed.
+    pub ceiling: Duration,
+    /// Which quantile of the gaps the timeout follows.
+    pub quantile: f64,
+    /// How many times that quantile the timeout is.
+    pub factor: f64,
+    /// The timeout for the first token of an attempt without a prefix.
+    pub first: Duration,
+    /// What each token of the prompt or prefix adds to it.
+    pub prefill: Duration,
+    /// How long a probe may take.
+    pub probe: Duration,
+}
+
+/// The timeouts of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// How long to wait for the first token.
+    pub first: Duration,
+    /// How long to wait for each further token.
+    pub gap: Duration,
+    /// How long to wait for the answer to a probe.
+    pub probe: Duration,
+}
+
+/// Learns the gaps between tokens of one target, and sets the progress timeout from them.
+///
+/// The failure: a connection goes silent for good without a reset. The symptom would be an answer
+/// that hangs until its deadline. A false alarm costs one probe and no token, because a target
+/// that answers the probe is resumed and not replaced; so the timeout can be short.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_answer::{Stall, StallLimits};
+///
+/// let mut stall = Stall::new(StallLimits::default());
+/// assert_eq!(stall.patience(0).gap, StallLimits::default().ceiling);
+/// for _ in 0..1000 {
+///     stall.observe(Duration::from_millis(30));
+/// }
+/// assert_eq!(stall.patience(0).gap, StallLimits::default().floor);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Stall {
+    limits: StallLimits,
+    recent: Histogram<u32>,
+    earlier: Histogram<u32>,
+}
+
+impl Default for StallLimits {
+    fn default() -> Self {
+        Self {
+            floor: Duration::from_millis(250),
+            ceiling: Duration::from_millis(700),
+            quantile: 0.999,
+            factor: 3.0,
+            first: Duration::from_millis(900),
+            prefill: Duration::from_micros(200),
+            probe: Duration::from_millis(200),
+        }
+    }
+}
+
+impl Stall {
+    /// Starts without an observation.
+    pub fn new(limits: StallLimits) -> Self {
+        Self {
+            limits,
+            recent: empty(),
+            earlier: empty(),
+        }
+    }
+
+    /// Takes the time between two consecutive tokens into account.
+    ///
+    /// Gaps across a resume don't belong here: they would raise the timeout after each loss.
+    pub fn observe(&mut self, gap: Duration) {
+        if self.recent.len() >= WINDOW_GAPS {
+            self.earlier = std::mem::replace(&mut self.recent, empty());
+        }
+        self.recent.saturating_record(gap.as_micros() as u64);
+    }
+
+    /// Returns the timeouts for an attempt that first reads `tokens` of prompt and prefix.
+    pub fn patience(&self, tokens: u32) -> Patience {
+        let gap = self.gap();
+        Patience {
+            first: self.limits.first.max(gap) + self.limits.prefill * tokens,
+            gap,
+            probe: self.limits.probe,
+        }
+    }
+
+    fn gap(&self) -> Duration {
+        let limits = &self.limits;
+        if self.recent.len() + self.earlier.len() < ENOUGH_GAPS {
+            return limits.ceiling;
+        }
+        let recent = self.recent.value_at_quantile(limits.quantile);
+        let earlier = self.earlier.value_at_quantile(limits.quantile);
+        let quantile = Duration::from_micros(recent.max(earlier));
+        quantile
+            .mul_f64(limits.factor)
+            .clamp(limits.floor, limits.ceiling)
+    }
+}
+
+fn empty() -> Histogram<u32> {
+    let longest = LONGEST_GAP.as_micros() as u64;
+    // The bounds are constants that the histogram accepts.
+    Histogram::new_with_max(longest, SIGNIFICANT_DIGITS).expect("constant bounds are valid")
+}
--- /dev/null
+++ b/crates/answer/tests/runner.rs
@@ -0,0 +1,4 @@
+//! The integration tests of the crate, in one binary.
+
+mod test_resume;
+mod test_splice;
--- /dev/null
+++ b/crates/answer/tests/test_splice.rs
@@ -0,0 +1,102 @@
+//! Verdicts on single events.
+
+use celerypond_answer::{Done, Event, Frame, Reason, Splice, Verdict};
+use celerypond_types::{Attempt, Position, TokenId};
+use rstest::rstest;
+
+fn frame(request: &str, attempt: u32, version: &str, position: u32, token: u32) -> Frame {
+    Frame {
+        request: request.into(),
+        attempt: Attempt(attempt),
+        version: version.into(),
+        position: Position(position),
+        token: TokenId(token),
+        text: "t".into(),
+    }
+}
+
+/// An answer of at most 5 tokens that holds the tokens 10 and 11 and follows attempt 1.
+fn splice() -> Splice {
+    let mut splice = Splice::new("r".into(), "v1".into(), Attempt(0), 5);
+    splice.accept(&frame("r", 0, "v1", 0, 10));
+    splice.accept(&frame("r", 0, "v1", 1, 11));
+    splice.follow(Attempt(1));
+    splice
+}
+
+const fn gap(found: u32) -> Verdict {
+    Verdict::Gap {
+        expected: Position(2),
+        found: Position(found),
+    }
+}
+
+const fn contradiction(position: u32) -> Verdict {
+    Verdict::Contradiction {
+        position: Position(position),
+    }
+}
+
+// Engines and connections fail so that events come late, twice, out of order, from a paused engine
+// that is back, or from another request. Only the next token of this answer may be taken, since
+// the caller can't tell a wrong token from a right one.
+#[rstest]
+#[case::next_token(frame("r", 1, "v1", 2, 12), Verdict::Emit)]
+#[case::repeated_token(frame("r", 1, "v1", 1, 11), Verdict::Duplicate)]
+#[case::other_token_at_a_taken_position(frame("r", 1, "v1", 1, 99), contradiction(1))]
+#[case::token_after_a_gap(frame("r", 1, "v1", 3, 13), gap(3))]
+#[case::late_frame_of_an_old_attempt(
+    frame("r", 0, "v1", 2, 12),
+    Verdict::Superseded { attempt: Attempt(0) }
+)]
+#[case::frame_of_a_newer_driver(
+    frame("r", 65_536, "v1", 2, 12),
+    Verdict::Superseded { attempt: Attempt(65_536) }
+)]
+#[case::frame_of_another_request(frame("q", 1, "v1", 2, 12), Verdict::Crossed)]
+#[case::frame_of_another_version(frame("r", 1, "v2", 2, 12), Verdict::OtherVersion)]
+fn frame_is_taken_only_as_the_next_of_this_answer(#[case] frame: Frame, #[case] verdict: Verdict) {
+    let mut splice = splice();
+    assert_eq!(splice.accept(&frame), verdict);
+    let taken = if verdict == Verdict::Emit { 3 } else { 2 };
+    assert_eq!(splice.next(), Position(taken));
+}
+
+// A stream ends early or lies about its length; a part must never pass for the whole.
+#[rstest]
+#[case::whole("r", 1, 2, Reason::Stop, Verdict::Whole(Reason::Stop))]
+#[case::tokens_missing("r", 1, 4, Reason::Stop, gap(4))]
+#[case::shorter_than_taken("r", 1, 1, Reason::Stop, contradiction(1))]
+#[case::limit_not_reached("r", 1, 2, Reason::Length, contradiction(2))]
+#[case::other_request("q", 1, 2, Reason::Stop, Verdict::Crossed)]
+#[case::old_attempt("r", 0, 2, Reason::Stop, Verdict::Superseded { attempt: Attempt(0) })]
+fn end_counts_only_if_the_answer_is_whole(
+    #[case] request: &str,
+    #[case] attempt: u32,
+    #[case] length: u32,
+    #[case] reason: Reason,
+    #[case] verdict: Verdict,
+) {
+    let done = Done {
+        request: request.into(),
+        attempt: Attempt(attempt),
+        length: Position(length),
+        reason,
+    };
+    assert_eq!(splice().finish(&done), verdict);
+}
+
+#[rstest]
+#[case::cut_short(r#"{"request":"r","attempt":0,"version":"v","pos"#)]
+#[case::without_position(r#"{"request":"r","attempt":0,"version":"v","token":1,"text":"t"}"#)]
+#[case::end_without_length(r#"{"request":"r","attempt":0,"done":true,"reason":"stop"}"#)]
+fn data_cut_short_is_no_event(#[case] data: &str) {
+    assert!(Event::parse(data).is_err());
+}
+
+#[test]
+fn events_survive_the_wire() {
+    let data = r#"{"request":"r","attempt":1,"version":"v1","position":2,"token":12,"text":"t"}"#;
+    let event = Event::parse(data).unwrap();
+    assert_eq!(event, Event::Frame(frame("r", 1, "v1", 2, 12)));
+}
