answer: number attempts by term, driver and try; code tokens with bincode

Two instances that start to drive one request at once would both use attempt 0, and an engine knows a stream only by request and attempt. A random mark between the term and the try keeps the numbers apart.

--- a/crates/answer/src/chain.rs
+++ b/crates/answer/src/chain.rs
@@ -4,6 +4,7 @@
 
 use celerypond_types::TokenId;
 use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
 
 const STATE_BYTES: usize = size_of::<u64>();
 const TOKEN_BYTES: usize = size_of::<u32>();
@@ -26,7 +27,7 @@
 /// assert_ne!(forth, back);
 /// assert_eq!(forth, ChainDigest::of(&[TokenId(1)]).with(TokenId(2)));
 /// ```
-#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ChainDigest(pub u64);
 
 impl ChainDigest {
--- /dev/null
+++ b/crates/answer/src/driver.rs
@@ -0,0 +1,61 @@
+//! Numbers the attempts of the instances that drive one request.
+
+use celerypond_types::Attempt;
+use rand::Rng;
+
+const TRY_BITS: u32 = 8;
+const DRIVER_BITS: u32 = 16;
+const TERM_SHIFT: u32 = TRY_BITS + DRIVER_BITS;
+const TRY_MASK: u32 = (1 << TRY_BITS) - 1;
+
+/// One driver of a request: an instance that generates an answer for one connection of a caller.
+///
+/// An attempt number has three parts: the term, which rises with each take-over; the driver's
+/// random mark; and the try. A higher number is always the later driver's or the later try.
+///
+/// The failure: two instances start to drive one request at the same moment, and don't know of each
+/// other. The symptom would be two streams of one name at an engine, and tokens of one in the
+/// answer of the other. The mark keeps their numbers apart, but for one chance in 65,536 of such
+/// meetings, and the greater one wins at the keepers.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_answer::Driver;
+///
+/// let (one, two) = (Driver::new(1), Driver::new(2));
+/// assert!(one.first() < two.first());
+/// assert!(two.first() < one.after(two.first()).unwrap());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Driver(u16);
+
+impl Driver {
+    /// Makes a driver with the mark `mark`.
+    pub const fn new(mark: u16) -> Self {
+        Self(mark)
+    }
+
+    /// Draws a mark.
+    pub fn draw(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
+
+    /// Returns the number of the first attempt of a request that nobody drove before.
+    pub const fn first(self) -> Attempt {
+        Attempt((self.0 as u32) << TRY_BITS)
+    }
+
+    /// Returns the first number after a driver that reached `attempt`, or `None` when the terms are
+    /// used up.
+    pub fn after(self, attempt: Attempt) -> Option<Attempt> {
+        let term = (attempt.0 >> TERM_SHIFT) + 1;
+        let shifted = term.checked_mul(1 << TERM_SHIFT)?;
+        Some(Attempt(shifted | self.first().0))
+    }
+
+    /// Returns the number of the next try of the same driver, or `None` when they are used up.
+    pub fn retry(attempt: Attempt) -> Option<Attempt> {
+        (attempt.0 & TRY_MASK < TRY_MASK).then(|| attempt.next())
+    }
+}
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -5,6 +5,7 @@
 //! comes. They are state machines without sockets, tasks or clocks of their own.
 
 mod chain;
+mod driver;
 mod event;
 mod resume;
 mod seal;
@@ -13,8 +14,9 @@
 mod stream;
 
 pub use chain::ChainDigest;
+pub use driver::Driver;
 pub use event::{Done, Event, EventError, Frame, Reason};
-pub use resume::{ResumeError, ResumeToken};
+pub use resume::{Origin, ResumeError, ResumeToken};
 pub use seal::{Seal, SealKey, Sealed};
 pub use splice::{Splice, Verdict};
 pub use stall::{Patience, Stall, StallLimits};
--- a/crates/answer/src/seal.rs
+++ b/crates/answer/src/seal.rs
@@ -3,14 +3,18 @@
 use std::fmt;
 
 use base64::{prelude::BASE64_URL_SAFE_NO_PAD, Engine as _};
-use celerypond_types::{Attempt, Digest, Position, RequestKey, VersionName};
+use celerypond_types::{Digest, Position, RequestKey};
 use sha2::{Digest as _, Sha256};
 use smol_str::SmolStr;
 
-use crate::{resume, ChainDigest, ResumeError, ResumeToken, Stream};
+use crate::{ChainDigest, Origin, ResumeError, ResumeToken};
 
-pub(crate) const TAG_BYTES: usize = 16;
 const KEY_BYTES: usize = 32;
+const TAG_BYTES: usize = 16;
+const POSITION_BYTES: usize = size_of::<u32>();
+const BODY_BYTES: usize = POSITION_BYTES + size_of::<u64>();
+const TAIL_BYTES: usize = BODY_BYTES + TAG_BYTES;
+const SEPARATOR: char = '.';
 
 /// The secret that all instances share for sealing.
 #[derive(Clone)]
@@ -25,15 +29,19 @@
 /// # Examples
 ///
 /// ```
-/// use celerypond_answer::{ChainDigest, ResumeError, ResumeToken, Seal, SealKey, Stream};
+/// use celerypond_answer::{
+///     ChainDigest, Origin, ResumeError, ResumeToken, Seal, SealKey, Stream,
+/// };
 /// use celerypond_types::{Attempt, Digest, Position};
 ///
 /// let seal = Seal::new(&SealKey::new([7; 32]), &"r".into(), &Digest::of(b"body"));
 /// let token = ResumeToken {
-///     attempt: Attempt(1),
-///     stream: Stream { target: "e1".into(), attempt: Attempt(1) },
-///     version: "v1".into(),
-///     seed: 42,
+///     origin: Origin {
+///         attempt: Attempt(1),
+///         stream: Stream { target: "e1".into(), attempt: Attempt(1) },
+///         version: "v1".into(),
+///         seed: 42,
+///     },
 ///     position: Position(3),
 ///     digest: ChainDigest(5),
 /// };
@@ -91,14 +99,9 @@
     }
 
     /// Prepares the seal for the tokens of one attempt, which then cost one short digest each.
-    pub fn attempt(
-        &self,
-        attempt: Attempt,
-        stream: &Stream,
-        version: &VersionName,
-        seed: u64,
-    ) -> Sealed {
-        let head = resume::head(attempt, stream, version, seed);
+    pub fn attempt(&self, origin: &Origin) -> Sealed {
+        // Writing plain fields to memory can't fail.
+        let head = bincode::serialize(origin).unwrap_or_default();
         Sealed {
             state: self.state.clone().chain_update(&head),
             head: SmolStr::new(BASE64_URL_SAFE_NO_PAD.encode(head)),
@@ -107,7 +110,7 @@
 
     /// Encodes a token as text for the `id` field of a server-sent event.
     pub fn encode(&self, token: &ResumeToken) -> SmolStr {
-        self.attempt(token.attempt, &token.stream, &token.version, token.seed)
+        self.attempt(&token.origin)
             .encode(token.position, token.digest)
     }
 
@@ -118,42 +121,46 @@
     /// A [`ResumeError`] when the text is cut short, changed, or sealed for another request, body
     /// or key.
     pub fn decode(&self, text: &str) -> Result<ResumeToken, ResumeError> {
-        let (head, tail) = text
-            .split_once(resume::SEPARATOR)
-            .ok_or(ResumeError::Parts)?;
-        let head = BASE64_URL_SAFE_NO_PAD
-            .decode(head)
-            .map_err(|_| ResumeError::Digits)?;
-        let tail = BASE64_URL_SAFE_NO_PAD
-            .decode(tail)
-            .map_err(|_| ResumeError::Digits)?;
-        if tail.len() != resume::TAIL_BYTES + TAG_BYTES {
-            return Err(ResumeError::Length(tail.len()));
-        }
-        let (body, found) = tail.split_at(resume::TAIL_BYTES);
-        let state = self.state.clone().chain_update(&head);
-        if tag(state, body) != found {
+        let (head, tail) = text.split_once(SEPARATOR).ok_or(ResumeError::Parts)?;
+        let (head, tail) = (decode(head)?, decode(tail)?);
+        let tail = <[u8; TAIL_BYTES]>::try_from(tail.as_slice())
+            .map_err(|_| ResumeError::Length(tail.len()))?;
+        let (body, found) = tail.split_at(BODY_BYTES);
+        if tag(self.state.clone().chain_update(&head), body) != found {
             return Err(ResumeError::Tag);
         }
-        resume::parse(&head, body)
+        let origin = bincode::deserialize(&head).map_err(|_| ResumeError::Format)?;
+        let (position, digest) = bincode::deserialize(body).map_err(|_| ResumeError::Format)?;
+        Ok(ResumeToken {
+            origin,
+            position,
+            digest: ChainDigest(digest),
+        })
     }
 }
 
 impl Sealed {
     /// Encodes the token for `position` tokens with the digest `digest`.
     pub fn encode(&self, position: Position, digest: ChainDigest) -> SmolStr {
-        let mut tail = [0; resume::TAIL_BYTES + TAG_BYTES];
-        tail[..resume::TAIL_BYTES].copy_from_slice(&resume::tail(position, digest));
-        let tag = tag(self.state.clone(), &tail[..resume::TAIL_BYTES]);
-        tail[resume::TAIL_BYTES..].copy_from_slice(&tag);
+        let mut tail = [0; TAIL_BYTES];
+        tail[..POSITION_BYTES].copy_from_slice(&position.0.to_le_bytes());
+        tail[POSITION_BYTES..BODY_BYTES].copy_from_slice(&digest.0.to_le_bytes());
+        let tag = tag(self.state.clone(), &tail[..BODY_BYTES]);
+        tail[BODY_BYTES..].copy_from_slice(&tag);
         let mut text = String::with_capacity(self.head.len() + 2 * tail.len());
         text.push_str(&self.head);
-        text.push(resume::SEPARATOR);
+        text.push(SEPARATOR);
         BASE64_URL_SAFE_NO_PAD.encode_string(tail, &mut text);
         SmolStr::from(text)
     }
 }
 
+fn decode(part: &str) -> Result<Vec<u8>, ResumeError> {
+    BASE64_URL_SAFE_NO_PAD
+        .decode(part)
+        .map_err(|_| ResumeError::Digits)
+}
+
 fn tag(state: Sha256, body: &[u8]) -> [u8; TAG_BYTES] {
     let whole = state.chain_update(body).finalize();
     let mut tag = [0; TAG_BYTES];
--- a/crates/answer/tests/test_resume.rs
+++ b/crates/answer/tests/test_resume.rs
@@ -1,6 +1,6 @@
 //! Resume tokens as text.
 
-use celerypond_answer::{ChainDigest, ResumeError, ResumeToken, Seal, SealKey, Stream};
+use celerypond_answer::{ChainDigest, Origin, ResumeError, ResumeToken, Seal, SealKey, Stream};
 use celerypond_types::{Attempt, Digest, Position};
 use rstest::rstest;
 
@@ -10,13 +10,15 @@
 
 fn token() -> ResumeToken {
     ResumeToken {
-        attempt: Attempt(65_537),
-        stream: Stream {
-            target: "engine-3".into(),
-            attempt: Attempt(2),
+        origin: Origin {
+            attempt: Attempt(65_537),
+            stream: Stream {
+                target: "engine-3".into(),
+                attempt: Attempt(2),
+            },
+            version: "v1".into(),
+            seed: 7,
         },
-        version: "v1".into(),
-        seed: 7,
         position: Position(40),
         digest: ChainDigest(0x0123_4567_89ab_cdef),
     }
