--- /dev/null
+++ b/daemon/src/body.rs
@@ -0,0 +1,51 @@
+//! Bodies of requests and replies.
+
+use std::io;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt};
+use gotham::helpers::http::Body;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::Frame;
+use thiserror::Error;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// The sender stopped in the middle.
+    #[error("the body is cut short")]
+    CutShort,
+}
+
+/// Makes a body from bytes.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(io::Error::other)
+        .boxed_unsync()
+}
+
+/// Makes a body that is sent as it comes.
+pub fn streamed(stream: impl Stream<Item = Bytes> + Send + 'static) -> Body {
+    let frames = stream.map(|bytes| Ok(Frame::data(bytes)));
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `TooLong` beyond the limit, without reading on; `CutShort` when the sender stops.
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Err(_) => Err(BodyError::CutShort),
+    }
+}
--- /dev/null
+++ b/daemon/src/engine.rs
@@ -0,0 +1,231 @@
+//! Calls to engines, in the forms of `docs/design/wire.md`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use celerypond_types::{
+    AdapterName, Attempt, ModelName, Position, Priority, RequestKey, TokenId, VersionName,
+};
+use error_stack::Report;
+use futures::{Stream, StreamExt};
+use http::{header, Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use sse_stream::SseStream;
+
+use crate::{
+    body,
+    http_call::{Answer, CallError, Connection, Fresh},
+};
+
+/// The longest wait for the head of an answer; an engine answers it before it generates.
+const HEAD: Duration = Duration::from_secs(10);
+/// The longest wait for a probe, a load report or a cancellation.
+const SMALL: Duration = Duration::from_millis(500);
+/// The longest health or load answer, in bytes.
+const SMALL_BODY: usize = 1 << 20;
+
+/// What is asked of an engine.
+#[derive(Clone, Debug, Serialize)]
+pub struct Generate<'a> {
+    /// The request.
+    pub request: &'a RequestKey,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The model.
+    pub model: &'a ModelName,
+    /// The version.
+    pub version: &'a VersionName,
+    /// The adapter.
+    pub adapter: Option<&'a AdapterName>,
+    /// The prompt.
+    pub prompt: &'a str,
+    /// The tokens that the answer has so far.
+    pub prefix: &'a [TokenId],
+    /// How many tokens the whole answer has at most.
+    pub max_tokens: u32,
+    /// The seed.
+    pub seed: u64,
+    /// How urgent the request is.
+    pub priority: Priority,
+}
+
+/// An engine's word about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Health {
+    /// Whether it takes new work.
+    pub state: celerypond_platform::Presence,
+    /// The versions it has loaded; a plain service has none.
+    #[serde(default)]
+    pub versions: Vec<VersionName>,
+}
+
+/// An engine's load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct Load {
+    /// Running requests.
+    pub running: u32,
+    /// Waiting requests.
+    #[serde(default)]
+    pub queued: u32,
+    /// How long ago this was sampled, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+/// A stream that an engine has accepted.
+pub struct Open {
+    answer: Answer,
+}
+
+/// The answer to a request for a stream.
+pub enum Opening {
+    /// The stream goes on.
+    Stream(Open),
+    /// The engine refused with this status.
+    Refused(StatusCode),
+}
+
+impl Open {
+    /// Returns the data of each event; ends when the connection does.
+    pub fn events(self) -> impl Stream<Item = String> + Send {
+        let Answer {
+            response,
+            connection,
+        } = self.answer;
+        let events = SseStream::new(response.into_body());
+        events
+            .take_while(|event| std::future::ready(event.is_ok()))
+            .filter_map(|event| std::future::ready(event.ok().and_then(|event| event.data)))
+            .map(move |data| {
+                // The connection lives as long as the stream of its events.
+                let _: &Connection = &connection;
+                data
+            })
+    }
+}
+
+/// Starts a generation.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn generate(
+    address: SocketAddr,
+    call: &Generate<'_>,
+) -> Result<Opening, Report<CallError>> {
+    // The type has text keys only, so it always has a JSON form.
+    let value = serde_json::to_vec(call).unwrap_or_default();
+    open(address, Method::POST, "/v1/generate", value).await
+}
+
+/// Reads a stream that the engine has, from a position.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn resume(
+    address: SocketAddr,
+    request: &RequestKey,
+    attempt: Attempt,
+    from: Position,
+) -> Result<Opening, Report<CallError>> {
+    let path = format!("/v1/streams/{request}/{attempt}?from={from}");
+    open(address, Method::GET, &path, Vec::new()).await
+}
+
+/// Stops a stream; returns whether the engine knew it.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn cancel(
+    address: SocketAddr,
+    request: &RequestKey,
+    attempt: Attempt,
+) -> Result<bool, Report<CallError>> {
+    let path = format!("/v1/streams/{request}/{attempt}");
+    let (status, _) = small(address, Method::DELETE, &path, Vec::new()).await?;
+    Ok(status.is_success())
+}
+
+/// Asks a target for its health on a new connection; `None` when the answer says nothing.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn health(address: SocketAddr, path: &str) -> Result<Option<Health>, Report<CallError>> {
+    let (_, value) = small(address, Method::GET, path, Vec::new()).await?;
+    Ok(serde_json::from_slice(&value).ok())
+}
+
+/// Asks a target for its load; `None` when the answer says nothing.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn load(address: SocketAddr, path: &str) -> Result<Option<Load>, Report<CallError>> {
+    let (_, value) = small(address, Method::GET, path, Vec::new()).await?;
+    Ok(serde_json::from_slice(&value).ok())
+}
+
+async fn open(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    value: Vec<u8>,
+) -> Result<Opening, Report<CallError>> {
+    let request = request(address, method, path, value)?;
+    let answer = Fresh::connect(address).await?.send(request, HEAD).await?;
+    Ok(match answer.response.status() {
+        StatusCode::OK => Opening::Stream(Open { answer }),
+        status => Opening::Refused(status),
+    })
+}
+
+/// Makes a call with a small answer.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn small(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    value: Vec<u8>,
+) -> Result<(StatusCode, Bytes), Report<CallError>> {
+    let request = request(address, method, path, value)?;
+    let fresh = Fresh::connect(address).await?;
+    let exchange = async {
+        let Answer {
+            response,
+            connection,
+        } = fresh.send(request, SMALL).await?;
+        let status = response.status();
+        let value = body::read(response.into_body(), SMALL_BODY).await;
+        drop(connection);
+        match value {
+            Ok(value) => Ok((status, value)),
+            Err(error) => Err(Report::new(error).change_context(CallError::Reset)),
+        }
+    };
+    match tokio::time::timeout(SMALL, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Report::new(CallError::Timeout)),
+    }
+}
+
+fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    value: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, Report<CallError>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(value.into()))
+        .map_err(|error| Report::new(error).change_context(CallError::Connect))
+}
--- /dev/null
+++ b/daemon/src/force.rs
@@ -0,0 +1,57 @@
+//! The bundle in force at this instance, with the indexes that requests need.
+
+use std::{collections::HashMap, sync::Arc};
+
+use celerypond_bundle::{Account, Bundle, Model, Service};
+use celerypond_types::{Digest, ModelName, Revision, ServiceName};
+
+/// The bundle in force, immutable.
+#[derive(Clone, Debug)]
+pub struct Force {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its digest.
+    pub digest: Digest,
+    /// Its content.
+    pub bundle: Arc<Bundle>,
+    accounts: HashMap<Digest, usize>,
+    models: HashMap<ModelName, usize>,
+    services: HashMap<ServiceName, usize>,
+}
+
+impl Force {
+    /// Indexes a bundle.
+    pub fn new(revision: Revision, bundle: Arc<Bundle>) -> Self {
+        let accounts = bundle.accounts.iter().enumerate();
+        let models = bundle.models.iter().enumerate();
+        let services = bundle.services.iter().enumerate();
+        Self {
+            revision,
+            digest: bundle.digest(),
+            accounts: accounts.map(|(index, it)| (it.key_digest, index)).collect(),
+            models: models.map(|(index, it)| (it.name.clone(), index)).collect(),
+            services: services
+                .map(|(index, it)| (it.name.clone(), index))
+                .collect(),
+            bundle,
+        }
+    }
+
+    /// Finds the account whose callers send the key with this digest.
+    pub fn account(&self, key_digest: &Digest) -> Option<&Account> {
+        let index = self.accounts.get(key_digest)?;
+        self.bundle.accounts.get(*index)
+    }
+
+    /// Finds a model.
+    pub fn model(&self, name: &ModelName) -> Option<&Model> {
+        let index = self.models.get(name)?;
+        self.bundle.models.get(*index)
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        let index = self.services.get(name)?;
+        self.bundle.services.get(*index)
+    }
+}
--- /dev/null
+++ b/daemon/src/front.rs
@@ -0,0 +1,116 @@
+//! What callers and operators reach over HTTP.
+
+use std::{convert::Infallible, future::Future, panic::AssertUnwindSafe, sync::Arc};
+
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::Body,
+    hyper::{HeaderMap, Method, Response, Uri},
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    prelude::*,
+    router::{build_router, Router},
+    state::{client_addr, State, StateData},
+};
+use http::{header, HeaderValue};
+use tokio::net::TcpListener;
+
+use crate::node::Node;
+
+pub mod auth;
+pub mod entries;
+pub mod health;
+pub mod operator;
+pub mod problem;
+pub mod socket;
+
+/// A request as handlers see it.
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The address within this instance.
+    pub uri: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Body,
+}
+
+/// A reply as handlers give it.
+pub type Reply = Response<Body>;
+
+/// Wraps the shared state for gotham; all its parts stay whole if a handler panics.
+#[derive(Clone)]
+struct Shared(Arc<AssertUnwindSafe<Arc<Node>>>);
+
+impl StateData for Shared {}
+
+/// Serves callers on a listener until dropped, which closes the listener and nothing else.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) -> Infallible {
+    let routes = routes(Arc::clone(&node));
+    let sockets = node.sockets.clone();
+    gotham::bind_server(listener, routes, move |socket| {
+        std::future::ready(sockets.admit(socket))
+    })
+    .await
+}
+
+fn routes(node: Arc<Node>) -> Router {
+    let shared = Shared(Arc::new(AssertUnwindSafe(node)));
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    build_router(chain, pipelines, |route| {
+        route
+            .get("/v1/entries")
+            .to_async(|state| handle(state, entries::list));
+        route
+            .get("/v1/health")
+            .to_async(|state| handle(state, health::live));
+        route
+            .get("/v1/ready")
+            .to_async(|state| handle(state, health::ready));
+        route
+            .get("/v1/metrics")
+            .to_async(|state| handle(state, health::metrics));
+        route.scope("/v1/operator", |route| {
+            route
+                .post("/submit")
+                .to_async(|state| handle(state, operator::submit));
+            route
+                .post("/approve")
+                .to_async(|state| handle(state, operator::approve));
+            route
+                .post("/roll")
+                .to_async(|state| handle(state, operator::roll));
+            route
+                .get("/status")
+                .to_async(|state| handle(state, operator::status));
+            route
+                .get("/history")
+                .to_async(|state| handle(state, operator::history));
+            route
+                .get("/bundles/:digest")
+                .to_async(|state| handle(state, operator::bundle));
+        });
+    })
+}
+
+async fn handle<H, F>(mut state: State, handler: H) -> HandlerResult
+where
+    H: FnOnce(Arc<Node>, Call) -> F,
+    F: Future<Output = Reply>,
+{
+    let node = Arc::clone(&Shared::borrow_from(&state).0 .0);
+    let busy = client_addr(&state).and_then(|address| node.sockets.busy(address));
+    let call = Call {
+        method: Method::borrow_from(&state).clone(),
+        uri: Uri::borrow_from(&state).clone(),
+        headers: HeaderMap::take_from(&mut state),
+        body: Body::take_from(&mut state),
+    };
+    let mut reply = handler(Arc::clone(&node), call).await;
+    if node.leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok((state, reply.map(|body| socket::hold(body, busy))))
+}
--- /dev/null
+++ b/daemon/src/front/operator.rs
@@ -0,0 +1,240 @@
+//! The operators' steps over HTTP.
+
+use std::sync::Arc;
+
+use celerypond_bundle::Bundle;
+use celerypond_rollout::{
+    bundle_key, parse, Audit, Current, Desk, DeskError, Done, Request, Signature, Step, StoreCall,
+    StoreReply, Submission, AUDIT_PREFIX,
+};
+use celerypond_types::{Digest, Revision};
+use gotham::hyper::StatusCode;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+use crate::{
+    body,
+    front::{
+        auth,
+        problem::{self, Kind, Problem},
+        Call, Reply,
+    },
+    node::{self, Node},
+    store, watch,
+};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Approve {
+    digest: Digest,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Roll {
+    digest: Digest,
+    expected: Option<Revision>,
+}
+
+#[derive(Serialize)]
+struct Submitted {
+    digest: Digest,
+    operator: String,
+}
+
+#[derive(Serialize)]
+struct Outrun {
+    outrun_by: Option<Current>,
+}
+
+#[derive(Serialize)]
+struct Status {
+    instance: String,
+    revision: u64,
+    digest: Option<Digest>,
+    title: Option<String>,
+}
+
+#[derive(Serialize)]
+struct History {
+    steps: Vec<Audit>,
+}
+
+/// Stores a bundle for approval.
+pub async fn submit(node: Arc<Node>, call: Call) -> Reply {
+    step(node, call, |text| {
+        let text = String::from_utf8_lossy(text);
+        let bundle = Bundle::parse(&text).map_err(|faults| {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            Problem::new(Kind::BadRequest, lines.join("\n"))
+        })?;
+        Ok(Request::Submit(Box::new(bundle)))
+    })
+    .await
+}
+
+/// Signs a bundle off.
+pub async fn approve(node: Arc<Node>, call: Call) -> Reply {
+    step(node, call, |text| {
+        let approve: Approve = read_json(text)?;
+        Ok(Request::Approve(approve.digest))
+    })
+    .await
+}
+
+/// Puts an approved bundle in force.
+pub async fn roll(node: Arc<Node>, call: Call) -> Reply {
+    step(node, call, |text| {
+        let roll: Roll = read_json(text)?;
+        Ok(Request::Roll {
+            digest: roll.digest,
+            expected: roll.expected,
+        })
+    })
+    .await
+}
+
+/// Tells what is in force.
+pub async fn status(node: Arc<Node>, call: Call) -> Reply {
+    if let Err(problem) = auth::operator(&node, &call.headers) {
+        return problem.reply();
+    }
+    let force = node.force.load();
+    let force = force.as_ref();
+    let status = Status {
+        instance: node.settings.instance.to_string(),
+        revision: force.map_or(0, |force| force.revision.0),
+        digest: force.map(|force| force.digest),
+        title: force.map(|force| force.bundle.title.to_string()),
+    };
+    problem::json(StatusCode::OK, &status)
+}
+
+/// Lists all steps of operators, oldest first.
+pub async fn history(node: Arc<Node>, call: Call) -> Reply {
+    if let Err(problem) = auth::operator(&node, &call.headers) {
+        return problem.reply();
+    }
+    match node.platform.list_all(AUDIT_PREFIX).await {
+        Ok(listing) => {
+            let objects = listing.objects.iter();
+            let steps = objects.filter_map(|object| parse(&object.value)).collect();
+            problem::json(StatusCode::OK, &History { steps })
+        }
+        Err(report) => Problem::new(Kind::NotRun, report.current_context()).reply(),
+    }
+}
+
+/// Returns a submitted bundle.
+pub async fn bundle(node: Arc<Node>, call: Call) -> Reply {
+    let found = match asked_digest(&node, &call) {
+        Ok(digest) => read_bundle(&node, digest).await,
+        Err(problem) => Err(problem),
+    };
+    match found {
+        Ok(bundle) => problem::json(StatusCode::OK, &bundle),
+        Err(problem) => problem.reply(),
+    }
+}
+
+fn asked_digest(node: &Node, call: &Call) -> Result<Digest, Problem> {
+    auth::operator(node, &call.headers)?;
+    let name = call.uri.path().rsplit('/').next().unwrap_or_default();
+    name.parse()
+        .map_err(|error| Problem::new(Kind::BadRequest, error))
+}
+
+async fn read_bundle(node: &Node, digest: Digest) -> Result<Bundle, Problem> {
+    let read = StoreCall::read(bundle_key(digest));
+    match store::call(&node.platform, &node.metrics, &read).await {
+        StoreReply::Found { value, .. } => parse::<Submission>(&value)
+            .map(|submission| submission.bundle)
+            .ok_or_else(|| Problem::new(Kind::Incomplete, DeskError::Malformed)),
+        StoreReply::Missing => Err(Problem::new(Kind::NotFound, DeskError::NoBundle(digest))),
+        _ => Err(Problem::new(Kind::NotRun, DeskError::Down)),
+    }
+}
+
+async fn step(
+    node: Arc<Node>,
+    call: Call,
+    request: impl FnOnce(&[u8]) -> Result<Request, Problem>,
+) -> Reply {
+    let result = async {
+        let operator = auth::operator(&node, &call.headers)?;
+        let signature = Signature {
+            operator: operator.name.clone(),
+            at_ms: node::wall_ms(),
+            nonce: node.nonce(),
+        };
+        let text = read_body(&node, call.body).await?;
+        let request = request(&text)?;
+        run(&node, request, signature)
+            .await
+            .map_err(|error| desk_problem(&error))
+    };
+    match result.await {
+        Ok(done) => reply(&node, done).await,
+        Err(problem) => problem.reply(),
+    }
+}
+
+async fn run(node: &Node, request: Request, signature: Signature) -> Result<Done, DeskError> {
+    let (mut desk, mut step) = Desk::begin(request, signature);
+    loop {
+        match step {
+            Step::Call(call) => {
+                let reply = store::call(&node.platform, &node.metrics, &call).await;
+                step = desk.reply(reply);
+            }
+            Step::End(end) => return end,
+        }
+    }
+}
+
+async fn reply(node: &Node, done: Done) -> Reply {
+    match done {
+        Done::Submitted(digest, signature) => {
+            let operator = signature.operator.to_string();
+            problem::json(StatusCode::OK, &Submitted { digest, operator })
+        }
+        Done::Approved(approval) => problem::json(StatusCode::OK, &approval),
+        Done::Rolled(current) => {
+            // The roll is accepted whether or not this instance can read it back now.
+            watch::bring_current(node).await;
+            problem::json(StatusCode::OK, &current)
+        }
+        Done::Outrun { winner } => {
+            problem::json(StatusCode::CONFLICT, &Outrun { outrun_by: winner })
+        }
+    }
+}
+
+fn desk_problem(error: &DeskError) -> Problem {
+    let kind = match error {
+        DeskError::Down => Kind::NotRun,
+        DeskError::Unknown => Kind::Unknown,
+        DeskError::NoBundle(_) => Kind::NotFound,
+        DeskError::OwnBundle | DeskError::NotApproved(_) => Kind::Conflict,
+        DeskError::TooLarge(_) => Kind::TooLarge,
+        DeskError::Malformed => Kind::Incomplete,
+    };
+    Problem::new(kind, error)
+}
+
+async fn read_body(
+    node: &Node,
+    body: gotham::helpers::http::Body,
+) -> Result<bytes::Bytes, Problem> {
+    let limit = node.settings.body_limit;
+    body::read(body, limit).await.map_err(|error| {
+        let kind = match error {
+            body::BodyError::TooLong => Kind::TooLarge,
+            body::BodyError::CutShort => Kind::BadRequest,
+        };
+        Problem::new(kind, error)
+    })
+}
+
+fn read_json<T: DeserializeOwned>(text: &[u8]) -> Result<T, Problem> {
+    serde_json::from_slice(text).map_err(|error| Problem::new(Kind::BadRequest, error))
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,14 @@
-//! The daemon as a library.
+//! The daemon `celerypondd` as a library: the shell around the decision crates.
+//!
+//! Decisions live in the libraries; this crate owns the sockets, the clock and the tasks, feeds the
+//! state machines and carries out what they ask for.
+
+pub mod body;
+pub mod engine;
+pub mod force;
+pub mod front;
+pub mod http_call;
+pub mod node;
+pub mod server;
+pub mod store;
+pub mod watch;
--- /dev/null
+++ b/daemon/src/node.rs
@@ -0,0 +1,138 @@
+//! What all tasks of an instance share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicU64, Ordering::Relaxed},
+        Arc, Mutex, PoisonError,
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use celerypond_bundle::Settings;
+use celerypond_platform::{Client, InstanceList, Rates};
+use celerypond_route::View;
+use celerypond_telemetry::{Counter, Gauge, Metrics};
+use rand::{rngs::SmallRng, SeedableRng};
+use tokio::{sync::Notify, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::{force::Force, front::socket::Sockets};
+
+/// The platform's rates for all instances together, of which each uses its share.
+const PLATFORM_RATES: Rates = Rates {
+    reads: 1500.0,
+    writes: 300.0,
+    burst: Duration::from_secs(2),
+};
+const PLATFORM_CONNECT: Duration = Duration::from_millis(500);
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// How many instances share the platform's rates until the list of instances is known.
+const FIRST_COUNT: usize = 7;
+
+/// What all tasks of an instance share.
+pub struct Node {
+    /// The settings of this instance.
+    pub settings: Settings,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// The platform.
+    pub platform: Client,
+    /// The snapshot by which targets are chosen.
+    pub view: ArcSwap<View>,
+    /// The bundle in force; none before the first roll.
+    pub force: ArcSwapOption<Force>,
+    /// The last list of instances that the platform gave.
+    pub list: ArcSwap<InstanceList>,
+    /// Connections from callers.
+    pub sockets: Sockets,
+    /// Cancelled at the beginning of a planned stop.
+    pub leaving: CancellationToken,
+    /// Cancelled when background tasks shall end.
+    pub ending: CancellationToken,
+    /// Wakes the task that brings bundles into force.
+    pub look: Notify,
+    seed: Mutex<SmallRng>,
+    nonce: AtomicU64,
+}
+
+impl Node {
+    /// Makes the shared state of an instance.
+    pub fn new(settings: Settings, metrics: Metrics) -> Arc<Self> {
+        let now = Instant::now();
+        let platform = celerypond_platform::Settings {
+            address: settings.platform[0],
+            connect: PLATFORM_CONNECT,
+            timeout: PLATFORM_TIMEOUT,
+            rates: PLATFORM_RATES.share(FIRST_COUNT),
+        };
+        let mut rng = SmallRng::from_os_rng();
+        let nonce = AtomicU64::new(rand::Rng::random(&mut rng));
+        Arc::new(Self {
+            settings,
+            metrics,
+            platform: Client::new(&platform),
+            view: ArcSwap::from_pointee(View::new(now)),
+            force: ArcSwapOption::empty(),
+            list: ArcSwap::default(),
+            sockets: Sockets::default(),
+            leaving: CancellationToken::new(),
+            ending: CancellationToken::new(),
+            look: Notify::new(),
+            seed: Mutex::new(rng),
+            nonce,
+        })
+    }
+
+    /// Brings a bundle into force; an older one than that in force is dropped.
+    ///
+    /// The failure: a late read, or a peer that lags, brings a bundle that was replaced. The symptom
+    /// would be a revision that goes back. The comparison and the swap are one atomic step.
+    pub fn bring(&self, force: Force) -> bool {
+        let force = Arc::new(force);
+        let last = self.force.rcu(|held| match held {
+            Some(held) if held.revision >= force.revision => Some(Arc::clone(held)),
+            _ => Some(Arc::clone(&force)),
+        });
+        if last.is_some_and(|last| last.revision >= force.revision) {
+            return false;
+        }
+        self.view.rcu(|view| view.with_bundle(&force.bundle));
+        self.metrics.add(Counter::Bundles, 1);
+        self.metrics.set(Gauge::Revision, force.revision.0);
+        log::info!(
+            "revision {} is in force, bundle {}",
+            force.revision,
+            force.digest.short()
+        );
+        true
+    }
+
+    /// Returns the share of the platform's rates of one of `count` instances.
+    pub fn share_rates(&self, count: usize) {
+        self.platform.set_rates(PLATFORM_RATES.share(count));
+    }
+
+    /// Returns a new generator of random numbers.
+    pub fn rng(&self) -> SmallRng {
+        let mut seed = self.seed.lock().unwrap_or_else(PoisonError::into_inner);
+        SmallRng::from_rng(&mut *seed)
+    }
+
+    /// Returns a number that no other try has.
+    pub fn nonce(&self) -> u64 {
+        self.nonce.fetch_add(1, Relaxed)
+    }
+
+    /// Returns where callers reach this instance.
+    pub fn address(&self) -> SocketAddr {
+        self.settings.address
+    }
+}
+
+/// Returns the wall clock in milliseconds since 1970, for records that people read.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
