platform: show each failure of a call

That a late answer reaches nobody is a property of hyper, which closes a connection whose future is dropped; its test could not be made to fail by an edit here.

--- /dev/null
+++ b/crates/platform/tests/test_connections.rs
@@ -0,0 +1,55 @@
+//! Connections that fall silent.
+
+use std::time::Duration;
+
+use celerypond_platform::{PlatformError, Version};
+
+use crate::server::{client, reply, text, Reply, Server, PLENTY, TIMEOUT};
+
+// Four calls at once leave four idle connections. Something on the way then loses track of all of
+// them: they take requests and never answer, while new connections work. The first call after
+// that times out. The second must not, or each idle connection costs a call its answer.
+#[tokio::test]
+async fn one_timeout_retires_all_connections_that_were_open() {
+    let server = Server::start(|connection, request, _| match (connection, request) {
+        (0..4, 1..) => Reply::Silent,
+        _ => Reply::Late(
+            Duration::from_millis(20),
+            text("200 OK", "etag: \"5\"\r\n", ""),
+        ),
+    })
+    .await;
+    let platform = client(server.address, PLENTY);
+    let calls = (0..4).map(|_| platform.get("k"));
+    assert!(futures::future::join_all(calls)
+        .await
+        .iter()
+        .all(Result::is_ok));
+    let error = platform.get("k").await.unwrap_err();
+    assert_eq!(*error.current_context(), PlatformError::Down);
+    for _ in 0..4 {
+        platform.get("k").await.unwrap();
+    }
+}
+
+// The first answer arrives after its caller gave up. The second call must get its own answer and
+// not the late one, which would be read if the connection went back to the pool.
+#[tokio::test]
+async fn a_late_answer_reaches_nobody() {
+    let server = Server::start(|connection, request, _| match (connection, request) {
+        (0, 0) => Reply::Late(
+            TIMEOUT + TIMEOUT / 2,
+            text("200 OK", "etag: \"1\"\r\n", "late"),
+        ),
+        _ => reply("200 OK", "etag: \"2\"\r\n", "own"),
+    })
+    .await;
+    let platform = client(server.address, PLENTY);
+    assert!(platform.get("first").await.is_err());
+    tokio::time::sleep(TIMEOUT).await;
+    let object = platform.get("second").await.unwrap();
+    assert_eq!(
+        (object.version, &object.value[..]),
+        (Version(2), &b"own"[..])
+    );
+}
