route: decide on limits, queueing, retries, ejection, leaving and stops

The decisions around the choice of a target, each a function of its input: account limits split by demand, start-time fair queueing with a refusal at once, retry budgets and backoff, failure classes, ejection with a floor and a way back, the word of leaving from sources that lag, cache events with gaps, entry addresses and the stages of a planned stop.

Deficit round robin was tried first and dropped: with costs in tokens its quantum is either far too small or unfair; start-time tags have no quantum. The weight of an ejected target is kept per pool and not per target, so that an engine which fails with one version stays in for others.

--- a/crates/route/src/cache.rs
+++ b/crates/route/src/cache.rs
@@ -1,12 +1,23 @@
 //! Which engines hold which prompt prefixes.
 
+use std::collections::BTreeMap;
+
 use celerypond_types::TargetKey;
+use slotmap::SecondaryMap;
 
-/// An immutable index from prefix hashes to the engines that hold them.
-#[derive(Clone, Debug, Default)]
-pub struct CacheIndex {
-    /// Sorted by prefix.
-    pub(crate) entries: Box<[Holder]>,
+/// How many prefixes are kept for one engine.
+const PER_ENGINE: usize = 256;
+/// How many prefixes are kept for all engines; an entry takes about 100 bytes with its place in
+/// the index.
+const IN_ALL: usize = 65_536;
+
+/// An event of an engine's cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CacheEvent {
+    /// The engine holds the prefix with this hash.
+    Stored(u64),
+    /// It no longer does.
+    Evicted(u64),
 }
 
 /// An engine that holds a prefix.
@@ -20,6 +31,13 @@
     pub certain: bool,
 }
 
+/// An immutable index from prefix hashes to the engines that hold them.
+#[derive(Clone, Debug, Default)]
+pub struct CacheIndex {
+    /// Sorted by prefix.
+    entries: Box<[Holder]>,
+}
+
 impl CacheIndex {
     /// Returns the engines that hold a prefix.
     pub fn holders(&self, prefix: u64) -> &[Holder] {
@@ -28,3 +46,117 @@
         &rest[..rest.partition_point(|e| e.prefix == prefix)]
     }
 }
+
+/// What the cache events of one engine have told.
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    /// The sequence number of the last event.
+    last: u64,
+    /// The last event before which one is missing.
+    gap: u64,
+    /// The sequence number at which each prefix was stored.
+    prefixes: BTreeMap<u64, u64>,
+}
+
+/// What the cache events of all engines have told; its size is bounded.
+///
+/// The failure: an engine evicts a prefix, the event is lost, and requests go on to that engine
+/// for a prefix that it no longer holds, past engines with less to do. After a gap in the sequence
+/// numbers, what was stored before it is uncertain, and a request goes there only if the engine has
+/// little to do.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_route::{CacheEvent, Caches};
+/// use celerypond_types::TargetKey;
+/// use slotmap::SlotMap;
+///
+/// let mut arena = SlotMap::<TargetKey, ()>::with_key();
+/// let engine = arena.insert(());
+/// let mut caches = Caches::default();
+/// caches.take(engine, 1, CacheEvent::Stored(7));
+/// assert!(caches.index().holders(7)[0].certain);
+/// caches.take(engine, 3, CacheEvent::Stored(8)); // Event 2 is missing.
+/// assert!(!caches.index().holders(7)[0].certain);
+/// assert!(caches.index().holders(8)[0].certain);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Caches {
+    engines: SecondaryMap<TargetKey, Engine>,
+    len: usize,
+}
+
+impl Caches {
+    /// Takes an event; one that is not newer than the last of its engine is dropped.
+    pub fn take(&mut self, target: TargetKey, sequence: u64, event: CacheEvent) {
+        let mut engine = self.engines.remove(target).unwrap_or_default();
+        self.len -= engine.prefixes.len();
+        engine.take(sequence, event, self.len < IN_ALL);
+        self.len += engine.prefixes.len();
+        self.engines.insert(target, engine);
+    }
+
+    /// Forgets an engine, when it has left or started anew.
+    pub fn forget(&mut self, target: TargetKey) {
+        let engine = self.engines.remove(target);
+        self.len -= engine.map_or(0, |engine| engine.prefixes.len());
+    }
+
+    /// Returns how many prefixes are kept.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether no prefix is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Makes the index for the request path; call it at most every 500 ms.
+    pub fn index(&self) -> CacheIndex {
+        let holders = self.engines.iter().flat_map(|(target, engine)| {
+            engine.prefixes.iter().map(move |(prefix, stored)| Holder {
+                prefix: *prefix,
+                target,
+                certain: *stored >= engine.gap,
+            })
+        });
+        let mut entries: Vec<Holder> = holders.collect();
+        entries.sort_by_key(|holder| holder.prefix);
+        CacheIndex {
+            entries: entries.into_boxed_slice(),
+        }
+    }
+}
+
+impl Engine {
+    fn take(&mut self, sequence: u64, event: CacheEvent, has_room: bool) {
+        if sequence <= self.last {
+            return;
+        }
+        // The first event heard of an engine has no known one before it, but nothing is held then.
+        if sequence > self.last + 1 {
+            self.gap = sequence;
+        }
+        self.last = sequence;
+        match event {
+            CacheEvent::Stored(prefix) => {
+                self.prefixes.insert(prefix, sequence);
+                if self.prefixes.len() > PER_ENGINE || !has_room {
+                    self.drop_oldest();
+                }
+            }
+            CacheEvent::Evicted(prefix) => {
+                self.prefixes.remove(&prefix);
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let by_age = self.prefixes.iter().min_by_key(|(_, stored)| **stored);
+        if let Some((prefix, _)) = by_age.map(|(prefix, stored)| (*prefix, *stored)) {
+            self.prefixes.remove(&prefix);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/drain.rs
@@ -0,0 +1,111 @@
+//! The stages of a planned stop.
+
+use crate::ENTRIES_TTL;
+
+/// How long other instances may go on giving out the address of a stopping one: until its word has
+/// reached them, with a margin.
+pub const WORD_MS: u64 = 5_000;
+/// How long the kernel may still hand over connections that were made before the refusal, and
+/// callers may send a request on an idle connection that is being closed.
+pub const GRACE_MS: u64 = 1_000;
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No stop was asked for.
+    Serving,
+    /// The address is given to nobody, but callers may still have it; all is served.
+    Left,
+    /// New connections are refused; requests on open ones are served, and each response says that
+    /// its connection closes.
+    Refusing,
+    /// Idle connections are closed; requests that run are finished.
+    Finishing,
+    /// Nothing runs; tasks can be joined and the process can end.
+    Done,
+}
+
+/// What the caller has to do on reaching a stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainEffect {
+    /// Say 'leaving' to peers, and leave the own address out of answers.
+    Leave,
+    /// Drop the listener, and say `Connection: close` in each response from now on.
+    Refuse,
+    /// Close the connections on which no request runs.
+    CloseIdle,
+    /// Join all tasks and end.
+    End,
+}
+
+/// A planned stop.
+///
+/// The failure: a caller that was told an address a moment ago connects there and is refused, or
+/// has its request cut off. So an instance serves on until every answer that names it has expired:
+/// the time for its word to reach the others, and then the time to live of the last answer.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_route::{Drain, DrainEffect, Stage};
+///
+/// let (drain, effect) = Drain::default().stop(0);
+/// assert_eq!(effect, Some(DrainEffect::Leave));
+/// // A second stop changes nothing.
+/// assert_eq!(drain.stop(3_000), (drain, None));
+/// let (drain, effect) = drain.step(60_000, 2);
+/// assert_eq!((drain.stage(), effect), (Stage::Refusing, Some(DrainEffect::Refuse)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drain {
+    stage: Stage,
+    /// When the stage was reached, in milliseconds.
+    since: u64,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            stage: Stage::Serving,
+            since: 0,
+        }
+    }
+}
+
+impl Drain {
+    /// Returns the stage.
+    pub const fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Asks for the stop; once is enough.
+    #[must_use]
+    pub fn stop(self, now_ms: u64) -> (Self, Option<DrainEffect>) {
+        match self.stage {
+            Stage::Serving => to(Stage::Left, now_ms, DrainEffect::Leave),
+            _ => (self, None),
+        }
+    }
+
+    /// Moves on by at most one stage. `running` counts the requests that have begun and not ended,
+    /// and all else that must not be cut off. Call it every 100 ms and when a request ends.
+    #[must_use]
+    pub fn step(self, now_ms: u64, running: usize) -> (Self, Option<DrainEffect>) {
+        let passed = now_ms.saturating_sub(self.since);
+        let cached = WORD_MS + ENTRIES_TTL.as_millis() as u64;
+        match self.stage {
+            Stage::Left if passed >= cached => to(Stage::Refusing, now_ms, DrainEffect::Refuse),
+            Stage::Refusing if passed >= GRACE_MS => {
+                to(Stage::Finishing, now_ms, DrainEffect::CloseIdle)
+            }
+            Stage::Finishing if running == 0 && passed >= GRACE_MS => {
+                to(Stage::Done, now_ms, DrainEffect::End)
+            }
+            _ => (self, None),
+        }
+    }
+}
+
+fn to(stage: Stage, since: u64, effect: DrainEffect) -> (Drain, Option<DrainEffect>) {
+    (Drain { stage, since }, Some(effect))
+}
--- /dev/null
+++ b/crates/route/src/ejector.rs
@@ -0,0 +1,204 @@
+//! Ejection of targets that fail or are slow, and their return.
+
+use celerypond_types::TargetKey;
+use slotmap::SecondaryMap;
+
+use crate::{
+    health::{Health, State},
+    pool::FULL_WEIGHT,
+    Pool,
+};
+
+/// Of a pool at least this large, the share of bad targets is taken over at least so many.
+const LEAST_KNOWN: usize = 4;
+
+/// When targets are ejected and how they return.
+#[derive(Clone, Copy, Debug)]
+pub struct EjectLimits {
+    /// So many failures in a row eject a target.
+    pub failures: u32,
+    /// A mean latency of so many times the median of its peers ejects a target.
+    pub slowness: f64,
+    /// So many samples are needed before a latency is compared.
+    pub samples: u32,
+    /// Latencies below this many milliseconds are never slow.
+    pub least_ms: f64,
+    /// At most this share of a pool may be out at a time.
+    pub out_share: f64,
+    /// Above this share of bad targets none is treated as bad.
+    pub panic_share: f64,
+    /// The first stay outside, in milliseconds; it doubles with each failed probe.
+    pub base_ms: u64,
+    /// The longest stay outside, in milliseconds.
+    pub cap_ms: u64,
+    /// The time from a good probe to the whole part of the work, in milliseconds.
+    pub ramp_ms: u64,
+}
+
+impl Default for EjectLimits {
+    fn default() -> Self {
+        Self {
+            failures: 5,
+            slowness: 3.0,
+            samples: 20,
+            least_ms: 50.0,
+            out_share: 1.0 / 3.0,
+            panic_share: 0.5,
+            base_ms: 5_000,
+            cap_ms: 60_000,
+            ramp_ms: 10_000,
+        }
+    }
+}
+
+/// What the caller has to do for an [`Ejector`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EjectEffect {
+    /// Set the part of the work that a target gets.
+    Weight(TargetKey, u32),
+    /// Ask a target for its health on a new connection, then call [`Ejector::probed`].
+    Probe(TargetKey),
+    /// Use targets that seem bad, or stop to.
+    Panic(bool),
+}
+
+/// Decides which targets of one pool are out.
+///
+/// One ejector serves one pool. A bad version fails on most of its engines, and then the panic
+/// share keeps the ejector from blaming them; the engines stay in for other versions.
+#[derive(Debug, Default)]
+pub struct Ejector {
+    limits: EjectLimits,
+    health: SecondaryMap<TargetKey, Health>,
+    panic: bool,
+}
+
+impl Ejector {
+    /// Makes an ejector.
+    pub fn new(limits: EjectLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Takes a success and its latency: the time to the first token, or to a service's response.
+    pub fn succeeded(&mut self, target: TargetKey, latency_ms: f64) {
+        self.change(target, |health| health.succeeded(latency_ms));
+    }
+
+    /// Takes a failure that speaks against the target; see [`crate::Blame`].
+    pub fn failed(&mut self, target: TargetKey) {
+        self.change(target, Health::failed);
+    }
+
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, target: TargetKey, alive: bool, now_ms: u64) {
+        let limits = self.limits;
+        self.change(target, |health| {
+            if alive {
+                health.ramping(now_ms)
+            } else {
+                health.out(now_ms, &limits)
+            }
+        });
+    }
+
+    /// Decides for the targets of `pool`; call it about every 100 ms.
+    pub fn step(&mut self, pool: &Pool, now_ms: u64) -> Vec<EjectEffect> {
+        self.health.retain(|key, _| pool.member(key).is_some());
+        let known: Vec<TargetKey> = self.health.keys().collect();
+        let median = self.median_ms();
+        let bad = known.iter().copied();
+        let bad: Vec<TargetKey> = bad.filter(|key| self.is_bad(*key, median)).collect();
+        let out = self.health.values().filter(|h| !h.takes_work()).count();
+        let mut effects = Vec::new();
+        let base = known.len().max(pool.members.len().min(LEAST_KNOWN));
+        let share = (bad.len() + out) as f64 / base.max(1) as f64;
+        self.set_panic(share > self.limits.panic_share, &mut effects);
+        if !self.panic {
+            let most = (pool.members.len() as f64 * self.limits.out_share).floor() as usize;
+            let room = most.saturating_sub(out);
+            self.eject(&bad[..room.min(bad.len())], now_ms, &mut effects);
+        }
+        for key in known {
+            effects.extend(self.advance(key, now_ms));
+        }
+        effects
+    }
+
+    fn set_panic(&mut self, panic: bool, effects: &mut Vec<EjectEffect>) {
+        if panic != self.panic {
+            self.panic = panic;
+            effects.push(EjectEffect::Panic(panic));
+        }
+    }
+
+    fn eject(&mut self, bad: &[TargetKey], now_ms: u64, effects: &mut Vec<EjectEffect>) {
+        let limits = self.limits;
+        for key in bad {
+            self.change(*key, |health| health.out(now_ms, &limits));
+            effects.push(EjectEffect::Weight(*key, 0));
+        }
+    }
+
+    /// Moves a target that is out or returning on.
+    fn advance(&mut self, key: TargetKey, now_ms: u64) -> Option<EjectEffect> {
+        let health = self.health.get(key).copied()?;
+        let wait_ms = self.limits.base_ms;
+        match health.state {
+            State::Out { until } if now_ms >= until => {
+                self.change(key, |health| health.probing(now_ms, wait_ms));
+                Some(EjectEffect::Probe(key))
+            }
+            // A probe without an answer is sent again.
+            State::Probing { until } if now_ms >= until => {
+                self.change(key, |health| health.probing(now_ms, wait_ms));
+                Some(EjectEffect::Probe(key))
+            }
+            State::Ramping { since } => {
+                let passed = now_ms.saturating_sub(since);
+                let part = passed as f64 / self.limits.ramp_ms.max(1) as f64;
+                if part >= 1.0 {
+                    self.change(key, Health::back);
+                }
+                Some(EjectEffect::Weight(key, ramp(part)))
+            }
+            _ => None,
+        }
+    }
+
+    fn is_bad(&self, key: TargetKey, median: Option<f64>) -> bool {
+        self.health.get(key).is_some_and(|health| {
+            health.takes_work()
+                && (health.failures >= self.limits.failures || self.is_slow(health, median))
+        })
+    }
+
+    fn is_slow(&self, health: &Health, median: Option<f64>) -> bool {
+        let limit = median.map(|median| (median * self.limits.slowness).max(self.limits.least_ms));
+        health.samples >= self.limits.samples && limit.is_some_and(|limit| health.mean_ms > limit)
+    }
+
+    /// Returns the median of the targets' mean latencies, when at least three have one.
+    fn median_ms(&self) -> Option<f64> {
+        let values = self.health.values();
+        let enough = values.filter(|health| health.samples >= self.limits.samples);
+        let mut means: Vec<f64> = enough.map(|health| health.mean_ms).collect();
+        means.sort_by(f64::total_cmp);
+        // The lower of two medians: one slow target of a pair must not hide behind itself.
+        (means.len() >= 3).then(|| means[(means.len() - 1) / 2])
+    }
+
+    fn change(&mut self, key: TargetKey, by: impl FnOnce(Health) -> Health) {
+        let health = self.health.get(key).copied().unwrap_or_default();
+        self.health.insert(key, by(health));
+    }
+}
+
+/// The least part of the work that a returning target gets.
+const FIRST_PART: f64 = 0.1;
+
+fn ramp(part: f64) -> u32 {
+    (f64::from(FULL_WEIGHT) * part.clamp(FIRST_PART, 1.0)) as u32
+}
--- /dev/null
+++ b/crates/route/src/failure.rs
@@ -0,0 +1,93 @@
+//! Classes of failures, for calls that may be repeated.
+
+use std::time::Duration;
+
+/// How a try at a target failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The host refused the connection: no process listens.
+    Refused,
+    /// The connection could not be made in time.
+    Unreachable,
+    /// The connection was reset or closed before the response was whole.
+    Reset,
+    /// No progress was made in time.
+    Timeout,
+    /// The response broke the protocol or answered another request.
+    Protocol,
+    /// The target answered with a status that is not a success.
+    Status {
+        /// The HTTP status code.
+        code: u16,
+        /// The target's `Retry-After`.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// What to do after a failure of a call that may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Try another target at once: this try did no work, so it costs nothing but a connection.
+    Elsewhere,
+    /// Try again after a backoff, within the retry budget, not before the given time has passed.
+    Later(Duration),
+    /// Give the failure to the caller: it would come again.
+    Final,
+}
+
+/// Whom a failure speaks against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blame {
+    /// The target: it counts towards ejection.
+    Target,
+    /// Only the connection: close it and do not pool it.
+    Connection,
+    /// The request, or nobody.
+    Nobody,
+}
+
+impl Failure {
+    /// Classifies the failure of a call that may be repeated.
+    ///
+    /// The classes are those of "Retry Classification When the Failure Arrives as a Timeout",
+    /// with one difference: a refused connection goes to another target at once, where the paper
+    /// waits for the same peer. `docs/design/routing.md` has the measurement for each.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_route::{Failure, Verdict};
+    ///
+    /// assert_eq!(Failure::Refused.verdict(), Verdict::Elsewhere);
+    /// let missing = Failure::Status { code: 404, retry_after: None };
+    /// assert_eq!(missing.verdict(), Verdict::Final);
+    /// ```
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::Refused | Self::Unreachable => Verdict::Elsewhere,
+            Self::Reset | Self::Timeout => Verdict::Later(Duration::ZERO),
+            Self::Protocol => Verdict::Final,
+            Self::Status { code, retry_after } => match code {
+                408 | 429 | 502 | 503 | 504 => Verdict::Later(retry_after.unwrap_or_default()),
+                // A 500 may come again wherever the call goes; a call that breaks one target
+                // must not be carried to the next.
+                _ => Verdict::Final,
+            },
+        }
+    }
+
+    /// Returns whom the failure speaks against.
+    ///
+    /// `probe` is the outcome of a probe on a new connection, where one was made: when something
+    /// between the ends loses track of a connection, it stays silent while the target is well.
+    /// Counted against the target, such losses would eject targets that work.
+    pub fn blame(self, probe: Option<bool>) -> Blame {
+        match (self, probe) {
+            (Self::Timeout | Self::Reset, Some(true)) => Blame::Connection,
+            (Self::Refused | Self::Unreachable | Self::Reset | Self::Timeout, _) => Blame::Target,
+            (Self::Protocol, _) => Blame::Target,
+            (Self::Status { code, .. }, _) if code >= 500 && code != 503 => Blame::Target,
+            (Self::Status { .. }, _) => Blame::Nobody,
+        }
+    }
+}
--- a/crates/route/src/gauge.rs
+++ b/crates/route/src/gauge.rs
@@ -5,6 +5,8 @@
     Arc,
 };
 
+use crate::RetryBudget;
+
 /// How long one mark of the history of open requests covers.
 const MARK_MS: u64 = 250;
 /// How many marks are kept: reports may lag by 16 * 250 ms = 4 s.
@@ -13,8 +15,6 @@
 const HALF_LIFE_MS: u64 = 4_000;
 /// The age at which a word of a target about itself is too old to send work on it unasked.
 pub const FRESH_MS: u64 = 2_000;
-/// The unit of [`Gauge::weight`]: a target that takes its whole part of the work.
-pub const FULL_WEIGHT: u32 = 1_024;
 /// The bits of a packed report that hold the load.
 const LOAD_BITS: u32 = 24;
 
@@ -39,11 +39,12 @@
 pub struct Gauge {
     open: AtomicU32,
     closed: AtomicBool,
-    weight: AtomicU32,
     /// The sampling time in milliseconds above the load; 0 when nothing was reported.
     report: AtomicU64,
     /// When the target last said that it is live, in milliseconds; 0 when it never did.
     word: AtomicU64,
+    /// The retries of calls that failed here.
+    pub retries: RetryBudget,
     /// The open requests at the last change in each slice of time: the slice above the count.
     marks: [AtomicU64; MARKS],
 }
@@ -54,9 +55,9 @@
         Arc::new(Self {
             open: AtomicU32::new(0),
             closed: AtomicBool::new(false),
-            weight: AtomicU32::new(FULL_WEIGHT),
             report: AtomicU64::new(0),
             word: AtomicU64::new(0),
+            retries: RetryBudget::of_target(),
             marks: Default::default(),
         })
     }
@@ -95,7 +96,7 @@
         now_ms.saturating_sub(self.word.load(Relaxed)) > FRESH_MS
     }
 
-    /// Closes the target to new work, or opens it again.
+    /// Closes the target to new work, or opens it again. See [`crate::Departure`].
     pub fn set_closed(&self, closed: bool) {
         self.closed.store(closed, Relaxed);
     }
@@ -105,16 +106,6 @@
         self.closed.load(Relaxed)
     }
 
-    /// Sets the part of its work that the target gets: 0 is ejected, [`FULL_WEIGHT`] the whole.
-    pub fn set_weight(&self, weight: u32) {
-        self.weight.store(weight.min(FULL_WEIGHT), Relaxed);
-    }
-
-    /// Returns the part of its work that the target gets.
-    pub fn weight(&self) -> u32 {
-        self.weight.load(Relaxed)
-    }
-
     /// Returns how many requests of this instance are open.
     pub fn open(&self) -> u32 {
         self.open.load(Relaxed)
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,21 +4,48 @@
 //! random numbers. The request path reads one [`View`]; counts that change with every request are
 //! atomics in [`Gauge`]s, which all views share.
 
+mod accounts;
+mod bucket;
+mod budget;
 mod cache;
 mod clock;
+mod demand;
+mod departure;
+mod drain;
+mod ejector;
+mod entries;
+mod failure;
 mod gauge;
 mod hash;
+mod health;
+mod lane;
+mod meter;
+mod pace;
 mod pick;
 mod pool;
+mod queue;
 mod ring;
+mod share;
 mod target;
 mod view;
 
-pub use cache::{CacheIndex, Holder};
+pub use accounts::{AccountEntry, Accounts};
+pub use bucket::{Bucket, BURST_MS};
+pub use budget::{Backoff, RetryBudget};
+pub use cache::{CacheEvent, CacheIndex, Caches, Holder};
 pub use clock::Clock;
-pub use gauge::{Gauge, InFlight, FRESH_MS, FULL_WEIGHT};
+pub use demand::{published, Demand, Demands};
+pub use departure::{Departure, Origin, Relay, Word, LIST_SETTLE_MS};
+pub use drain::{Drain, DrainEffect, Stage, GRACE_MS, WORD_MS};
+pub use ejector::{EjectEffect, EjectLimits, Ejector};
+pub use entries::{entries, Entry, ENTRIES_TTL};
+pub use failure::{Blame, Failure, Verdict};
+pub use gauge::{Gauge, InFlight, FRESH_MS};
 pub use hash::hash;
+pub use meter::Meter;
 pub use pick::{Ask, Choice, PickError, Reason};
-pub use pool::Pool;
+pub use pool::{Pool, FULL_WEIGHT};
+pub use queue::{Queue, QueueLimits, Refusal, Waiting};
+pub use share::{Knowledge, Part, Split, FLOOR_PART, SPREAD_MS};
 pub use target::Target;
 pub use view::{Route, ServiceKey, View};
--- /dev/null
+++ b/crates/route/src/meter.rs
@@ -0,0 +1,85 @@
+//! An account's use of one instance: what is asked for, and what may be admitted.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering::Relaxed},
+    time::Duration,
+};
+
+use celerypond_bundle::Account;
+
+use crate::{Bucket, Part};
+
+/// An account's use of one instance. Share it between tasks; all of it is atomic.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_route::{Meter, Part};
+///
+/// let meter = Meter::new(0);
+/// meter.set_limit(10, 1_000, Part { requests: 0.5, tokens: 0.5 }, 0);
+/// // Five requests a second, of which a second's worth was saved.
+/// assert_eq!((0..9).filter(|_| meter.admit(10, 1_000).is_ok()).count(), 5);
+/// // Demand counts what was refused as well.
+/// assert_eq!(meter.drain(), (9, 90));
+/// ```
+#[derive(Debug)]
+pub struct Meter {
+    requests: Bucket,
+    tokens: Bucket,
+    asked: AtomicU64,
+    asked_tokens: AtomicU64,
+}
+
+impl Meter {
+    /// Makes the meter of an account that may use nothing yet.
+    pub const fn new(now_ms: u64) -> Self {
+        Self {
+            requests: Bucket::new(now_ms),
+            tokens: Bucket::new(now_ms),
+            asked: AtomicU64::new(0),
+            asked_tokens: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets what this instance may admit: a part of the account's limits over the fleet.
+    pub fn set_limit(&self, requests_per_s: u32, tokens_per_s: u32, part: Part, now_ms: u64) {
+        let requests = f64::from(requests_per_s) * part.requests;
+        let tokens = f64::from(tokens_per_s) * part.tokens;
+        self.requests.set_rate(requests, now_ms);
+        self.tokens.set_rate(tokens, now_ms);
+    }
+
+    /// Sets the limit to a part of what the bundle declares.
+    pub fn set_account(&self, account: &Account, part: Part, now_ms: u64) {
+        self.set_limit(account.requests_per_s, account.tokens_per_s, part, now_ms);
+    }
+
+    /// Admits a request that will generate about `tokens`.
+    ///
+    /// # Errors
+    ///
+    /// When the account is over its limit: the time after which it is likely not to be.
+    pub fn admit(&self, tokens: u64, now_ms: u64) -> Result<(), Duration> {
+        self.asked.fetch_add(1, Relaxed);
+        self.asked_tokens.fetch_add(tokens, Relaxed);
+        self.requests.take(1, now_ms)?;
+        let refused = self.tokens.take(tokens, now_ms);
+        if refused.is_err() {
+            self.requests.settle(1, 0);
+        }
+        refused
+    }
+
+    /// Corrects the tokens of a request once it has ended.
+    pub fn settle(&self, estimate: u64, generated: u64) {
+        self.tokens.settle(estimate, generated);
+    }
+
+    /// Returns the requests and tokens that were asked for since the last call.
+    pub fn drain(&self) -> (u64, u64) {
+        let requests = self.asked.swap(0, Relaxed);
+        let tokens = self.asked_tokens.swap(0, Relaxed);
+        (requests, tokens)
+    }
+}
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,6 +1,6 @@
 //! The choice of a target.
 
-use celerypond_types::{DataCentre, TargetKey};
+use celerypond_types::{DataCentre, Priority, TargetKey};
 use rand::Rng;
 use thiserror::Error;
 use tokio::time::Instant;
@@ -35,7 +35,7 @@
 }
 
 /// A chosen target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
     /// The target.
     pub target: TargetKey,
@@ -44,6 +44,23 @@
     pub ask_first: bool,
     /// Why it was chosen.
     pub reason: Reason,
+    /// The load per slot that the request brings it to: above 1.0 the request would queue there.
+    pub pressure: f64,
+}
+
+/// The part of its slots up to which a target takes drafts, so that long drafts leave room for
+/// callers who wait.
+const DRAFT_ROOM: f64 = 0.9;
+
+impl Choice {
+    /// Returns whether the target has room; without it the request waits in the local queue, where
+    /// accounts are treated fairly, rather than in the target's.
+    pub fn has_room(&self, priority: Priority) -> bool {
+        match priority {
+            Priority::Interactive => self.pressure <= 1.0,
+            Priority::Draft => self.pressure <= DRAFT_ROOM,
+        }
+    }
 }
 
 /// Why a target was chosen.
@@ -96,7 +113,7 @@
     /// )
     /// .unwrap();
     /// let now = Instant::now();
-    /// let view = View::new(now).with_bundle(&bundle);
+    /// let view = View::new(now).with_bundle(&bundle, now);
     /// let desk = view.service(&"desk".into()).unwrap();
     /// let mut rng = SmallRng::seed_from_u64(1);
     /// let choice = view.pick(Route::Service(desk), &Ask::default(), now, &mut rng).unwrap();
@@ -125,6 +142,7 @@
             target: member.key,
             ask_first: member.gauge.is_stale(now_ms),
             reason,
+            pressure: picker.pressure(member) as f64 / SLOT_UNIT as f64,
         })
     }
 }
@@ -249,9 +267,8 @@
     }
 
     fn usable(&self, member: &Member) -> bool {
-        let gauge = &member.gauge;
-        !gauge.is_closed()
-            && (self.panic || gauge.weight() > 0)
+        !member.gauge.is_closed()
+            && (self.panic || !member.is_out())
             && !self.ask.excluded.contains(&member.key)
     }
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -12,24 +12,35 @@
 
 use crate::{hash::hash, ring::Ring, Gauge, Target};
 
+/// The weight of a target that gets its whole part of the work; 0 is ejected.
+pub const FULL_WEIGHT: u32 = 1_024;
+
 /// The fixed-point unit of a load per slot: 1,024 is one request for each slot.
 pub(crate) const SLOT_UNIT: u64 = 1_024;
 
 /// One target as the request path needs it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Member {
     pub(crate) key: TargetKey,
     pub(crate) gauge: Arc<Gauge>,
     pub(crate) slots: u32,
+    /// The part of its work that the target gets in this pool: an engine that fails with one
+    /// version may be sound with another.
+    weight: AtomicU32,
 }
 
 impl Member {
+    /// Returns whether the target is ejected from this pool.
+    pub(crate) fn is_out(&self) -> bool {
+        self.weight.load(Relaxed) == 0
+    }
+
     /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`].
     pub(crate) fn pressure(&self, now_ms: u64, others_mean: u32) -> u64 {
         let next = u64::from(self.gauge.load(now_ms, others_mean)) + 1;
-        let weight = u64::from(self.gauge.weight().max(1));
+        let weight = u64::from(self.weight.load(Relaxed).max(1));
         let part = next * SLOT_UNIT / u64::from(self.slots.max(1));
-        part * u64::from(crate::gauge::FULL_WEIGHT) / weight
+        part * u64::from(FULL_WEIGHT) / weight
     }
 }
 
@@ -52,6 +63,16 @@
     pub(crate) panic: AtomicBool,
 }
 
+impl PoolGauge {
+    fn copy(&self) -> Self {
+        Self {
+            mean: AtomicU32::new(self.mean.load(Relaxed)),
+            others: AtomicU32::new(self.others.load(Relaxed)),
+            panic: AtomicBool::new(self.panic.load(Relaxed)),
+        }
+    }
+}
+
 /// The targets that serve one version of a model or one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -64,8 +85,8 @@
 }
 
 impl Pool {
-    /// Makes the pool of `targets`.
-    pub(crate) fn new(mut targets: Vec<(TargetKey, Arc<Target>)>) -> Self {
+    /// Makes the pool of `targets`, which goes on from the state of the pool before it.
+    pub(crate) fn new(mut targets: Vec<(TargetKey, Arc<Target>)>, last: Option<&Self>) -> Self {
         targets.sort_by(|(_, a), (_, b)| (&a.data_centre, &a.name).cmp(&(&b.data_centre, &b.name)));
         let points: Vec<(u64, u32)> = targets
             .iter()
@@ -76,8 +97,8 @@
             ring: Ring::new(points.iter().copied()),
             sites: sites(&targets, &points),
             by_key: by_key(&targets),
-            members: targets.iter().map(member).collect(),
-            gauge: PoolGauge::default(),
+            members: targets.iter().map(|of| member(of, last)).collect(),
+            gauge: last.map_or_else(PoolGauge::default, |last| last.gauge.copy()),
         }
     }
 
@@ -105,6 +126,14 @@
         self.gauge.mean.store(per_slot as u32, Relaxed);
     }
 
+    /// Sets the part of its work that a target gets in this pool: 0 is ejected, [`FULL_WEIGHT`]
+    /// the whole.
+    pub fn set_weight(&self, target: TargetKey, weight: u32) {
+        if let Some(member) = self.member(target) {
+            member.weight.store(weight.min(FULL_WEIGHT), Relaxed);
+        }
+    }
+
     /// Sets whether targets that seem bad are used all the same.
     pub fn set_panic(&self, panic: bool) {
         self.gauge.panic.store(panic, Relaxed);
@@ -127,11 +156,14 @@
     }
 }
 
-fn member((key, target): &(TargetKey, Arc<Target>)) -> Member {
+fn member((key, target): &(TargetKey, Arc<Target>), last: Option<&Pool>) -> Member {
+    let before = last.and_then(|last| last.member(*key));
+    let weight = before.map_or(FULL_WEIGHT, |member| member.weight.load(Relaxed));
     Member {
         key: *key,
         gauge: Arc::clone(&target.gauge),
         slots: target.slots,
+        weight: AtomicU32::new(weight),
     }
 }
 
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -9,7 +9,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::{cache::CacheIndex, Clock, Pool, Target};
+use crate::{Accounts, CacheIndex, Clock, Pool, Target};
 
 slotmap::new_key_type! {
     /// A plain service in the services arena.
@@ -49,6 +49,7 @@
 pub struct View {
     pub(crate) clock: Clock,
     layout: Arc<Layout>,
+    accounts: Arc<Accounts>,
     pub(crate) cache: Arc<CacheIndex>,
 }
 
@@ -58,18 +59,21 @@
         Self {
             clock: Clock::new(base),
             layout: Arc::default(),
+            accounts: Arc::default(),
             cache: Arc::default(),
         }
     }
 
-    /// Returns the view after `bundle` has come into force.
+    /// Returns the view after `bundle` has come into force at `now`.
     #[must_use]
-    pub fn with_bundle(&self, bundle: &Bundle) -> Self {
+    pub fn with_bundle(&self, bundle: &Bundle, now: Instant) -> Self {
+        let now_ms = self.clock.millis(now);
         let mut layout = self.layout.with_targets(bundle);
         layout.set_models(&self.layout, bundle);
         layout.set_services(&self.layout, bundle);
         Self {
             layout: Arc::new(layout),
+            accounts: Arc::new(self.accounts.with_bundle(&bundle.accounts, now_ms)),
             ..self.clone()
         }
     }
@@ -88,6 +92,11 @@
         self.clock
     }
 
+    /// Returns the client accounts.
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
     /// Finds a version of a model.
     pub fn version(&self, model: &ModelName, version: &VersionName) -> Option<VersionKey> {
         self.layout
@@ -193,8 +202,9 @@
             ..ModelEntry::default()
         };
         for version in &model.versions {
-            let pool = Arc::new(self.pool_of(&version.targets));
             let kept = last.and_then(|last| last.versions.get(&version.name).copied());
+            let before = kept.map(|key| &self.versions[key]);
+            let pool = Arc::new(self.pool_of(&version.targets, before));
             let key = match kept {
                 Some(key) => {
                     self.versions[key] = pool;
@@ -209,8 +219,10 @@
 
     fn set_services(&mut self, last: &Self, bundle: &Bundle) {
         for service in &bundle.services {
-            let pool = Arc::new(self.pool_of(&service.targets));
-            let key = match last.by_service.get(&service.name).copied() {
+            let kept = last.by_service.get(&service.name).copied();
+            let before = kept.map(|key| &self.services[key]);
+            let pool = Arc::new(self.pool_of(&service.targets, before));
+            let key = match kept {
                 Some(key) => {
                     self.services[key] = pool;
                     key
@@ -227,11 +239,9 @@
         services.retain(|key, _| by_service.values().any(|kept| *kept == key));
     }
 
-    fn pool_of(&self, names: &[TargetName]) -> Pool {
+    fn pool_of(&self, names: &[TargetName], last: Option<&Arc<Pool>>) -> Pool {
         let keys = names.iter().filter_map(|name| self.names.get(name));
-        Pool::new(
-            keys.map(|key| (*key, Arc::clone(&self.targets[*key])))
-                .collect(),
-        )
+        let targets = keys.map(|key| (*key, Arc::clone(&self.targets[*key])));
+        Pool::new(targets.collect(), last.map(Arc::as_ref))
     }
 }
