--- a/crates/rollout/src/desk.rs
+++ b/crates/rollout/src/desk.rs
@@ -3,6 +3,8 @@
 //! Each step is a state machine that asks for one store call at a time. What decides is always the
 //! condition of a single write, so operators may race and replies may be lost at any call.
 
+use std::collections::BTreeMap;
+
 use celerypond_bundle::Bundle;
 use celerypond_types::{Digest, OperatorName, Revision};
 use thiserror::Error;
@@ -91,6 +93,7 @@
     Bundle,
     Approval,
     Current,
+    Previous(Current),
     Write,
     ReadBack,
     Audit(After),
@@ -129,6 +132,8 @@
     owner: Option<OperatorName>,
     current: Option<(u64, Current)>,
     audits: Vec<Audit>,
+    bundle: Option<Bundle>,
+    next: Option<Current>,
 }
 
 impl Desk {
@@ -149,6 +154,8 @@
             owner: None,
             current: None,
             audits: Vec::new(),
+            bundle: None,
+            next: None,
         };
         let step = desk.first();
         (desk, step)
@@ -179,6 +186,7 @@
             Stage::Bundle => self.bundle_read(reply),
             Stage::Approval => self.approval_read(reply),
             Stage::Current => self.current_read(reply),
+            Stage::Previous(current) => self.previous_read(&current, reply),
             Stage::Write => self.written(reply),
             Stage::ReadBack => self.read_back(reply),
             Stage::Audit(after) => self.audit(after),
@@ -220,6 +228,7 @@
         }
         self.audits = vec![submission.audit(self.digest)];
         self.owner = Some(submission.signature.operator);
+        self.bundle = Some(submission.bundle);
         if matches!(self.request, Request::Roll { .. }) {
             return self.read(Stage::Approval, approval_key(self.digest));
         }
@@ -271,10 +280,39 @@
                 winner: current.cloned(),
             }));
         }
-        let next = successor(current, self.digest, &self.signature);
+        match current.cloned() {
+            Some(current) => {
+                let key = bundle_key(current.digest);
+                self.read(Stage::Previous(current), key)
+            }
+            None => self.prepare(None, None),
+        }
+    }
+
+    fn previous_read(&mut self, current: &Current, reply: StoreReply) -> Step {
+        let StoreReply::Found { value, .. } = reply else {
+            return Step::End(Err(DeskError::Malformed));
+        };
+        let Some(previous) = parse::<Submission>(&value) else {
+            return Step::End(Err(DeskError::Malformed));
+        };
+        self.prepare(Some(current), Some(&previous.bundle))
+    }
+
+    fn prepare(&mut self, current: Option<&Current>, previous: Option<&Bundle>) -> Step {
+        let mut next = successor(current, self.digest, &self.signature);
+        let bundle = self.bundle.as_ref();
+        for model in bundle.iter().flat_map(|bundle| &bundle.models) {
+            let is_same = previous.and_then(|bundle| bundle.model(&model.name)) == Some(model);
+            let origin = current.and_then(|current| current.origins.get(&model.name));
+            let origin = origin.filter(|_| is_same).copied();
+            next.origins
+                .insert(model.name.clone(), origin.unwrap_or(next.revision));
+        }
         // The record of the bundle in force is completed before `current` is overwritten: else a
         // daemon that died between a roll and its record would leave a hole in the trail.
         self.audits.extend(current.map(Current::audit));
+        self.next = Some(next.clone());
         self.audit(After::Roll(next))
     }
 
@@ -303,10 +341,10 @@
                 signature: self.signature.clone(),
                 digest: *digest,
             }),
-            Request::Roll { .. } => {
-                let current = self.current.as_ref().map(|(_, current)| current);
-                Done::Rolled(successor(current, self.digest, &self.signature))
-            }
+            Request::Roll { .. } => match self.next.clone() {
+                Some(next) => Done::Rolled(next),
+                None => return Step::End(Err(DeskError::Unknown)),
+            },
         };
         self.audit(After::End(done))
     }
@@ -412,6 +450,7 @@
             ..signature.clone()
         },
         previous: current.map(|current| current.digest),
+        origins: BTreeMap::new(),
         nonces,
     }
 }
--- /dev/null
+++ b/crates/rollout/src/moves.rs
@@ -0,0 +1,81 @@
+//! What a bundle changes in the traffic shares of a model.
+
+use std::collections::BTreeMap;
+
+use celerypond_bundle::Model;
+use celerypond_types::{ModelName, VersionName};
+use serde::{Deserialize, Serialize};
+
+use crate::splitter::WHOLE_PPM;
+
+const PPM_PER_PERCENT: u32 = WHOLE_PPM / 100;
+
+/// A version of a model, the unit that a brake takes traffic from.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The model.
+    pub model: ModelName,
+    /// The version whose share rises.
+    pub version: VersionName,
+}
+
+/// A rise of a version's share, to be made in stages.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The version whose share rises.
+    pub candidate: Candidate,
+    /// The version that it is compared with and that takes its traffic back.
+    pub base: VersionName,
+    /// The share that it had, in parts per million.
+    pub from_ppm: u32,
+    /// The share that it shall have, in parts per million.
+    pub to_ppm: u32,
+    /// How many engines serve it.
+    pub engines: u32,
+}
+
+/// Returns the share of each version of a model, in parts per million.
+pub fn shares(model: &Model) -> BTreeMap<VersionName, u32> {
+    let mut shares = BTreeMap::new();
+    let mut rest = WHOLE_PPM;
+    for share in &model.shares {
+        let ppm = (u32::from(share.percent) * PPM_PER_PERCENT).min(rest);
+        rest -= ppm;
+        *shares.entry(share.version.clone()).or_default() += ppm;
+    }
+    *shares.entry(model.base.clone()).or_default() += rest;
+    shares.retain(|_, ppm| *ppm > 0);
+    shares
+}
+
+/// Returns the rises that a new bundle asks for against the one before.
+///
+/// A model without an earlier form has nothing to be compared with and comes into force at once. A
+/// version that was the base before is known and needs no stages either.
+pub fn moves(previous: Option<&Model>, next: &Model) -> Vec<Move> {
+    let Some(previous) = previous else {
+        return Vec::new();
+    };
+    let before = shares(previous);
+    let share_before = |version: &VersionName| before.get(version).copied().unwrap_or(0);
+    let rises = shares(next)
+        .into_iter()
+        .filter(|(version, ppm)| *version != previous.base && *ppm > share_before(version));
+    rises
+        .map(|(version, to_ppm)| Move {
+            base: previous.base.clone(),
+            from_ppm: share_before(&version),
+            to_ppm,
+            engines: engines(next, &version),
+            candidate: Candidate {
+                model: next.name.clone(),
+                version,
+            },
+        })
+        .collect()
+}
+
+fn engines(model: &Model, version: &VersionName) -> u32 {
+    let found = model.versions.iter().find(|found| found.name == *version);
+    found.map_or(0, |version| version.targets.len() as u32)
+}
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -1,7 +1,9 @@
 //! The records that operators' steps leave in the store.
 
+use std::collections::BTreeMap;
+
 use celerypond_bundle::Bundle;
-use celerypond_types::{Digest, OperatorName, Revision};
+use celerypond_types::{Digest, ModelName, OperatorName, Revision};
 use serde::{Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
 
@@ -60,6 +62,12 @@
     pub signature: Signature,
     /// The digest of the bundle before.
     pub previous: Option<Digest>,
+    /// The revision at which each model's part of the bundle became what it is.
+    ///
+    /// A bundle that leaves a model as it was must not restart the rollout of that model, nor
+    /// release its brake.
+    #[serde(default)]
+    pub origins: BTreeMap<ModelName, Revision>,
     /// The nonces of the latest rolls, newest first, by which a lost reply is resolved.
     pub nonces: Vec<u64>,
 }
@@ -129,7 +137,27 @@
     }
 }
 
+/// What instances tell each other about the bundle in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Headline {
+    /// The revision.
+    pub revision: Revision,
+    /// The digest of the bundle.
+    pub digest: Digest,
+    /// The revision at which each model's part became what it is.
+    pub origins: BTreeMap<ModelName, Revision>,
+}
+
 impl Current {
+    /// Returns the part that instances tell each other.
+    pub fn headline(&self) -> Headline {
+        Headline {
+            revision: self.revision,
+            digest: self.digest,
+            origins: self.origins.clone(),
+        }
+    }
+
     /// Returns the audit record of the roll.
     pub fn audit(&self) -> Audit {
         Audit {
--- a/crates/rollout/tests/runner.rs
+++ b/crates/rollout/tests/runner.rs
@@ -2,3 +2,5 @@
 
 mod fake_store;
 mod test_desk;
+mod test_in_force;
+mod test_moves;
