--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,12 @@
+//! A client of celerypond for callers and operators, which knows nothing of the terminal.
+
+mod client;
+mod connection;
+mod error;
+mod generation;
+mod reply;
+
+pub use client::{Client, Entries, EntryAddress};
+pub use error::{ClientError, Problem};
+pub use generation::{Ended, Generation, Prompt, Token};
+pub use reply::{Called, Response};
--- a/crates/bundle/src/settings.rs
+++ b/crates/bundle/src/settings.rs
@@ -32,6 +32,8 @@
     #[serde(default)]
     #[schemars(with = "Vec<String>")]
     pub seeds: Vec<SocketAddr>,
+    /// The secret that all instances share, as 64 hexadecimal digits; it seals resume tokens.
+    pub fleet_key: Digest,
     /// Who may submit, approve and roll bundles.
     pub operators: Vec<Operator>,
     /// Worker threads; as many as processors when left out.
--- a/daemon/src/front.rs
+++ b/daemon/src/front.rs
@@ -18,7 +18,9 @@
 use crate::node::Node;
 
 pub mod auth;
+pub mod completions;
 pub mod entries;
+pub mod headers;
 pub mod health;
 pub mod operator;
 pub mod problem;
@@ -62,6 +64,9 @@
         route
             .get("/v1/entries")
             .to_async(|state| handle(state, entries::list));
+        route
+            .post("/v1/completions")
+            .to_async(|state| handle(state, completions::complete));
         route
             .get("/v1/health")
             .to_async(|state| handle(state, health::live));
--- a/daemon/src/front/operator.rs
+++ b/daemon/src/front/operator.rs
@@ -12,9 +12,8 @@
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 use crate::{
-    body,
     front::{
-        auth,
+        auth, headers,
         problem::{self, Kind, Problem},
         Call, Reply,
     },
@@ -166,7 +165,7 @@
             at_ms: node::wall_ms(),
             nonce: node.nonce(),
         };
-        let text = read_body(&node, call.body).await?;
+        let text = headers::read_body(&node, call.body).await?;
         let request = request(&text)?;
         run(&node, request, signature)
             .await
@@ -221,20 +220,6 @@
     Problem::new(kind, error)
 }
 
-async fn read_body(
-    node: &Node,
-    body: gotham::helpers::http::Body,
-) -> Result<bytes::Bytes, Problem> {
-    let limit = node.settings.body_limit;
-    body::read(body, limit).await.map_err(|error| {
-        let kind = match error {
-            body::BodyError::TooLong => Kind::TooLarge,
-            body::BodyError::CutShort => Kind::BadRequest,
-        };
-        Problem::new(kind, error)
-    })
-}
-
 fn read_json<T: DeserializeOwned>(text: &[u8]) -> Result<T, Problem> {
     serde_json::from_slice(text).map_err(|error| Problem::new(Kind::BadRequest, error))
 }
--- /dev/null
+++ b/daemon/src/link.rs
@@ -0,0 +1,124 @@
+//! One connection to an engine within an answer.
+
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex},
+};
+
+use celerypond_answer::{Event, Input, Link, Refusal, Stall, Start, Stream};
+use celerypond_types::{AdapterName, ModelName, Position, Priority, RequestKey};
+use error_stack::Report;
+use futures::StreamExt;
+use http::StatusCode;
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    engine::{self, Generate, Opening},
+    http_call::CallError,
+    stalls,
+};
+
+/// What stays the same for all connections of an answer.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The request.
+    pub request: RequestKey,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: Option<AdapterName>,
+    /// The prompt.
+    pub prompt: String,
+    /// How many tokens the answer has at most.
+    pub max_tokens: u32,
+    /// How urgent the request is.
+    pub priority: Priority,
+}
+
+/// Starts an attempt and reports what its connection brings.
+pub async fn start(
+    ask: Arc<Ask>,
+    address: SocketAddr,
+    start: Start,
+    stall: Arc<Mutex<Stall>>,
+    inputs: mpsc::Sender<Input>,
+) {
+    let call = Generate {
+        request: &ask.request,
+        attempt: start.stream.attempt,
+        model: &ask.model,
+        version: &start.version,
+        adapter: ask.adapter.as_ref(),
+        prompt: &ask.prompt,
+        prefix: &start.prefix,
+        max_tokens: ask.max_tokens,
+        seed: start.seed,
+        priority: ask.priority,
+    };
+    let opening = engine::generate(address, &call).await;
+    read(start.link, opening, &stall, &inputs).await;
+}
+
+/// Reads a stream from a position and reports what its connection brings.
+pub async fn resume(
+    request: RequestKey,
+    address: SocketAddr,
+    link: Link,
+    stream: Stream,
+    from: Position,
+    stall: Arc<Mutex<Stall>>,
+    inputs: mpsc::Sender<Input>,
+) {
+    let opening = engine::resume(address, &request, stream.attempt, from).await;
+    read(link, opening, &stall, &inputs).await;
+}
+
+async fn read(
+    link: Link,
+    opening: Result<Opening, Report<CallError>>,
+    stall: &Mutex<Stall>,
+    inputs: &mpsc::Sender<Input>,
+) {
+    // A send fails only when the answer is over, and then nobody wants the rest.
+    let _ = match opening {
+        Ok(Opening::Stream(open)) => return events(link, open, stall, inputs).await,
+        Ok(Opening::Refused(status)) => inputs.send(Input::Refused(link, refusal(status))).await,
+        Err(_) => inputs.send(Input::Closed(link)).await,
+    };
+}
+
+async fn events(
+    link: Link,
+    open: engine::Open,
+    stall: &Mutex<Stall>,
+    inputs: &mpsc::Sender<Input>,
+) {
+    let mut wanted = inputs.send(Input::Opened(link)).await.is_ok();
+    let mut events = pin!(open.events());
+    let mut last = None;
+    while wanted {
+        let Some(data) = events.next().await else {
+            let _ = inputs.send(Input::Closed(link)).await;
+            return;
+        };
+        let now = Instant::now();
+        if let Some(last) = last.replace(now) {
+            stalls::observe(stall, now - last);
+        }
+        let input = match Event::parse(&data) {
+            Ok(event) => Input::Event(link, event),
+            Err(_) => Input::Malformed(link),
+        };
+        wanted = inputs.send(input).await.is_ok();
+    }
+}
+
+fn refusal(status: StatusCode) -> Refusal {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Refusal::Busy,
+        StatusCode::NOT_FOUND => Refusal::Gone,
+        StatusCode::CONFLICT => Refusal::Version,
+        _ => Refusal::Failed,
+    }
+}
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -10,15 +10,16 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use celerypond_answer::SealKey;
 use celerypond_bundle::Settings;
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_route::View;
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use rand::{rngs::SmallRng, SeedableRng};
 use tokio::{sync::Notify, time::Instant};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{force::Force, front::socket::Sockets};
+use crate::{force::Force, front::socket::Sockets, stalls::Stalls};
 
 /// The platform's rates for all instances together, of which each uses its share.
 const PLATFORM_RATES: Rates = Rates {
@@ -51,6 +52,12 @@
     pub leaving: CancellationToken,
     /// Cancelled when background tasks shall end.
     pub ending: CancellationToken,
+    /// Tasks that outlive the request that began them.
+    pub work: TaskTracker,
+    /// The gaps between tokens of each engine.
+    pub stalls: Stalls,
+    /// The key of the seals of resume tokens.
+    pub seal_key: SealKey,
     /// Wakes the task that brings bundles into force.
     pub look: Notify,
     seed: Mutex<SmallRng>,
@@ -69,6 +76,7 @@
         };
         let mut rng = SmallRng::from_os_rng();
         let nonce = AtomicU64::new(rand::Rng::random(&mut rng));
+        let seal_key = SealKey::new(*settings.fleet_key.as_bytes());
         Arc::new(Self {
             settings,
             metrics,
@@ -79,6 +87,9 @@
             sockets: Sockets::default(),
             leaving: CancellationToken::new(),
             ending: CancellationToken::new(),
+            work: TaskTracker::new(),
+            stalls: Stalls::default(),
+            seal_key,
             look: Notify::new(),
             seed: Mutex::new(rng),
             nonce,
@@ -98,7 +109,8 @@
         if last.is_some_and(|last| last.revision >= force.revision) {
             return false;
         }
-        self.view.rcu(|view| view.with_bundle(&force.bundle));
+        self.view
+            .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
         self.metrics.add(Counter::Bundles, 1);
         self.metrics.set(Gauge::Revision, force.revision.0);
         log::info!(
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    signal::unix::{signal, SignalKind},
+    signal::unix::{signal, Signal, SignalKind},
     task::JoinSet,
     time,
 };
