--- a/crates/answer/src/effect.rs
+++ b/crates/answer/src/effect.rs
@@ -1,6 +1,8 @@
 //! What an answer asks its instance to do.
 
-use celerypond_types::{InstanceName, Position, RequestKey, TargetName, TokenId, VersionName};
+use celerypond_types::{
+    Attempt, InstanceName, Position, RequestKey, TargetName, TokenId, VersionName,
+};
 use smol_str::SmolStr;
 
 use crate::{Incomplete, KeeperRecord, Link, Reason, Stream};
@@ -28,8 +30,8 @@
     Cancel(Stream),
     /// Put the record at the keepers; answer with `Fenced` if one has a higher record.
     Keep(KeeperRecord),
-    /// Remove the record from the keepers, unless it is another instance's.
-    Forget(RequestKey),
+    /// Remove the record from the keepers, unless it is of a later attempt.
+    Forget(RequestKey, Attempt),
     /// Send the record to the instance that drove the request before.
     Tell(InstanceName, KeeperRecord),
     /// Ask the keepers for the record; answer with `Reviewed`.
--- a/crates/answer/src/generation.rs
+++ b/crates/answer/src/generation.rs
@@ -446,7 +446,7 @@
             let others = reader.links().filter(|held| *held != link);
             out.extend(others.map(Effect::Close));
         }
-        out.push(Effect::Forget(self.request.key.clone()));
+        out.push(self.forget());
         let Some(splice) = &self.splice else { return };
         out.push(Effect::Finish(Finish {
             reason,
@@ -460,7 +460,7 @@
         if let State::Reading(reader) = std::mem::replace(&mut self.state, State::Over) {
             stop(&reader, out);
         }
-        out.push(Effect::Forget(self.request.key.clone()));
+        out.push(self.forget());
         out.push(Effect::Fail(error));
     }
 
@@ -555,7 +555,7 @@
             }
         }
         if sure {
-            out.push(Effect::Forget(self.request.key.clone()));
+            out.push(self.forget());
         }
         out.push(Effect::Fail(Incomplete::Abandoned));
     }
@@ -579,6 +579,10 @@
         }
     }
 
+    fn forget(&self) -> Effect {
+        Effect::Forget(self.request.key.clone(), self.attempt)
+    }
+
     fn late(&self) -> Incomplete {
         match (&self.state, &self.splice) {
             (State::Choosing { .. }, Some(splice)) => Incomplete::NoTarget {
--- a/crates/answer/tests/runner.rs
+++ b/crates/answer/tests/runner.rs
@@ -1,4 +1,6 @@
 //! The integration tests of the crate, in one binary.
 
+mod test_history;
 mod test_resume;
 mod test_splice;
+mod world;
