ledger: record a keyed call before it is sent, and send it once at most

A shard is a chain of batches in the store. Each batch names the slot of the next one; the write has the condition that the slot still has the version it had when its batch expired, or that there is no such object. Versions never repeat, so a writer that was paused can't append.

A writer that was paused until its place was deleted appends there again, though others are far ahead, and runs a call for the second time.

Only the writer of an intent may send it or free its key; all others wait for its result until its time is over and then say unknown. The types Unsent and Sent make a call sent at most once, and not run only while no byte can have been sent.

--- /dev/null
+++ b/crates/ledger/src/call.rs
@@ -0,0 +1,157 @@
+//! A call that may not be repeated, from permission to outcome.
+
+use std::time::Duration;
+
+use celerypond_types::{NotRunReason, Outcome};
+use tokio::time::Instant;
+
+use crate::{failure::is_unclear, CallKey, Proof, Reply};
+
+/// A call of which no byte can have reached a service.
+///
+/// It can't be cloned, and only [`Unsent::send`] makes a [`Sent`], so a call is sent at most once.
+/// Only an unsent call can end as not run, as the state that lost that right has no such function:
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_ledger::Unsent;
+/// use celerypond_types::{NotRunReason, Outcome};
+/// use tokio::time::Instant;
+///
+/// let by = Instant::now() + Duration::from_secs(1);
+/// let finished = Unsent::unkeyed(by).not_run(NotRunReason::NotConnected, Duration::ZERO);
+/// assert!(matches!(finished.outcome(), Outcome::NotRun { .. }));
+/// ```
+///
+/// ```compile_fail,E0599
+/// use std::time::Duration;
+///
+/// use celerypond_ledger::Unsent;
+/// use celerypond_types::NotRunReason;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let sent = Unsent::unkeyed(now + Duration::from_secs(1)).send(now).unwrap();
+/// sent.not_run(NotRunReason::NotConnected, Duration::ZERO);
+/// ```
+///
+/// Nor can it be sent twice:
+///
+/// ```compile_fail,E0382
+/// use std::time::Duration;
+///
+/// use celerypond_ledger::Unsent;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let unsent = Unsent::unkeyed(now + Duration::from_secs(1));
+/// let first = unsent.send(now);
+/// let second = unsent.send(now);
+/// ```
+#[derive(Debug)]
+#[must_use = "the caller waits for the outcome"]
+pub struct Unsent {
+    key: Option<CallKey>,
+    by: Instant,
+}
+
+/// A call of which bytes may have reached a service.
+#[derive(Debug)]
+#[must_use = "the caller waits for the outcome"]
+pub struct Sent {
+    key: Option<CallKey>,
+}
+
+/// A call with its outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use = "the caller waits for the outcome"]
+pub struct Finished {
+    key: Option<CallKey>,
+    outcome: Outcome<Reply>,
+}
+
+impl Unsent {
+    /// Makes a call without a key, which needs no record. It must be sent by `by`.
+    pub const fn unkeyed(by: Instant) -> Self {
+        Self { key: None, by }
+    }
+
+    pub(crate) const fn keyed(key: CallKey, by: Instant) -> Self {
+        Self { key: Some(key), by }
+    }
+
+    /// Returns the key, by which the outcome finds its shard.
+    pub const fn key(&self) -> Option<CallKey> {
+        self.key
+    }
+
+    /// Makes the call one that may have been sent; to be called right before the first write.
+    ///
+    /// # Errors
+    ///
+    /// The call as not run, when the time by which it must be sent has passed. The process may have
+    /// been paused since the intent was recorded. Others were told by then that the call is
+    /// unknown and have moved on; sent now, it would take effect long after its caller gave up.
+    pub fn send(self, now: Instant) -> Result<Sent, Finished> {
+        if now > self.by {
+            return Err(self.not_run(NotRunReason::Overload, Duration::ZERO));
+        }
+        Ok(Sent { key: self.key })
+    }
+
+    /// Ends the call as not run.
+    pub fn not_run(self, reason: NotRunReason, retry_after: Duration) -> Finished {
+        let outcome = Outcome::NotRun {
+            reason,
+            retry_after,
+        };
+        Finished {
+            key: self.key,
+            outcome,
+        }
+    }
+}
+
+impl Sent {
+    /// Ends the call with the answer of its service.
+    ///
+    /// An answer that the service's `proof` names is a call that did not run. Any other answer that
+    /// the service failed, or wants the call later, says nothing about what ran before it.
+    pub fn answered(self, reply: Reply, retry_after: Duration, proof: &Proof) -> Finished {
+        let outcome = if proof.covers(reply.status) {
+            Outcome::NotRun {
+                reason: NotRunReason::Refused,
+                retry_after,
+            }
+        } else if is_unclear(reply.status) {
+            Outcome::Unknown
+        } else {
+            Outcome::Ran(reply)
+        };
+        Finished {
+            key: self.key,
+            outcome,
+        }
+    }
+
+    /// Ends the call without an answer: a reset, a timeout, an answer that broke off.
+    pub const fn unanswered(self) -> Finished {
+        Finished {
+            key: self.key,
+            outcome: Outcome::Unknown,
+        }
+    }
+}
+
+impl Finished {
+    /// Returns the key, by which the outcome finds its shard.
+    pub const fn key(&self) -> Option<CallKey> {
+        self.key
+    }
+
+    /// Returns the outcome.
+    pub fn outcome(self) -> Outcome<Reply> {
+        self.outcome
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,28 @@
 //! Calls that may not be repeated: a sharded append log of intents and results.
+//!
+//! A call with a key is recorded in the store before it is sent, and only the writer of that record
+//! may send it, once. A call without a key is sent once and never again.
+
+mod batch;
+mod call;
+mod callers;
+mod effect;
+mod failure;
+mod flight;
+mod health;
+mod key;
+mod log;
+mod proof;
+mod reply;
+mod settings;
+mod shard;
+
+pub use batch::{BatchError, Sequence, Slot, WriterId};
+pub use call::{Finished, Sent, Unsent};
+pub use effect::{Answer, Call, CallId, Effect, ListReply, ReadReply, WriteReply};
+pub use failure::{Advice, Failure};
+pub use key::{BodyTag, CallKey};
+pub use proof::Proof;
+pub use reply::Reply;
+pub use settings::Settings;
+pub use shard::{Shard, ShardNumber};
