route: trust a load report for as long as requests take

Cause: with reports 1 to 1.5 s old and requests of 0.8 s, two choices by the reported load did worse than a random choice: trust in a report halved in 4 s, whatever requests took.

Now trust falls with e to the power of age over the mean request time, which gauges measure from their own requests. The test now asks to be better than random as well.

Also: limits are split with a floor that is part of the demand, so that idle fleets share evenly, with a stated bound; connections say close from the first stage of a stop.

--- a/crates/route/src/drain.rs
+++ b/crates/route/src/drain.rs
@@ -5,6 +5,9 @@
 /// How long other instances may go on giving out the address of a stopping one: until its word has
 /// reached them, with a margin.
 pub const WORD_MS: u64 = 5_000;
+/// How long a connection may be idle, as each response tells its caller. It must be shorter than the
+/// time for which an address stays in use after a stop, [`WORD_MS`] and [`ENTRIES_TTL`] together.
+pub const KEEP_ALIVE_MS: u64 = 10_000;
 /// How long the kernel may still hand over connections that were made before the refusal, and
 /// callers may send a request on an idle connection that is being closed.
 pub const GRACE_MS: u64 = 1_000;
@@ -14,10 +17,10 @@
 pub enum Stage {
     /// No stop was asked for.
     Serving,
-    /// The address is given to nobody, but callers may still have it; all is served.
+    /// The address is given to nobody, but callers may still have it; all is served, and each
+    /// response says that its connection closes.
     Left,
-    /// New connections are refused; requests on open ones are served, and each response says that
-    /// its connection closes.
+    /// New connections are refused; requests on open ones are served.
     Refusing,
     /// Idle connections are closed; requests that run are finished.
     Finishing,
@@ -28,11 +31,13 @@
 /// What the caller has to do on reaching a stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DrainEffect {
-    /// Say 'leaving' to peers, and leave the own address out of answers.
+    /// Say 'leaving' to peers, leave the own address out of answers, and say `Connection: close` in
+    /// each response from now on.
     Leave,
-    /// Drop the listener, and say `Connection: close` in each response from now on.
+    /// Drop the listener.
     Refuse,
-    /// Close the connections on which no request runs.
+    /// Close the connections on which no request runs. They have been idle for longer than
+    /// [`KEEP_ALIVE_MS`], so no caller sends on them.
     CloseIdle,
     /// Join all tasks and end.
     End,
--- a/crates/route/src/gauge.rs
+++ b/crates/route/src/gauge.rs
@@ -11,13 +11,33 @@
 const MARK_MS: u64 = 250;
 /// How many marks are kept: reports may lag by 16 * 250 ms = 4 s.
 const MARKS: usize = 16;
-/// The time in which trust in a report falls to a half.
-const HALF_LIFE_MS: u64 = 4_000;
+/// How much a new service time counts against the mean of those before it.
+const SERVICE_PART: f64 = 0.1;
+/// The time in which requests are taken to turn over until some have ended, in milliseconds.
+const FIRST_TURNOVER_MS: u32 = 4_000;
 /// The age at which a word of a target about itself is too old to send work on it unasked.
 pub const FRESH_MS: u64 = 2_000;
 /// The bits of a packed report that hold the load.
 const LOAD_BITS: u32 = 24;
 
+/// What is typical of the targets of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Typical {
+    /// The mean load that other instances put on a target, in requests.
+    pub others: u32,
+    /// The mean time that a request takes, in milliseconds: by then a target has other requests.
+    pub turnover_ms: u32,
+}
+
+impl Default for Typical {
+    fn default() -> Self {
+        Self {
+            others: 0,
+            turnover_ms: FIRST_TURNOVER_MS,
+        }
+    }
+}
+
 /// What an instance knows of one target's load and state.
 ///
 /// It is shared by all snapshots that contain the target, so a new snapshot loses no count. Loads
@@ -26,14 +46,15 @@
 /// # Examples
 ///
 /// ```
-/// use celerypond_route::Gauge;
+/// use celerypond_route::{Gauge, Typical};
 ///
 /// let gauge = Gauge::new();
+/// let typical = Typical::default();
 /// gauge.report(5_000, 3); // Three requests, sampled at 5 s.
 /// let first = gauge.begin(5_100).unwrap();
-/// assert_eq!(gauge.load(5_200, 0), 4); // The report and one sent since.
+/// assert_eq!(gauge.load(5_200, typical), 4); // The report and one sent since.
 /// drop(first);
-/// assert_eq!(gauge.load(5_200, 0), 3);
+/// assert_eq!(gauge.load(5_200, typical), 3);
 /// ```
 #[derive(Debug)]
 pub struct Gauge {
@@ -41,6 +62,8 @@
     closed: AtomicBool,
     /// The sampling time in milliseconds above the load; 0 when nothing was reported.
     report: AtomicU64,
+    /// The mean time that own requests took here, in milliseconds; 0 when none has ended.
+    service: AtomicU32,
     /// When the target last said that it is live, in milliseconds; 0 when it never did.
     word: AtomicU64,
     /// The retries of calls that failed here.
@@ -56,6 +79,7 @@
             open: AtomicU32::new(0),
             closed: AtomicBool::new(false),
             report: AtomicU64::new(0),
+            service: AtomicU32::new(0),
             word: AtomicU64::new(0),
             retries: RetryBudget::of_target(),
             marks: Default::default(),
@@ -111,24 +135,32 @@
         self.open.load(Relaxed)
     }
 
+    /// Returns the mean time that own requests took here, in milliseconds, once one has ended.
+    pub fn service_ms(&self) -> Option<u32> {
+        let mean = self.service.load(Relaxed);
+        (mean > 0).then_some(mean)
+    }
+
     /// Estimates the load now: the last report, aged, plus what this instance has sent since.
-    ///
-    /// As a report ages, the load that others put on the target is taken to go towards
-    /// `others_mean`, the mean over its peers, since a silent target is as likely busy as they are.
-    pub fn load(&self, now_ms: u64, others_mean: u32) -> u32 {
-        self.open() + self.others(now_ms, others_mean)
+    pub fn load(&self, now_ms: u64, typical: Typical) -> u32 {
+        self.open() + self.others(now_ms, typical)
     }
 
     /// Estimates the load that other instances put on the target.
-    pub fn others(&self, now_ms: u64, others_mean: u32) -> u32 {
+    ///
+    /// A report tells of requests that end one by one, and the share of them that still runs falls
+    /// with its age over the time that requests take. The rest is taken to be as at other targets.
+    /// Trusted for longer, reports that lag by more than a request takes are worse than none: a
+    /// target that was idle then is flooded now.
+    pub fn others(&self, now_ms: u64, typical: Typical) -> u32 {
         let packed = self.report.load(Relaxed);
         if packed == 0 {
-            return others_mean;
+            return typical.others;
         }
         let sampled = packed >> LOAD_BITS;
         let reported = (packed & ((1 << LOAD_BITS) - 1)) as u32;
         let others = reported.saturating_sub(self.open_at(sampled));
-        age(others, others_mean, now_ms.saturating_sub(sampled))
+        age(others, typical, now_ms.saturating_sub(sampled))
     }
 
     /// Returns how many requests of this instance were open at `at_ms`.
@@ -146,6 +178,16 @@
         best as u32
     }
 
+    fn took(&self, service_ms: u64) {
+        let taken = service_ms.clamp(1, u64::from(u32::MAX)) as f64;
+        let mean = |mean: u32| match mean {
+            0 => Some(taken as u32),
+            _ => Some((f64::from(mean) + (taken - f64::from(mean)) * SERVICE_PART).max(1.0) as u32),
+        };
+        // The closure always returns a value.
+        let _ = self.service.fetch_update(Relaxed, Relaxed, mean);
+    }
+
     fn mark(&self, now_ms: u64, open: u32) {
         // Slices count from 1, so that an empty mark is the oldest.
         let slice = now_ms / MARK_MS + 1;
@@ -154,10 +196,10 @@
     }
 }
 
-/// Moves `value` towards `goal` by the share that `age_ms` has taken from its trust.
-fn age(value: u32, goal: u32, age_ms: u64) -> u32 {
-    let trust = 0.5_f64.powf(age_ms as f64 / HALF_LIFE_MS as f64);
-    let aged = f64::from(value) * trust + f64::from(goal) * (1.0 - trust);
+/// Moves `value` towards the typical one by the share of requests that have ended in `age_ms`.
+fn age(value: u32, typical: Typical, age_ms: u64) -> u32 {
+    let trust = (-(age_ms as f64) / f64::from(typical.turnover_ms.max(1))).exp();
+    let aged = f64::from(value) * trust + f64::from(typical.others) * (1.0 - trust);
     aged.round() as u32
 }
 
@@ -169,10 +211,12 @@
 }
 
 impl InFlight {
-    /// Counts the request out at `now_ms`, so that reports sampled before still find it open.
+    /// Counts the request out at `now_ms`, and how long it took. Reports that were sampled before
+    /// still find it open.
     pub fn end(self, now_ms: u64) {
         let open = self.gauge.open().saturating_sub(1);
         self.gauge.mark(now_ms, open);
+        self.gauge.took(now_ms.saturating_sub(self.began));
     }
 
     /// Returns when the request began, in milliseconds of the process's clock.
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -9,7 +9,7 @@
     hash::mix,
     pool::{Member, Site, SLOT_UNIT},
     ring::Ring,
-    Pool, Route, View,
+    Pool, Route, Typical, View,
 };
 
 /// How far a target may be above the mean load before work goes past it, in percent of the mean.
@@ -133,7 +133,7 @@
             pool,
             ask,
             now_ms,
-            others: pool.gauge.others.load(std::sync::atomic::Ordering::Relaxed),
+            typical: pool.typical(),
             bound: bound(pool),
             panic: pool.is_panic(),
         };
@@ -160,7 +160,7 @@
     pool: &'a Pool,
     ask: &'a Ask<'a>,
     now_ms: u64,
-    others: u32,
+    typical: Typical,
     bound: u64,
     panic: bool,
 }
@@ -263,7 +263,7 @@
     }
 
     fn pressure(&self, member: &Member) -> u64 {
-        member.pressure(self.now_ms, self.others)
+        member.pressure(self.now_ms, self.typical)
     }
 
     fn usable(&self, member: &Member) -> bool {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -10,7 +10,7 @@
 
 use celerypond_types::{DataCentre, TargetKey};
 
-use crate::{hash::hash, ring::Ring, Gauge, Target};
+use crate::{hash::hash, ring::Ring, Gauge, Target, Typical};
 
 /// The weight of a target that gets its whole part of the work; 0 is ejected.
 pub const FULL_WEIGHT: u32 = 1_024;
@@ -36,8 +36,8 @@
     }
 
     /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`].
-    pub(crate) fn pressure(&self, now_ms: u64, others_mean: u32) -> u64 {
-        let next = u64::from(self.gauge.load(now_ms, others_mean)) + 1;
+    pub(crate) fn pressure(&self, now_ms: u64, typical: Typical) -> u64 {
+        let next = u64::from(self.gauge.load(now_ms, typical)) + 1;
         let weight = u64::from(self.weight.load(Relaxed).max(1));
         let part = next * SLOT_UNIT / u64::from(self.slots.max(1));
         part * u64::from(FULL_WEIGHT) / weight
@@ -59,6 +59,8 @@
     pub(crate) mean: AtomicU32,
     /// The mean number of requests that other instances have at a target.
     pub(crate) others: AtomicU32,
+    /// The mean time that requests take, in milliseconds; 0 when none has ended.
+    pub(crate) turnover: AtomicU32,
     /// Whether so many targets seem bad that all are used.
     pub(crate) panic: AtomicBool,
 }
@@ -68,6 +70,7 @@
         Self {
             mean: AtomicU32::new(self.mean.load(Relaxed)),
             others: AtomicU32::new(self.others.load(Relaxed)),
+            turnover: AtomicU32::new(self.turnover.load(Relaxed)),
             panic: AtomicBool::new(self.panic.load(Relaxed)),
         }
     }
@@ -111,21 +114,36 @@
     /// survey.
     pub fn survey(&self, now_ms: u64) {
         let live = || self.members.iter().filter(|m| !m.gauge.is_closed());
-        let count = live().count().max(1) as u64;
-        let last = self.gauge.others.load(Relaxed);
-        let others: u64 = live()
-            .map(|m| u64::from(m.gauge.others(now_ms, last)))
-            .sum();
-        let mean = (others / count) as u32;
+        let services = live().filter_map(|m| m.gauge.service_ms());
+        if let Some(turnover) = mean(services.map(u64::from)) {
+            self.gauge.turnover.store(turnover as u32, Relaxed);
+        }
+        let last = self.typical();
+        let others = live().map(|m| u64::from(m.gauge.others(now_ms, last)));
+        let others = mean(others).unwrap_or(0) as u32;
+        self.gauge.others.store(others, Relaxed);
+        let typical = self.typical();
         let (load, slots) = live().fold((0, 0), |(load, slots), m| {
-            let of = u64::from(m.gauge.load(now_ms, mean));
+            let of = u64::from(m.gauge.load(now_ms, typical));
             (load + of, slots + u64::from(m.slots))
         });
-        self.gauge.others.store(mean, Relaxed);
         let per_slot = load * SLOT_UNIT / u64::max(slots, 1);
         self.gauge.mean.store(per_slot as u32, Relaxed);
     }
 
+    /// Returns what was typical of the targets at the last survey.
+    pub fn typical(&self) -> Typical {
+        let first = Typical::default();
+        let turnover_ms = match self.gauge.turnover.load(Relaxed) {
+            0 => first.turnover_ms,
+            mean => mean,
+        };
+        Typical {
+            others: self.gauge.others.load(Relaxed),
+            turnover_ms,
+        }
+    }
+
     /// Sets the part of its work that a target gets in this pool: 0 is ejected, [`FULL_WEIGHT`]
     /// the whole.
     pub fn set_weight(&self, target: TargetKey, weight: u32) {
@@ -167,6 +185,11 @@
     }
 }
 
+fn mean(values: impl Iterator<Item = u64>) -> Option<u64> {
+    let (sum, count) = values.fold((0, 0), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / count)
+}
+
 fn by_key(targets: &[(TargetKey, Arc<Target>)]) -> Box<[(TargetKey, u32)]> {
     let mut by_key: Vec<_> = (0..)
         .zip(targets)
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -4,12 +4,18 @@
 
 use crate::{Demand, Demands};
 
-/// The part of a limit that is split evenly, so that an instance that was idle can serve at once.
+/// The part of a limit that is given to idle instances, so that each can serve at once.
 pub const FLOOR_PART: f64 = 0.1;
-/// How long a rise of the own demand waits before the share follows it, in milliseconds.
-///
-/// It must be longer than a change of demand takes to reach all live instances.
+/// The longest time that a change of demand takes to reach all instances in touch.
 pub const SPREAD_MS: u64 = 5_000;
+/// An instance is in touch with another if it heard from it within this time.
+pub const TOUCH_MS: u64 = SPREAD_MS + 1_000;
+/// How long a rise of the own demand waits before the share follows it.
+///
+/// A rise that nobody hears of is published just after a partition began. The last word from the
+/// other side came up to [`SPREAD_MS`] after that, and counts as touch for [`TOUCH_MS`] more. Only
+/// then does the instance know that it must not use the rise.
+pub const HOLD_MS: u64 = SPREAD_MS + TOUCH_MS;
 
 /// A part of a limit, from 0 to 1, for requests and for tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -20,26 +26,6 @@
     pub tokens: f64,
 }
 
-/// The split of one account's limit, as one instance sees it.
-///
-/// The failure: two instances both believe that a demand has moved to them, and together admit more
-/// than the account may use. So a fall of the own demand counts at once and a rise only after
-/// [`SPREAD_MS`], when all others have heard of it; and while an instance is out of touch with a
-/// listed one, its demand cannot rise at all. Then every instance counts each other one with at
-/// least what that one uses, and the demand parts add up to at most 1.
-///
-/// The bound: with `n` instances of which the one that knows fewest counts `m` (at least
-/// `expected`), all parts add up to at most `1 + FLOOR_PART * (n / m - 1)`, as long as changes
-/// spread in [`SPREAD_MS`] among instances that are in touch.
-#[derive(Clone, Debug, Default)]
-pub struct Split {
-    /// The demand by which the own part is reckoned.
-    used: Demand,
-    /// The least demand since `since`, which becomes `used` when it has held for [`SPREAD_MS`].
-    rising: Demand,
-    since: u64,
-}
-
 /// What an instance knows when it reckons its part.
 #[derive(Clone, Copy, Debug)]
 pub struct Knowledge<'a> {
@@ -51,11 +37,79 @@
     pub instances: usize,
     /// How many instances the settings say there are; a new instance knows no other yet.
     pub expected: usize,
-    /// Whether every listed instance was heard of within [`SPREAD_MS`].
+    /// Whether every listed instance was heard of within [`TOUCH_MS`].
     pub in_touch: bool,
+    /// The account's limit of requests a second.
+    pub requests_per_s: u32,
+    /// The account's limit of tokens a second.
+    pub tokens_per_s: u32,
+}
+
+/// The split of one account's limit, as one instance sees it.
+///
+/// The failure: two instances both believe that a demand has moved to them, and together admit more
+/// than the account may use. So a fall of the own demand counts at once and a rise only after
+/// [`HOLD_MS`], when all others have heard of it; and while an instance is out of touch with a
+/// listed one, its demand cannot rise at all. Then every instance counts each other one with at
+/// least what that one uses, and the parts add up to at most 1.
+///
+/// The bound: with `n` instances of which the one that knows fewest counts `m`, all parts add up to
+/// at most `max(1, n / m) + FLOOR_PART`, as long as changes spread in [`SPREAD_MS`] among instances
+/// in touch, and touch is lost in both directions.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_route::{Demand, Demands, Knowledge, Split};
+///
+/// let other = Demand { sequence: 1, requests: 30_000, tokens: 0 };
+/// let known = Knowledge {
+///     instance: &"a".into(),
+///     demands: &Demands::of("b".into(), other),
+///     instances: 2,
+///     expected: 2,
+///     in_touch: true,
+///     requests_per_s: 100,
+///     tokens_per_s: 0,
+/// };
+/// let own = Demand { sequence: 1, requests: 90_000, tokens: 0 };
+/// let (split, part) = Split::default().step(own, &known, 0);
+/// assert!(part.requests < 0.2); // Nobody may know of the demand yet.
+/// let (_, part) = split.step(own, &known, 11_000);
+/// assert!(part.requests > 0.7);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Split {
+    /// The demand by which the own part is reckoned.
+    used: Demand,
+    /// The least demand since `since`, which becomes `used` when it has held long enough.
+    rising: Demand,
+    since: Option<u64>,
+    hold_ms: u64,
+}
+
+impl Default for Split {
+    fn default() -> Self {
+        Self::with_hold(HOLD_MS)
+    }
 }
 
 impl Split {
+    /// Makes a split whose rises wait for `hold_ms`; less than [`HOLD_MS`] breaks the bound.
+    pub const fn with_hold(hold_ms: u64) -> Self {
+        let none = Demand {
+            sequence: 0,
+            requests: 0,
+            tokens: 0,
+        };
+        Self {
+            used: none,
+            rising: none,
+            since: None,
+            hold_ms,
+        }
+    }
+
     /// Takes the own demand as it was just published and returns the split and the own part.
     #[must_use]
     pub fn step(self, own: Demand, known: &Knowledge<'_>, now_ms: u64) -> (Self, Part) {
@@ -66,44 +120,61 @@
 
     fn follow(self, own: Demand, in_touch: bool, now_ms: u64) -> Self {
         let used = least(self.used, own);
-        if !in_touch {
+        let start = Self {
+            used,
+            rising: own,
+            since: Some(now_ms),
+            ..self
+        };
+        match self.since {
             // What others may not hear of does not count: the rise starts again.
-            return Self {
+            _ if !in_touch => Self {
+                since: None,
+                ..start
+            },
+            None => start,
+            Some(since) if now_ms.saturating_sub(since) >= self.hold_ms => Self {
+                used: least(self.rising, own),
+                ..start
+            },
+            Some(_) => Self {
                 used,
-                rising: used,
-                since: now_ms,
-            };
-        }
-        let rising = least(self.rising, own);
-        if now_ms.saturating_sub(self.since) >= SPREAD_MS {
-            return Self {
-                used: rising,
-                rising: own,
-                since: now_ms,
-            };
-        }
-        Self {
-            used,
-            rising,
-            since: self.since,
+                rising: least(self.rising, own),
+                ..self
+            },
         }
     }
 
     fn part(&self, known: &Knowledge<'_>) -> Part {
-        let others = known.demands.rows();
-        let others = others.filter(|(name, _)| *name != known.instance);
+        let rows = known.demands.rows();
+        let others = rows.filter(|(name, _)| *name != known.instance);
         let (requests, tokens) = others.fold((0, 0), |(requests, tokens), (_, row)| {
             (requests + row.requests, tokens + row.tokens)
         });
-        let count = known.instances.max(known.expected).max(1);
-        let floor = FLOOR_PART / count as f64;
+        let of = |own: u64, others: u64, per_s: u32| known.part(own, others, per_s);
         Part {
-            requests: floor + (1.0 - FLOOR_PART) * ratio(self.used.requests, requests),
-            tokens: floor + (1.0 - FLOOR_PART) * ratio(self.used.tokens, tokens),
+            requests: of(self.used.requests, requests, known.requests_per_s),
+            tokens: of(self.used.tokens, tokens, known.tokens_per_s),
         }
     }
 }
 
+impl Knowledge<'_> {
+    fn part(&self, own: u64, others: u64, per_s: u32) -> f64 {
+        let limit = f64::from(per_s.max(1)) * 1_000.0;
+        let count = self.instances.max(self.expected).max(1);
+        let idle = FLOOR_PART * limit;
+        let heard = (own + others) as f64;
+        // Out of touch, others may use the whole limit unheard.
+        let asked = if self.in_touch {
+            heard
+        } else {
+            heard.max(limit)
+        };
+        (own as f64 + idle / count as f64) / (asked + idle)
+    }
+}
+
 fn least(a: Demand, b: Demand) -> Demand {
     Demand {
         sequence: a.sequence.max(b.sequence),
@@ -111,10 +182,3 @@
         tokens: a.tokens.min(b.tokens),
     }
 }
-
-fn ratio(own: u64, others: u64) -> f64 {
-    if own == 0 {
-        return 0.0;
-    }
-    own as f64 / (own + others) as f64
-}
--- /dev/null
+++ b/crates/route/tests/runner.rs
@@ -0,0 +1,11 @@
+//! The integration tests of the crate, in one binary.
+
+mod test_drain;
+mod test_ejection;
+mod test_fixture;
+mod test_leaving;
+mod test_pick;
+mod test_queue;
+mod test_retries;
+mod test_scripts;
+mod test_share;
--- /dev/null
+++ b/crates/route/tests/test_fixture.rs
@@ -0,0 +1,78 @@
+//! A bundle with engines and a desk service, for the other tests.
+
+use celerypond_bundle::{Account, Bundle, Model, Service, Target, TargetKind, Version, FORMAT};
+use celerypond_route::{Route, View};
+use celerypond_types::{Digest, TargetKey};
+use rand::{rngs::SmallRng, SeedableRng};
+use tokio::time::Instant;
+
+/// Slots of each target.
+pub(crate) const SLOTS: u32 = 8;
+
+pub(crate) fn rng(seed: u64) -> SmallRng {
+    SmallRng::seed_from_u64(seed)
+}
+
+fn target(kind: TargetKind, prefix: &str, at: usize) -> Target {
+    Target {
+        name: format!("{prefix}-{at:03}").as_str().into(),
+        kind,
+        address: ([10, 0, (at / 200) as u8, (at % 200) as u8], 80).into(),
+        data_centre: format!("dc-{}", at % 3).as_str().into(),
+        slots: SLOTS,
+        fencing: Default::default(),
+    }
+}
+
+/// Makes a bundle with `engines` engines, all of which serve both versions of a model.
+pub(crate) fn bundle(engines: usize) -> Bundle {
+    let engines: Vec<Target> = (0..engines)
+        .map(|at| target(TargetKind::Engine, "engine", at))
+        .collect();
+    let desks: Vec<Target> = (0..3)
+        .map(|at| target(TargetKind::Service, "desk", at))
+        .collect();
+    let version = |name: &str| Version {
+        name: name.into(),
+        weights: name.into(),
+        targets: engines.iter().map(|engine| engine.name.clone()).collect(),
+    };
+    Bundle {
+        format: FORMAT,
+        title: "test".into(),
+        models: vec![Model {
+            name: "draft".into(),
+            versions: vec![version("v1"), version("v2")],
+            base: "v1".into(),
+            shares: vec![],
+            adapters: vec!["quotes".into()],
+            deadline_ms: 60_000,
+            complete_within_s: 600,
+        }],
+        services: vec![Service {
+            name: "desk".into(),
+            targets: desks.iter().map(|desk| desk.name.clone()).collect(),
+            calls: vec![],
+            deadline_ms: 2_000,
+            not_run_codes: vec![],
+        }],
+        accounts: vec![Account {
+            name: "showroom".into(),
+            key_digest: Digest::of(b"key"),
+            requests_per_s: 10,
+            tokens_per_s: 1_000,
+            weight: 1,
+            priority: Default::default(),
+        }],
+        targets: engines.into_iter().chain(desks).collect(),
+    }
+}
+
+/// Makes a view of [`bundle`] and returns the route to version `v1` and its engines.
+pub(crate) fn view(engines: usize, now: Instant) -> (View, Route, Vec<TargetKey>) {
+    let view = View::new(now).with_bundle(&bundle(engines), now);
+    let route = Route::Version(view.version(&"draft".into(), &"v1".into()).unwrap());
+    let mut keys: Vec<TargetKey> = view.pool(route).unwrap().keys().collect();
+    keys.sort();
+    (view, route, keys)
+}
--- /dev/null
+++ b/crates/route/tests/test_pick.rs
@@ -0,0 +1,272 @@
+//! The choice of a target: constraints, load reports that lag, prefixes, snapshots.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use celerypond_route::{
+    Ask, CacheEvent, Caches, InFlight, PickError, Reason, Route, Typical, View, FULL_WEIGHT,
+};
+use celerypond_types::TargetKey;
+use rand::Rng;
+use rstest::rstest;
+use tokio::time::{Duration, Instant};
+
+use crate::test_fixture::{bundle, rng, view, SLOTS};
+
+const ENGINES: usize = 20;
+
+#[test]
+fn excluded_closed_and_ejected_targets_are_never_chosen() {
+    let now = Instant::now();
+    let (view, route, keys) = view(ENGINES, now);
+    let pool = view.pool(route).unwrap();
+    view.target(keys[0]).unwrap().gauge.set_closed(true);
+    pool.set_weight(keys[1], 0);
+    let ask = Ask {
+        excluded: &keys[2..ENGINES - 1],
+        prefixes: &[7],
+        ..Ask::default()
+    };
+    for seed in 0..200 {
+        let choice = view.pick(route, &ask, now, &mut rng(seed)).unwrap();
+        assert_eq!(choice.target, keys[ENGINES - 1]);
+    }
+    pool.set_weight(keys[ENGINES - 1], 0);
+    let none = view.pick(route, &ask, now, &mut rng(0));
+    assert_eq!(none, Err(PickError::NoTarget));
+    // When most seem bad, ejection is ignored and leaving is not.
+    pool.set_panic(true);
+    for seed in 0..50 {
+        let choice = view.pick(route, &ask, now, &mut rng(seed)).unwrap();
+        assert!([keys[1], keys[ENGINES - 1]].contains(&choice.target));
+    }
+}
+
+#[test]
+fn a_service_is_served_by_its_own_targets_and_nearby_ones_first() {
+    let now = Instant::now();
+    let (view, _, _) = view(ENGINES, now);
+    let desk = Route::Service(view.service(&"desk".into()).unwrap());
+    let near = "dc-1".into();
+    let ask = Ask {
+        near: Some(&near),
+        ..Ask::default()
+    };
+    let choice = view.pick(desk, &ask, now, &mut rng(1)).unwrap();
+    assert_eq!(Some(choice.target), view.key(&"desk-001".into()));
+    assert_eq!(choice.reason, Reason::Near);
+    // Far above the mean, the work goes elsewhere.
+    let gauge = &view.target(choice.target).unwrap().gauge;
+    gauge.report(1, 4 * SLOTS);
+    view.survey(now);
+    let choice = view.pick(desk, &ask, now, &mut rng(1)).unwrap();
+    assert_eq!(choice.reason, Reason::Any);
+}
+
+#[test]
+fn counts_and_keys_outlive_a_new_bundle() {
+    let now = Instant::now();
+    let (view, route, keys) = view(ENGINES, now);
+    let open = view.target(keys[3]).unwrap().gauge.begin(0).unwrap();
+    view.pool(route).unwrap().set_weight(keys[4], 0);
+    let mut next = bundle(ENGINES);
+    next.targets[0].address = ([10, 9, 9, 9], 80).into();
+    next.targets.remove(1);
+    next.models[0].versions[0].targets.remove(1);
+    next.models[0].versions[1].targets.remove(1);
+    let after = view.with_bundle(&next, now);
+    assert_eq!(after.target(keys[3]).unwrap().gauge.open(), 1);
+    assert_ne!(after.key(&"engine-000".into()), Some(keys[0]));
+    assert!(after.target(keys[1]).is_none());
+    drop(open);
+    assert_eq!(after.target(keys[3]).unwrap().gauge.open(), 0);
+    let left: Vec<TargetKey> = keys.iter().copied().filter(|key| *key != keys[4]).collect();
+    let ask = Ask {
+        excluded: &left,
+        ..Ask::default()
+    };
+    // Only the ejected target and the one with a new address are not excluded.
+    let choice = after.pick(route, &ask, now, &mut rng(0)).unwrap();
+    assert_eq!(after.key(&"engine-000".into()), Some(choice.target));
+}
+
+#[test]
+fn an_adapter_moves_a_prefix_to_engines_of_its_own() {
+    let now = Instant::now();
+    let (view, route, _) = view(ENGINES, now);
+    let targets = |adapter| {
+        let chosen = (0..32).map(|seed| {
+            let ask = Ask {
+                prefixes: &[7],
+                adapter,
+                ..Ask::default()
+            };
+            view.pick(route, &ask, now, &mut rng(seed)).unwrap().target
+        });
+        chosen.collect::<std::collections::BTreeSet<_>>()
+    };
+    assert_eq!(targets(1).len(), 1);
+    assert_ne!(targets(1), targets(2));
+}
+
+/// Sends the same prompt 2,000 times to engines that take 100 ms for each, one every 5 ms, and
+/// returns the share that found its prefix and the most requests on one engine over the mean.
+fn hot_prompt(bounded: bool) -> (f64, f64) {
+    let start = Instant::now();
+    let (view, route, _) = view(ENGINES, start);
+    let mut held = std::collections::BTreeSet::new();
+    let (mut hits, mut open, mut worst) = (0, Vec::new(), 0);
+    for at in 0..2_000_u64 {
+        let now = start + Duration::from_millis(5 * at);
+        if bounded {
+            view.survey(now);
+        }
+        let target = match bounded {
+            true => {
+                let ask = Ask {
+                    prefixes: &[7],
+                    ..Ask::default()
+                };
+                view.pick(route, &ask, now, &mut rng(at)).unwrap().target
+            }
+            false => view.pool(route).unwrap().keys().next().unwrap(),
+        };
+        hits += u32::from(!held.insert(target));
+        let gauge = &view.target(target).unwrap().gauge;
+        open.push((5 * at + 100, gauge.begin(5 * at).unwrap()));
+        open.retain(|(end, _)| *end > 5 * at);
+        worst = worst.max(gauge.open());
+    }
+    (f64::from(hits) / 2_000.0, f64::from(worst))
+}
+
+// A mill sends the same certificate a thousand times: the engine with its prefix is asked first,
+// each time. Without a bound that one engine gets all the work and its callers wait, while
+// nineteen engines do nothing. With it, the work spills over to a few engines that learn the prefix.
+#[test]
+fn a_hot_prefix_does_not_drown_its_engine() {
+    let (hits, worst) = hot_prompt(true);
+    assert!(hits > 0.98 && worst <= 8.0, "{hits} {worst}");
+    let (_, worst) = hot_prompt(false);
+    assert!(worst >= 20.0, "{worst}");
+}
+
+#[test]
+fn a_holder_that_may_have_evicted_weighs_less() {
+    let now = Instant::now();
+    let (view, route, keys) = view(ENGINES, now);
+    let mut caches = Caches::default();
+    caches.take(keys[5], 1, CacheEvent::Stored(70));
+    let pick = |caches: &Caches, load| {
+        let gauge = &view.target(keys[5]).unwrap().gauge;
+        gauge.report(1, load);
+        let view = view.with_cache(Arc::new(caches.index()));
+        let ask = Ask {
+            prefixes: &[71, 70],
+            ..Ask::default()
+        };
+        view.pick(route, &ask, now, &mut rng(1)).unwrap().target
+    };
+    assert_eq!(pick(&caches, 0), keys[5]);
+    caches.take(keys[5], 3, CacheEvent::Stored(72));
+    assert_ne!(pick(&caches, 0), keys[5]);
+    caches.take(keys[5], 4, CacheEvent::Evicted(70));
+    assert_ne!(pick(&caches, 0), keys[5]);
+}
+
+#[test]
+fn the_cache_view_is_bounded() {
+    let (_, _, keys) = view(ENGINES, Instant::now());
+    let mut caches = Caches::default();
+    for sequence in 1..10_000 {
+        caches.take(keys[0], sequence, CacheEvent::Stored(sequence));
+    }
+    assert_eq!(caches.len(), 256);
+    // What is kept is the newest.
+    assert_eq!(caches.index().holders(9_999).len(), 1);
+    assert!(caches.index().holders(1).is_empty());
+}
+
+/// Drives 7 instances before 20 engines with reports that lag by 1 s, and returns the mean over
+/// time of the most loaded engine over the mean load.
+fn herding(
+    seed: u64,
+    choose: impl Fn(&View, Route, Instant, &mut rand::rngs::SmallRng) -> TargetKey,
+) -> f64 {
+    let start = Instant::now();
+    let views: Vec<_> = (0..7).map(|_| view(ENGINES, start)).collect();
+    let mut rng = rng(seed);
+    let mut loads: BTreeMap<TargetKey, u32> = BTreeMap::new();
+    let mut running: Vec<(u64, TargetKey, InFlight)> = Vec::new();
+    let (mut history, mut ratios) = (Vec::new(), Vec::new());
+    for tick in 0..600_u64 {
+        let ms = tick * 50;
+        let now = start + Duration::from_millis(ms);
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, ..)| *end <= ms);
+        running = rest;
+        for (_, key, open) in ended {
+            *loads.get_mut(&key).unwrap() -= 1;
+            open.end(ms);
+        }
+        history.push(loads.clone());
+        for (view, route, keys) in &views {
+            // A report each 500 ms, of the state 1 s ago.
+            if tick % 10 == 0 && tick >= 20 {
+                for key in keys {
+                    let load = history[tick as usize - 20].get(key).copied().unwrap_or(0);
+                    view.target(*key).unwrap().gauge.report(ms - 1_000, load);
+                }
+            }
+            view.survey(now);
+            if rng.random_bool(0.7) {
+                let key = choose(view, *route, now, &mut rng);
+                let open = view.target(key).unwrap().gauge.begin(ms).unwrap();
+                *loads.entry(key).or_default() += 1;
+                running.push((ms + rng.random_range(200..1_400), key, open));
+            }
+        }
+        let mean = running.len() as f64 / ENGINES as f64;
+        let most = loads.values().max().copied().unwrap_or(0);
+        if tick > 100 {
+            ratios.push(f64::from(most) / mean);
+        }
+    }
+    ratios.iter().sum::<f64>() / ratios.len() as f64
+}
+
+// Seven instances read the same load reports, each a second old. If each sends to the engine that
+// was idle then, all send to the same one: its queue grows for a second until a report shows it,
+// then the next engine is flooded. Callers see waits while most engines idle.
+#[rstest]
+fn reports_that_lag_cause_no_herding(#[values(1, 2, 3)] seed: u64) {
+    let ours = herding(seed, |view, route, now, rng| {
+        view.pick(route, &Ask::default(), now, rng).unwrap().target
+    });
+    let least_reported = herding(seed, |view, route, now, _| {
+        let pool = view.pool(route).unwrap();
+        let ms = view.clock().millis(now);
+        let load = |key: &TargetKey| {
+            let gauge = &view.target(*key).unwrap().gauge;
+            gauge.others(ms, Typical::default())
+        };
+        pool.keys().min_by_key(load).unwrap()
+    });
+    let random = herding(seed, |view, route, _, rng| {
+        let keys: Vec<TargetKey> = view.pool(route).unwrap().keys().collect();
+        keys[rng.random_range(0..keys.len())]
+    });
+    assert!(ours < 2.0 && ours < random, "{ours} {random}");
+    assert!(least_reported > 2.0 * ours, "{least_reported} {ours}");
+}
+
+#[test]
+fn the_same_seed_is_the_same_run() {
+    let now = Instant::now();
+    let run = || {
+        let (view, route, _) = view(ENGINES, now);
+        let mut rng = rng(9);
+        let one = |_| view.pick(route, &Ask::default(), now, &mut rng).unwrap();
+        (0..100).map(one).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
+    assert_eq!(FULL_WEIGHT, 1_024);
+}
