--- a/crates/route/src/gauge.rs
+++ b/crates/route/src/gauge.rs
@@ -90,6 +90,8 @@
     ///
     /// Call this immediately before the first byte is sent, also for resumes and retries: a request
     /// that was queued behind a choice would otherwise start on a target that has left meanwhile.
+    /// When the target [`is_stale`](Self::is_stale), ask it for its health first: an instance that
+    /// hears neither the target nor a peer would otherwise send work until the list says so.
     pub fn begin(self: &Arc<Self>, now_ms: u64) -> Option<InFlight> {
         if self.is_closed() {
             return None;
