--- a/daemon/src/front.rs
+++ b/daemon/src/front.rs
@@ -24,8 +24,19 @@
 pub mod health;
 pub mod operator;
 pub mod problem;
+pub mod services;
 pub mod socket;
 
+/// The methods that plain services may be called with.
+const SERVICE_METHODS: [Method; 6] = [
+    Method::GET,
+    Method::HEAD,
+    Method::POST,
+    Method::PUT,
+    Method::PATCH,
+    Method::DELETE,
+];
+
 /// A request as handlers see it.
 pub struct Call {
     /// The method.
@@ -76,6 +87,9 @@
         route
             .get("/v1/metrics")
             .to_async(|state| handle(state, health::metrics));
+        route
+            .request(SERVICE_METHODS.to_vec(), "/v1/services/*")
+            .to_async(|state| handle(state, services::call));
         route.scope("/v1/operator", |route| {
             route
                 .post("/submit")
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -134,7 +134,7 @@
             Effect::Close(link) => drop(self.links.remove(&link)),
             Effect::Cancel(stream) => self.cancel(stream),
             Effect::Review(_) => return Some(Input::Reviewed(None)),
-            Effect::Keep(_) | Effect::Forget(_) | Effect::Tell(..) => {}
+            Effect::Keep(_) | Effect::Forget(..) | Effect::Tell(..) => {}
             Effect::Emit(emit) => {
                 self.node.metrics.add(Counter::Tokens, 1);
                 return self.send(Piece::Token(emit)).await;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -13,13 +13,13 @@
 use celerypond_answer::SealKey;
 use celerypond_bundle::Settings;
 use celerypond_platform::{Client, InstanceList, Rates};
-use celerypond_route::View;
+use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use rand::{rngs::SmallRng, SeedableRng};
 use tokio::{sync::Notify, time::Instant};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{force::Force, front::socket::Sockets, stalls::Stalls};
+use crate::{force::Force, front::socket::Sockets, ledger::Ledger, stalls::Stalls};
 
 /// The platform's rates for all instances together, of which each uses its share.
 const PLATFORM_RATES: Rates = Rates {
@@ -56,6 +56,12 @@
     pub work: TaskTracker,
     /// The gaps between tokens of each engine.
     pub stalls: Stalls,
+    /// Calls that may not be repeated.
+    pub ledger: Ledger,
+    /// The retries that this instance may make.
+    pub retries: RetryBudget,
+    /// The time between retries.
+    pub backoff: Backoff,
     /// The key of the seals of resume tokens.
     pub seal_key: SealKey,
     /// Wakes the task that brings bundles into force.
@@ -89,6 +95,9 @@
             ending: CancellationToken::new(),
             work: TaskTracker::new(),
             stalls: Stalls::default(),
+            ledger: Ledger::default(),
+            retries: RetryBudget::overall(),
+            backoff: Backoff::default(),
             seal_key,
             look: Notify::new(),
             seed: Mutex::new(rng),
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -13,7 +13,7 @@
     time,
 };
 
-use crate::{front, node::Node, watch};
+use crate::{front, node::Node, roster, watch};
 
 /// How often counters are sent to the collector.
 const PUBLISH: Duration = Duration::from_secs(10);
@@ -47,6 +47,7 @@
     let node = Node::new(settings, metrics);
     let mut tasks = JoinSet::new();
     tasks.spawn(watch::run(Arc::clone(&node)));
+    tasks.spawn(roster::run(Arc::clone(&node)));
     tasks.spawn(publish(Arc::clone(&node)));
     log::info!("serving callers at {}", node.address());
     tokio::select! {
@@ -81,10 +82,16 @@
 
 async fn finish(node: &Node, mut tasks: JoinSet<()>) {
     node.sockets.drain().await;
+    node.ledger.close();
     node.ending.cancel();
-    let joined = async { while tasks.join_next().await.is_some() {} };
+    node.work.close();
+    let joined = async {
+        while tasks.join_next().await.is_some() {}
+        node.work.wait().await;
+    };
     if time::timeout(JOIN, joined).await.is_err() {
-        log::warn!("{} background tasks did not end in time", tasks.len());
+        let left = tasks.len() + node.work.len();
+        log::warn!("{left} background tasks did not end in time");
         tasks.shutdown().await;
     }
 }
--- /dev/null
+++ b/daemon/src/service_call.rs
@@ -0,0 +1,289 @@
+//! Sends calls to plain services.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use celerypond_bundle::Service;
+use celerypond_ledger::{BodyTag, Finished, Proof, Reply, Unsent};
+use celerypond_route::{Ask, Failure, InFlight, Route, Verdict};
+use celerypond_telemetry::{Counter, TraceContext};
+use celerypond_types::{NotRunReason, Outcome, TargetKey};
+use gotham::hyper::{HeaderMap, Method};
+use http::{header, HeaderName, HeaderValue, Request};
+use http_body_util::Full;
+use smol_str::SmolStr;
+use tokio::time::{self, Instant};
+
+use crate::{
+    body,
+    http_call::{CallError, Fresh},
+    node::Node,
+};
+
+/// The largest answer of a service, in bytes.
+const ANSWER: usize = 16 << 20;
+/// When to come back if a service gives no time.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// The headers that go on to a service.
+const PASSED: [HeaderName; 3] = [
+    header::CONTENT_TYPE,
+    header::ACCEPT,
+    HeaderName::from_static("idempotency-key"),
+];
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// The service, as the bundle declared it when the call came.
+    pub service: Arc<Service>,
+    /// The method.
+    pub method: Method,
+    /// The path and query below the service.
+    pub path: SmolStr,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When the caller no longer waits.
+    pub deadline: Instant,
+}
+
+/// A connection to a target that was chosen for a call.
+struct Connected {
+    key: TargetKey,
+    address: SocketAddr,
+    fresh: Fresh,
+    load: InFlight,
+}
+
+/// What one try brought.
+enum Tried {
+    Answer(Reply, Option<Duration>),
+    Failed(Failure),
+}
+
+/// The tries of one call so far.
+#[derive(Default)]
+struct Tries {
+    excluded: Vec<TargetKey>,
+    sent: bool,
+    last: Option<Reply>,
+}
+
+impl Tries {
+    /// Ends the call; one that was sent is never said not to have run.
+    fn give_up(self, reason: NotRunReason) -> Outcome<Reply> {
+        match self.last {
+            Some(reply) => Outcome::Ran(reply),
+            None if self.sent => Outcome::Unknown,
+            None => Outcome::NotRun {
+                reason,
+                retry_after: COME_BACK,
+            },
+        }
+    }
+}
+
+impl ServiceCall {
+    /// Makes a call with those of the caller's headers that go on.
+    pub fn new(
+        service: Arc<Service>,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Self {
+        let mut kept = HeaderMap::new();
+        for name in PASSED {
+            if let Some(value) = headers.get(&name) {
+                kept.insert(name, value.clone());
+            }
+        }
+        Self {
+            service,
+            method,
+            path: path.into(),
+            headers: kept,
+            body,
+            deadline,
+        }
+    }
+
+    /// Sends a call that may not be repeated, once.
+    ///
+    /// Until a connection stands no byte can have reached a service, so another target may be
+    /// tried. From the first write on, only an answer tells what became of the call.
+    pub async fn send_once(&self, node: &Node, unsent: Unsent) -> Finished {
+        let connected = match self.connect(node, &mut Vec::new()).await {
+            Ok(connected) => connected,
+            Err(reason) => return unsent.not_run(reason, COME_BACK),
+        };
+        let sent = match unsent.send(Instant::now()) {
+            Ok(sent) => sent,
+            Err(finished) => return finished,
+        };
+        match self.exchange(node, connected).await {
+            Tried::Answer(reply, after) => {
+                let proof = Proof::new(&self.service.not_run_codes);
+                sent.answered(reply, after.unwrap_or(COME_BACK), &proof)
+            }
+            Tried::Failed(_) => sent.unanswered(),
+        }
+    }
+
+    /// Returns the tag by which the reuse of a key for another call is found.
+    pub fn tag(&self) -> BodyTag {
+        let path = format!("{}{}", self.service.name, self.path);
+        BodyTag::of(self.method.as_str(), &path, &self.body)
+    }
+
+    /// Sends a call that may be repeated, again while the deadline and the retry budget allow it.
+    pub async fn send_idempotent(&self, node: &Node) -> Outcome<Reply> {
+        let mut tries = Tries::default();
+        let mut rng = node.rng();
+        let mut pause = Duration::ZERO;
+        loop {
+            let failure = match self.try_once(node, &mut tries).await {
+                Ok(reply) => return Outcome::Ran(reply),
+                Err(Some(failure)) => failure,
+                Err(None) => return tries.give_up(NotRunReason::NoTarget),
+            };
+            let floor = match failure.verdict() {
+                Verdict::Elsewhere => Duration::ZERO,
+                Verdict::Later(floor) => floor,
+                Verdict::Final => return tries.give_up(NotRunReason::Refused),
+            };
+            if !node.retries.take() {
+                node.metrics.add(Counter::RetriesWithheld, 1);
+                return tries.give_up(NotRunReason::RetryBudget);
+            }
+            pause = node.backoff.next(pause, floor, &mut rng);
+            if Instant::now() + pause >= self.deadline {
+                return tries.give_up(NotRunReason::Overload);
+            }
+            node.metrics.add(Counter::Retries, 1);
+            time::sleep(pause).await;
+        }
+    }
+
+    /// Tries once; `Err(None)` when no target is left.
+    async fn try_once(&self, node: &Node, tries: &mut Tries) -> Result<Reply, Option<Failure>> {
+        let connected = self
+            .connect(node, &mut tries.excluded)
+            .await
+            .map_err(|_| None)?;
+        tries.excluded.push(connected.key);
+        tries.sent = true;
+        tries.last = None;
+        match self.exchange(node, connected).await {
+            Tried::Failed(failure) => Err(Some(failure)),
+            Tried::Answer(reply, after) => {
+                let failure = Failure::Status {
+                    code: reply.status,
+                    retry_after: after,
+                };
+                if reply.status < 400 || failure.verdict() == Verdict::Final {
+                    node.retries.succeeded();
+                    return Ok(reply);
+                }
+                tries.last = Some(reply);
+                Err(Some(failure))
+            }
+        }
+    }
+
+    async fn connect(
+        &self,
+        node: &Node,
+        excluded: &mut Vec<TargetKey>,
+    ) -> Result<Connected, NotRunReason> {
+        let mut reason = NotRunReason::NoTarget;
+        loop {
+            let view = node.view.load();
+            let service = view.service(&self.service.name).ok_or(reason)?;
+            let ask = Ask {
+                excluded,
+                near: Some(&node.settings.data_centre),
+                ..Ask::default()
+            };
+            let now = Instant::now();
+            let picked = view.pick(Route::Service(service), &ask, now, &mut node.rng());
+            let key = picked.map_err(|_| reason)?.target;
+            let target = view.target(key).ok_or(reason)?;
+            let Some(load) = target.gauge.begin(view.clock().millis(now)) else {
+                excluded.push(key);
+                continue;
+            };
+            let address = target.address;
+            drop(view);
+            match Fresh::connect(address).await {
+                Ok(fresh) => {
+                    return Ok(Connected {
+                        key,
+                        address,
+                        fresh,
+                        load,
+                    });
+                }
+                Err(_) => {
+                    reason = NotRunReason::NotConnected;
+                    excluded.push(key);
+                }
+            }
+        }
+    }
+
+    async fn exchange(&self, node: &Node, connected: Connected) -> Tried {
+        let Ok(request) = self.request(connected.address) else {
+            return Tried::Failed(Failure::Protocol);
+        };
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let exchange = async {
+            let answer = connected.fresh.send(request, left).await?;
+            let (head, body) = answer.response.into_parts();
+            // The connection is closed with its answer, so no later call can meet a late one.
+            let value = body::read(body, ANSWER).await;
+            drop(answer.connection);
+            value
+                .map(|value| (head, value))
+                .map_err(|error| error_stack::Report::new(error).change_context(CallError::Reset))
+        };
+        let result = time::timeout(left, exchange).await;
+        let now_ms = node.view.load().clock().millis(Instant::now());
+        connected.load.end(now_ms);
+        match result {
+            Ok(Ok((head, value))) => {
+                let media = text(&head.headers, &header::CONTENT_TYPE);
+                let after = text(&head.headers, &header::RETRY_AFTER).parse().ok();
+                let reply = Reply::new(head.status.as_u16(), media, value);
+                Tried::Answer(reply, after.map(Duration::from_secs))
+            }
+            Ok(Err(report)) => Tried::Failed(match report.current_context() {
+                CallError::Connect => Failure::Refused,
+                CallError::Reset => Failure::Reset,
+                CallError::Timeout => Failure::Timeout,
+            }),
+            Err(_) => Tried::Failed(Failure::Timeout),
+        }
+    }
+
+    fn request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.path.as_str())
+            .header(header::HOST, address.to_string());
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        if let Some(context) = TraceContext::of_span(&tracing::Span::current()) {
+            request = request.header("traceparent", context.to_string());
+        }
+        request.body(Full::new(self.body.clone()))
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let value = headers.get(name).map(HeaderValue::to_str);
+    value.and_then(Result::ok).unwrap_or_default()
+}
