rollout: evidence, sequential test, brake, stages and endings

`Agent` is the side of one instance: it splits requests, counts what came of them, weighs the merged evidence of all against the base in the same window, trips the brake, and proposes the next record of a rollout for a conditional write. "Done" takes a promise of every live instance first.

Ruled out: counting whole answers (a good version seems only to fail for the first minutes); an order of decisions kept by a driver's lease (the condition of the write is enough).

--- /dev/null
+++ b/crates/rollout/src/brake.rs
@@ -0,0 +1,93 @@
+//! The brake: versions that get no more traffic until a later bundle.
+
+use std::collections::BTreeMap;
+
+use celerypond_types::{ModelName, Revision};
+use serde::{Deserialize, Serialize};
+
+use crate::{judge::Cause, moves::Candidate, record::Part};
+
+/// The versions braked so far; entries are only ever added, so merges need no order and no store.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_rollout::{Brakes, Candidate, Cause};
+/// use celerypond_types::Revision;
+///
+/// let bad = Candidate { model: "draft".into(), version: "v2".into() };
+/// let mut mine = Brakes::default();
+/// let mut theirs = Brakes::default();
+/// theirs.trip(Revision(3), bad.clone(), Cause::Failures);
+/// assert!(mine.merge(&theirs));
+/// assert!(mine.cause(Revision(3), &bad).is_some());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brakes {
+    entries: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    origin: Revision,
+    candidate: Candidate,
+    cause: Cause,
+}
+
+impl Brakes {
+    /// Adds a version; returns whether it was not braked yet.
+    pub fn trip(&mut self, origin: Revision, candidate: Candidate, cause: Cause) -> bool {
+        let is_it = |entry: &&mut Entry| entry.origin == origin && entry.candidate == candidate;
+        if let Some(entry) = self.entries.iter_mut().find(is_it) {
+            // Two instances may trip for different causes; all settle on one of them.
+            entry.cause = entry.cause.min(cause);
+            return false;
+        }
+        self.entries.push(Entry {
+            origin,
+            candidate,
+            cause,
+        });
+        true
+    }
+
+    /// Adds all entries of another set; returns whether any was new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let mut is_new = false;
+        for entry in &other.entries {
+            is_new |= self.trip(entry.origin, entry.candidate.clone(), entry.cause);
+        }
+        is_new
+    }
+
+    /// Returns why a version is braked, if it is.
+    pub fn cause(&self, origin: Revision, candidate: &Candidate) -> Option<Cause> {
+        let is_it = |entry: &&Entry| entry.origin == origin && entry.candidate == *candidate;
+        self.entries.iter().find(is_it).map(|entry| entry.cause)
+    }
+
+    /// Drops the entries that later bundles released, by the parts of the bundle in force.
+    pub fn release(&mut self, parts: &BTreeMap<ModelName, Part>) {
+        self.entries.retain(|entry| {
+            let part = parts.get(&entry.candidate.model);
+            part.is_some_and(|part| part.origin <= entry.origin)
+        });
+    }
+
+    /// Returns the entries that fulfil a condition.
+    #[must_use]
+    pub fn only(&self, holds: impl Fn(Revision, &Candidate) -> bool) -> Self {
+        let kept = self
+            .entries
+            .iter()
+            .filter(|entry| holds(entry.origin, &entry.candidate));
+        Self {
+            entries: kept.cloned().collect(),
+        }
+    }
+
+    /// Returns whether no version is braked.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- a/crates/rollout/src/desk.rs
+++ b/crates/rollout/src/desk.rs
@@ -10,8 +10,10 @@
 use thiserror::Error;
 
 use crate::{
+    moves::moves,
     record::{
-        approval_key, bundle_key, Approval, Audit, Current, Signature, Submission, CURRENT_KEY,
+        approval_key, bundle_key, Approval, Audit, Current, Part, Signature, Submission,
+        CURRENT_KEY,
     },
     store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES},
 };
@@ -303,11 +305,15 @@
         let mut next = successor(current, self.digest, &self.signature);
         let bundle = self.bundle.as_ref();
         for model in bundle.iter().flat_map(|bundle| &bundle.models) {
-            let is_same = previous.and_then(|bundle| bundle.model(&model.name)) == Some(model);
-            let origin = current.and_then(|current| current.origins.get(&model.name));
-            let origin = origin.filter(|_| is_same).copied();
-            next.origins
-                .insert(model.name.clone(), origin.unwrap_or(next.revision));
+            let before = previous.and_then(|bundle| bundle.model(&model.name));
+            let part = current.and_then(|current| current.parts.get(&model.name));
+            let part = part.filter(|_| before == Some(model)).cloned();
+            let part = part.unwrap_or_else(|| Part {
+                origin: next.revision,
+                rolled_ms: next.signature.at_ms,
+                moves: moves(before, model),
+            });
+            next.parts.insert(model.name.clone(), part);
         }
         // The record of the bundle in force is completed before `current` is overwritten: else a
         // daemon that died between a roll and its record would leave a hole in the trail.
@@ -450,7 +456,7 @@
             ..signature.clone()
         },
         previous: current.map(|current| current.digest),
-        origins: BTreeMap::new(),
+        parts: BTreeMap::new(),
         nonces,
     }
 }
--- /dev/null
+++ b/crates/rollout/src/histogram.rs
@@ -0,0 +1,122 @@
+//! A small mergeable histogram of times.
+
+use serde::{Deserialize, Serialize};
+
+/// How many buckets a histogram has; the last is open.
+pub const BUCKETS: usize = 40;
+/// The upper bound of the first bucket, in microseconds.
+const FIRST_BOUND_US: f64 = 1_000.0;
+/// The ratio of the bounds of neighbouring buckets.
+const RATIO: f64 = 1.25;
+
+/// Counts of times in buckets whose bounds grow by a quarter, from 1 ms to 6 s.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_rollout::Histogram;
+///
+/// let mut times = Histogram::default();
+/// times.add(52_000);
+/// assert_eq!(times.count(), 1);
+/// assert_eq!(times.above(times.bucket_of(0.5)), 0);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Sparse", into = "Sparse")]
+pub struct Histogram {
+    counts: [u32; BUCKETS],
+}
+
+/// The form on the wire: only the span of buckets in use.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Sparse {
+    first: u8,
+    counts: Vec<u32>,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+        }
+    }
+}
+
+impl Histogram {
+    /// Adds a time in microseconds.
+    pub fn add(&mut self, time_us: u64) {
+        let steps = (time_us.max(1) as f64 / FIRST_BOUND_US).ln() / RATIO.ln();
+        let bucket = (steps.ceil().max(0.0) as usize).min(BUCKETS - 1);
+        self.counts[bucket] = self.counts[bucket].saturating_add(1);
+    }
+
+    /// Adds all counts of another histogram.
+    pub fn merge(&mut self, other: &Self) {
+        for (count, more) in self.counts.iter_mut().zip(other.counts) {
+            *count = count.saturating_add(more);
+        }
+    }
+
+    /// Returns what was added since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut counts = self.counts;
+        for (count, before) in counts.iter_mut().zip(earlier.counts) {
+            *count = count.saturating_sub(before);
+        }
+        Self { counts }
+    }
+
+    /// Returns how many times were added.
+    pub fn count(&self) -> u64 {
+        self.above_from(0)
+    }
+
+    /// Returns how many times lie above a bucket.
+    pub fn above(&self, bucket: usize) -> u64 {
+        self.above_from(bucket + 1)
+    }
+
+    /// Returns the first bucket that at least this part of all times does not exceed.
+    pub fn bucket_of(&self, part: f64) -> usize {
+        let allowed = (self.count() as f64 * (1.0 - part)) as u64;
+        (0..BUCKETS)
+            .find(|bucket| self.above(*bucket) <= allowed)
+            .unwrap_or(BUCKETS - 1)
+    }
+
+    fn above_from(&self, first: usize) -> u64 {
+        self.counts
+            .iter()
+            .skip(first)
+            .map(|count| u64::from(*count))
+            .sum()
+    }
+}
+
+impl From<Sparse> for Histogram {
+    fn from(sparse: Sparse) -> Self {
+        let mut histogram = Self::default();
+        let slots = histogram.counts.iter_mut().skip(usize::from(sparse.first));
+        for (slot, count) in slots.zip(sparse.counts) {
+            *slot = count;
+        }
+        histogram
+    }
+}
+
+impl From<Histogram> for Sparse {
+    fn from(histogram: Histogram) -> Self {
+        let is_used = |count: &u32| *count > 0;
+        let first = histogram.counts.iter().position(is_used).unwrap_or(0);
+        let end = histogram
+            .counts
+            .iter()
+            .rposition(is_used)
+            .map_or(first, |last| last + 1);
+        Self {
+            first: first as u8,
+            counts: histogram.counts[first..end].to_vec(),
+        }
+    }
+}
--- a/crates/rollout/src/in_force.rs
+++ b/crates/rollout/src/in_force.rs
@@ -51,7 +51,7 @@
 /// let headline = |revision| Headline {
 ///     revision: Revision(revision),
 ///     digest: Digest::of(b""),
-///     origins: Default::default(),
+///     parts: Default::default(),
 /// };
 /// let mut in_force = InForce::default();
 /// assert!(in_force.hear(headline(5), Source::Store));
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -2,21 +2,38 @@
 //!
 //! All decisions are pure. The daemon makes the store calls and carries the gossip.
 
+mod acting;
+mod agent;
+mod brake;
 mod desk;
+mod evidence;
+mod histogram;
 mod in_force;
+mod judge;
 mod moves;
+mod plan;
 mod rank;
 mod record;
+mod rollout;
 mod splitter;
 mod store;
+mod tally;
 
+pub use acting::{Acting, ActingMove, Roster, Spread};
+pub use agent::{Agent, News, Trial};
+pub use brake::Brakes;
 pub use desk::{Desk, DeskError, Done, Request, Step};
+pub use evidence::{Evidence, Incident, Line, Report, Route, Subject, INCIDENT_MS};
+pub use histogram::{Histogram, BUCKETS};
 pub use in_force::{BodyError, InForce, Source, ASK_TIMEOUT, POLL_INTERVAL};
+pub use judge::{Cause, Judge, Method, Verdict};
 pub use moves::{moves, shares, Candidate, Move};
+pub use plan::{local_ppm, plan, Demand, Stage, StageStep, MAX_WITNESSES, STEPS};
 pub use rank::{is_watcher, rank, WATCHERS_PER_CENTRE};
 pub use record::{
-    approval_key, bundle_key, Action, Approval, Audit, Current, Headline, Signature, Submission,
-    AUDIT_PREFIX, CURRENT_KEY,
+    approval_key, bundle_key, Action, Approval, Audit, Current, Headline, Part, Signature,
+    Submission, AUDIT_PREFIX, CURRENT_KEY,
 };
+pub use rollout::{rollout_key, MoveRecord, Phase, Rollout, View};
 pub use splitter::{Splitter, WHOLE_PPM};
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
 
+use crate::moves::Move;
+
 /// The key of the object that names the bundle in force.
 pub const CURRENT_KEY: &str = "current";
 /// The prefix of the keys of audit records, which sort by time.
@@ -51,6 +53,17 @@
     pub digest: Digest,
 }
 
+/// Since when a model's part of the bundle is what it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The revision at which it changed last.
+    pub origin: Revision,
+    /// The wall clock at that roll, in milliseconds since 1970.
+    pub rolled_ms: u64,
+    /// The rises of shares that it asked for.
+    pub moves: Vec<Move>,
+}
+
 /// The bundle in force; the value of `current`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Current {
@@ -62,12 +75,12 @@
     pub signature: Signature,
     /// The digest of the bundle before.
     pub previous: Option<Digest>,
-    /// The revision at which each model's part of the bundle became what it is.
+    /// Since when each model's part of the bundle is what it is, and what it changed.
     ///
     /// A bundle that leaves a model as it was must not restart the rollout of that model, nor
-    /// release its brake.
+    /// release its brake. An instance that starts later learns from here what is being rolled out.
     #[serde(default)]
-    pub origins: BTreeMap<ModelName, Revision>,
+    pub parts: BTreeMap<ModelName, Part>,
     /// The nonces of the latest rolls, newest first, by which a lost reply is resolved.
     pub nonces: Vec<u64>,
 }
@@ -144,8 +157,8 @@
     pub revision: Revision,
     /// The digest of the bundle.
     pub digest: Digest,
-    /// The revision at which each model's part became what it is.
-    pub origins: BTreeMap<ModelName, Revision>,
+    /// Since when each model's part is what it is.
+    pub parts: BTreeMap<ModelName, Part>,
 }
 
 impl Current {
@@ -154,7 +167,7 @@
         Headline {
             revision: self.revision,
             digest: self.digest,
-            origins: self.origins.clone(),
+            parts: self.parts.clone(),
         }
     }
 
--- a/crates/rollout/tests/test_in_force.rs
+++ b/crates/rollout/tests/test_in_force.rs
@@ -213,7 +213,7 @@
     let headline = |revision, title: &str| Headline {
         revision: Revision(revision),
         digest: bundle(title).digest(),
-        origins: Default::default(),
+        parts: Default::default(),
     };
     let (slow, quick) = (InstanceName::new("slow"), InstanceName::new("quick"));
     let peers = [slow.clone(), quick.clone()];
@@ -234,7 +234,7 @@
     let headline = Headline {
         revision: Revision(1),
         digest: wanted,
-        origins: Default::default(),
+        parts: Default::default(),
     };
     node.hear(headline, Source::Store);
     let found = bundle("b").digest();
@@ -263,7 +263,7 @@
             .unwrap();
         store.run(roll(digest), signed("dana", nonce + 2)).unwrap();
         let current: Current = parse(&store.objects[CURRENT_KEY].1).unwrap();
-        origins.push(current.origins[&"draft".into()].0);
+        origins.push(current.parts[&"draft".into()].origin.0);
     }
     assert_eq!(origins, [1, 1, 3]);
     let stale = StoreCall::write(CURRENT_KEY, Condition::Version(1), &0);
