--- a/crates/route/tests/test_scripts.rs
+++ b/crates/route/tests/test_scripts.rs
@@ -1,1 +1,189 @@
-//! x.
+//! Scripted scenarios of ejection and of leaving, in `tests/scripts`.
+
+use std::error::Error;
+
+use celerypond_route::{
+    Departure, EjectEffect, EjectLimits, Ejector, Pool, Relay, Route, View, Word,
+};
+use celerypond_types::TargetKey;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::test_fixture;
+
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Starts with a pool of so many engines.
+    Pool(usize),
+    /// Lets time pass, in milliseconds, with a step each 100 ms.
+    Wait(u64),
+    /// A number of successes with a latency in milliseconds at each engine.
+    Succeed {
+        engines: Vec<usize>,
+        #[arg(key)]
+        ms: f64,
+        #[arg(key)]
+        times: u32,
+    },
+    /// A number of failures at each engine.
+    Fail {
+        engines: Vec<usize>,
+        #[arg(key)]
+        times: u32,
+    },
+    /// The result of a probe.
+    Probed {
+        engine: usize,
+        #[arg(key)]
+        alive: bool,
+    },
+    /// A word of the target about itself, from a question asked so long ago.
+    Target {
+        word: String,
+        #[arg(key, optional)]
+        asked_ms_ago: u64,
+    },
+    /// A word of the list.
+    List(String),
+    /// A 'leaving' of the target passed on by a peer.
+    Peer {
+        #[arg(key)]
+        age_ms: u64,
+    },
+}
+
+struct Runner {
+    view: View,
+    route: Route,
+    keys: Vec<TargetKey>,
+    ejector: Ejector,
+    departure: Departure,
+    now: u64,
+}
+
+impl Runner {
+    fn new(engines: usize) -> Self {
+        let (view, route, keys) = test_fixture::view(engines, Instant::now());
+        Self {
+            view,
+            route,
+            keys,
+            ejector: Ejector::new(EjectLimits::default()),
+            departure: Departure::default(),
+            now: 0,
+        }
+    }
+
+    fn pool(&self) -> &Pool {
+        self.view.pool(self.route).unwrap()
+    }
+
+    fn wait(&mut self, ms: u64) -> String {
+        let mut lines = String::new();
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 100;
+            let pool = std::sync::Arc::clone(self.view.pool(self.route).unwrap());
+            for effect in self.ejector.step(&pool, self.now) {
+                let name = |key| self.keys.iter().position(|one| *one == key).unwrap();
+                match effect {
+                    EjectEffect::Weight(key, weight) => {
+                        pool.set_weight(key, weight);
+                        // A ramp has a step each 100 ms; its ends are enough.
+                        if [0, 102, celerypond_route::FULL_WEIGHT].contains(&weight) {
+                            lines +=
+                                &format!("{} ms: engine {} weight {weight}\n", self.now, name(key));
+                        }
+                    }
+                    EjectEffect::Probe(key) => {
+                        lines += &format!("{} ms: probe engine {}\n", self.now, name(key))
+                    }
+                    EjectEffect::Panic(on) => lines += &format!("{} ms: panic {on}\n", self.now),
+                }
+            }
+        }
+        lines
+    }
+
+    fn say(&mut self, next: Departure) -> String {
+        self.departure = next;
+        match next.is_leaving() {
+            true => "leaving\n".into(),
+            false => "live\n".into(),
+        }
+    }
+}
+
+fn word(text: &str) -> Word {
+    match text {
+        "leaving" => Word::Leaving,
+        _ => Word::Live,
+    }
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _: &goldenscript::Context,
+    ) -> Result<String, Box<dyn Error>> {
+        let last = self.departure;
+        Ok(match command {
+            Command::Pool(engines) => {
+                *self = Self::new(*engines);
+                format!("{} engines\n", self.pool().keys().count())
+            }
+            Command::Wait(ms) => self.wait(*ms),
+            Command::Succeed { engines, ms, times } => {
+                for engine in engines
+                    .iter()
+                    .flat_map(|one| (0..*times).map(move |_| *one))
+                {
+                    self.ejector.succeeded(self.keys[engine], *ms);
+                }
+                String::new()
+            }
+            Command::Fail { engines, times } => {
+                for engine in engines
+                    .iter()
+                    .flat_map(|one| (0..*times).map(move |_| *one))
+                {
+                    self.ejector.failed(self.keys[engine]);
+                }
+                String::new()
+            }
+            Command::Probed { engine, alive } => {
+                self.ejector.probed(self.keys[*engine], *alive, self.now);
+                String::new()
+            }
+            Command::Target {
+                word: text,
+                asked_ms_ago,
+            } => {
+                let sent = self.now - asked_ms_ago;
+                self.say(last.target_says(word(text), sent, self.now))
+            }
+            Command::List(text) => self.say(last.list_says(word(text), self.now)),
+            Command::Peer { age_ms } => {
+                let origin = celerypond_route::Origin::Target;
+                self.say(last.peer_says(
+                    Relay {
+                        origin,
+                        age_ms: *age_ms,
+                    },
+                    self.now,
+                ))
+            }
+        })
+    }
+}
+
+#[rstest]
+#[case::ejection("ejection")]
+#[case::leaving("leaving")]
+fn scripts(#[case] name: &str) {
+    let mut runner = Runner::new(6);
+    goldenscript::run(&mut runner, format!("tests/scripts/{name}")).unwrap();
+}
