--- /dev/null
+++ b/daemon/src/admission.rs
@@ -0,0 +1,286 @@
+//! Lets new requests and resumed answers begin while their targets have room.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use celerypond_answer::{Pace, PaceLimits, WaiterKey};
+use celerypond_route::{Ask, InFlight, Queue, QueueLimits, Refusal, Route, View, Waiting};
+use celerypond_telemetry::Gauge;
+use celerypond_types::{NotRunReason, Priority, TargetKey, VersionKey};
+use rand::rngs::SmallRng;
+use tokio::{
+    sync::{oneshot, Notify},
+    time::{self, Instant},
+};
+
+use crate::node::Node;
+
+/// How often the queues are looked at when nothing ends meanwhile.
+const STEP: Duration = Duration::from_millis(20);
+/// How many starts a second a pool is taken to have until they are measured.
+const FIRST_PACE: f64 = 50.0;
+/// When to come back to an instance that ends.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A request's place at a target, counted from the moment it was given.
+#[derive(Debug)]
+pub struct Permit {
+    /// The target.
+    pub target: TargetKey,
+    /// Whether the target must be asked for its health first.
+    pub ask_first: bool,
+    /// Counts the request at the target until dropped.
+    pub load: InFlight,
+}
+
+type Grant = oneshot::Sender<Result<Permit, Refusal>>;
+
+/// The requests that wait to begin.
+#[derive(Default)]
+pub struct Admission {
+    inner: Mutex<Inner>,
+    ended: Notify,
+}
+
+struct Inner {
+    queues: HashMap<Route, Queue<Grant>>,
+    pace: Pace,
+    resumes: HashMap<WaiterKey, oneshot::Sender<TargetKey>>,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            queues: HashMap::new(),
+            pace: Pace::new(PaceLimits::default()),
+            resumes: HashMap::new(),
+        }
+    }
+}
+
+impl Admission {
+    /// Waits until a new request may begin.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that is final, given as soon as it is known that the request would begin too
+    /// late; nothing was sent.
+    pub async fn admit(
+        &self,
+        node: &Node,
+        route: Route,
+        ask: &Ask<'_>,
+        waiting: Waiting<()>,
+    ) -> Result<Permit, Refusal> {
+        let receiver = {
+            let view = node.view.load();
+            let now = Instant::now();
+            let now_ms = view.clock().millis(now);
+            let mut inner = self.lock();
+            let is_first = inner.queues.get(&route).is_none_or(Queue::is_empty);
+            if is_first && inner.admits(route) {
+                let permit = begin(&view, route, ask, waiting.priority, &mut node.rng());
+                if let Some(permit) = permit {
+                    return Ok(permit);
+                }
+            }
+            let (grant, receiver) = oneshot::channel();
+            inner.queue(route).offer(hold(waiting, grant), now_ms)?;
+            receiver
+        };
+        receiver.await.unwrap_or(Err(Refusal {
+            reason: NotRunReason::Stopping,
+            retry_after: COME_BACK,
+        }))
+    }
+
+    /// Lets an answer of `version` wait for a target to go on at, before all new requests.
+    ///
+    /// Call [`Self::settled`] once its first token came or it failed.
+    pub fn resume(&self, version: VersionKey, since: Instant) -> oneshot::Receiver<TargetKey> {
+        let (grant, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        let waiter = inner.pace.wait(version, since);
+        inner.resumes.insert(waiter, grant);
+        drop(inner);
+        self.ended.notify_one();
+        receiver
+    }
+
+    /// Notes that a resumed answer goes on or has failed.
+    pub fn settled(&self, target: TargetKey) {
+        self.lock().pace.settle(target);
+        self.ended.notify_one();
+    }
+
+    /// Notes that a request has ended, so that another may have room.
+    pub fn ended(&self) {
+        self.ended.notify_one();
+    }
+
+    /// Gives places to those who wait, until the instance ends.
+    pub async fn run(node: Arc<Node>) {
+        let mut rng = node.rng();
+        while !node.ending.is_cancelled() {
+            // Either wake-up leads to the same look at the queues.
+            let _ = time::timeout(STEP, node.admission.ended.notified()).await;
+            node.admission.step(&node, &mut rng);
+        }
+        node.admission.lock().queues.clear();
+    }
+
+    fn step(&self, node: &Node, rng: &mut SmallRng) {
+        let view = node.view.load();
+        let now = Instant::now();
+        let now_ms = view.clock().millis(now);
+        let mut inner = self.lock();
+        let suspects = node.suspects.with(Vec::new(), now);
+        inner.grant_resumes(&view, &suspects, now, rng);
+        inner.grant_new(&view, &suspects, now_ms, rng);
+        let waiting: usize = inner.queues.values().map(Queue::len).sum();
+        let waiting = waiting + inner.pace.waiting();
+        node.metrics.set(Gauge::Waiting, waiting as u64);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn queue(&mut self, route: Route) -> &mut Queue<Grant> {
+        let queue = self.queues.entry(route);
+        queue.or_insert_with(|| Queue::new(QueueLimits::default(), FIRST_PACE))
+    }
+
+    /// Returns whether no answer of the route waits to be resumed.
+    fn admits(&self, route: Route) -> bool {
+        match route {
+            Route::Version(version) => self.pace.admits(version),
+            Route::Service(_) => true,
+        }
+    }
+
+    fn grant_resumes(
+        &mut self,
+        view: &View,
+        suspects: &[TargetKey],
+        now: Instant,
+        rng: &mut SmallRng,
+    ) {
+        // Answers whose caller has gone wait no longer.
+        let gone: Vec<WaiterKey> = self
+            .resumes
+            .iter()
+            .filter(|(_, grant)| grant.is_closed())
+            .map(|(waiter, _)| *waiter)
+            .collect();
+        for waiter in gone {
+            self.resumes.remove(&waiter);
+            self.pace.leave(waiter);
+        }
+        while let Some(grant) = self.pace.grant(|version, is_free| {
+            let route = Route::Version(version);
+            let busy = view.pool(route)?.keys().filter(|target| !is_free(*target));
+            let excluded: Vec<TargetKey> = busy.chain(suspects.iter().copied()).collect();
+            let ask = Ask {
+                excluded: &excluded,
+                ..Ask::default()
+            };
+            Some(view.pick(route, &ask, now, rng).ok()?.target)
+        }) {
+            let Some(sender) = self.resumes.remove(&grant.waiter) else {
+                continue;
+            };
+            if sender.send(grant.target).is_err() {
+                self.pace.settle(grant.target);
+            }
+        }
+    }
+
+    fn grant_new(&mut self, view: &View, suspects: &[TargetKey], now_ms: u64, rng: &mut SmallRng) {
+        let ask = Ask {
+            excluded: suspects,
+            ..Ask::default()
+        };
+        let routes: Vec<Route> = self.queues.keys().copied().collect();
+        for route in routes {
+            let is_open = self.admits(route);
+            let Some(queue) = self.queues.get_mut(&route) else {
+                continue;
+            };
+            for (waiting, refusal) in queue.expire(now_ms) {
+                // A caller that went away needs no answer.
+                let _ = waiting.item.send(Err(refusal));
+            }
+            while is_open && !queue.is_empty() {
+                if !grant_one(queue, view, route, &ask, now_ms, rng) {
+                    break;
+                }
+            }
+        }
+        self.queues
+            .retain(|route, queue| !queue.is_empty() || view.pool(*route).is_some());
+    }
+}
+
+/// Gives a place to the next request that may have it; returns whether to go on.
+fn grant_one(
+    queue: &mut Queue<Grant>,
+    view: &View,
+    route: Route,
+    ask: &Ask<'_>,
+    now_ms: u64,
+    rng: &mut SmallRng,
+) -> bool {
+    let any = begin(view, route, ask, Priority::Draft, rng);
+    let (permit, waiting) = match any {
+        Some(permit) => (permit, queue.pop(now_ms)),
+        None => match begin(view, route, ask, Priority::Interactive, rng) {
+            Some(permit) => (permit, queue.pop_urgent(now_ms)),
+            None => return false,
+        },
+    };
+    match waiting {
+        Some(waiting) => {
+            // A caller that went away gives its place back by dropping it.
+            let _ = waiting.item.send(Ok(permit));
+            true
+        }
+        None => false,
+    }
+}
+
+fn begin(
+    view: &View,
+    route: Route,
+    ask: &Ask<'_>,
+    priority: Priority,
+    rng: &mut SmallRng,
+) -> Option<Permit> {
+    let now = Instant::now();
+    let choice = view.pick(route, ask, now, rng).ok()?;
+    if !choice.has_room(priority) {
+        return None;
+    }
+    let gauge = &view.target(choice.target)?.gauge;
+    Some(Permit {
+        target: choice.target,
+        ask_first: choice.ask_first,
+        load: gauge.begin(view.clock().millis(now))?,
+    })
+}
+
+fn hold(waiting: Waiting<()>, item: Grant) -> Waiting<Grant> {
+    Waiting {
+        account: waiting.account,
+        weight: waiting.weight,
+        priority: waiting.priority,
+        cost: waiting.cost,
+        deadline: waiting.deadline,
+        item,
+    }
+}
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 use celerypond_answer::{
-    Driver, Emit, Finish, Generation, GenerationLimits, Mode, Request, TakeOver,
+    Driver, Emit, Finish, Generation, GenerationLimits, Mode, Request, ResumeToken, Seal, TakeOver,
 };
 use celerypond_bundle::{Account, Model};
+use celerypond_route::{Route, Waiting};
 use celerypond_telemetry::Counter;
 use celerypond_types::{
-    AdapterName, Digest, ModelName, NotRunReason, Position, RequestKey, TokenId,
+    AdapterName, Digest, ModelName, NotRunReason, Position, Priority, RequestKey, TokenId,
+    VersionName,
 };
 use futures::{stream, Stream};
 use gotham::hyper::{HeaderMap, Response, StatusCode};
@@ -20,6 +22,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
+    admission::Permit,
     body,
     force::Force,
     front::{
@@ -129,7 +132,14 @@
         model: completion.model.clone(),
     };
     let streamed = completion.stream;
-    let received = spawn(node, account, model, completion, key, &call.headers, &text)?;
+    let asked = Asked {
+        account,
+        model,
+        completion,
+        key,
+        headers: &call.headers,
+    };
+    let received = asked.spawn(node).await?;
     if streamed {
         return Ok(streamed_reply(named, received));
     }
@@ -154,63 +164,182 @@
     Ok(model)
 }
 
-fn spawn(
-    node: &Arc<Node>,
-    account: &Account,
-    model: &Model,
+/// A request that was read and checked.
+struct Asked<'a> {
+    account: &'a Account,
+    model: &'a Model,
     completion: Completion,
     key: RequestKey,
-    headers: &HeaderMap,
-    text: &[u8],
-) -> Result<mpsc::Receiver<Piece>, Problem> {
-    let now = Instant::now();
-    let longest = Duration::from_millis(model.deadline_ms);
-    let deadline = now + headers::deadline(headers, longest)?;
-    let mut rng = node.rng();
-    let request = Request {
-        // Two accounts may use the same key; at an engine their streams must differ.
-        key: RequestKey::new(format!("{}.{key}", account.name)),
-        body: Digest::of(text),
-        seed: completion.seed.unwrap_or_else(|| rng.random()),
-        limit: completion.max_tokens,
-        mode: if completion.stream {
-            Mode::Streamed
-        } else {
-            Mode::Buffered
-        },
-        deadline,
-        instance: node.settings.instance.clone(),
-    };
-    let ask = Ask {
-        request: request.key.clone(),
-        model: completion.model,
-        adapter: completion.adapter,
-        prompt: completion.prompt,
-        max_tokens: completion.max_tokens,
-        priority: headers::priority(headers, account.priority)?,
-    };
-    let seal = request.seal(&node.seal_key);
-    let token = headers
-        .get("last-event-id")
-        .map(|value| seal.decode(value.to_str().unwrap_or_default()))
-        .transpose()
-        .map_err(|error| Problem::new(Kind::BadRequest, error))?;
-    let driver = Driver::draw(&mut rng);
-    let plan = TakeOver::plan(driver, token.as_ref(), None, &completion.prefix)
-        .map_err(|error| Problem::new(Kind::BadRequest, error))?;
-    let limits = GenerationLimits::default();
-    let mut effects = Vec::new();
-    let answer = match plan {
-        Some(plan) => {
-            let patience = node.stalls.patience(&plan.origin.stream.target, 0);
-            Generation::take_over(request, limits, seal, plan, patience, now, &mut effects)
+    headers: &'a HeaderMap,
+}
+
+impl Asked<'_> {
+    /// Begins to generate, or goes on where another instance or connection left off.
+    async fn spawn(self, node: &Arc<Node>) -> Result<mpsc::Receiver<Piece>, Problem> {
+        let now = Instant::now();
+        let longest = Duration::from_millis(self.model.deadline_ms);
+        let deadline = now + headers::deadline(self.headers, longest)?;
+        let priority = headers::priority(self.headers, self.account.priority)?;
+        let mut rng = node.rng();
+        let request = self.request(node, deadline, &mut rng);
+        let seal = request.seal(&node.seal_key);
+        let token = self.token(&seal)?;
+        let driver = Driver::draw(&mut rng);
+        let plan = TakeOver::plan(driver, token.as_ref(), None, &self.completion.prefix)
+            .map_err(|error| Problem::new(Kind::BadRequest, error))?;
+        let limits = GenerationLimits::default();
+        let mut effects = Vec::new();
+        let (answer, admitted) = match plan {
+            Some(plan) => {
+                let patience = node.stalls.patience(&plan.origin.stream.target, 0);
+                let answer = Generation::take_over(
+                    request.clone(),
+                    limits,
+                    seal,
+                    plan,
+                    patience,
+                    now,
+                    &mut effects,
+                );
+                (answer, None)
+            }
+            None => {
+                let admitted = self.admit(node, priority, deadline).await?;
+                let now = Instant::now();
+                let request = request.clone();
+                let answer = Generation::new(request, limits, seal, driver, now, &mut effects);
+                (answer, Some(admitted))
+            }
+        };
+        let ask = self.ask(request.key, priority);
+        let (pieces, received) = mpsc::channel(PIECES);
+        let drive = Drive::new(Arc::clone(node), ask, admitted, pieces);
+        node.work.spawn(drive.run(answer, effects));
+        Ok(received)
+    }
+
+    /// Waits for a place at an engine, within the account's limits.
+    async fn admit(
+        &self,
+        node: &Node,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<(VersionName, Permit), Problem> {
+        let view = node.view.load_full();
+        let accounts = view.accounts();
+        let found = accounts.key(&self.account.name);
+        let entry = found.and_then(|key| Some((key, accounts.get(key)?)));
+        let Some((account, entry)) = entry else {
+            return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
+        };
+        let now_ms = node.now_ms();
+        let tokens = self.completion.max_tokens.into();
+        entry
+            .meter
+            .admit(tokens, now_ms)
+            .map_err(|after| Problem::not_run(NotRunReason::AccountLimit, after))?;
+        let version = self.model.base.clone();
+        let Some(route) = view.version(&self.model.name, &version).map(Route::Version) else {
+            return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
+        };
+        let prefixes = prefixes(&self.completion.prompt);
+        let excluded = node.suspects.with(Vec::new(), Instant::now());
+        let ask = celerypond_route::Ask {
+            prefixes: &prefixes,
+            adapter: self.adapter_hash(),
+            excluded: &excluded,
+            near: Some(&node.settings.data_centre),
+        };
+        let patience = deadline.saturating_duration_since(Instant::now());
+        let patience = patience.min(start_within(priority));
+        let waiting = Waiting {
+            account,
+            weight: self.account.weight,
+            priority,
+            cost: 1,
+            deadline: now_ms + patience.as_millis() as u64,
+            item: (),
+        };
+        match node.admission.admit(node, route, &ask, waiting).await {
+            Ok(permit) => Ok((version, permit)),
+            Err(refusal) => {
+                entry.meter.settle(tokens, 0);
+                Err(Problem::not_run(refusal.reason, refusal.retry_after))
+            }
         }
-        None => Generation::new(request, limits, seal, driver, now, &mut effects),
-    };
-    let (pieces, received) = mpsc::channel(PIECES);
-    let drive = Drive::new(Arc::clone(node), ask, pieces);
-    node.work.spawn(drive.run(answer, effects));
-    Ok(received)
+    }
+
+    fn request(&self, node: &Node, deadline: Instant, rng: &mut impl Rng) -> Request {
+        Request {
+            // Two accounts may use the same key; at an engine their streams must differ.
+            key: RequestKey::new(format!("{}.{}", self.account.name, self.key)),
+            body: self.digest(),
+            seed: self.completion.seed.unwrap_or_else(|| rng.random()),
+            limit: self.completion.max_tokens,
+            mode: match self.completion.stream {
+                true => Mode::Streamed,
+                false => Mode::Buffered,
+            },
+            deadline,
+            instance: node.settings.instance.clone(),
+        }
+    }
+
+    /// Returns the digest of what decides the answer; the prefix that a caller brings does not.
+    fn digest(&self) -> Digest {
+        let completion = &self.completion;
+        let parts = (
+            &completion.model,
+            &completion.prompt,
+            completion.max_tokens,
+            completion.seed,
+            &completion.adapter,
+        );
+        Digest::of(&serde_json::to_vec(&parts).unwrap_or_default())
+    }
+
+    fn token(&self, seal: &Seal) -> Result<Option<ResumeToken>, Problem> {
+        let value = self.headers.get("last-event-id");
+        value
+            .map(|value| seal.decode(value.to_str().unwrap_or_default()))
+            .transpose()
+            .map_err(|error| Problem::new(Kind::BadRequest, error))
+    }
+
+    fn adapter_hash(&self) -> u64 {
+        let adapter = self.completion.adapter.as_ref();
+        adapter.map_or(0, |name| celerypond_route::hash(name.as_str().as_bytes()))
+    }
+
+    fn ask(self, request: RequestKey, priority: Priority) -> Ask {
+        Ask {
+            request,
+            model: self.completion.model,
+            adapter: self.completion.adapter,
+            prompt: self.completion.prompt,
+            max_tokens: self.completion.max_tokens,
+            priority,
+        }
+    }
+}
+
+/// Returns how long a request may wait to begin; longer waits are refused at once.
+fn start_within(priority: Priority) -> Duration {
+    match priority {
+        Priority::Interactive => Duration::from_secs(3),
+        Priority::Draft => Duration::from_secs(60),
+    }
+}
+
+/// Returns the hashes of the prompt's beginnings, the longest first.
+fn prefixes(prompt: &str) -> Vec<u64> {
+    const LENGTHS: [usize; 3] = [8192, 2048, 512];
+    let bytes = prompt.as_bytes();
+    LENGTHS
+        .iter()
+        .filter_map(|length| bytes.get(..*length))
+        .map(celerypond_route::hash)
+        .collect()
 }
 
 fn streamed_reply(named: Named, received: mpsc::Receiver<Piece>) -> Reply {
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -1,13 +1,15 @@
 //! Carries out what the state machine of an answer asks for.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use celerypond_answer::{
-    Choice, Chosen, Effect, Emit, Finish, Generation, Incomplete, Input, Link, Start, Stream,
+    Choice, Chosen, Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
+    Start, Stream,
 };
-use celerypond_route::{InFlight, Reason, Route};
+use celerypond_platform::Presence;
+use celerypond_route::{InFlight, Route, Target};
 use celerypond_telemetry::Counter;
-use celerypond_types::{TargetName, VersionName};
+use celerypond_types::{TargetKey, TargetName, VersionKey, VersionName};
 use rand::rngs::SmallRng;
 use tokio::{
     sync::mpsc,
@@ -16,9 +18,11 @@
 };
 
 use crate::{
+    admission::Permit,
     engine,
     link::{self, Ask},
     node::Node,
+    target_watch::TargetEvent,
 };
 
 /// How many events of engines may wait for their answer.
@@ -49,13 +53,34 @@
     received: mpsc::Receiver<Input>,
     pieces: mpsc::Sender<Piece>,
     links: HashMap<Link, Open>,
+    /// The version that was chosen when the answer was admitted.
+    version: Option<VersionName>,
+    /// The place that was given when the answer was admitted.
+    permit: Option<Permit>,
+    /// The target of the attempt under way, until its first token.
+    trying: Option<Trying>,
+    last_token: Instant,
+    /// Whether a place among the resumes was asked for and did not come yet.
+    resuming: bool,
+    /// The target at which a place among the resumes was given for the next start.
+    granted: Option<TargetKey>,
     starts: u32,
     gone: bool,
 }
 
+/// An attempt of which no token came yet.
+struct Trying {
+    link: Link,
+    route: Route,
+    target: TargetKey,
+    began: Instant,
+    resumed: bool,
+}
+
 /// A connection of the answer; dropping it closes it.
 struct Open {
     task: AbortHandle,
+    target: TargetKey,
     _load: Option<InFlight>,
 }
 
@@ -67,7 +92,13 @@
 
 impl Drive {
     /// Prepares to drive an answer whose pieces go to `pieces`.
-    pub fn new(node: Arc<Node>, ask: Ask, pieces: mpsc::Sender<Piece>) -> Self {
+    pub fn new(
+        node: Arc<Node>,
+        ask: Ask,
+        admitted: Option<(VersionName, Permit)>,
+        pieces: mpsc::Sender<Piece>,
+    ) -> Self {
+        let (version, permit) = admitted.unzip();
         let (inputs, received) = mpsc::channel(INPUTS);
         Self {
             rng: node.rng(),
@@ -77,6 +108,12 @@
             received,
             pieces,
             links: HashMap::new(),
+            version,
+            permit,
+            trying: None,
+            last_token: Instant::now(),
+            resuming: false,
+            granted: None,
             starts: 0,
             gone: false,
         }
@@ -95,9 +132,10 @@
                 effects = next;
             }
             let Some(due) = answer.due() else {
-                return;
+                return self.settle();
             };
             let input = self.next(due).await;
+            self.notice(&input);
             answer.step(Instant::now(), input, &mut effects);
         }
     }
@@ -118,10 +156,10 @@
 
     async fn carry_out(&mut self, effect: Effect) -> Option<Input> {
         match effect {
-            Effect::Choose(choice) => return Some(self.choose(&choice)),
+            Effect::Choose(choice) => return self.choose(&choice).await,
             Effect::Start(start) => return self.start(start),
             Effect::Resume { link, stream, from } => {
-                let Some(address) = self.address(&stream.target) else {
+                let Some((target, address)) = self.find(&stream.target) else {
                     return Some(Input::Closed(link));
                 };
                 self.node.metrics.add(Counter::Stalls, 1);
@@ -129,7 +167,7 @@
                 let request = self.ask.request.clone();
                 let inputs = self.inputs.clone();
                 let task = link::resume(request, address, link, stream, from, stall, inputs);
-                self.open(link, task, None);
+                self.open(link, target, task, None);
             }
             Effect::Close(link) => drop(self.links.remove(&link)),
             Effect::Cancel(stream) => self.cancel(stream),
@@ -156,45 +194,155 @@
         Some(Input::CallerGone)
     }
 
-    fn choose(&mut self, choice: &Choice) -> Input {
-        match self.pick(choice) {
-            Some(chosen) => Input::Chosen(chosen),
-            None => Input::NoTarget,
+    /// Learns of targets from what their connections bring.
+    fn notice(&mut self, input: &Input) {
+        let now = Instant::now();
+        match input {
+            Input::Event(link, Event::Frame(_)) => {
+                self.last_token = now;
+                if let Some(trying) = self.take_trying(*link) {
+                    let latency_ms = (now - trying.began).as_secs_f64() * 1e3;
+                    self.node.tell(TargetEvent::Succeeded {
+                        route: trying.route,
+                        target: trying.target,
+                        latency_ms,
+                    });
+                }
+            }
+            Input::Closed(link) => {
+                if let Some(open) = self.links.get(link) {
+                    self.node.suspects.add(open.target, now);
+                }
+                self.failed(*link);
+            }
+            Input::Refused(link, Refusal::Failed) | Input::Malformed(link) => self.failed(*link),
+            Input::Refused(link, _) => drop(self.take_trying(*link)),
+            Input::Chosen(chosen) if std::mem::take(&mut self.resuming) => {
+                self.granted = self.find(&chosen.target).map(|(target, _)| target);
+            }
+            _ => {}
         }
     }
 
-    fn pick(&mut self, choice: &Choice) -> Option<Chosen> {
-        let view = self.node.view.load();
-        let version = match &choice.version {
-            Some(version) => version.clone(),
-            None => self.version()?,
+    fn failed(&mut self, link: Link) {
+        if let Some(trying) = self.take_trying(link) {
+            self.node.tell(TargetEvent::Failed {
+                route: trying.route,
+                target: trying.target,
+            });
+        }
+    }
+
+    /// Ends the wait for the first token of a connection's attempt.
+    fn take_trying(&mut self, link: Link) -> Option<Trying> {
+        let trying = self.trying.take_if(|trying| trying.link == link)?;
+        if trying.resumed {
+            self.node.admission.settled(trying.target);
+        }
+        Some(trying)
+    }
+
+    fn settle(&mut self) {
+        // A place that was given and not used would hold back others' resumes for good.
+        self.received.close();
+        while let Ok(input) = self.received.try_recv() {
+            self.notice(&input);
+        }
+        let trying = self.trying.take().filter(|trying| trying.resumed);
+        let used = trying.map(|trying| trying.target);
+        for target in used.into_iter().chain(self.granted.take()) {
+            self.node.admission.settled(target);
+        }
+        self.node.admission.ended();
+    }
+
+    async fn choose(&mut self, choice: &Choice) -> Option<Input> {
+        if let Some(permit) = self.permit.take() {
+            return Some(self.use_permit(permit).await);
+        }
+        let version = match (&choice.version, &self.version) {
+            (Some(version), _) => version.clone(),
+            (None, Some(version)) => version.clone(),
+            (None, None) => return Some(Input::NoTarget),
+        };
+        let view = self.node.view.load_full();
+        let Some(key) = view.version(&self.ask.model, &version) else {
+            return Some(Input::NoTarget);
         };
-        let route = Route::Version(view.version(&self.ask.model, &version)?);
-        let excluded: Vec<_> = choice
+        if choice.resumes {
+            self.wait_to_resume(key, version);
+            return None;
+        }
+        let avoid = choice
             .avoid
             .iter()
             .filter_map(|name| view.key(name))
             .collect();
+        let now = Instant::now();
+        let excluded = self.node.suspects.with(avoid, now);
         let ask = celerypond_route::Ask {
             excluded: &excluded,
             near: Some(&self.node.settings.data_centre),
             ..celerypond_route::Ask::default()
         };
-        let picked = view.pick(route, &ask, Instant::now(), &mut self.rng).ok()?;
-        debug_assert!(picked.reason != Reason::Affine || !ask.prefixes.is_empty());
-        let target = view.target(picked.target)?.name.clone();
+        let picked = view.pick(Route::Version(key), &ask, now, &mut self.rng);
+        let target = picked.ok().and_then(|picked| view.target(picked.target));
+        Some(match target {
+            Some(target) => Input::Chosen(self.chosen(target.name.clone(), version)),
+            None => Input::NoTarget,
+        })
+    }
+
+    /// Begins at the place that was given when the answer was admitted.
+    async fn use_permit(&mut self, permit: Permit) -> Input {
+        let view = self.node.view.load_full();
+        let (Some(target), Some(version)) = (view.target(permit.target), self.version.clone())
+        else {
+            return Input::NoTarget;
+        };
+        if permit.ask_first && !is_live(&self.node, target).await {
+            return Input::NoTarget;
+        }
+        let chosen = self.chosen(target.name.clone(), version);
+        self.permit = Some(permit);
+        Input::Chosen(chosen)
+    }
+
+    /// Waits in line with other answers that lost their engines; the place comes as an input.
+    fn wait_to_resume(&mut self, key: VersionKey, version: VersionName) {
+        let granted = self.node.admission.resume(key, self.last_token);
+        let node = Arc::clone(&self.node);
+        let inputs = self.inputs.clone();
+        let tokens = self.prompt_tokens();
+        self.resuming = true;
+        self.node.work.spawn(async move {
+            let Ok(key) = granted.await else { return };
+            let view = node.view.load_full();
+            let input = match view.target(key) {
+                Some(target) => {
+                    let target = target.name.clone();
+                    let patience = node.stalls.patience(&target, tokens);
+                    Input::Chosen(Chosen {
+                        target,
+                        version,
+                        patience,
+                    })
+                }
+                None => Input::NoTarget,
+            };
+            if inputs.send(input).await.is_err() {
+                node.admission.settled(key);
+            }
+        });
+    }
+
+    fn chosen(&self, target: TargetName, version: VersionName) -> Chosen {
         let patience = self.node.stalls.patience(&target, self.prompt_tokens());
-        Some(Chosen {
+        Chosen {
             target,
             version,
             patience,
-        })
-    }
-
-    fn version(&self) -> Option<VersionName> {
-        let force = self.node.force.load();
-        let model = force.as_ref()?.model(&self.ask.model)?;
-        Some(model.base.clone())
+        }
     }
 
     fn prompt_tokens(&self) -> u32 {
@@ -204,40 +352,63 @@
 
     fn start(&mut self, start: Start) -> Option<Input> {
         let link = start.link;
-        let view = self.node.view.load();
-        let target = view
-            .key(&start.stream.target)
-            .and_then(|key| view.target(key));
-        let begun = target.and_then(|target| {
-            let now_ms = view.clock().millis(Instant::now());
-            Some((target.address, target.gauge.begin(now_ms)?))
-        });
-        let Some((address, load)) = begun else {
+        let view = self.node.view.load_full();
+        let resumed = self.granted.take().is_some();
+        let key = view.key(&start.stream.target);
+        let found = key.and_then(|key| Some((key, view.target(key)?)));
+        let route = view
+            .version(&self.ask.model, &start.version)
+            .map(Route::Version);
+        let (Some((target, found)), Some(route)) = (found, route) else {
+            return Some(Input::Closed(link));
+        };
+        let permit = self.permit.take().filter(|permit| permit.target == target);
+        let begun = permit
+            .map(|permit| permit.load)
+            .or_else(|| found.gauge.begin(self.node.now_ms()));
+        // The target may have said that it leaves since it was chosen.
+        let Some(load) = begun else {
+            if resumed {
+                self.node.admission.settled(target);
+            }
             return Some(Input::Closed(link));
         };
         if self.starts > 0 {
             self.node.metrics.add(Counter::ResumedElsewhere, 1);
         }
         self.starts += 1;
+        self.trying = Some(Trying {
+            link,
+            route,
+            target,
+            began: Instant::now(),
+            resumed,
+        });
         let stall = self.node.stalls.of(&start.stream.target);
         let inputs = self.inputs.clone();
-        let task = link::start(Arc::clone(&self.ask), address, start, stall, inputs);
-        self.open(link, task, Some(load));
+        let task = link::start(Arc::clone(&self.ask), found.address, start, stall, inputs);
+        self.open(link, target, task, Some(load));
         None
     }
 
     fn open(
         &mut self,
         link: Link,
+        target: TargetKey,
         task: impl Future<Output = ()> + Send + 'static,
         load: Option<InFlight>,
     ) {
         let task = self.node.work.spawn(task).abort_handle();
-        self.links.insert(link, Open { task, _load: load });
+        let open = Open {
+            task,
+            target,
+            _load: load,
+        };
+        self.links.insert(link, open);
     }
 
     fn cancel(&self, stream: Stream) {
-        let Some(address) = self.address(&stream.target) else {
+        let Some((_, address)) = self.find(&stream.target) else {
             return;
         };
         let request = self.ask.request.clone();
@@ -256,9 +427,20 @@
         });
     }
 
-    fn address(&self, target: &TargetName) -> Option<std::net::SocketAddr> {
+    fn find(&self, target: &TargetName) -> Option<(TargetKey, SocketAddr)> {
         let view = self.node.view.load();
         let key = view.key(target)?;
-        Some(view.target(key)?.address)
+        Some((key, view.target(key)?.address))
+    }
+}
+
+/// Asks a target whose last word is old whether it takes new work.
+async fn is_live(node: &Node, target: &Target) -> bool {
+    let sent_ms = node.now_ms();
+    let health = engine::health(target.address, "/v1/health").await;
+    let live = matches!(health, Ok(Some(health)) if health.state == Presence::Live);
+    if live {
+        target.gauge.confirm(sent_ms);
     }
+    live
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! Decisions live in the libraries; this crate owns the sockets, the clock and the tasks, feeds the
 //! state machines and carries out what they ask for.
 
+pub mod admission;
 pub mod body;
 pub mod engine;
 pub mod force;
@@ -17,4 +18,6 @@
 pub mod service_call;
 pub mod stalls;
 pub mod store;
+pub mod suspects;
+pub mod target_watch;
 pub mod watch;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -16,10 +16,16 @@
 use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use rand::{rngs::SmallRng, SeedableRng};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{mpsc, Notify},
+    time::Instant,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{force::Force, front::socket::Sockets, ledger::Ledger, stalls::Stalls};
+use crate::{
+    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, stalls::Stalls,
+    suspects::Suspects, target_watch::TargetEvent,
+};
 
 /// The platform's rates for all instances together, of which each uses its share.
 const PLATFORM_RATES: Rates = Rates {
@@ -56,6 +62,12 @@
     pub work: TaskTracker,
     /// The gaps between tokens of each engine.
     pub stalls: Stalls,
+    /// Requests that wait to begin.
+    pub admission: Admission,
+    /// Targets that failed a moment ago.
+    pub suspects: Suspects,
+    /// What requests tell of targets.
+    pub events: mpsc::Sender<TargetEvent>,
     /// Calls that may not be repeated.
     pub ledger: Ledger,
     /// The retries that this instance may make.
@@ -72,7 +84,11 @@
 
 impl Node {
     /// Makes the shared state of an instance.
-    pub fn new(settings: Settings, metrics: Metrics) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        metrics: Metrics,
+        events: mpsc::Sender<TargetEvent>,
+    ) -> Arc<Self> {
         let now = Instant::now();
         let platform = celerypond_platform::Settings {
             address: settings.platform[0],
@@ -95,6 +111,9 @@
             ending: CancellationToken::new(),
             work: TaskTracker::new(),
             stalls: Stalls::default(),
+            admission: Admission::default(),
+            suspects: Suspects::default(),
+            events,
             ledger: Ledger::default(),
             retries: RetryBudget::overall(),
             backoff: Backoff::default(),
@@ -130,6 +149,17 @@
         true
     }
 
+    /// Passes on what a request tells of a target; under a flood some of it is dropped.
+    pub fn tell(&self, event: TargetEvent) {
+        // A full channel means that plenty is known already.
+        let _ = self.events.try_send(event);
+    }
+
+    /// Returns the time in milliseconds by the clock of the snapshots.
+    pub fn now_ms(&self) -> u64 {
+        self.view.load().clock().millis(Instant::now())
+    }
+
     /// Returns the share of the platform's rates of one of `count` instances.
     pub fn share_rates(&self, count: usize) {
         self.platform.set_rates(PLATFORM_RATES.share(count));
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -9,14 +9,17 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{signal, Signal, SignalKind},
+    sync::mpsc,
     task::JoinSet,
     time,
 };
 
-use crate::{front, node::Node, roster, watch};
+use crate::{admission::Admission, front, node::Node, roster, target_watch, watch};
 
 /// How often counters are sent to the collector.
 const PUBLISH: Duration = Duration::from_secs(10);
+/// How many events of targets may wait; more are dropped.
+const EVENTS: usize = 4096;
 /// How long background tasks may take to end.
 const JOIN: Duration = Duration::from_secs(5);
 
@@ -44,10 +47,13 @@
     let metrics = metrics(&settings)?;
     let listener = bind(settings.address).await?;
     let mut stop = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
-    let node = Node::new(settings, metrics);
+    let (events, told) = mpsc::channel(EVENTS);
+    let node = Node::new(settings, metrics, events);
     let mut tasks = JoinSet::new();
     tasks.spawn(watch::run(Arc::clone(&node)));
     tasks.spawn(roster::run(Arc::clone(&node)));
+    tasks.spawn(target_watch::run(Arc::clone(&node), told));
+    tasks.spawn(Admission::run(Arc::clone(&node)));
     tasks.spawn(publish(Arc::clone(&node)));
     log::info!("serving callers at {}", node.address());
     tokio::select! {
--- /dev/null
+++ b/daemon/src/target_watch.rs
@@ -0,0 +1,266 @@
+//! Watches targets: their health and load, who is leaving, who is ejected.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use celerypond_bundle::TargetKind;
+use celerypond_platform::Presence;
+use celerypond_route::{Departure, EjectEffect, EjectLimits, Ejector, Route, Target, View, Word};
+use celerypond_telemetry::{Counter, Gauge};
+use celerypond_types::TargetKey;
+use rand::{rngs::SmallRng, Rng};
+use slotmap::SecondaryMap;
+use tokio::{
+    sync::mpsc,
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use crate::{engine, node::Node};
+
+/// How often pools are surveyed and ejections are decided.
+const STEP: Duration = Duration::from_millis(100);
+/// The mean time between two polls of a target.
+const POLL_MS: u64 = 1_000;
+/// How many polls may be under way at once.
+const POLLS: usize = 256;
+
+/// What requests tell of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TargetEvent {
+    /// It answered after this time.
+    Succeeded {
+        /// What it was asked for.
+        route: Route,
+        /// The target.
+        target: TargetKey,
+        /// The time to the first token, or to the answer of a service, in milliseconds.
+        latency_ms: f64,
+    },
+    /// It failed in a way that speaks against it.
+    Failed {
+        /// What it was asked for.
+        route: Route,
+        /// The target.
+        target: TargetKey,
+    },
+}
+
+/// What a poll brought.
+struct Polled {
+    target: TargetKey,
+    sent_ms: u64,
+    word: Option<Word>,
+    load: Option<engine::Load>,
+}
+
+struct Watch {
+    node: Arc<Node>,
+    rng: SmallRng,
+    departures: SecondaryMap<TargetKey, Departure>,
+    due: SecondaryMap<TargetKey, u64>,
+    ejectors: HashMap<Route, Ejector>,
+    /// Pools in which a target was asked for its health on behalf of their ejectors.
+    probed: SecondaryMap<TargetKey, Vec<Route>>,
+    polls: JoinSet<Polled>,
+}
+
+/// Watches targets until the instance ends.
+pub async fn run(node: Arc<Node>, mut events: mpsc::Receiver<TargetEvent>) {
+    let mut watch = Watch {
+        rng: node.rng(),
+        departures: SecondaryMap::new(),
+        due: SecondaryMap::new(),
+        ejectors: HashMap::new(),
+        probed: SecondaryMap::new(),
+        polls: JoinSet::new(),
+        node: Arc::clone(&node),
+    };
+    let mut step = time::interval(STEP);
+    loop {
+        tokio::select! {
+            () = node.ending.cancelled() => break,
+            _ = step.tick() => watch.step(),
+            Some(event) = events.recv() => watch.event(event),
+            Some(Ok(polled)) = watch.polls.join_next() => watch.polled(&polled),
+        }
+    }
+    watch.polls.shutdown().await;
+}
+
+impl Watch {
+    fn step(&mut self) {
+        let now = Instant::now();
+        let view = self.node.view.load_full();
+        let now_ms = view.clock().millis(now);
+        self.read_list(&view, now_ms);
+        self.retain(&view);
+        view.survey(now);
+        self.eject(&view, now_ms);
+        self.poll(&view, now_ms);
+        let live = view
+            .targets()
+            .filter(|(_, target)| !target.gauge.is_closed());
+        self.node
+            .metrics
+            .set(Gauge::LiveTargets, live.count() as u64);
+    }
+
+    fn event(&mut self, event: TargetEvent) {
+        match event {
+            TargetEvent::Succeeded {
+                route,
+                target,
+                latency_ms,
+            } => self.ejector(route).succeeded(target, latency_ms),
+            TargetEvent::Failed { route, target } => self.ejector(route).failed(target),
+        }
+    }
+
+    fn polled(&mut self, polled: &Polled) {
+        let view = self.node.view.load_full();
+        let Some(target) = view.target(polled.target) else {
+            return;
+        };
+        let now_ms = view.clock().millis(Instant::now());
+        if let Some(word) = polled.word {
+            self.say(polled.target, target, |departure| {
+                departure.target_says(word, polled.sent_ms, now_ms)
+            });
+            if word == Word::Live {
+                target.gauge.confirm(polled.sent_ms);
+            }
+        }
+        if let Some(load) = polled.load {
+            let sampled_ms = polled.sent_ms.saturating_sub(load.age_ms);
+            target.gauge.report(sampled_ms, load.running + load.queued);
+        }
+        for route in self.probed.remove(polled.target).unwrap_or_default() {
+            let alive = polled.word.is_some();
+            self.ejector(route).probed(polled.target, alive, now_ms);
+        }
+    }
+
+    fn read_list(&mut self, view: &View, now_ms: u64) {
+        let list = self.node.list.load_full();
+        for listed in &list.targets {
+            let Some(key) = view.key(&listed.name) else {
+                continue;
+            };
+            let word = word(listed.state);
+            if let Some(target) = view.target(key) {
+                self.say(key, target, |departure| departure.list_says(word, now_ms));
+            }
+        }
+    }
+
+    fn say(&mut self, key: TargetKey, target: &Target, say: impl FnOnce(Departure) -> Departure) {
+        let before = self.departures.get(key).copied().unwrap_or_default();
+        let after = say(before);
+        self.departures.insert(key, after);
+        target.gauge.set_closed(after.is_leaving());
+        if before.is_leaving() != after.is_leaving() {
+            let state = if after.is_leaving() {
+                "leaving"
+            } else {
+                "back"
+            };
+            log::info!("target {} is {state}", target.name);
+        }
+    }
+
+    fn retain(&mut self, view: &View) {
+        self.departures.retain(|key, _| view.target(key).is_some());
+        self.due.retain(|key, _| view.target(key).is_some());
+        self.ejectors.retain(|route, _| view.pool(*route).is_some());
+    }
+
+    fn eject(&mut self, view: &View, now_ms: u64) {
+        let mut probes = Vec::new();
+        for (route, ejector) in &mut self.ejectors {
+            let Some(pool) = view.pool(*route) else {
+                continue;
+            };
+            for effect in ejector.step(pool, now_ms) {
+                match effect {
+                    EjectEffect::Weight(target, weight) => {
+                        note(&self.node, view, target, weight);
+                        pool.set_weight(target, weight);
+                    }
+                    EjectEffect::Panic(panic) => pool.set_panic(panic),
+                    EjectEffect::Probe(target) => probes.push((*route, target)),
+                }
+            }
+        }
+        for (route, target) in probes {
+            if let Some(entry) = self.probed.entry(target) {
+                entry.or_default().push(route);
+            }
+            self.due.insert(target, now_ms);
+        }
+    }
+
+    fn poll(&mut self, view: &View, now_ms: u64) {
+        for (key, target) in view.targets() {
+            let due = self.due.get(key).copied().unwrap_or(0);
+            if due > now_ms || self.polls.len() >= POLLS {
+                continue;
+            }
+            // Jitter keeps instances from asking a target in step.
+            let next = now_ms + self.rng.random_range(POLL_MS / 2..POLL_MS * 3 / 2);
+            self.due.insert(key, next);
+            self.polls.spawn(poll(key, Arc::clone(target), now_ms));
+        }
+    }
+
+    fn ejector(&mut self, route: Route) -> &mut Ejector {
+        let ejector = self.ejectors.entry(route);
+        ejector.or_insert_with(|| Ejector::new(EjectLimits::default()))
+    }
+}
+
+fn note(node: &Node, view: &View, target: TargetKey, weight: u32) {
+    let Some(target) = view.target(target) else {
+        return;
+    };
+    match weight {
+        0 => {
+            node.metrics.add(Counter::Ejections, 1);
+            log::info!("target {} is ejected", target.name);
+        }
+        celerypond_route::FULL_WEIGHT => {
+            node.metrics.add(Counter::Returns, 1);
+            log::info!(
+                "target {} takes its whole part of the work again",
+                target.name
+            );
+        }
+        _ => {}
+    }
+}
+
+async fn poll(key: TargetKey, target: Arc<Target>, sent_ms: u64) -> Polled {
+    let (health, load) = match target.kind {
+        TargetKind::Engine => tokio::join!(
+            engine::health(target.address, "/v1/health"),
+            engine::load(target.address, "/v1/load"),
+        ),
+        TargetKind::Service => tokio::join!(
+            engine::health(target.address, "/health"),
+            engine::load(target.address, "/health"),
+        ),
+    };
+    Polled {
+        target: key,
+        sent_ms,
+        word: health.ok().flatten().map(|health| word(health.state)),
+        load: load.ok().flatten(),
+    }
+}
+
+/// Returns what a target's state means for new work.
+pub fn word(state: Presence) -> Word {
+    match state {
+        Presence::Live => Word::Live,
+        Presence::Leaving => Word::Leaving,
+    }
+}
