fleet: add gossip, membership, keepers, choices and the peer service

Entries belong to a run of an instance and spread by digests and deltas; revision and brakes belong to nobody and merge as a maximum and a set. Pushed news is limited to the fleet-wide classes; evidence, demand and loads are asked for within a group, so nothing grows as instances times targets.

--- /dev/null
+++ b/crates/fleet/src/gossip.rs
@@ -0,0 +1,262 @@
+//! Gossip of one instance.
+
+mod compose;
+mod exchange;
+mod round;
+
+use std::collections::BTreeSet;
+
+use celerypond_types::{InstanceKey, InstanceName, Revision};
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::{
+    choose,
+    rumours::{News, Rank, Rumours},
+    Brake, Budget, Candidate, Class, EntryError, EntryKind, Facts, Identity, Item, Listed, Message,
+    Origin, Roster, Settings, State,
+};
+
+/// A change that the owner of the state machine may want to act on or log.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Event {
+    /// The highest revision rose.
+    Revision(Revision),
+    /// A brake became known.
+    Brake(Brake),
+    /// An entry of the kind came, changed or went.
+    Changed(EntryKind),
+    /// An instance became known, or a new run of it.
+    Joined(InstanceName),
+    /// An instance became suspected.
+    Suspected(InstanceName),
+    /// An instance that was suspected showed a sign of life.
+    Returned(InstanceName),
+    /// An instance was dropped after a long silence.
+    Forgotten(InstanceName),
+    /// A later run of this very instance is known, so this run took a still later ordinal.
+    Renumbered,
+}
+
+/// A message to be sent.
+///
+/// The sender gives the answer to [`Gossip::answered`] and a failure to [`Gossip::failed`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The member that is meant; nothing for a seed address.
+    pub member: Option<InstanceKey>,
+    /// The address.
+    pub to: SmolStr,
+    /// The message.
+    pub message: Message,
+}
+
+/// Gossip of one instance, as a state machine.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_fleet::{Gossip, Identity, Incarnation, Settings};
+/// use celerypond_types::Revision;
+/// use rand::{SeedableRng as _, rngs::SmallRng};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let make = |name: &str| {
+///     let identity = Identity {
+///         name: name.into(),
+///         incarnation: Incarnation(1),
+///         address: name.into(),
+///         data_centre: "east".into(),
+///     };
+///     let settings = Settings { seeds: vec!["b".into()], ..Settings::default() };
+///     Gossip::new(identity, settings, SmallRng::seed_from_u64(1), now)
+/// };
+/// let (mut a, mut b) = (make("a"), make("b"));
+/// b.raise(Revision(3));
+/// let out = a.tick(now).remove(0);
+/// let answer = b.receive(out.message, now);
+/// a.answered(out.member, answer, now);
+/// assert_eq!(a.facts().revision(), Revision(3));
+/// ```
+#[derive(Debug)]
+pub struct Gossip {
+    identity: Identity,
+    origin: Origin,
+    settings: Settings,
+    state: State,
+    facts: Facts,
+    fresh: Facts,
+    roster: Roster,
+    rumours: Rumours,
+    budget: Budget,
+    group: Vec<InstanceName>,
+    cursor: Origin,
+    round: u64,
+    outcomes: u8,
+    events: BTreeSet<Event>,
+    rng: SmallRng,
+}
+
+impl Gossip {
+    /// Makes the gossip of an instance that knows nobody yet.
+    pub fn new(identity: Identity, settings: Settings, rng: SmallRng, now: Instant) -> Self {
+        let mut gossip = Self {
+            origin: identity.origin(),
+            identity,
+            state: State::default(),
+            facts: Facts::default(),
+            fresh: Facts::default(),
+            roster: Roster::default(),
+            rumours: Rumours::default(),
+            budget: Budget::new(settings.second_bytes, now),
+            settings,
+            group: Vec::new(),
+            cursor: Origin(0),
+            round: 0,
+            outcomes: 0,
+            events: BTreeSet::new(),
+            rng,
+        };
+        gossip.introduce();
+        gossip
+    }
+
+    /// Returns what this instance says of itself.
+    pub const fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns the key of this run.
+    pub const fn origin(&self) -> Origin {
+        self.origin
+    }
+
+    /// Returns the highest revision and the brakes.
+    pub const fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// Returns the other instances.
+    pub const fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns the entries of all instances, this one's too.
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns what changed since the last call.
+    pub fn events(&mut self) -> BTreeSet<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Takes in the platform's list.
+    pub fn list(&mut self, list: &[Listed], now: Instant) {
+        let others: Vec<Listed> = list
+            .iter()
+            .filter(|listed| listed.name != self.identity.name)
+            .cloned()
+            .collect();
+        self.roster.list(&others, now);
+    }
+
+    /// Sets the instances that share evidence, demand and load with this one.
+    pub fn set_group(&mut self, peers: Vec<InstanceName>) {
+        self.group = peers;
+        self.group.retain(|name| *name != self.identity.name);
+        self.group.sort();
+    }
+
+    /// Returns whether this instance sums up for its group, by the view of this instance.
+    ///
+    /// Two may think so for a while, and their sums then stand twice; readers of sums keep the one
+    /// of each group with the latest value.
+    pub fn leads(&self) -> bool {
+        let live = self.group.iter().filter_map(|name| {
+            let member = self.roster.named(name)?;
+            (!member.is_silent()).then_some(Candidate {
+                name: &member.name,
+                data_centre: &member.data_centre,
+            })
+        });
+        let own = Candidate {
+            name: &self.identity.name,
+            data_centre: &self.identity.data_centre,
+        };
+        let all: Vec<Candidate<'_>> = live.chain([own]).collect();
+        choose(b"group leader", &all, 1).first() == Some(&own)
+    }
+
+    /// Takes in a revision from the store; it is pushed to peers if it is news.
+    pub fn raise(&mut self, revision: Revision) {
+        let mut facts = Facts::default();
+        facts.raise(revision);
+        self.learn(facts);
+    }
+
+    /// Takes in a brake that this instance trips; it is pushed to peers if it is news.
+    pub fn trip(&mut self, brake: Brake) {
+        let mut facts = Facts::default();
+        facts.trip(brake);
+        self.learn(facts);
+    }
+
+    /// Says that this instance takes no new work for the rest of its run.
+    pub fn leave(&mut self) {
+        // One empty entry more always fits: the control class has few kinds.
+        let _ = self.set(EntryKind::Leaving, "", Box::default());
+    }
+
+    /// Sets an entry of this instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the value is too long or the class is full.
+    pub fn set(&mut self, kind: EntryKind, key: &str, value: Box<[u8]>) -> Result<(), EntryError> {
+        let key = key.into();
+        let sequence = self.state.set(self.origin, Item { kind, key, value })?;
+        self.spread(self.origin, kind.class(), kind.is_urgent(), sequence);
+        Ok(())
+    }
+
+    /// Clears an entry of this instance, if there is one.
+    pub fn clear(&mut self, kind: EntryKind, key: &str) {
+        if let Some(sequence) = self.state.clear(self.origin, kind, key) {
+            self.spread(self.origin, kind.class(), kind.is_urgent(), sequence);
+        }
+    }
+
+    fn introduce(&mut self) {
+        let value = bincode::serialize(&self.identity).unwrap_or_default();
+        // A name and an address are far below the bound, and the slot is the first one.
+        let _ = self.set(EntryKind::Identity, "", value.into());
+    }
+
+    fn learn(&mut self, facts: Facts) {
+        let news = self.facts.merge(facts);
+        if news.revision() > Revision(0) {
+            self.events.insert(Event::Revision(news.revision()));
+        }
+        let brakes = news.brakes().cloned().map(Event::Brake);
+        self.events.extend(brakes);
+        self.fresh.merge(news);
+    }
+
+    fn spread(&mut self, origin: Origin, class: Class, is_urgent: bool, sequence: u64) {
+        let rank = match class {
+            _ if is_urgent => Rank::Urgent,
+            Class::Control => Rank::Control,
+            Class::Summary => Rank::Summary,
+            Class::Evidence | Class::Demand | Class::Load => return,
+        };
+        let news = News::Entry {
+            origin,
+            class,
+            sequence,
+        };
+        self.rumours.add(rank, news, self.settings.pushes);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gossip/round.rs
@@ -0,0 +1,186 @@
+//! What is sent without being asked.
+
+use std::collections::BTreeSet;
+
+use celerypond_types::InstanceKey;
+use rand::{seq::IndexedRandom as _, Rng as _};
+use tokio::time::Instant;
+
+use crate::{message::size, rumours::Rank, Digest, Event, Gossip, Member, Message, Outgoing};
+
+/// The smallest message that is worth sending in a round, in bytes.
+const SMALLEST_BYTES: usize = 300;
+
+impl Gossip {
+    /// Takes the turn of one round and returns the messages to be sent.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.round += 1;
+        self.forget(now);
+        let mut sends = self.pushes(now);
+        for key in self.contacts() {
+            let digest = self.fleet_digest();
+            self.request(&mut sends, key, digest, now);
+        }
+        if let Some(key) = self.partner() {
+            let digest = self.group_digest();
+            self.request(&mut sends, key, digest, now);
+        }
+        if self.round.is_multiple_of(self.settings.revive_rounds) || self.live().next().is_none() {
+            self.seek(&mut sends, now);
+        }
+        sends
+    }
+
+    /// Returns the messages that do not wait for the next round.
+    ///
+    /// Call this after every input. A brake or a revision that waited for a round at each of
+    /// log(n) hops would reach the last instance seconds after the first.
+    pub fn pushes(&mut self, now: Instant) -> Vec<Outgoing> {
+        if self.fresh.is_empty() && !self.rumours.is_urgent() {
+            return Vec::new();
+        }
+        let live: Vec<InstanceKey> = self.live().map(|(key, _)| key).collect();
+        let chosen: Vec<InstanceKey> = live
+            .choose_multiple(&mut self.rng, self.settings.urgent_fan)
+            .copied()
+            .collect();
+        let mut sends = Vec::new();
+        for key in chosen {
+            let mut message = self.begin(key);
+            message.facts = self.fresh.clone();
+            let room = self.budget.room(now);
+            let room = room.min(self.settings.message_bytes);
+            let Some(left) = room.checked_sub(message.bytes()) else {
+                // What is left over is tried again after the next input.
+                return sends;
+            };
+            self.add_rumours(&mut message, Rank::Urgent, left);
+            self.send(&mut sends, key, message);
+        }
+        self.fresh = Default::default();
+        sends
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let state = &self.state;
+        let reached = |origin| state.reached(origin, crate::Class::Control);
+        let gone = self.roster.forget(self.settings.forget, now, reached);
+        for member in gone {
+            if let Some(origin) = member.origin {
+                self.state.remove(origin);
+            }
+            self.events.insert(Event::Forgotten(member.name));
+        }
+    }
+
+    fn live(&self) -> impl Iterator<Item = (InstanceKey, &Member)> {
+        self.roster.iter().filter(|(_, member)| !member.is_silent())
+    }
+
+    /// Chooses whom to contact: some live ones, those to be tried a second time, and now and then
+    /// one that is held to be dead. Without the last, two halves of a partition that suspect each
+    /// other would never try again and stay apart after the network is whole.
+    fn contacts(&mut self) -> Vec<InstanceKey> {
+        let (mut live, mut doubtful, mut silent) = (Vec::new(), Vec::new(), Vec::new());
+        for (key, member) in self.roster.iter() {
+            match member {
+                m if m.is_silent() => silent.push(key),
+                m if m.is_doubtful() => doubtful.push(key),
+                _ => live.push(key),
+            }
+        }
+        let mut chosen = Vec::new();
+        for _ in 0..self.settings.fan_out.min(live.len()) {
+            let at = self.rng.random_range(0..live.len());
+            chosen.push(live.swap_remove(at));
+        }
+        chosen.extend(doubtful.choose(&mut self.rng));
+        if self.round.is_multiple_of(self.settings.revive_rounds) || live.is_empty() {
+            chosen.extend(silent.choose(&mut self.rng));
+        }
+        chosen
+    }
+
+    fn partner(&mut self) -> Option<InstanceKey> {
+        let group: Vec<InstanceKey> = self
+            .live()
+            .filter(|(_, member)| self.group.binary_search(&member.name).is_ok())
+            .map(|(key, _)| key)
+            .collect();
+        group.choose(&mut self.rng).copied()
+    }
+
+    /// Tries a seed that is not among the members.
+    ///
+    /// If seeds were tried only while nobody is known, instances that began with different seeds
+    /// would form fleets that never hear of each other.
+    fn seek(&mut self, sends: &mut Vec<Outgoing>, now: Instant) {
+        let own = &self.identity.address;
+        let known: BTreeSet<_> = self.roster.iter().map(|(_, m)| &m.address).collect();
+        let seeds = self.settings.seeds.iter();
+        let unmet: Vec<_> = seeds.filter(|s| *s != own && !known.contains(s)).collect();
+        let Some(to) = unmet.choose(&mut self.rng).map(|seed| (*seed).clone()) else {
+            return;
+        };
+        let mut message = Message::new(self.origin, None);
+        self.greet(&mut message);
+        message.summary = Some(self.facts.summary());
+        message.digest = Some(self.fleet_digest());
+        if self.budget.room(now) < message.bytes() {
+            return;
+        }
+        self.budget.take(message.bytes());
+        sends.push(Outgoing {
+            member: None,
+            to,
+            message,
+        });
+    }
+
+    fn request(
+        &mut self,
+        sends: &mut Vec<Outgoing>,
+        key: InstanceKey,
+        digest: Digest,
+        now: Instant,
+    ) {
+        let room = self.budget.room(now).min(self.settings.message_bytes);
+        let mut message = self.begin(key);
+        message.summary = Some(self.facts.summary());
+        if room >= message.bytes() + size(&digest) {
+            message.digest = Some(digest);
+        }
+        if room < SMALLEST_BYTES {
+            return;
+        }
+        let left = room.saturating_sub(message.bytes());
+        self.add_rumours(&mut message, Rank::Summary, left);
+        self.send(sends, key, message);
+    }
+
+    fn begin(&self, key: InstanceKey) -> Message {
+        let to = self.roster.get(key).and_then(|member| member.origin);
+        let mut message = Message::new(self.origin, to);
+        if to.is_none() {
+            self.greet(&mut message);
+        }
+        message
+    }
+
+    pub(super) fn greet(&self, message: &mut Message) {
+        message.hello = true;
+        message.deltas.extend(self.control(self.origin));
+    }
+
+    fn send(&mut self, sends: &mut Vec<Outgoing>, key: InstanceKey, message: Message) {
+        let Some(member) = self.roster.get(key) else {
+            return;
+        };
+        self.budget.take(message.bytes());
+        sends.push(Outgoing {
+            member: Some(key),
+            to: member.address.clone(),
+            message,
+        });
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,41 @@
 //! Membership, gossip and the service between instances.
+//!
+//! [`Gossip`] is a pure state machine: it is fed the time, messages and failures, and returns the
+//! messages to be sent. [`Keepers`] holds records for peers, [`choose`] says which instances do a
+//! job, [`Subset`] which targets an instance uses, and [`Peer`] is the service that carries it all.
+
+mod budget;
+mod delta;
+mod digest;
+mod entry;
+mod facts;
+mod gossip;
+mod keepers;
+mod member;
+mod message;
+mod origin;
+mod peer;
+mod rendezvous;
+mod roster;
+mod rumours;
+mod settings;
+mod state;
+mod stream;
+mod subset;
+
+pub use budget::Budget;
+pub use delta::Delta;
+pub use digest::{Digest, DigestLine};
+pub use entry::{Class, Entry, EntryError, EntryKind, Item};
+pub use facts::{Brake, Facts};
+pub use gossip::{Event, Gossip, Outgoing};
+pub use keepers::{Keepers, KeepersError, Progress, Record};
+pub use member::{Member, MemberState};
+pub use message::{Claim, Message};
+pub use origin::{Identity, Incarnation, Origin};
+pub use peer::{accept, connect, context, Peer, PeerClient, PeerError};
+pub use rendezvous::{choose, Candidate};
+pub use roster::{Listed, Roster};
+pub use settings::Settings;
+pub use state::State;
+pub use subset::Subset;
--- /dev/null
+++ b/crates/fleet/src/peer.rs
@@ -0,0 +1,128 @@
+//! The service between instances, over TCP.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bincode::DefaultOptions;
+use celerypond_types::{RequestKey, Revision};
+use error_stack::{Report, ResultExt as _};
+use tarpc::{
+    client,
+    serde_transport::{self, Transport},
+    server::{BaseChannel, Channel, Serve},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use thiserror::Error;
+use tokio::{net::TcpStream, time::Instant};
+
+use crate::{KeepersError, Message, Record};
+
+/// The longest frame, in bytes: a bundle of a megabyte and its frame.
+const FRAME_BYTES: usize = (1 << 20) + (1 << 12);
+
+/// Calls that may wait for an answer on one connection.
+const CALLS_LIMIT: usize = 256;
+
+/// What instances ask of each other.
+///
+/// Every call carries a deadline (see [`context`]); the server drops the work when it passes. None
+/// of these calls decides who may write.
+#[tarpc::service]
+pub trait Peer {
+    /// Exchanges gossip.
+    async fn exchange(message: Message) -> Message;
+
+    /// Keeps records of requests that the caller serves, and says of each whether it is kept.
+    async fn keep(records: Vec<Record>) -> Vec<Result<(), KeepersError>>;
+
+    /// Drops the records of requests whose answers have ended.
+    async fn drop_records(requests: Vec<RequestKey>);
+
+    /// Returns the record of a request.
+    async fn kept(request: RequestKey) -> Option<Record>;
+
+    /// Returns the bundle of a revision, if the callee has it.
+    async fn bundle(revision: Revision) -> Option<Vec<u8>>;
+
+    /// Passes a call with a key on to the instance that batches for its shard. Both messages are
+    /// opaque here. A call that gets no answer may have run.
+    async fn forward(call: Vec<u8>) -> Vec<u8>;
+}
+
+/// The ways in which a connection to a peer fails.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum PeerError {
+    /// No connection was made in time.
+    #[error("no connection to {0} in time")]
+    Timeout(SocketAddr),
+    /// The connection was refused.
+    #[error("the connection to {0} failed")]
+    Connect(SocketAddr),
+}
+
+/// Connects to a peer.
+///
+/// The second value drives the connection; the caller spawns it and joins it at the end.
+///
+/// # Errors
+///
+/// Fails with [`PeerError::Timeout`] or [`PeerError::Connect`].
+pub async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<(PeerClient, impl Future<Output = ()>), Report<PeerError>> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+        .await
+        .change_context(PeerError::Timeout(address))?
+        .change_context(PeerError::Connect(address))?;
+    stream
+        .set_nodelay(true)
+        .change_context(PeerError::Connect(address))?;
+    let mut config = client::Config::default();
+    config.max_in_flight_requests = CALLS_LIMIT;
+    let new = PeerClient::new(config, transport(stream));
+    let drive = async move {
+        // The calls in flight get the error; the connection is then made anew.
+        let _ = new.dispatch.await;
+    };
+    Ok((new.client, drive))
+}
+
+/// Serves the calls of one accepted connection until it ends.
+///
+/// # Errors
+///
+/// Fails when the socket cannot be set up.
+pub async fn accept<S>(stream: TcpStream, service: S) -> io::Result<()>
+where
+    S: Serve<Req = PeerRequest, Resp = PeerResponse> + Clone,
+{
+    use futures::StreamExt as _;
+
+    stream.set_nodelay(true)?;
+    BaseChannel::with_defaults(transport(stream))
+        .execute(service)
+        .for_each_concurrent(CALLS_LIMIT, |call| call)
+        .await;
+    Ok(())
+}
+
+/// Returns the context of a call that must be answered by `deadline`.
+pub fn context(deadline: Instant) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = deadline.into_std();
+    context
+}
+
+fn transport<Item, SinkItem>(
+    stream: TcpStream,
+) -> Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem, DefaultOptions>>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES)
+        .new_framed(stream);
+    serde_transport::new(framed, Bincode::default())
+}
--- /dev/null
+++ b/crates/fleet/src/subset.rs
@@ -0,0 +1,98 @@
+//! Which instances share loads, and which targets they use.
+
+use celerypond_types::{InstanceName, TargetName};
+use rapidhash::v3::rapidhash_v3;
+
+use crate::{choose, Candidate};
+
+/// Instances a group may have before it is split into two.
+const GROUP_LIMIT: usize = 48;
+
+/// Watchers of each target.
+const WATCHERS: usize = 2;
+
+/// The part of the fleet that one instance deals with.
+///
+/// Instances and targets are put in order of a hash and cut into groups of equal size; an instance
+/// sends work to the targets of its group and shares loads with the instances of its group. What it
+/// holds and receives so depends on the size of a group and not on instances times targets. One
+/// that joins or leaves moves at most one instance across each border.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_fleet::Subset;
+/// use celerypond_types::{InstanceName, TargetName};
+///
+/// let instances: Vec<InstanceName> = (0..7).map(|i| format!("i{i}").as_str().into()).collect();
+/// let targets: Vec<TargetName> = (0..40).map(|i| format!("t{i}").as_str().into()).collect();
+/// let subset = Subset::of(&instances[0], &instances, &targets);
+/// assert_eq!(subset.targets.len(), 40);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Subset {
+    /// The ordinal of the group.
+    pub group: usize,
+    /// The number of groups.
+    pub groups: usize,
+    /// The instances of the group, this one too.
+    pub peers: Vec<InstanceName>,
+    /// The targets of the group.
+    pub targets: Vec<TargetName>,
+}
+
+impl Subset {
+    /// Returns the part of instance `own`.
+    pub fn of(own: &InstanceName, instances: &[InstanceName], targets: &[TargetName]) -> Self {
+        let groups = groups(instances.len());
+        let mut instances = by_hash(instances, InstanceName::as_str);
+        if !instances.contains(own) {
+            instances = by_hash(
+                &[instances, vec![own.clone()]].concat(),
+                InstanceName::as_str,
+            );
+        }
+        let rank = instances.iter().position(|name| name == own).unwrap_or(0);
+        let group = rank * groups / instances.len();
+        Self {
+            group,
+            groups,
+            peers: slice(&instances, group, groups),
+            targets: slice(&by_hash(targets, TargetName::as_str), group, groups),
+        }
+    }
+
+    /// Returns the targets whose load this instance reads and shares.
+    pub fn watched(&self, own: &InstanceName, peers: &[Candidate<'_>]) -> Vec<TargetName> {
+        let mine = |target: &&TargetName| {
+            choose(target.as_str().as_bytes(), peers, WATCHERS)
+                .iter()
+                .any(|chosen| chosen.name == own)
+        };
+        self.targets.iter().filter(mine).cloned().collect()
+    }
+}
+
+/// Returns the number of groups for `instances`: a power of two, so that it changes rarely.
+fn groups(instances: usize) -> usize {
+    let mut groups = 1;
+    while instances / groups > GROUP_LIMIT {
+        groups *= 2;
+    }
+    groups
+}
+
+fn by_hash<T: Clone + Ord>(names: &[T], text: fn(&T) -> &str) -> Vec<T> {
+    let mut names = names.to_vec();
+    names.sort_by_cached_key(|name| (rapidhash_v3(text(name).as_bytes()), name.clone()));
+    names
+}
+
+fn slice<T: Clone>(names: &[T], group: usize, groups: usize) -> Vec<T> {
+    let of = |rank: usize| rank * groups / names.len();
+    let ranked = names.iter().enumerate();
+    ranked
+        .filter(|(rank, _)| of(*rank) == group)
+        .map(|(_, name)| name.clone())
+        .collect()
+}
--- a/crates/fleet/tests/runner.rs
+++ b/crates/fleet/tests/runner.rs
@@ -1,1 +1,11 @@
 //! Runs the tests of the crate.
+
+mod mesh;
+mod test_budget;
+mod test_choice;
+mod test_gossip;
+mod test_keepers;
+mod test_membership;
+mod test_peer;
+mod test_scripts;
+mod test_state;
--- /dev/null
+++ b/crates/fleet/tests/test_budget.rs
@@ -0,0 +1,64 @@
+//! Bounds on bytes.
+
+use std::time::Duration;
+
+use celerypond_fleet::{Brake, EntryKind, Gossip, Settings};
+use celerypond_types::Revision;
+use rstest::rstest;
+
+use crate::mesh::{name, Mesh};
+
+const WARM: Duration = Duration::from_secs(40);
+const FLOOD_SECONDS: u64 = 20;
+
+/// Runs instances that all change large entries every second, and returns the time that a brake
+/// then takes to reach all of them.
+fn flood(n: usize, seed: u64) -> (Mesh, Duration) {
+    let mut mesh = Mesh::new(n, Settings::default(), seed);
+    mesh.list_all();
+    for at in 0..n {
+        mesh.node(at).set_group((0..n).map(name).collect());
+    }
+    mesh.run(WARM);
+    for second in 0..FLOOD_SECONDS {
+        for at in 0..n {
+            let value = vec![second as u8; 300].into_boxed_slice();
+            for kind in [EntryKind::TargetLoad, EntryKind::LoadSummary] {
+                mesh.node(at).set(kind, "", value.clone()).unwrap();
+            }
+        }
+        mesh.run(Duration::from_secs(1));
+    }
+    let brake = Brake {
+        revision: Revision(1),
+        version: "v2".into(),
+    };
+    let start = mesh.now;
+    mesh.node(n / 2).trip(brake.clone());
+    mesh.push(n / 2);
+    let everywhere = |mesh: &Mesh| mesh.all(|g: &Gossip| g.facts().is_braked(&brake));
+    assert!(mesh.run_until(Duration::from_secs(10), everywhere));
+    let time = mesh.now - start;
+    (mesh, time)
+}
+
+// Every instance has more to tell in a second than its budget lets through. Callers see nothing of
+// it, but a brake tripped now must not queue behind load reports: the bad version would go on
+// getting traffic. It is pushed at once at every hop instead of waiting for the round.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn a_brake_passes_a_flood_and_bytes_stay_bounded(#[case] seed: u64) {
+    let (mesh, time) = flood(40, seed);
+    assert!(time < Duration::from_secs(1), "{time:?}");
+    let limit = Settings::default().second_bytes;
+    let first = WARM.as_secs();
+    for sent in &mesh.sent {
+        let total: u64 = sent.range(first..first + FLOOD_SECONDS).map(|s| s.1).sum();
+        let mean = total / FLOOD_SECONDS;
+        assert!(mean < limit * 11 / 10, "{mean} bytes a second");
+        let most = sent.range(first..).map(|s| *s.1).max().unwrap();
+        assert!(most < 3 * limit, "{most} bytes in a second");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/test_choice.rs
@@ -0,0 +1,92 @@
+//! Which instances do a job, and which targets an instance uses.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use celerypond_fleet::{choose, Candidate, Subset};
+use celerypond_types::{DataCentre, InstanceName, TargetName};
+use rstest::rstest;
+
+fn names(n: usize) -> Vec<InstanceName> {
+    (0..n).map(|at| format!("i{at}").as_str().into()).collect()
+}
+
+fn targets(n: usize) -> Vec<TargetName> {
+    (0..n).map(|at| format!("t{at}").as_str().into()).collect()
+}
+
+fn candidates<'a>(names: &'a [InstanceName], centres: &'a [DataCentre]) -> Vec<Candidate<'a>> {
+    let pairs = names.iter().zip(centres.iter().cycle());
+    pairs
+        .map(|(name, data_centre)| Candidate { name, data_centre })
+        .collect()
+}
+
+#[test]
+fn two_keepers_are_in_two_data_centres_and_change_only_with_their_own() {
+    let names = names(30);
+    let centres = ["east", "west", "north"].map(DataCentre::from);
+    let all = candidates(&names, &centres);
+    let without: Vec<Candidate<'_>> = all
+        .iter()
+        .copied()
+        .filter(|c| c.name != &names[4])
+        .collect();
+    for key in 0..500_u32 {
+        let key = key.to_le_bytes();
+        let before = choose(&key, &all, 2);
+        assert_ne!(before[0].data_centre, before[1].data_centre);
+        let after = choose(&key, &without, 2);
+        if before.iter().all(|c| c.name != &names[4]) {
+            assert_eq!(before, after);
+        }
+    }
+}
+
+#[test]
+fn one_data_centre_still_gives_two_keepers() {
+    let names = names(3);
+    let centres = [DataCentre::from("east")];
+    assert_eq!(choose(b"k", &candidates(&names, &centres), 2).len(), 2);
+    assert_eq!(choose(b"k", &candidates(&names, &centres), 5).len(), 3);
+}
+
+#[rstest]
+#[case::today(7, 40, 1, 40)]
+#[case::middle(200, 500, 8, 63)]
+#[case::planned(900, 11_000, 32, 344)]
+fn a_group_stays_small_and_every_target_is_watched_twice(
+    #[case] instances: usize,
+    #[case] target_count: usize,
+    #[case] groups: usize,
+    #[case] most: usize,
+) {
+    let names = names(instances);
+    let all = targets(target_count);
+    let centres = ["east", "west", "north"].map(DataCentre::from);
+    let mut watchers: BTreeMap<TargetName, usize> = BTreeMap::new();
+    let group = Subset::of(&names[0], &names, &all);
+    for own in &group.peers {
+        let subset = Subset::of(own, &names, &all);
+        assert_eq!(subset.groups, groups);
+        assert!(subset.targets.len() <= most);
+        let peers = candidates(&subset.peers, &centres);
+        for target in subset.watched(own, &peers) {
+            *watchers.entry(target).or_default() += 1;
+        }
+    }
+    assert!(watchers.keys().eq(&BTreeSet::from_iter(group.targets)));
+    assert!(watchers.values().all(|count| *count == 2));
+}
+
+#[test]
+fn one_instance_more_moves_few_others() {
+    let before = names(400);
+    let after = names(401);
+    let groups = |names: &[InstanceName]| -> Vec<usize> {
+        let of = |own| Subset::of(own, names, &[]).group;
+        before.iter().map(of).collect()
+    };
+    let pairs = groups(&before).into_iter().zip(groups(&after));
+    let moved = pairs.filter(|(a, b)| a != b).count();
+    assert!(moved <= 16, "{moved} moved");
+}
--- /dev/null
+++ b/crates/fleet/tests/test_gossip.rs
@@ -0,0 +1,176 @@
+//! Convergence under loss, partition and restart.
+
+use std::time::Duration;
+
+use celerypond_fleet::{Brake, EntryKind, Event, Facts, Gossip, MemberState, Settings};
+use celerypond_types::Revision;
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use rstest::rstest;
+
+use crate::mesh::{name, Mesh};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn brake(revision: u64) -> Brake {
+    Brake {
+        revision: Revision(revision),
+        version: "v2".into(),
+    }
+}
+
+fn all_live(mesh: &Mesh) -> bool {
+    let others = mesh.nodes.iter().flatten().count() - 1;
+    mesh.all(|gossip| gossip.roster().of_state(MemberState::Live).count() == others)
+}
+
+// Operators raise the revision and instances trip brakes while messages are lost, the network
+// splits in two, and instances restart with nothing. At no instance may the revision go back or a
+// brake be lifted within a run; once the network is whole all know the same and see each other.
+#[rstest]
+fn all_agree_after_loss_partition_and_restarts(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    let n = 12;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut mesh = Mesh::new(n, Settings::default(), seed);
+    mesh.run(10 * SECOND);
+    mesh.loss = 0.2;
+    let mut seen = vec![Facts::default(); n];
+    let mut truth = Facts::default();
+    for step in 1..=60 {
+        let at = rng.random_range(0..n);
+        match rng.random_range(0..6) {
+            0 => {
+                mesh.node(at).raise(Revision(step));
+                truth.raise(Revision(step));
+            }
+            1 => {
+                mesh.node(at).trip(brake(step));
+                truth.trip(brake(step));
+            }
+            2 => mesh.side.fill_with(|| rng.random_range(0..2)),
+            3 => mesh.side.fill(0),
+            4 if mesh.node(at).facts() != &truth => {
+                // Only what one instance alone knows may be lost with it.
+                mesh.boot(at, step + 1);
+                seen[at] = Facts::default();
+            }
+            _ => mesh.push(at),
+        }
+        mesh.run(SECOND);
+        for (node, seen) in mesh.nodes.iter().flatten().zip(&mut seen) {
+            assert!(node.facts().revision() >= seen.revision());
+            assert!(seen.brakes().all(|brake| node.facts().is_braked(brake)));
+            *seen = node.facts().clone();
+        }
+    }
+    mesh.side.fill(0);
+    mesh.loss = 0.0;
+    let agreed = |mesh: &Mesh| {
+        let first = mesh.nodes[0].as_ref().map(|g| g.facts().summary());
+        mesh.all(|gossip| Some(gossip.facts().summary()) == first) && all_live(mesh)
+    };
+    assert!(mesh.run_until(90 * SECOND, agreed));
+}
+
+// Both halves of a fleet suspect the other half while the network is split for minutes. Callers of
+// each half are still served. When the network is whole again, each half must see the other without
+// help from the platform's list, which may be down.
+#[rstest]
+fn halves_of_a_partition_find_each_other(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut mesh = Mesh::new(10, Settings::default(), seed);
+    mesh.run(15 * SECOND);
+    assert!(all_live(&mesh));
+    mesh.side[..5].fill(1);
+    mesh.run(300 * SECOND);
+    let live = |gossip: &Gossip| gossip.roster().of_state(MemberState::Live).count();
+    assert!(mesh.all(|gossip| live(gossip) == 4));
+    mesh.side.fill(0);
+    assert!(mesh.run_until(60 * SECOND, all_live));
+}
+
+// An instance trips a brake and dies a moment later. If the brake were its own entry, it would go
+// with it, and the bad version would get traffic again.
+#[rstest]
+fn a_brake_outlives_the_instance_that_tripped_it(#[values(1, 2, 3)] seed: u64) {
+    let settings = Settings {
+        forget: 20 * SECOND,
+        ..Settings::default()
+    };
+    let mut mesh = Mesh::new(7, settings, seed);
+    mesh.run(10 * SECOND);
+    mesh.node(3).trip(brake(1));
+    mesh.push(3);
+    mesh.run(Duration::from_millis(10));
+    mesh.kill(3);
+    mesh.run(60 * SECOND);
+    assert!(mesh.all(|gossip| gossip.facts().is_braked(&brake(1))));
+    assert!(mesh.all(|gossip| gossip.roster().named(&name(3)).is_none()));
+}
+
+// All instances are replaced one after the other while the platform is down, each with nothing but
+// two seeds. The revision must be known to all the new ones, from their peers alone.
+#[test]
+fn a_fleet_without_disks_keeps_the_revision_while_the_store_is_down() {
+    let mut mesh = Mesh::new(7, Settings::default(), 1);
+    mesh.node(6).raise(Revision(41));
+    mesh.run(10 * SECOND);
+    for at in 0..7 {
+        mesh.kill(at);
+        mesh.run(2 * SECOND);
+        mesh.boot(at, 2);
+        mesh.run(6 * SECOND);
+        assert_eq!(mesh.node(at).facts().revision(), Revision(41));
+        assert!(mesh
+            .node(at)
+            .events()
+            .contains(&Event::Revision(Revision(41))));
+    }
+}
+
+// Some instances know one seed and some another. Before seeds were tried again, they formed two
+// fleets that never heard of each other, and a brake tripped in one did not reach the other.
+#[rstest]
+fn instances_with_different_seeds_form_one_fleet(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut mesh = Mesh::new(20, Settings::default(), seed);
+    assert!(mesh.run_until(60 * SECOND, all_live));
+}
+
+#[test]
+fn entries_of_a_group_stay_in_it_and_summaries_reach_all() {
+    let mut mesh = Mesh::new(12, Settings::default(), 1);
+    mesh.list_all();
+    for at in 0..12 {
+        let start = at / 6 * 6;
+        mesh.node(at)
+            .set_group((start..start + 6).map(name).collect());
+        mesh.node(at)
+            .set(EntryKind::TargetLoad, "", Box::new([at as u8]))
+            .unwrap();
+    }
+    mesh.run(20 * SECOND);
+    let leaders = (0..12).filter(|at| mesh.nodes[*at].as_ref().unwrap().leads());
+    let leaders: Vec<usize> = leaders.collect();
+    assert_eq!(leaders.iter().map(|at| at / 6).collect::<Vec<_>>(), [0, 1]);
+    for at in leaders {
+        mesh.node(at)
+            .set(
+                EntryKind::LoadSummary,
+                &format!("{}", at / 6),
+                Box::new([1]),
+            )
+            .unwrap();
+    }
+    mesh.run(10 * SECOND);
+    let count = |gossip: &Gossip, kind| gossip.state().items(kind).count();
+    assert!(mesh.all(|gossip| count(gossip, EntryKind::TargetLoad) == 6));
+    assert!(mesh.all(|gossip| count(gossip, EntryKind::LoadSummary) == 2));
+}
+
+// A whole fleet starts at once while the platform's list is out of reach, so all come to the same
+// two seeds, whose budget cannot answer them all at length.
+#[test]
+fn many_that_start_at_once_through_two_seeds_all_meet() {
+    let mut mesh = Mesh::new(150, Settings::default(), 1);
+    assert!(mesh.run_until(60 * SECOND, all_live));
+}
--- /dev/null
+++ b/crates/fleet/tests/test_state.rs
@@ -0,0 +1,107 @@
+//! Entries that arrive in pieces, out of order and not at all.
+
+use celerypond_fleet::{EntryError, EntryKind, Facts, Item, Origin, Settings, State};
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use rstest::rstest;
+use std::time::Duration;
+
+use crate::mesh::Mesh;
+
+fn item(key: u8, value: u8) -> Item {
+    Item {
+        kind: EntryKind::EvidenceSummary,
+        key: format!("k{key}").as_str().into(),
+        value: Box::new([value]),
+    }
+}
+
+// One instance changes its entries all the time while a third of the messages are lost, so pushes
+// arrive with holes before them. A receiver that took a push for all that came before it would
+// never ask for the hole again: an instance would act on old evidence for good.
+#[rstest]
+fn holes_left_by_lost_pushes_are_filled(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut mesh = Mesh::new(9, Settings::default(), seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    mesh.list_all();
+    mesh.run(Duration::from_secs(5));
+    mesh.loss = 0.35;
+    for _ in 0..200 {
+        let key = rng.random_range(0..12);
+        let node = mesh.node(0);
+        if rng.random_bool(0.2) {
+            node.clear(EntryKind::EvidenceSummary, &format!("k{key}"));
+        } else {
+            let item = item(key, rng.random());
+            node.set(item.kind, &item.key, item.value).unwrap();
+        }
+        mesh.run(Duration::from_millis(100));
+    }
+    mesh.run(Duration::from_secs(40));
+    let entries = |state: &State| -> Vec<(Origin, Item)> {
+        let items = state.items(EntryKind::EvidenceSummary);
+        let mut items: Vec<_> = items.map(|(origin, item)| (origin, item.clone())).collect();
+        items.sort_by(|a, b| a.1.key.cmp(&b.1.key));
+        items
+    };
+    let own = entries(mesh.node(0).state());
+    assert!(!own.is_empty());
+    assert!(mesh.all(|gossip| entries(gossip.state()) == own));
+}
+
+#[test]
+fn an_origin_that_sets_and_clears_for_ever_stays_small() {
+    let mut state = State::default();
+    for at in 0..10_000_u32 {
+        let key = format!("rollout-{at}");
+        let item = Item {
+            kind: EntryKind::Evidence,
+            key: key.as_str().into(),
+            value: Box::new([1]),
+        };
+        state.set(Origin(1), item).unwrap();
+        if at >= 3 {
+            let old = format!("rollout-{}", at - 3);
+            state.clear(Origin(1), EntryKind::Evidence, &old).unwrap();
+        }
+    }
+    assert_eq!(state.items(EntryKind::Evidence).count(), 3);
+}
+
+#[test]
+fn a_class_that_is_full_and_a_value_that_is_long_are_refused() {
+    let mut state = State::default();
+    let full = (0..=u8::MAX).find_map(|key| state.set(Origin(1), item(key, 0)).err());
+    assert_eq!(full, Some(EntryError::Full));
+    let long = Item {
+        value: vec![0; 2_000].into(),
+        ..item(0, 0)
+    };
+    assert_eq!(state.set(Origin(2), long), Err(EntryError::Long(2_000)));
+}
+
+#[test]
+fn facts_merge_to_the_same_in_any_order_beyond_their_bound() {
+    use celerypond_fleet::Brake;
+    use celerypond_types::Revision;
+    use rand::seq::SliceRandom as _;
+
+    let mut brakes: Vec<Brake> = (0..200)
+        .map(|at| Brake {
+            revision: Revision(at / 2),
+            version: format!("v{}", at % 2).as_str().into(),
+        })
+        .collect();
+    let mut rng = SmallRng::seed_from_u64(4);
+    let mut summaries: Vec<u64> = (0..20)
+        .map(|_| {
+            brakes.shuffle(&mut rng);
+            let mut facts = Facts::default();
+            for brake in &brakes {
+                facts.trip(brake.clone());
+            }
+            facts.summary()
+        })
+        .collect();
+    summaries.dedup();
+    assert_eq!(summaries.len(), 1);
+}
