answer: script what each fault looks like, mend what the scripts showed

Reading the first script outputs showed four faults, mended here: - a request with nothing shown never gave up its version, because each refused start began the wait anew; the wait now counts from the last token - an unreachable last target was tried every 50 ms and used up the attempt numbers; the poll now doubles to 1 s, and there are 1,024 tries a driver - a start that never got through was probed first, one round trip for nothing - a take-over that found another driver's stream failed as Diverged although its own stream lived, and stopped the other's; it now turns back to its own

--- a/crates/answer/src/driver.rs
+++ b/crates/answer/src/driver.rs
@@ -3,9 +3,10 @@
 use celerypond_types::Attempt;
 use rand::Rng;
 
-const TRY_BITS: u32 = 8;
-const DRIVER_BITS: u32 = 16;
+const TRY_BITS: u32 = 10;
+const DRIVER_BITS: u32 = 14;
 const TERM_SHIFT: u32 = TRY_BITS + DRIVER_BITS;
+const DRIVER_MASK: u16 = (1 << DRIVER_BITS) - 1;
 const TRY_MASK: u32 = (1 << TRY_BITS) - 1;
 
 /// One driver of a request: an instance that generates an answer for one connection of a caller.
@@ -15,7 +16,7 @@
 ///
 /// The failure: two instances start to drive one request at the same moment, and don't know of each
 /// other. The symptom would be two streams of one name at an engine, and tokens of one in the
-/// answer of the other. The mark keeps their numbers apart, but for one chance in 65,536 of such
+/// answer of the other. The mark keeps their numbers apart, but for one chance in 16,384 of such
 /// meetings, and the greater one wins at the keepers.
 ///
 /// # Examples
@@ -31,14 +32,14 @@
 pub struct Driver(u16);
 
 impl Driver {
-    /// Makes a driver with the mark `mark`.
+    /// Makes a driver with the low 14 bits of `mark`.
     pub const fn new(mark: u16) -> Self {
-        Self(mark)
+        Self(mark & DRIVER_MASK)
     }
 
     /// Draws a mark.
     pub fn draw(rng: &mut impl Rng) -> Self {
-        Self(rng.random())
+        Self::new(rng.random())
     }
 
     /// Returns the number of the first attempt of a request that nobody drove before.
--- /dev/null
+++ b/crates/answer/src/generation/choosing.rs
@@ -0,0 +1,111 @@
+//! The choice of a target, and the start or adoption of a stream.
+
+use celerypond_types::{Attempt, InstanceName, VersionName};
+use tokio::time::Instant;
+
+use super::{Generation, State};
+use crate::{reader::Reader, Choice, Chosen, Driver, Effect, Patience, Splice, Start, Stream};
+
+/// Enough to pass any sensible longest rest, and few enough not to overflow.
+const MAX_DOUBLINGS: u32 = 10;
+
+impl Generation {
+    /// Reads the stream of another driver from the first token that is not known.
+    pub(super) fn adopt(
+        &mut self,
+        stream: Stream,
+        former: Option<InstanceName>,
+        patience: Patience,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let record = self.record(&stream, now);
+        self.outlet.seal(self.seal.attempt(&record.origin));
+        if let Some(former) = former.filter(|former| *former != self.request.instance) {
+            out.push(Effect::Tell(former, record.clone()));
+        }
+        out.push(Effect::Keep(record));
+        let link = self.link();
+        out.push(Effect::Resume {
+            link,
+            stream: stream.clone(),
+            from: self.next(),
+        });
+        self.state = State::Reading(Reader::resume(stream, link, patience, now));
+    }
+
+    pub(super) fn choose(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        // Nothing of the old version was shown, so any version may start from zero.
+        if self.outlet.is_fresh() && now.duration_since(self.last) >= self.limits.cede {
+            self.splice = None;
+            self.outlet.clear();
+        }
+        self.state = State::Choosing { retry: None };
+        out.push(Effect::Choose(Choice {
+            version: self.splice.as_ref().map(|splice| splice.version().clone()),
+            avoid: self.avoid.clone(),
+            resumes: self.splice.is_some(),
+        }));
+    }
+
+    pub(super) fn chosen(&mut self, now: Instant, chosen: Chosen, out: &mut Vec<Effect>) {
+        if !matches!(self.state, State::Choosing { .. }) {
+            return;
+        }
+        // A target of another version would splice two generations into one answer.
+        if !self.fits(&chosen.version) {
+            return self.no_target(now);
+        }
+        let Some(attempt) = self.fresh else {
+            return self.fail(self.fruitless(), out);
+        };
+        self.attempt = attempt;
+        self.fresh = Driver::retry(attempt);
+        let stream = Stream {
+            target: chosen.target,
+            attempt,
+        };
+        self.follow(chosen.version.clone(), attempt);
+        let record = self.record(&stream, now);
+        self.outlet.seal(self.seal.attempt(&record.origin));
+        let link = self.link();
+        out.push(Effect::Start(Start {
+            link,
+            stream: stream.clone(),
+            version: chosen.version,
+            seed: self.request.seed,
+            prefix: record.prefix.clone(),
+        }));
+        out.push(Effect::Keep(record));
+        self.state = State::Reading(Reader::start(stream, link, chosen.patience, now));
+    }
+
+    pub(super) fn fits(&self, version: &VersionName) -> bool {
+        self.splice
+            .as_ref()
+            .is_none_or(|splice| splice.version() == version)
+    }
+
+    pub(super) fn follow(&mut self, version: VersionName, attempt: Attempt) {
+        match &mut self.splice {
+            Some(splice) => splice.follow(attempt),
+            None => {
+                let key = self.request.key.clone();
+                self.splice = Some(Splice::new(key, version, attempt, self.request.limit));
+            }
+        }
+    }
+
+    pub(super) fn no_target(&mut self, now: Instant) {
+        if !matches!(self.state, State::Choosing { .. }) {
+            return;
+        }
+        // A target that was avoided may be back, and may be the last of its version.
+        self.avoid.clear();
+        let rest = self.limits.poll * (1 << self.polls.min(MAX_DOUBLINGS));
+        self.polls += 1;
+        self.state = State::Choosing {
+            retry: Some(now + rest.min(self.limits.rest)),
+        };
+    }
+}
--- /dev/null
+++ b/crates/answer/src/generation/ending.rs
@@ -0,0 +1,122 @@
+//! The ends of an answer.
+
+use tokio::time::Instant;
+
+use super::{Generation, State};
+use crate::{reader::Reader, Effect, Finish, Incomplete, KeeperRecord, Link, Reason};
+
+impl Generation {
+    pub(super) fn finish(&mut self, link: Link, reason: Reason, out: &mut Vec<Effect>) {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        if let State::Reading(reader) = state {
+            let others = reader.links().filter(|held| *held != link);
+            out.extend(others.map(Effect::Close));
+        }
+        out.push(self.forget());
+        let Some(splice) = &self.splice else { return };
+        out.push(Effect::Finish(Finish {
+            reason,
+            length: splice.next(),
+            version: splice.version().clone(),
+            text: self.outlet.text().map(str::to_owned),
+        }));
+    }
+
+    pub(super) fn fail(&mut self, error: Incomplete, out: &mut Vec<Effect>) {
+        if let State::Reading(reader) = std::mem::replace(&mut self.state, State::Over) {
+            stop(&reader, out);
+        }
+        out.push(self.forget());
+        out.push(Effect::Fail(error));
+    }
+
+    /// Gives up in favour of another driver, whose stream must go on.
+    pub(super) fn fenced(&mut self, record: &KeeperRecord, out: &mut Vec<Effect>) {
+        if record.attempt() <= self.attempt || self.is_over() {
+            return;
+        }
+        let state = std::mem::replace(&mut self.state, State::Over);
+        if let State::Reading(reader)
+        | State::Reviewing {
+            reader: Some(reader),
+            ..
+        } = state
+        {
+            if reader.stream() == record.stream() {
+                out.extend(reader.links().map(Effect::Close));
+            } else {
+                stop(&reader, out);
+            }
+        }
+        out.push(Effect::Fail(Incomplete::Superseded {
+            attempt: record.attempt(),
+        }));
+    }
+
+    /// Asks the keepers before it stops a stream that nobody reads here.
+    ///
+    /// The failure: a caller's connection here is lost, and it reads on at another instance. The
+    /// symptom would be that this instance stops the very stream that the other one reads. The
+    /// keepers' record names a later driver if there is one; without their word nothing is stopped.
+    pub(super) fn review(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        let reader = match state {
+            State::Reading(reader) => Some(reader),
+            _ => None,
+        };
+        let due = now + self.limits.review;
+        self.state = State::Reviewing { due, reader };
+        out.push(Effect::Review(self.request.key.clone()));
+    }
+
+    pub(super) fn reviewed(&mut self, record: Option<&KeeperRecord>, out: &mut Vec<Effect>) {
+        if !matches!(self.state, State::Reviewing { .. }) {
+            return;
+        }
+        match record {
+            Some(record) if record.attempt() > self.attempt => self.fenced(record, out),
+            _ => self.abandon(true, out),
+        }
+    }
+
+    pub(super) fn abandon(&mut self, sure: bool, out: &mut Vec<Effect>) {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        if let State::Reviewing {
+            reader: Some(reader),
+            ..
+        } = state
+        {
+            if sure {
+                stop(&reader, out);
+            } else {
+                out.extend(reader.links().map(Effect::Close));
+            }
+        }
+        if sure {
+            out.push(self.forget());
+        }
+        out.push(Effect::Fail(Incomplete::Abandoned));
+    }
+
+    pub(super) fn late(&self) -> Incomplete {
+        match (&self.state, &self.splice) {
+            (State::Choosing { .. }, Some(splice)) => Incomplete::NoTarget {
+                version: splice.version().clone(),
+            },
+            (State::Choosing { .. }, None) => Incomplete::NotStarted,
+            _ => Incomplete::Deadline,
+        }
+    }
+
+    pub(super) const fn fruitless(&self) -> Incomplete {
+        Incomplete::Barren {
+            attempts: self.barren,
+        }
+    }
+}
+
+/// Closes the connections of a stream and stops it.
+pub(super) fn stop(reader: &Reader, out: &mut Vec<Effect>) {
+    out.extend(reader.links().map(Effect::Close));
+    out.push(Effect::Cancel(reader.stream().clone()));
+}
--- /dev/null
+++ b/crates/answer/src/generation/reading.rs
@@ -0,0 +1,175 @@
+//! The reading of a stream, and what to do when it fails.
+
+use tokio::time::Instant;
+
+use super::{ending, Generation, State};
+use crate::{reader::Loss, Done, Effect, Frame, Incomplete, Link, Refusal, Splice, Verdict};
+
+impl Generation {
+    pub(super) fn opened(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
+        if let State::Reading(reader) = &mut self.state {
+            out.extend(reader.opened(link, now).map(Effect::Close));
+        }
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        now: Instant,
+        link: Link,
+        refusal: Refusal,
+        out: &mut Vec<Effect>,
+    ) {
+        let State::Reading(reader) = &mut self.state else {
+            return;
+        };
+        if reader.lose(link) == Loss::Stale {
+            return;
+        }
+        // An engine that failed may have begun the stream; one that refused has not.
+        match refusal {
+            Refusal::Failed => self.barren += 1,
+            Refusal::Busy | Refusal::Gone | Refusal::Version => {}
+        }
+        self.give_up(now, out);
+    }
+
+    pub(super) fn frame(&mut self, now: Instant, link: Link, frame: Frame, out: &mut Vec<Effect>) {
+        let (State::Reading(reader), Some(splice)) = (&mut self.state, &mut self.splice) else {
+            return;
+        };
+        match splice.accept(&frame) {
+            Verdict::Emit => {
+                out.extend(reader.progress(link, now).map(Effect::Close));
+                self.barren = 0;
+                self.polls = 0;
+                self.last = now;
+                match self.outlet.take(frame, splice) {
+                    Ok(effect) => out.extend(effect),
+                    Err(error) => self.diverged(now, error, out),
+                }
+            }
+            verdict => self.judge(now, link, verdict, out),
+        }
+    }
+
+    pub(super) fn done(&mut self, now: Instant, link: Link, done: &Done, out: &mut Vec<Effect>) {
+        let (State::Reading(_), Some(splice)) = (&self.state, &self.splice) else {
+            return;
+        };
+        match splice.finish(done) {
+            Verdict::Whole(reason) => match self.outlet.proof() {
+                Ok(()) => self.finish(link, reason, out),
+                Err(error) => self.diverged(now, error, out),
+            },
+            verdict => self.judge(now, link, verdict, out),
+        }
+    }
+
+    /// Acts on a verdict that is neither a token nor the end.
+    pub(super) fn judge(
+        &mut self,
+        now: Instant,
+        link: Link,
+        verdict: Verdict,
+        out: &mut Vec<Effect>,
+    ) {
+        match verdict {
+            Verdict::Gap { .. } | Verdict::Crossed => self.broken(now, link, out),
+            Verdict::OtherVersion | Verdict::Contradiction { .. } => self.distrust(now, link, out),
+            Verdict::Emit | Verdict::Whole(_) | Verdict::Duplicate | Verdict::Superseded { .. } => {
+            }
+        }
+    }
+
+    /// Reads on over another connection: this one mixes up its answers or drops some.
+    pub(super) fn broken(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
+        let held = match &self.state {
+            State::Reading(reader) => reader.holds(link),
+            _ => false,
+        };
+        if held {
+            out.push(Effect::Close(link));
+            self.closed(now, link, out);
+        }
+    }
+
+    /// Reads on from another engine: this one contradicts itself.
+    pub(super) fn distrust(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
+        if matches!(&self.state, State::Reading(reader) if reader.holds(link)) {
+            self.give_up(now, out);
+        }
+    }
+
+    pub(super) fn closed(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
+        if let State::Reading(reader) = &mut self.state {
+            let loss = reader.lose(link);
+            self.lost(now, loss, out);
+        }
+    }
+
+    pub(super) fn lost(&mut self, now: Instant, loss: Loss, out: &mut Vec<Effect>) {
+        match loss {
+            Loss::Probe => self.probe(now, out),
+            Loss::GiveUp => self.give_up(now, out),
+            Loss::Stale | Loss::Wait => {}
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let link = self.link();
+        let from = self.next();
+        let State::Reading(reader) = &mut self.state else {
+            return;
+        };
+        reader.probe(link, now);
+        out.push(Effect::Resume {
+            link,
+            stream: reader.stream().clone(),
+            from,
+        });
+    }
+
+    /// Looks for the caller's tokens where they came from: what was read is another driver's, whose
+    /// stream is left alone.
+    pub(super) fn diverged(&mut self, now: Instant, error: Incomplete, out: &mut Vec<Effect>) {
+        if self.other.is_none() {
+            return self.fail(error, out);
+        }
+        if let State::Reading(reader) = &self.state {
+            out.extend(reader.links().map(Effect::Close));
+        }
+        self.turn_back(now, out);
+    }
+
+    /// Reads the stream that the caller's tokens came from, if it is not the one tried already.
+    pub(super) fn turn_back(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
+        let (State::Reading(reader), Some(other)) = (&self.state, self.other.take()) else {
+            return false;
+        };
+        let patience = reader.patience();
+        let (key, limit) = (self.request.key.clone(), self.request.limit);
+        let attempt = other.stream.attempt;
+        self.splice = Some(Splice::new(key, other.version, attempt, limit));
+        self.adopt(other.stream, None, patience, now, out);
+        true
+    }
+
+    /// Stops the stream and goes on elsewhere.
+    pub(super) fn give_up(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let State::Reading(reader) = &self.state else {
+            return;
+        };
+        if reader.is_barren() {
+            self.barren += 1;
+        }
+        self.avoid.push(reader.target().clone());
+        ending::stop(reader, out);
+        if self.outlet.proof().is_err() && self.turn_back(now, out) {
+            return;
+        }
+        if self.barren > self.limits.barren {
+            return self.fail(self.fruitless(), out);
+        }
+        self.choose(now, out);
+    }
+}
--- a/crates/answer/src/reader.rs
+++ b/crates/answer/src/reader.rs
@@ -107,10 +107,11 @@
             return Loss::Stale;
         }
         self.link = None;
-        match (self.probe, self.probed) {
-            (Some(_), _) => Loss::Wait,
-            (None, true) => Loss::GiveUp,
-            (None, false) => Loss::Probe,
+        match self.probe {
+            Some(_) => Loss::Wait,
+            // A start that never got through has no stream to resume.
+            None if !self.opened => Loss::GiveUp,
+            None => self.overdue(),
         }
     }
 
@@ -137,6 +138,10 @@
         self.opened && !self.begun
     }
 
+    pub(crate) const fn patience(&self) -> Patience {
+        self.patience
+    }
+
     pub(crate) const fn due(&self) -> Instant {
         self.due
     }
--- a/crates/answer/src/request.rs
+++ b/crates/answer/src/request.rs
@@ -42,8 +42,10 @@
     pub grace: Duration,
     /// How long to wait for the keepers' record before giving up an answer without a caller.
     pub review: Duration,
-    /// The time between two questions for a target while none is available.
+    /// The time between the first two questions for a target while none is available; it doubles.
     pub poll: Duration,
+    /// The longest time between two questions.
+    pub rest: Duration,
     /// How long an answer of which nothing was shown waits for its version.
     pub cede: Duration,
     /// How many attempts in succession may bring no token.
@@ -56,6 +58,7 @@
             grace: Duration::from_secs(10),
             review: Duration::from_secs(1),
             poll: Duration::from_millis(50),
+            rest: Duration::from_secs(1),
             cede: Duration::from_millis(500),
             barren: 8,
         }
--- a/crates/answer/src/takeover.rs
+++ b/crates/answer/src/takeover.rs
@@ -12,6 +12,9 @@
     pub attempt: Attempt,
     /// The stream, version and seed to go on with.
     pub origin: Origin,
+    /// The caller's own origin, if the keepers know a later one of the same version. The later one
+    /// may go on from it, or belong to another caller's driver that knew nothing of it.
+    pub other: Option<Origin>,
     /// The instance that drove the request before, if a keeper knew it.
     pub former: Option<InstanceName>,
     /// How many tokens the caller has.
@@ -73,6 +76,9 @@
         let (tokens, text) = start(shown, digest, record_of(record, &origin), brought)?;
         Ok(Some(Self {
             attempt,
+            other: token
+                .map(|token| token.origin.clone())
+                .filter(|other| other.stream != origin.stream),
             origin,
             former: record.map(|record| record.instance.clone()),
             shown,
@@ -124,5 +130,8 @@
     if record.position() <= shown || !record.text.is_empty() {
         return Ok((record.prefix.clone(), record.text.clone()));
     }
-    Ok((Vec::new(), String::new()))
+    let known = &record.prefix[..shown.0 as usize];
+    let agrees = ChainDigest::of(known) == digest;
+    let tokens = if agrees { known.to_vec() } else { Vec::new() };
+    Ok((tokens, String::new()))
 }
--- a/crates/answer/tests/test_history.rs
+++ b/crates/answer/tests/test_history.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use celerypond_answer::Mode;
+use celerypond_answer::{Incomplete, Mode};
 use rstest::rstest;
 
 use crate::world::{Damage, Fault, World, CURRENT};
 
 const LIMIT: usize = 200;
+const SEEDS: u64 = 1000;
 
 fn whole(world: &mut World) {
     world.run();
@@ -67,16 +68,48 @@
 #[case::streamed_to_a_caller_that_brings_its_tokens(Mode::Streamed, true)]
 #[case::buffered(Mode::Buffered, false)]
 fn answer_is_whole_under_random_faults(#[case] mode: Mode, #[case] brings: bool) {
-    for seed in 0..1000 {
-        let mut world = World::new(4, 3, seed);
+    for seed in 0..SEEDS {
+        let mut world = random(seed);
         world.mode = mode;
         world.brings = brings;
-        world.limit = 60;
-        for _ in 0..8 {
-            let (at, fault) = (world.moment(), world.draw());
-            world.later(at, fault);
-        }
         world.call();
         whole(&mut world);
     }
 }
+
+// Two callers, or one through two ways, ask for the same request, so two instances drive it; and
+// engines give different tokens for one version and seed. Each caller may be told that its answer
+// can't be completed, but none sees tokens of two sequences.
+#[rstest]
+fn two_drivers_never_mix_their_sequences() {
+    let mut diverged = 0;
+    for seed in 0..SEEDS {
+        let mut world = random(seed);
+        world.drifts = true;
+        let callers = [world.call(), world.call()];
+        world.run();
+        for at in callers {
+            let caller = &world.callers[at];
+            let log = world.log.join("\n");
+            assert_eq!(world.fault(at), None, "caller {at}, seed {seed}\n{log}");
+            let failed = matches!(caller.failure, Some(Incomplete::Diverged { .. }));
+            assert!(
+                caller.finish.is_some() || failed,
+                "caller {at}, seed {seed}\n{log}"
+            );
+            diverged += usize::from(failed);
+        }
+    }
+    assert!(diverged > 0, "no sequence was ever refused");
+}
+
+/// A world of short answers with eight faults to come.
+fn random(seed: u64) -> World {
+    let mut world = World::new(4, 3, seed);
+    world.limit = 60;
+    for _ in 0..8 {
+        let (at, fault) = (world.moment(), world.draw());
+        world.later(at, fault);
+    }
+    world
+}
--- /dev/null
+++ b/crates/answer/tests/test_keeper.rs
@@ -0,0 +1,93 @@
+//! Records at a keeper.
+
+use std::time::Duration;
+
+use celerypond_answer::{ChainDigest, Keeper, KeeperRecord, Origin, RecordError, Stream};
+use celerypond_types::{Attempt, TokenId};
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn record(attempt: u32, tokens: u32) -> KeeperRecord {
+    let prefix: Vec<TokenId> = (0..tokens).map(TokenId).collect();
+    KeeperRecord {
+        key: "r".into(),
+        origin: Origin {
+            attempt: Attempt(attempt),
+            stream: Stream {
+                target: "e1".into(),
+                attempt: Attempt(attempt),
+            },
+            version: "v1".into(),
+            seed: 1,
+        },
+        instance: "a".into(),
+        digest: ChainDigest::of(&prefix),
+        prefix,
+        text: String::new(),
+        remaining: 1000,
+    }
+}
+
+// An instance was taken over while it was paused, comes back and writes its record again. If that
+// replaced the later one, both would go on to drive the request.
+#[rstest]
+#[case::later_attempt_wins((1, 0), (2, 0), 2, false)]
+#[case::earlier_attempt_is_fenced((2, 0), (1, 9), 2, true)]
+#[case::same_attempt_is_renewed((2, 0), (2, 5), 2, false)]
+fn higher_attempt_wins(
+    #[case] (first, length): (u32, u32),
+    #[case] (second, longer): (u32, u32),
+    #[case] held: u32,
+    #[case] fenced: bool,
+) {
+    let now = Instant::now();
+    let mut keeper = Keeper::default();
+    assert_eq!(keeper.put(now, record(first, length)), None);
+    let answer = keeper.put(now, record(second, longer));
+    assert_eq!(answer.is_some(), fenced);
+    assert_eq!(
+        keeper.get(now, &"r".into()).unwrap().attempt(),
+        Attempt(held)
+    );
+    keeper.forget(&"r".into(), Attempt(held - 1));
+    assert_eq!(keeper.len(), 1, "an earlier driver removed the record");
+    keeper.forget(&"r".into(), Attempt(held));
+    assert!(keeper.is_empty());
+}
+
+#[test]
+fn record_expires_at_the_callers_deadline() {
+    let now = Instant::now();
+    let late = now + Duration::from_millis(1000);
+    let mut keeper = Keeper::default();
+    keeper.put(now, record(9, 0));
+    assert!(keeper.get(late, &"r".into()).is_none());
+    assert_eq!(
+        keeper.put(late, record(1, 0)),
+        None,
+        "fenced by an expired record"
+    );
+    keeper.expire(late);
+    assert_eq!(keeper.len(), 1);
+    keeper.expire(late + Duration::from_millis(1000));
+    assert!(keeper.is_empty());
+}
+
+#[test]
+fn record_that_was_cut_or_changed_is_refused() {
+    let whole = record(3, 4);
+    let bytes = whole.encode();
+    assert_eq!(KeeperRecord::decode(&bytes).unwrap(), whole);
+    for length in 0..bytes.len() {
+        assert!(
+            KeeperRecord::decode(&bytes[..length]).is_err(),
+            "cut at {length}"
+        );
+    }
+    let changed = KeeperRecord {
+        prefix: vec![TokenId(7)],
+        ..whole
+    };
+    let error = KeeperRecord::decode(&changed.encode());
+    assert!(matches!(error, Err(RecordError::Digest)));
+}
--- /dev/null
+++ b/crates/answer/tests/test_pace.rs
@@ -0,0 +1,74 @@
+//! The order and number of resumes after a mass loss.
+
+use std::time::Duration;
+
+use celerypond_answer::{Pace, PaceLimits};
+use celerypond_types::{TargetKey, VersionKey};
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+// A third of the engines is lost and hundreds of answers resume. No target may get more than its
+// share at once, the longest silent answer goes first, and new answers wait until none is left.
+#[test]
+fn resumes_go_first_few_at_a_time_and_longest_silent_first() {
+    for seed in 0..100 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let targets: Vec<TargetKey> = keys(3);
+        let version = keys::<VersionKey>(1)[0];
+        let base = Instant::now();
+        let mut pace = Pace::new(PaceLimits { target: 2 });
+        for _ in 0..50 {
+            pace.wait(
+                version,
+                base + Duration::from_millis(rng.random_range(0..100)),
+            );
+        }
+        let mut running = Vec::new();
+        let mut granted = 0;
+        while pace.waiting() > 0 {
+            assert!(!pace.admits(version), "seed {seed}");
+            let choose = |free: &dyn Fn(TargetKey) -> bool| {
+                targets.iter().copied().find(|target| free(*target))
+            };
+            match pace.grant(|_, free| choose(free)) {
+                Some(grant) => {
+                    running.push(grant.target);
+                    granted += 1;
+                }
+                None => {
+                    assert_eq!(running.len(), 6, "seed {seed}");
+                    pace.settle(running.swap_remove(rng.random_range(0..running.len())));
+                }
+            }
+            for target in &targets {
+                let count = running.iter().filter(|held| *held == target).count();
+                assert!(count <= 2, "seed {seed}");
+            }
+        }
+        assert_eq!(granted, 50);
+        assert!(pace.admits(version));
+    }
+}
+
+#[test]
+fn longest_silent_goes_first_and_versions_do_not_block_each_other() {
+    let target = keys::<TargetKey>(1)[0];
+    let versions: Vec<VersionKey> = keys(2);
+    let base = Instant::now();
+    let mut pace = Pace::new(PaceLimits::default());
+    let late = pace.wait(versions[1], base + Duration::from_millis(2));
+    let without_target = pace.wait(versions[0], base);
+    let early = pace.wait(versions[1], base + Duration::from_millis(1));
+    let mut grant = || pace.grant(|version, _| (version == versions[1]).then_some(target));
+    let order: Vec<_> = (0..3).map(|_| grant().map(|grant| grant.waiter)).collect();
+    assert_eq!(order, [Some(early), Some(late), None]);
+    assert!(!pace.admits(versions[0]) && pace.admits(versions[1]));
+    pace.leave(without_target);
+    assert_eq!(pace.waiting(), 0);
+}
+
+fn keys<K: slotmap::Key>(count: usize) -> Vec<K> {
+    let mut map = SlotMap::<K, ()>::with_key();
+    (0..count).map(|_| map.insert(())).collect()
+}
--- /dev/null
+++ b/crates/answer/tests/test_stall.rs
@@ -0,0 +1,34 @@
+//! The progress timeout.
+
+use std::time::Duration;
+
+use celerypond_answer::{Stall, StallLimits};
+use rstest::rstest;
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[rstest]
+#[case::not_observed(&[], ms(700))]
+#[case::too_few_gaps(&[(99, 10)], ms(700))]
+#[case::quick_target_gets_the_floor(&[(1000, 20)], ms(250))]
+#[case::slow_target_gets_three_times_its_longest_gaps(&[(1000, 50), (10, 150)], ms(450))]
+#[case::very_slow_target_gets_the_ceiling(&[(1000, 500)], ms(700))]
+#[case::old_gaps_are_forgotten(&[(1000, 500), (9000, 20)], ms(250))]
+fn timeout_follows_the_observed_gaps(#[case] gaps: &[(usize, u64)], #[case] expected: Duration) {
+    let mut stall = Stall::new(StallLimits::default());
+    for (count, gap) in gaps {
+        (0..*count).for_each(|_| stall.observe(ms(*gap)));
+    }
+    let found = stall.patience(0).gap;
+    let error = found.abs_diff(expected);
+    assert!(error <= expected / 50, "{found:?}");
+}
+
+#[test]
+fn first_token_is_allowed_the_time_to_read_the_prompt() {
+    let stall = Stall::new(StallLimits::default());
+    let more = stall.patience(5000).first - stall.patience(0).first;
+    assert_eq!(more, StallLimits::default().prefill * 5000);
+}
--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -246,11 +246,6 @@
         self
     }
 
-    /// Runs until the first caller has `tokens` tokens.
-    pub(crate) fn run_until(&mut self, tokens: usize) {
-        while self.callers[0].tokens.len() < tokens && self.turn() {}
-    }
-
     /// The first of a caller's tokens that no engine generated after exactly the ones before it, or
     /// that differs from the reference.
     pub(crate) fn fault(&self, caller: usize) -> Option<String> {
@@ -371,7 +366,7 @@
                 let stream = &start.stream;
                 let text = format!(
                     "start {} at {} prefix {}",
-                    stream.attempt,
+                    short(stream.attempt),
                     stream.target,
                     start.prefix.len()
                 );
@@ -380,7 +375,11 @@
                 self.after(WIRE, Act::Call(engine, Call::Start(drive, start)));
             }
             Effect::Resume { link, stream, from } => {
-                let text = format!("resume {} at {} from {from}", stream.attempt, stream.target);
+                let text = format!(
+                    "resume {} at {} from {from}",
+                    short(stream.attempt),
+                    stream.target
+                );
                 self.note(drive, text);
                 let call = Call::Read(drive, link, stream.attempt, from);
                 self.after(WIRE, Act::Call(index(&stream.target), call));
@@ -391,7 +390,7 @@
             Effect::Cancel(stream) => {
                 self.note(
                     drive,
-                    format!("cancel {} at {}", stream.attempt, stream.target),
+                    format!("cancel {} at {}", short(stream.attempt), stream.target),
                 );
                 let call = Call::Cancel(stream.attempt);
                 self.after(WIRE, Act::Call(index(&stream.target), call));
@@ -418,7 +417,11 @@
                 }
             }
             Effect::Fail(error) => {
-                self.note(drive, format!("fail: {error}"));
+                let text = match &error {
+                    Incomplete::Superseded { .. } => "fail: superseded".to_owned(),
+                    error => format!("fail: {error}"),
+                };
+                self.note(drive, text);
                 // The connection ends; a caller whose request was superseded connects anew.
                 let superseded = matches!(error, Incomplete::Superseded { .. });
                 let at = self.drives[drive].caller;
@@ -510,7 +513,9 @@
         let live: Vec<usize> = (0..self.routers.len())
             .filter(|at| self.runs(*at))
             .collect();
-        let Some(router) = live.choose(&mut self.rng).copied() else {
+        let first = self.drives.iter().all(|drive| drive.caller != caller);
+        let drawn = live.choose(&mut self.rng).copied();
+        let Some(router) = live.get(caller).copied().filter(|_| first).or(drawn) else {
             return self.after(RECONNECT, Act::Connect(caller));
         };
         let request = self.request(router);
@@ -589,6 +594,11 @@
     }
 }
 
+/// An attempt number without its driver's mark.
+fn short(attempt: Attempt) -> String {
+    format!("{}.{}", attempt.0 >> 24, attempt.0 & 0x3ff)
+}
+
 fn index(target: &TargetName) -> usize {
     index_of(target.as_str())
 }
@@ -747,10 +757,12 @@
             }
             Some(Damage::Cross) => send(Frame {
                 request: "another".into(),
+                token: TokenId(1),
                 ..frame
             }),
             Some(Damage::Version) => send(Frame {
                 version: "v2".into(),
+                token: TokenId(1),
                 ..frame
             }),
             Some(Damage::Token) if frame.position.0 < REPEATED => send(frame),
@@ -779,16 +791,17 @@
     }
 
     fn hang_up(&mut self, key: (usize, Link)) {
-        if let Some(reading) = self.links.remove(&key) {
-            if !reading.silent {
-                self.after(WIRE, Act::Input(key.0, Input::Closed(key.1)));
-            }
+        let reading = self.links.remove(&key);
+        if reading.is_some_and(|reading| !reading.silent) {
+            self.after(WIRE, Act::Input(key.0, Input::Closed(key.1)));
         }
     }
 
     fn inject(&mut self, fault: Fault) {
-        self.log
-            .push(format!("{:>5} {fault:?}", self.now.as_millis()));
+        self.log.push(
+            format!("{:>5} {fault:?}", self.now.as_millis())
+                .replace(&CURRENT.to_string(), "current"),
+        );
         let engine = |at| if at == CURRENT { self.writer() } else { at };
         let router = |at| if at == CURRENT { self.driver() } else { at };
         match fault {
@@ -809,7 +822,7 @@
             Fault::Load(at, version) => {
                 self.engines[at].loaded.insert(version);
             }
-            Fault::Unload(at) => self.engines[at].loaded.clear(),
+            Fault::Unload(at) => self.unload(at),
             Fault::KillRouter(at) => {
                 let at = router(at);
                 self.routers[at].dead = true;
@@ -839,6 +852,12 @@
         }
     }
 
+    fn unload(&mut self, at: usize) {
+        self.engines[at].loaded.clear();
+        self.engines[at].streams.clear();
+        self.hang_up_all(at);
+    }
+
     fn driver(&self) -> usize {
         let drive = self.callers[0].drive;
         drive.map_or(0, |drive| self.drives[drive].router)
@@ -853,6 +872,10 @@
 
     fn kill(&mut self, at: usize) {
         self.engines[at].dead = true;
+        self.hang_up_all(at);
+    }
+
+    fn hang_up_all(&mut self, at: usize) {
         let keys: Vec<_> = self
             .links
             .iter()
