--- a/crates/bundle/src/settings.rs
+++ b/crates/bundle/src/settings.rs
@@ -42,9 +42,6 @@
     /// The largest request body, in bytes.
     #[serde(default = "default_body_limit")]
     pub body_limit: usize,
-    /// How long callers may keep an answer of `GET /v1/entries`, in seconds.
-    #[serde(default = "default_entries_ttl")]
-    pub entries_ttl_s: u64,
     /// Where log lines go.
     #[serde(default)]
     pub log: LogSettings,
@@ -112,10 +109,6 @@
     4 << 20
 }
 
-fn default_entries_ttl() -> u64 {
-    5
-}
-
 impl Settings {
     /// Reads settings and checks them.
     ///
@@ -157,7 +150,6 @@
             faults.range("threads", threads as u64, 1, 1024);
         }
         faults.range("body_limit", self.body_limit as u64, 1024, 64 << 20);
-        faults.range("entries_ttl_s", self.entries_ttl_s, 1, 3600);
         faults.0
     }
 }
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -41,9 +41,12 @@
     /// Returns the record of a request.
     async fn kept(request: RequestKey) -> Option<Record>;
 
-    /// Returns the bundle of a revision, if the callee has it.
+    /// Returns the bundle in force at the callee, if its revision is at least `revision`.
     async fn bundle(revision: Revision) -> Option<Vec<u8>>;
 
+    /// Exchanges what is known of rollouts. Both messages are opaque here.
+    async fn rollouts(news: Vec<u8>) -> Vec<u8>;
+
     /// Passes a call with a key on to the instance that batches for its shard. Both messages are
     /// opaque here. A call that gets no answer may have run.
     async fn forward(call: Vec<u8>) -> Vec<u8>;
--- a/crates/fleet/tests/test_peer.rs
+++ b/crates/fleet/tests/test_peer.rs
@@ -29,6 +29,10 @@
         Some(vec![1; revision.0 as usize])
     }
 
+    async fn rollouts(self, _: Context, news: Vec<u8>) -> Vec<u8> {
+        news
+    }
+
     async fn forward(self, _: Context, call: Vec<u8>) -> Vec<u8> {
         call
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -37,3 +37,4 @@
 pub use rollout::{rollout_key, MoveRecord, Phase, Rollout, View};
 pub use splitter::{Splitter, WHOLE_PPM};
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
+pub use tally::{Failure, Tally};
--- a/daemon/src/force.rs
+++ b/daemon/src/force.rs
@@ -3,15 +3,14 @@
 use std::{collections::HashMap, sync::Arc};
 
 use celerypond_bundle::{Account, Bundle, Model, Service};
+use celerypond_rollout::Headline;
 use celerypond_types::{Digest, ModelName, Revision, ServiceName};
 
 /// The bundle in force, immutable.
 #[derive(Clone, Debug)]
 pub struct Force {
-    /// Its revision.
-    pub revision: Revision,
-    /// Its digest.
-    pub digest: Digest,
+    /// Its revision, digest and what it changed.
+    pub headline: Headline,
     /// Its content.
     pub bundle: Arc<Bundle>,
     accounts: HashMap<Digest, usize>,
@@ -21,13 +20,12 @@
 
 impl Force {
     /// Indexes a bundle.
-    pub fn new(revision: Revision, bundle: Arc<Bundle>) -> Self {
+    pub fn new(headline: Headline, bundle: Arc<Bundle>) -> Self {
         let accounts = bundle.accounts.iter().enumerate();
         let models = bundle.models.iter().enumerate();
         let services = bundle.services.iter().enumerate();
         Self {
-            revision,
-            digest: bundle.digest(),
+            headline,
             accounts: accounts.map(|(index, it)| (it.key_digest, index)).collect(),
             models: models.map(|(index, it)| (it.name.clone(), index)).collect(),
             services: services
@@ -37,6 +35,11 @@
         }
     }
 
+    /// Returns the revision.
+    pub const fn revision(&self) -> Revision {
+        self.headline.revision
+    }
+
     /// Finds the account whose callers send the key with this digest.
     pub fn account(&self, key_digest: &Digest) -> Option<&Account> {
         let index = self.accounts.get(key_digest)?;
--- a/daemon/src/front.rs
+++ b/daemon/src/front.rs
@@ -1,6 +1,8 @@
 //! What callers and operators reach over HTTP.
 
-use std::{convert::Infallible, future::Future, panic::AssertUnwindSafe, sync::Arc};
+use std::{
+    convert::Infallible, future::Future, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
+};
 
 use gotham::{
     handler::HandlerResult,
@@ -43,6 +45,8 @@
     pub method: Method,
     /// The address within this instance.
     pub uri: Uri,
+    /// Where the caller is.
+    pub caller: Option<SocketAddr>,
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
@@ -123,6 +127,7 @@
     let call = Call {
         method: Method::borrow_from(&state).clone(),
         uri: Uri::borrow_from(&state).clone(),
+        caller: client_addr(&state),
         headers: HeaderMap::take_from(&mut state),
         body: Body::take_from(&mut state),
     };
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -31,6 +31,7 @@
         Call, Reply,
     },
     generation::{Drive, Piece, PIECES},
+    keeping,
     link::Ask,
     node::Node,
 };
@@ -137,6 +138,7 @@
         model,
         completion,
         key,
+        is_named: call.headers.contains_key(headers::KEY),
         headers: &call.headers,
     };
     let received = asked.spawn(node).await?;
@@ -170,6 +172,8 @@
     model: &'a Model,
     completion: Completion,
     key: RequestKey,
+    /// Whether the caller gave the key, so that another instance may know the request.
+    is_named: bool,
     headers: &'a HeaderMap,
 }
 
@@ -185,7 +189,12 @@
         let seal = request.seal(&node.seal_key);
         let token = self.token(&seal)?;
         let driver = Driver::draw(&mut rng);
-        let plan = TakeOver::plan(driver, token.as_ref(), None, &self.completion.prefix)
+        let record = match self.is_named {
+            true => keeping::find(node, &request.key).await,
+            false => None,
+        };
+        let prefix = &self.completion.prefix;
+        let plan = TakeOver::plan(driver, token.as_ref(), record.as_ref(), prefix)
             .map_err(|error| Problem::new(Kind::BadRequest, error))?;
         let limits = GenerationLimits::default();
         let mut effects = Vec::new();
@@ -238,12 +247,13 @@
             .meter
             .admit(tokens, now_ms)
             .map_err(|after| Problem::not_run(NotRunReason::AccountLimit, after))?;
-        let version = self.model.base.clone();
+        let version = node.rollouts.choose(self.model);
         let Some(route) = view.version(&self.model.name, &version).map(Route::Version) else {
             return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
         };
         let prefixes = prefixes(&self.completion.prompt);
-        let excluded = node.suspects.with(Vec::new(), Instant::now());
+        let held_back = node.rollouts.excluded(node, self.model, &version);
+        let excluded = node.suspects.with(held_back, Instant::now());
         let ask = celerypond_route::Ask {
             prefixes: &prefixes,
             adapter: self.adapter_hash(),
--- a/daemon/src/front/entries.rs
+++ b/daemon/src/front/entries.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use celerypond_fleet::MemberState;
 use celerypond_platform::Presence;
+use celerypond_route::{entries, hash, Entry, ENTRIES_TTL};
 use gotham::hyper::StatusCode;
 use serde::Serialize;
 
@@ -12,34 +14,60 @@
 };
 
 #[derive(Serialize)]
-struct Entries {
-    entries: Vec<Entry>,
+struct Answer {
+    entries: Vec<Address>,
     ttl_s: u64,
 }
 
 #[derive(Serialize)]
-struct Entry {
+struct Address {
     address: SocketAddr,
     data_centre: String,
 }
 
-/// Lists addresses, nearest data centre first, without stopping instances.
-pub async fn list(node: Arc<Node>, _call: Call) -> Reply {
-    let list = node.list.load();
-    let own = &node.settings.data_centre;
-    let mut entries: Vec<Entry> = list
-        .instances
-        .iter()
-        .filter(|instance| instance.state == Presence::Live)
-        .map(|instance| Entry {
-            address: instance.address,
-            data_centre: instance.data_centre.to_string(),
-        })
-        .collect();
-    entries.sort_by_key(|entry| entry.data_centre != own.as_str());
-    let answer = Entries {
-        entries,
-        ttl_s: node.settings.entries_ttl_s,
+/// Lists addresses, nearest data centre first, without instances that stop or do not answer.
+pub async fn list(node: Arc<Node>, call: Call) -> Reply {
+    let all = known(&node);
+    let near = [node.settings.data_centre.clone()];
+    let caller = call
+        .caller
+        .map_or(0, |caller| hash(caller.ip().to_string().as_bytes()));
+    let chosen = entries(&all, &near, caller);
+    let answer = Answer {
+        entries: chosen.into_iter().map(address).collect(),
+        ttl_s: ENTRIES_TTL.as_secs(),
     };
     problem::json(StatusCode::OK, &answer)
 }
+
+/// Returns the listed instances; gossip knows sooner than the list which of them leave.
+fn known(node: &Node) -> Vec<Entry> {
+    let list = node.list.load();
+    let gossip = node.gossip();
+    let is_gone = |name| {
+        let state = gossip.roster().named(name).map(|member| member.state());
+        state.is_some_and(|state| state != MemberState::Live)
+    };
+    let instances = list.instances.iter();
+    instances
+        .map(|instance| {
+            let is_own = instance.name == node.settings.instance;
+            let own_leaving = is_own && node.leaving.is_cancelled();
+            Entry {
+                name: instance.name.clone(),
+                address: instance.address,
+                data_centre: instance.data_centre.clone(),
+                leaving: instance.state == Presence::Leaving
+                    || own_leaving
+                    || !is_own && is_gone(&instance.name),
+            }
+        })
+        .collect()
+}
+
+fn address(entry: &Entry) -> Address {
+    Address {
+        address: entry.address,
+        data_centre: entry.data_centre.to_string(),
+    }
+}
--- a/daemon/src/front/health.rs
+++ b/daemon/src/front/health.rs
@@ -49,6 +49,6 @@
     };
     State {
         state,
-        revision: force.as_ref().map_or(0, |force| force.revision.0),
+        revision: force.as_ref().map_or(0, |force| force.revision().0),
     }
 }
--- a/daemon/src/front/operator.rs
+++ b/daemon/src/front/operator.rs
@@ -4,8 +4,8 @@
 
 use celerypond_bundle::Bundle;
 use celerypond_rollout::{
-    bundle_key, parse, Audit, Current, Desk, DeskError, Done, Request, Signature, Step, StoreCall,
-    StoreReply, Submission, AUDIT_PREFIX,
+    bundle_key, parse, Audit, Current, Desk, DeskError, Done, Request, Signature, Spread, Step,
+    StoreCall, StoreReply, Submission, AUDIT_PREFIX,
 };
 use celerypond_types::{Digest, Revision};
 use gotham::hyper::StatusCode;
@@ -18,6 +18,7 @@
         Call, Reply,
     },
     node::{self, Node},
+    rollouts::RolloutStatus,
     store, watch,
 };
 
@@ -51,6 +52,9 @@
     revision: u64,
     digest: Option<Digest>,
     title: Option<String>,
+    in_force: Spread,
+    rollout: Option<RolloutStatus>,
+    rollouts: Vec<RolloutStatus>,
 }
 
 #[derive(Serialize)]
@@ -99,11 +103,19 @@
     }
     let force = node.force.load();
     let force = force.as_ref();
+    let (in_force, rollouts) = node.rollouts.status(&node);
     let status = Status {
         instance: node.settings.instance.to_string(),
-        revision: force.map_or(0, |force| force.revision.0),
-        digest: force.map(|force| force.digest),
+        revision: force.map_or(0, |force| force.revision().0),
+        digest: force.map(|force| force.headline.digest),
         title: force.map(|force| force.bundle.title.to_string()),
+        in_force,
+        // The one that is furthest from its end stands for all.
+        rollout: rollouts
+            .iter()
+            .min_by_key(|rollout| rollout.ending.is_some())
+            .cloned(),
+        rollouts,
     };
     problem::json(StatusCode::OK, &status)
 }
@@ -190,7 +202,7 @@
     }
 }
 
-async fn reply(node: &Node, done: Done) -> Reply {
+async fn reply(node: &Arc<Node>, done: Done) -> Reply {
     match done {
         Done::Submitted(digest, signature) => {
             let operator = signature.operator.to_string();
@@ -199,7 +211,7 @@
         Done::Approved(approval) => problem::json(StatusCode::OK, &approval),
         Done::Rolled(current) => {
             // The roll is accepted whether or not this instance can read it back now.
-            watch::bring_current(node).await;
+            watch::ask_store(node).await;
             problem::json(StatusCode::OK, &current)
         }
         Done::Outrun { winner } => {
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -7,9 +7,10 @@
     Start, Stream,
 };
 use celerypond_platform::Presence;
+use celerypond_rollout::{Failure, Trial};
 use celerypond_route::{InFlight, Route, Target};
 use celerypond_telemetry::Counter;
-use celerypond_types::{TargetKey, TargetName, VersionKey, VersionName};
+use celerypond_types::{RequestKey, TargetKey, TargetName, VersionKey, VersionName};
 use rand::rngs::SmallRng;
 use tokio::{
     sync::mpsc,
@@ -19,9 +20,10 @@
 
 use crate::{
     admission::Permit,
-    engine,
+    engine, keeping,
     link::{self, Ask},
-    node::Node,
+    node::{self, Node},
+    rollouts::{self, OpenAnswer},
     target_watch::TargetEvent,
 };
 
@@ -29,6 +31,8 @@
 const INPUTS: usize = 256;
 /// How many pieces may wait for a caller who reads slowly.
 pub const PIECES: usize = 256;
+/// How many tokens count as one trial of a version.
+const CHUNK: u32 = 32;
 /// How long the cancellation of a stream is tried again; an engine may be paused that long.
 const CANCEL: Duration = Duration::from_secs(30);
 const CANCEL_PAUSE: Duration = Duration::from_millis(500);
@@ -59,6 +63,9 @@
     permit: Option<Permit>,
     /// The target of the attempt under way, until its first token.
     trying: Option<Trying>,
+    /// The chunk of tokens under way, as evidence of the version.
+    chunk: Option<Chunk>,
+    open: Option<OpenAnswer>,
     last_token: Instant,
     /// Whether a place among the resumes was asked for and did not come yet.
     resuming: bool,
@@ -90,6 +97,15 @@
     }
 }
 
+/// Some tokens in a row from one connection, which together count as one trial of the version.
+struct Chunk {
+    link: Link,
+    trial: Trial,
+    began: Instant,
+    /// The tokens so far; the first token of an attempt is a chunk of its own.
+    tokens: Option<u32>,
+}
+
 impl Drive {
     /// Prepares to drive an answer whose pieces go to `pieces`.
     pub fn new(
@@ -111,6 +127,8 @@
             version,
             permit,
             trying: None,
+            chunk: None,
+            open: None,
             last_token: Instant::now(),
             resuming: false,
             granted: None,
@@ -121,6 +139,8 @@
 
     /// Drives the answer to its end.
     pub async fn run(mut self, mut answer: Generation, mut effects: Vec<Effect>) {
+        let request = self.ask.request.clone();
+        let _entered = keeping::enter(&self.node, request, self.inputs.clone());
         loop {
             while !effects.is_empty() {
                 let mut next = Vec::new();
@@ -169,10 +189,16 @@
                 let task = link::resume(request, address, link, stream, from, stall, inputs);
                 self.open(link, target, task, None);
             }
-            Effect::Close(link) => drop(self.links.remove(&link)),
+            Effect::Close(link) => {
+                // A connection that is closed before its answer is whole was given up as silent.
+                self.end_chunk(link, Failure::Stalled);
+                self.links.remove(&link);
+            }
             Effect::Cancel(stream) => self.cancel(stream),
-            Effect::Review(_) => return Some(Input::Reviewed(None)),
-            Effect::Keep(_) | Effect::Forget(..) | Effect::Tell(..) => {}
+            Effect::Review(request) => self.review(request),
+            Effect::Keep(record) => keeping::keep(&self.node, &record, &self.inputs),
+            Effect::Forget(request, attempt) => keeping::forget(&self.node, &request, attempt),
+            Effect::Tell(instance, record) => keeping::tell(&self.node, &instance, &record),
             Effect::Emit(emit) => {
                 self.node.metrics.add(Counter::Tokens, 1);
                 return self.send(Piece::Token(emit)).await;
@@ -200,6 +226,7 @@
         match input {
             Input::Event(link, Event::Frame(_)) => {
                 self.last_token = now;
+                self.count_token(*link, now);
                 if let Some(trying) = self.take_trying(*link) {
                     let latency_ms = (now - trying.began).as_secs_f64() * 1e3;
                     self.node.tell(TargetEvent::Succeeded {
@@ -214,9 +241,20 @@
                     self.node.suspects.add(open.target, now);
                 }
                 self.failed(*link);
+                self.end_chunk(*link, Failure::Cut);
+            }
+            Input::Malformed(link) => {
+                self.failed(*link);
+                self.end_chunk(*link, Failure::Wrong);
+            }
+            Input::Refused(link, Refusal::Failed) => {
+                self.failed(*link);
+                self.end_chunk(*link, Failure::Error);
+            }
+            Input::Refused(link, _) => {
+                self.take_trying(*link);
+                self.end_chunk(*link, Failure::Refused);
             }
-            Input::Refused(link, Refusal::Failed) | Input::Malformed(link) => self.failed(*link),
-            Input::Refused(link, _) => drop(self.take_trying(*link)),
             Input::Chosen(chosen) if std::mem::take(&mut self.resuming) => {
                 self.granted = self.find(&chosen.target).map(|(target, _)| target);
             }
@@ -233,6 +271,44 @@
         }
     }
 
+    /// Counts a token into the evidence of its version.
+    fn count_token(&mut self, link: Link, now: Instant) {
+        let Some(chunk) = self.chunk.as_mut().filter(|chunk| chunk.link == link) else {
+            return;
+        };
+        let took_us = (now - chunk.began).as_micros() as u64;
+        match chunk.tokens {
+            None => self
+                .node
+                .rollouts
+                .note(|agent| agent.first(&chunk.trial, took_us)),
+            Some(tokens) if tokens + 1 < CHUNK => {
+                chunk.tokens = Some(tokens + 1);
+                return;
+            }
+            Some(_) => {
+                let per_token = took_us / u64::from(CHUNK);
+                self.node
+                    .rollouts
+                    .note(|agent| agent.later(&chunk.trial, per_token));
+            }
+        }
+        chunk.began = now;
+        chunk.tokens = Some(0);
+        chunk.trial.begun_ms = node::wall_ms();
+        self.node.rollouts.note(|agent| agent.sent(&chunk.trial));
+    }
+
+    /// Ends the chunk under way as failed, if it came over this connection.
+    fn end_chunk(&mut self, link: Link, failure: Failure) {
+        if let Some(chunk) = self.chunk.take_if(|chunk| chunk.link == link) {
+            let now_ms = node::wall_ms();
+            self.node
+                .rollouts
+                .note(|agent| agent.failed(&chunk.trial, failure, now_ms));
+        }
+    }
+
     /// Ends the wait for the first token of a connection's attempt.
     fn take_trying(&mut self, link: Link) -> Option<Trying> {
         let trying = self.trying.take_if(|trying| trying.link == link)?;
@@ -384,6 +460,7 @@
             began: Instant::now(),
             resumed,
         });
+        self.begin_chunk(link, &start);
         let stall = self.node.stalls.of(&start.stream.target);
         let inputs = self.inputs.clone();
         let task = link::start(Arc::clone(&self.ask), found.address, start, stall, inputs);
@@ -391,6 +468,22 @@
         None
     }
 
+    fn begin_chunk(&mut self, link: Link, start: &Start) {
+        let route = rollouts::route(self.ask.adapter.as_ref());
+        let model = &self.ask.model;
+        let trial = rollouts::trial(model, &start.version, &route, &start.stream.target);
+        self.node.rollouts.note(|agent| agent.sent(&trial));
+        if self.open.is_none() {
+            self.open = Some(self.node.rollouts.open(&self.node, model, &start.version));
+        }
+        self.chunk = Some(Chunk {
+            link,
+            trial,
+            began: Instant::now(),
+            tokens: None,
+        });
+    }
+
     fn open(
         &mut self,
         link: Link,
@@ -407,6 +500,16 @@
         self.links.insert(link, open);
     }
 
+    fn review(&self, request: RequestKey) {
+        let node = Arc::clone(&self.node);
+        let inputs = self.inputs.clone();
+        self.node.work.spawn(async move {
+            let record = keeping::find(&node, &request).await;
+            // An answer that is over needs no review.
+            let _ = inputs.send(Input::Reviewed(record)).await;
+        });
+    }
+
     fn cancel(&self, stream: Stream) {
         let Some((_, address)) = self.find(&stream.target) else {
             return;
--- /dev/null
+++ b/daemon/src/gossip.rs
@@ -0,0 +1,172 @@
+//! Carries the gossip between instances, and what follows from it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use celerypond_fleet::{Candidate, EntryKind, Event, Listed, MemberState, Outgoing};
+use celerypond_platform::Presence;
+use celerypond_telemetry::{Counter, Gauge};
+use celerypond_types::{DataCentre, InstanceName, RequestKey};
+use tokio::time::{self, Instant};
+
+use crate::node::Node;
+
+/// How many instances keep the record of a request.
+const KEEPERS: usize = 2;
+
+/// Takes the turns of gossip until the instance ends.
+pub async fn run(node: Arc<Node>) {
+    let mut round = time::interval(celerypond_fleet::Settings::default().round);
+    loop {
+        tokio::select! {
+            () = node.ending.cancelled() => return,
+            _ = round.tick() => {}
+        }
+        let list = listed(&node);
+        let sends = {
+            let mut gossip = node.gossip();
+            gossip.list(&list, Instant::now());
+            gossip.tick(Instant::now())
+        };
+        deliver(&node, sends);
+        after(&node);
+    }
+}
+
+/// Says to all instances that this one takes no new work.
+pub fn leave(node: &Arc<Node>) {
+    node.gossip().leave();
+    after(node);
+}
+
+/// Sets an entry of this instance, which spreads to the others.
+pub fn set(node: &Arc<Node>, kind: EntryKind, key: &str, value: Vec<u8>) {
+    if let Err(error) = node.gossip().set(kind, key, value.into()) {
+        log::warn!("an entry of kind {kind:?} cannot be spread: {error}");
+    }
+    after(node);
+}
+
+/// Acts on what changed, and pushes what can't wait for the next round.
+pub fn after(node: &Arc<Node>) {
+    let (events, sends) = {
+        let mut gossip = node.gossip();
+        (gossip.events(), gossip.pushes(Instant::now()))
+    };
+    deliver(node, sends);
+    for event in events {
+        act(node, event);
+    }
+}
+
+fn act(node: &Arc<Node>, event: Event) {
+    match event {
+        Event::Revision(_) => node.look.notify_one(),
+        Event::Brake(brake) => node.rollouts.braked(node, &brake),
+        Event::Changed(EntryKind::Acting) => node.rollouts.hear_acting(node),
+        Event::Changed(_) => {}
+        Event::Joined(name) => log::info!("instance {name} is known"),
+        Event::Suspected(name) => {
+            node.metrics.add(Counter::Suspicions, 1);
+            log::warn!("instance {name} does not answer");
+        }
+        Event::Returned(name) => log::info!("instance {name} answers again"),
+        Event::Forgotten(name) => log::info!("instance {name} is forgotten"),
+        Event::Renumbered => log::info!("this run took a later ordinal"),
+    }
+}
+
+fn deliver(node: &Arc<Node>, sends: Vec<Outgoing>) {
+    for outgoing in sends {
+        node.work.spawn(send(Arc::clone(node), outgoing));
+    }
+}
+
+async fn send(node: Arc<Node>, outgoing: Outgoing) {
+    let Ok(to) = outgoing.to.parse::<SocketAddr>() else {
+        return node.gossip().failed(outgoing.member, Instant::now());
+    };
+    let mut next = Some(outgoing.message);
+    while let Some(message) = next.take() {
+        node.metrics.add(Counter::GossipSent, 1);
+        node.metrics
+            .add(Counter::GossipBytes, message.bytes() as u64);
+        match node.peers.exchange(to, message).await {
+            Ok(answer) => {
+                next = node
+                    .gossip()
+                    .answered(outgoing.member, answer, Instant::now());
+            }
+            Err(_) => {
+                node.metrics.add(Counter::GossipFailures, 1);
+                node.gossip().failed(outgoing.member, Instant::now());
+            }
+        }
+    }
+    after(&node);
+}
+
+fn listed(node: &Node) -> Vec<Listed> {
+    let list = node.list.load();
+    let instances = list.instances.iter();
+    instances
+        .map(|instance| Listed {
+            name: instance.name.clone(),
+            address: smol_str::format_smolstr!("{}", instance.peer_address),
+            data_centre: instance.data_centre.clone(),
+            leaving: instance.state == Presence::Leaving,
+        })
+        .collect()
+}
+
+/// An instance that answers, as the request path sees it.
+#[derive(Clone, Debug)]
+pub struct Near {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where peers reach it; `None` for this instance.
+    pub address: Option<SocketAddr>,
+}
+
+/// Returns the instances that are worth work, this one among them unless it is leaving.
+pub fn live(node: &Node) -> Vec<Near> {
+    let gossip = node.gossip();
+    let members = gossip.roster().of_state(MemberState::Live);
+    let others = members.filter_map(|member| {
+        Some(Near {
+            name: member.name.clone(),
+            data_centre: member.data_centre.clone(),
+            address: Some(member.address.parse().ok()?),
+        })
+    });
+    let own = Near {
+        name: node.settings.instance.clone(),
+        data_centre: node.settings.data_centre.clone(),
+        address: None,
+    };
+    let own = (!node.leaving.is_cancelled()).then_some(own);
+    let all: Vec<Near> = own.into_iter().chain(others).collect();
+    node.metrics.set(Gauge::LiveInstances, all.len() as u64);
+    all
+}
+
+/// Returns the instances that keep the record of a request, this one left out.
+pub fn keepers(node: &Node, request: &RequestKey) -> Vec<SocketAddr> {
+    let all = live(node);
+    let candidates: Vec<Candidate<'_>> = all
+        .iter()
+        .map(|near| Candidate {
+            name: &near.name,
+            data_centre: &near.data_centre,
+        })
+        .collect();
+    // One more than needed: the driver itself may be among them, and its own copy dies with it.
+    let chosen = celerypond_fleet::choose(request.as_str().as_bytes(), &candidates, KEEPERS + 1);
+    let address = |name: &InstanceName| all.iter().find(|near| near.name == *name)?.address;
+    chosen
+        .iter()
+        .filter_map(|candidate| address(candidate.name))
+        .take(KEEPERS)
+        .collect()
+}
--- /dev/null
+++ b/daemon/src/keeping.rs
@@ -0,0 +1,131 @@
+//! Keeper records: what lets another instance go on with an answer.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use celerypond_answer::{Input, KeeperRecord};
+use celerypond_fleet::{KeepersError, Progress, Record};
+use celerypond_types::{Attempt, InstanceName, RequestKey};
+use tokio::sync::mpsc;
+
+use crate::{gossip, node::Node};
+
+/// The longest time that a record is kept, in milliseconds.
+const LONGEST_MS: u32 = 60 * 60 * 1000;
+
+/// Puts a record at the keepers of its request, and fences this driver if they hold a higher one.
+pub fn keep(node: &Arc<Node>, record: &KeeperRecord, inputs: &mpsc::Sender<Input>) {
+    for keeper in gossip::keepers(node, &record.key) {
+        let node = Arc::clone(node);
+        let record = record.clone();
+        let inputs = inputs.clone();
+        let work = node.work.clone();
+        work.spawn(async move {
+            let sent = node.peers.keep(keeper, wire(&record)).await;
+            if matches!(sent, Ok(Err(KeepersError::Late)))
+                && let Some(higher) = ask(&node, keeper, &record.key).await
+                && higher.attempt() > record.attempt()
+            {
+                // An answer that is over needs no fence.
+                let _ = inputs.send(Input::Fenced(higher)).await;
+            }
+        });
+    }
+}
+
+/// Removes a record from the keepers, unless it is of a later driver.
+pub fn forget(node: &Arc<Node>, request: &RequestKey, attempt: Attempt) {
+    for keeper in gossip::keepers(node, request) {
+        let node = Arc::clone(node);
+        let request = request.clone();
+        let work = node.work.clone();
+        work.spawn(async move {
+            let held = ask(&node, keeper, &request).await;
+            if held.is_some_and(|held| held.attempt() <= attempt) {
+                // A record that stays expires.
+                let _ = node.peers.forget(keeper, request).await;
+            }
+        });
+    }
+}
+
+/// Tells the instance that drove a request before that another one drives it now.
+pub fn tell(node: &Arc<Node>, instance: &InstanceName, record: &KeeperRecord) {
+    let all = gossip::live(node);
+    let address = all.iter().find(|near| near.name == *instance);
+    let Some(address) = address.and_then(|near| near.address) else {
+        return;
+    };
+    let node = Arc::clone(node);
+    let record = wire(record);
+    let work = node.work.clone();
+    work.spawn(async move {
+        // An instance that can't be told meets the higher record at the keepers.
+        let _ = node.peers.keep(address, record).await;
+    });
+}
+
+/// Asks the keepers of a request for its record and returns the highest.
+pub async fn find(node: &Node, request: &RequestKey) -> Option<KeeperRecord> {
+    let keepers = gossip::keepers(node, request);
+    let asks = keepers.into_iter().map(|keeper| ask(node, keeper, request));
+    let found = futures::future::join_all(asks).await;
+    found.into_iter().flatten().reduce(KeeperRecord::merge)
+}
+
+/// Passes a record of another driver on to this instance's driver of the same request.
+pub fn tell_driver(node: &Node, record: &Record) {
+    let Some(driver) = node.drivers().get(&record.request).cloned() else {
+        return;
+    };
+    if let Ok(record) = KeeperRecord::decode(&record.bytes)
+        && record.instance != node.settings.instance
+    {
+        // A driver that can't take it now meets the higher record at the keepers.
+        let _ = driver.try_send(Input::Fenced(record));
+    }
+}
+
+async fn ask(node: &Node, keeper: SocketAddr, request: &RequestKey) -> Option<KeeperRecord> {
+    let record = node.peers.kept(keeper, request.clone()).await.ok()??;
+    KeeperRecord::decode(&record.bytes).ok()
+}
+
+fn wire(record: &KeeperRecord) -> Record {
+    Record {
+        request: record.key.clone(),
+        progress: Progress {
+            attempt: record.attempt(),
+            position: record.position(),
+        },
+        keep_ms: record.remaining.min(LONGEST_MS),
+        bytes: record.encode().into(),
+    }
+}
+
+/// Returns a driver's place in the table of drivers, given back when dropped.
+pub fn enter(node: &Arc<Node>, request: RequestKey, inputs: mpsc::Sender<Input>) -> Entered {
+    node.drivers().insert(request.clone(), inputs.clone());
+    Entered {
+        node: Arc::clone(node),
+        request,
+        inputs,
+    }
+}
+
+/// A driver's place in the table of drivers.
+pub struct Entered {
+    node: Arc<Node>,
+    request: RequestKey,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        let mut drivers = self.node.drivers();
+        let own = drivers.get(&self.request);
+        // A later driver of the same request may stand there by now.
+        if own.is_some_and(|own| own.same_channel(&self.inputs)) {
+            drivers.remove(&self.request);
+        }
+    }
+}
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -1,21 +1,26 @@
 //! What all tasks of an instance share.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering::Relaxed},
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use celerypond_answer::SealKey;
+use celerypond_answer::{Input, SealKey};
 use celerypond_bundle::Settings;
+use celerypond_fleet::{Gossip, Identity, Incarnation, Keepers};
 use celerypond_platform::{Client, InstanceList, Rates};
+use celerypond_rollout::InForce;
 use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
+use celerypond_types::RequestKey;
 use rand::{rngs::SmallRng, SeedableRng};
+use smol_str::format_smolstr;
 use tokio::{
     sync::{mpsc, Notify},
     time::Instant,
@@ -23,8 +28,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, stalls::Stalls,
-    suspects::Suspects, target_watch::TargetEvent,
+    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, peers::Peers,
+    rollouts::Rollouts, stalls::Stalls, suspects::Suspects, target_watch::TargetEvent,
 };
 
 /// The platform's rates for all instances together, of which each uses its share.
@@ -35,6 +40,8 @@
 };
 const PLATFORM_CONNECT: Duration = Duration::from_millis(500);
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// The memory for records that are kept for others, in bytes.
+const KEEPER_BYTES: usize = 32 << 20;
 /// How many instances share the platform's rates until the list of instances is known.
 const FIRST_COUNT: usize = 7;
 
@@ -76,8 +83,17 @@
     pub backoff: Backoff,
     /// The key of the seals of resume tokens.
     pub seal_key: SealKey,
+    /// Connections to other instances.
+    pub peers: Peers,
+    /// This instance's side in rollouts.
+    pub rollouts: Rollouts,
     /// Wakes the task that brings bundles into force.
     pub look: Notify,
+    gossip: Mutex<Gossip>,
+    in_force: Mutex<InForce>,
+    keepers: Mutex<Keepers>,
+    drivers: Mutex<HashMap<RequestKey, mpsc::Sender<Input>>>,
+    listed: Mutex<Option<Instant>>,
     seed: Mutex<SmallRng>,
     nonce: AtomicU64,
 }
@@ -99,6 +115,9 @@
         let mut rng = SmallRng::from_os_rng();
         let nonce = AtomicU64::new(rand::Rng::random(&mut rng));
         let seal_key = SealKey::new(*settings.fleet_key.as_bytes());
+        let incarnation = wall_ms();
+        let rollouts = Rollouts::new(settings.instance.clone(), incarnation);
+        let gossip = new_gossip(&settings, incarnation, &mut rng, now);
         Arc::new(Self {
             settings,
             metrics,
@@ -118,7 +137,14 @@
             retries: RetryBudget::overall(),
             backoff: Backoff::default(),
             seal_key,
+            peers: Peers::default(),
+            rollouts,
             look: Notify::new(),
+            gossip: Mutex::new(gossip),
+            in_force: Mutex::default(),
+            keepers: Mutex::new(Keepers::new(KEEPER_BYTES)),
+            drivers: Mutex::default(),
+            listed: Mutex::default(),
             seed: Mutex::new(rng),
             nonce,
         })
@@ -131,20 +157,20 @@
     pub fn bring(&self, force: Force) -> bool {
         let force = Arc::new(force);
         let last = self.force.rcu(|held| match held {
-            Some(held) if held.revision >= force.revision => Some(Arc::clone(held)),
+            Some(held) if held.revision() >= force.revision() => Some(Arc::clone(held)),
             _ => Some(Arc::clone(&force)),
         });
-        if last.is_some_and(|last| last.revision >= force.revision) {
+        if last.is_some_and(|last| last.revision() >= force.revision()) {
             return false;
         }
         self.view
             .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
         self.metrics.add(Counter::Bundles, 1);
-        self.metrics.set(Gauge::Revision, force.revision.0);
+        self.metrics.set(Gauge::Revision, force.revision().0);
         log::info!(
             "revision {} is in force, bundle {}",
-            force.revision,
-            force.digest.short()
+            force.revision(),
+            force.headline.digest.short()
         );
         true
     }
@@ -165,10 +191,41 @@
         self.platform.set_rates(PLATFORM_RATES.share(count));
     }
 
+    /// Returns the gossip; hold it for a moment only.
+    pub fn gossip(&self) -> MutexGuard<'_, Gossip> {
+        lock(&self.gossip)
+    }
+
+    /// Returns the bundles that are heard of; hold it for a moment only.
+    pub fn in_force(&self) -> MutexGuard<'_, InForce> {
+        lock(&self.in_force)
+    }
+
+    /// Returns the records that are kept for others; hold it for a moment only.
+    pub fn keepers(&self) -> MutexGuard<'_, Keepers> {
+        lock(&self.keepers)
+    }
+
+    /// Returns the drivers of answers by request; hold it for a moment only.
+    pub fn drivers(&self) -> MutexGuard<'_, HashMap<RequestKey, mpsc::Sender<Input>>> {
+        lock(&self.drivers)
+    }
+
+    /// Takes the platform's list of instances.
+    pub fn take_list(&self, list: InstanceList) {
+        self.share_rates(list.instances.len());
+        self.list.store(Arc::new(list));
+        *lock(&self.listed) = Some(Instant::now());
+    }
+
+    /// Returns when the list of instances was last read.
+    pub fn listed_at(&self) -> Option<Instant> {
+        *lock(&self.listed)
+    }
+
     /// Returns a new generator of random numbers.
     pub fn rng(&self) -> SmallRng {
-        let mut seed = self.seed.lock().unwrap_or_else(PoisonError::into_inner);
-        SmallRng::from_rng(&mut *seed)
+        SmallRng::from_rng(&mut *lock(&self.seed))
     }
 
     /// Returns a number that no other try has.
@@ -187,3 +244,23 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
+
+fn new_gossip(settings: &Settings, incarnation: u64, rng: &mut SmallRng, now: Instant) -> Gossip {
+    let identity = Identity {
+        name: settings.instance.clone(),
+        incarnation: Incarnation(incarnation),
+        address: format_smolstr!("{}", settings.peer_address),
+        data_centre: settings.data_centre.clone(),
+    };
+    let seeds = settings.seeds.iter();
+    let settings = celerypond_fleet::Settings {
+        seeds: seeds.map(|address| format_smolstr!("{address}")).collect(),
+        ..celerypond_fleet::Settings::default()
+    };
+    Gossip::new(identity, settings, SmallRng::from_rng(rng), now)
+}
+
+/// Locks a mutex whose holders leave it whole even when they panic.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/daemon/src/peer_server.rs
@@ -0,0 +1,89 @@
+//! Answers the calls of other instances.
+
+use std::sync::Arc;
+
+use celerypond_fleet::{accept, KeepersError, Message, Peer, Record};
+use celerypond_telemetry::{Counter, Gauge};
+use celerypond_types::{RequestKey, Revision};
+use futures::FutureExt;
+use tarpc::context::Context;
+use tokio::{net::TcpListener, task::JoinSet, time::Instant};
+
+use crate::{gossip, keeping, node::Node, watch::Told};
+
+/// Answers the calls of other instances.
+#[derive(Clone)]
+struct Server(Arc<Node>);
+
+/// Serves peers on a listener until the instance ends.
+pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = node.ending.cancelled() => break,
+            accepted = listener.accept() => {
+                if let Ok((socket, _)) = accepted {
+                    let server = Server(Arc::clone(&node));
+                    // A peer that goes away in the middle is an ordinary end.
+                    connections.spawn(accept(socket, server.serve()).map(|_| ()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    connections.shutdown().await;
+}
+
+impl Peer for Server {
+    async fn exchange(self, _: Context, message: Message) -> Message {
+        let answer = self.0.gossip().receive(message, Instant::now());
+        self.0.metrics.add(Counter::GossipReceived, 1);
+        gossip::after(&self.0);
+        answer
+    }
+
+    async fn keep(self, _: Context, records: Vec<Record>) -> Vec<Result<(), KeepersError>> {
+        records
+            .into_iter()
+            .map(|record| {
+                keeping::tell_driver(&self.0, &record);
+                let kept = self.0.keepers().keep(record, Instant::now());
+                let counter = match kept {
+                    Ok(()) => Counter::KeeperRecords,
+                    Err(_) => Counter::KeeperDropped,
+                };
+                self.0.metrics.add(counter, 1);
+                let held = self.0.keepers().len() as u64;
+                self.0.metrics.set(Gauge::KeeperHeld, held);
+                kept
+            })
+            .collect()
+    }
+
+    async fn drop_records(self, _: Context, requests: Vec<RequestKey>) {
+        let mut keepers = self.0.keepers();
+        requests.iter().for_each(|request| keepers.remove(request));
+    }
+
+    async fn kept(self, _: Context, request: RequestKey) -> Option<Record> {
+        self.0.keepers().kept(&request, Instant::now()).cloned()
+    }
+
+    async fn bundle(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
+        let force = self.0.force.load_full()?;
+        let told = Told {
+            headline: force.headline.clone(),
+            bundle: (*force.bundle).clone(),
+        };
+        (force.headline.revision >= revision).then(|| told.encode())
+    }
+
+    async fn rollouts(self, _: Context, news: Vec<u8>) -> Vec<u8> {
+        self.0.rollouts.answer(&self.0, &news)
+    }
+
+    async fn forward(self, _: Context, _call: Vec<u8>) -> Vec<u8> {
+        // Shards are written by whichever instance has the call; see docs/design/ledger.md.
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/daemon/src/peers.rs
@@ -0,0 +1,145 @@
+//! Calls to other instances.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use celerypond_fleet::{connect, context, KeepersError, Message, PeerClient, Record};
+use celerypond_types::{RequestKey, Revision};
+use error_stack::{Report, ResultExt};
+use thiserror::Error;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+/// How long a connection to a peer may take.
+const CONNECT: Duration = Duration::from_millis(500);
+/// How long a small call may take.
+const SMALL: Duration = Duration::from_millis(800);
+/// How long a call may take that carries a bundle.
+const LARGE: Duration = Duration::from_secs(3);
+
+/// A call to a peer that brought no answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum PeerCallError {
+    /// No connection could be made.
+    #[error("the peer {0} cannot be reached")]
+    Unreachable(SocketAddr),
+    /// No answer came in time, or the connection broke.
+    #[error("the peer {0} did not answer")]
+    NoAnswer(SocketAddr),
+}
+
+type Answer<T> = Result<T, Report<PeerCallError>>;
+
+/// Connections to other instances, made when they are needed.
+#[derive(Default)]
+pub struct Peers {
+    clients: Mutex<HashMap<SocketAddr, PeerClient>>,
+    drivers: TaskTracker,
+}
+
+impl Peers {
+    /// Exchanges gossip.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn exchange(&self, to: SocketAddr, message: Message) -> Answer<Message> {
+        let client = self.client(to).await?;
+        self.judge(to, client.exchange(within(SMALL), message).await)
+    }
+
+    /// Puts a record at a keeper.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn keep(&self, to: SocketAddr, record: Record) -> Answer<Result<(), KeepersError>> {
+        let client = self.client(to).await?;
+        let answers = self.judge(to, client.keep(within(SMALL), vec![record]).await)?;
+        // A keeper that answers for no record keeps none.
+        Ok(answers
+            .into_iter()
+            .next()
+            .unwrap_or(Err(KeepersError::Full)))
+    }
+
+    /// Asks a keeper for a record.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn kept(&self, to: SocketAddr, request: RequestKey) -> Answer<Option<Record>> {
+        let client = self.client(to).await?;
+        self.judge(to, client.kept(within(SMALL), request).await)
+    }
+
+    /// Removes a record from a keeper.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn forget(&self, to: SocketAddr, request: RequestKey) -> Answer<()> {
+        let client = self.client(to).await?;
+        self.judge(to, client.drop_records(within(SMALL), vec![request]).await)
+    }
+
+    /// Asks for the bundle in force at a peer, if its revision is at least `revision`.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn bundle(&self, to: SocketAddr, revision: Revision) -> Answer<Option<Vec<u8>>> {
+        let client = self.client(to).await?;
+        self.judge(to, client.bundle(within(LARGE), revision).await)
+    }
+
+    /// Exchanges what is known of rollouts.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn rollouts(&self, to: SocketAddr, news: Vec<u8>) -> Answer<Vec<u8>> {
+        let client = self.client(to).await?;
+        self.judge(to, client.rollouts(within(SMALL), news).await)
+    }
+
+    /// Closes all connections and joins their tasks.
+    pub async fn close(&self) {
+        self.lock().clear();
+        self.drivers.close();
+        self.drivers.wait().await;
+    }
+
+    async fn client(&self, to: SocketAddr) -> Answer<PeerClient> {
+        if let Some(client) = self.lock().get(&to) {
+            return Ok(client.clone());
+        }
+        let (client, drive) = connect(to, CONNECT)
+            .await
+            .change_context(PeerCallError::Unreachable(to))?;
+        self.drivers.spawn(drive);
+        self.lock().insert(to, client.clone());
+        Ok(client)
+    }
+
+    /// Drops the connection of a call that failed: it may have gone silent for good, and the next
+    /// call then goes over a new one.
+    fn judge<T>(&self, to: SocketAddr, result: Result<T, tarpc::client::RpcError>) -> Answer<T> {
+        result.map_err(|error| {
+            self.lock().remove(&to);
+            Report::new(error).change_context(PeerCallError::NoAnswer(to))
+        })
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, PeerClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn within(limit: Duration) -> tarpc::context::Context {
+    context(Instant::now() + limit)
+}
--- /dev/null
+++ b/daemon/src/rollouts.rs
@@ -0,0 +1,508 @@
+//! This instance's side in rollouts: which version takes a request, what is seen of it, and the
+//! next step of the record in the store.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use celerypond_bundle::Model;
+use celerypond_fleet::{Brake, EntryKind};
+use celerypond_platform::{PlatformError, Version};
+use celerypond_rollout::{
+    rank, rollout_key, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News, Report,
+    Rollout, Route, Spread, Trial,
+};
+use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, VersionName};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::time::{self, Instant};
+
+use crate::{
+    force::Force,
+    gossip,
+    node::{self, Node},
+};
+
+/// How often evidence is weighed and passed on.
+const STEP: Duration = Duration::from_millis(250);
+/// How many peers hear of news at once.
+const FAN_OUT: usize = 3;
+/// How long a step may be due before the next instance in line makes it.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The prefix of the records in the store.
+const PREFIX: &str = "rollout/";
+/// How often the records in the store are read.
+const READ_STEPS: u32 = 8;
+/// How old the list of instances may be for a decision that counts them.
+const LIST_AGE: Duration = Duration::from_secs(10);
+/// What separates a model from its version in the name of a brake.
+const SEPARATOR: char = '/';
+
+/// What instances exchange about rollouts.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Talk {
+    news: News,
+    reports: Vec<Report>,
+}
+
+/// This instance's side in rollouts.
+pub struct Rollouts {
+    agent: Mutex<Agent>,
+    open: Mutex<BTreeMap<(ModelName, VersionName), u32>>,
+    asked: Mutex<HashMap<ModelName, u64>>,
+}
+
+/// An answer that is open at a version; dropping it counts the answer out.
+pub struct OpenAnswer {
+    node: Arc<Node>,
+    key: (ModelName, VersionName),
+}
+
+impl Drop for OpenAnswer {
+    fn drop(&mut self) {
+        let mut open = lock(&self.node.rollouts.open);
+        if let Some(count) = open.get_mut(&self.key) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+/// How a rollout stands, as operators are told.
+#[derive(Clone, Debug, Serialize)]
+pub struct RolloutStatus {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: VersionName,
+    /// How far it has come.
+    pub stage: String,
+    /// How it ended: `done` or `taken_back`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ending: Option<&'static str>,
+    /// Why it is taken back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    /// On how many instances the stage acts.
+    pub acting: Spread,
+    /// When it must be complete, in milliseconds since 1970.
+    pub deadline_ms: u64,
+}
+
+impl Rollouts {
+    /// Makes the side of an instance; `incarnation` must rise with each restart.
+    pub fn new(name: InstanceName, incarnation: u64) -> Self {
+        Self {
+            agent: Mutex::new(Agent::new(name, incarnation, Method::default())),
+            open: Mutex::default(),
+            asked: Mutex::default(),
+        }
+    }
+
+    /// Takes the bundle that has come into force.
+    pub fn set_force(&self, force: &Force) {
+        self.agent().set_parts(force.headline.parts.clone());
+    }
+
+    /// Chooses the version that takes the next request for a model.
+    pub fn choose(&self, model: &Model) -> VersionName {
+        *lock(&self.asked).entry(model.name.clone()).or_default() += 1;
+        self.agent().choose(model)
+    }
+
+    /// Counts an answer in at the base or a candidate.
+    pub fn open(&self, node: &Arc<Node>, model: &ModelName, version: &VersionName) -> OpenAnswer {
+        let key = (model.clone(), version.clone());
+        *lock(&self.open).entry(key.clone()).or_default() += 1;
+        OpenAnswer {
+            node: Arc::clone(node),
+            key,
+        }
+    }
+
+    /// Returns the engines that a version must not use at its present stage.
+    pub fn excluded(&self, node: &Node, model: &Model, version: &VersionName) -> Vec<TargetKey> {
+        let candidate = Candidate {
+            model: model.name.clone(),
+            version: version.clone(),
+        };
+        let found = model.versions.iter().find(|found| found.name == *version);
+        let (Some(found), Some(force)) = (found, node.force.load_full()) else {
+            return Vec::new();
+        };
+        let part = force.headline.parts.get(&model.name);
+        let engines = part.and_then(|part| self.agent().engines(part.origin, &candidate));
+        let Some(engines) = engines else {
+            return Vec::new();
+        };
+        let view = node.view.load();
+        // All instances leave out the same engines, in the order that the bundle names them.
+        let left_out = found.targets.iter().skip(engines as usize);
+        left_out.filter_map(|name| view.key(name)).collect()
+    }
+
+    /// Lets the agent note what became of a request.
+    pub fn note(&self, note: impl FnOnce(&mut Agent)) {
+        note(&mut self.agent());
+    }
+
+    /// Takes a brake that gossip brought.
+    pub fn braked(&self, node: &Arc<Node>, brake: &Brake) {
+        let Some((model, version)) = brake.version.as_str().split_once(SEPARATOR) else {
+            return;
+        };
+        let candidate = Candidate {
+            model: model.into(),
+            version: version.into(),
+        };
+        let mut brakes = Brakes::default();
+        brakes.trip(brake.revision, candidate, Cause::Failures);
+        let news = News {
+            rollouts: Vec::new(),
+            brakes,
+        };
+        if self.agent().hear(&news) {
+            node.metrics.add(celerypond_telemetry::Counter::Brakes, 1);
+            log::warn!(
+                "the brake is on for {} of revision {}",
+                brake.version,
+                brake.revision
+            );
+        }
+    }
+
+    /// Takes what other instances say they act on.
+    pub fn hear_acting(&self, node: &Node) {
+        let words: Vec<Acting> = {
+            let gossip = node.gossip();
+            let items = gossip.state().items(EntryKind::Acting);
+            items
+                .filter_map(|(_, item)| serde_json::from_slice(&item.value).ok())
+                .collect()
+        };
+        let mut agent = self.agent();
+        for word in words {
+            agent.hear_acting(word);
+        }
+    }
+
+    /// Takes a peer's news and answers with the own.
+    pub fn answer(&self, node: &Arc<Node>, talk: &[u8]) -> Vec<u8> {
+        self.hear(node, talk);
+        self.talk()
+    }
+
+    /// Returns how the rollouts of the bundle in force stand, and on how many instances it acts.
+    pub fn status(&self, node: &Node) -> (Spread, Vec<RolloutStatus>) {
+        let live = listed(node);
+        let agent = self.agent();
+        let Some(force) = node.force.load_full() else {
+            return (agent.roster().in_force(Revision(1), &live), Vec::new());
+        };
+        let in_force = agent.roster().in_force(force.revision(), &live);
+        let parts = force.headline.parts.values();
+        let rollouts = parts.filter_map(|part| agent.rollout(part.origin));
+        let statuses = rollouts
+            .flat_map(|rollout| {
+                rollout
+                    .moves
+                    .iter()
+                    .map(move |record| (rollout.origin, record))
+            })
+            .map(|(origin, record)| status(origin, record, agent.roster(), &live))
+            .collect();
+        (in_force, statuses)
+    }
+
+    fn hear(&self, node: &Arc<Node>, talk: &[u8]) {
+        let Ok(talk) = serde_json::from_slice::<Talk>(talk) else {
+            return;
+        };
+        let is_new = {
+            let mut agent = self.agent();
+            for report in talk.reports {
+                agent.hear_report(report);
+            }
+            agent.hear(&talk.news)
+        };
+        if is_new {
+            self.spread(node);
+        }
+    }
+
+    fn talk(&self) -> Vec<u8> {
+        let agent = self.agent();
+        let talk = Talk {
+            news: agent.news(),
+            reports: agent.reports().cloned().collect(),
+        };
+        serde_json::to_vec(&talk).unwrap_or_default()
+    }
+
+    /// Passes the brakes on by gossip and all news to some peers, without the store.
+    fn spread(&self, node: &Arc<Node>) {
+        let brakes: Vec<Brake> = brakes(node, &self.agent());
+        for brake in brakes {
+            node.gossip().trip(brake);
+        }
+        gossip::after(node);
+        self.push(node, FAN_OUT);
+    }
+
+    fn push(&self, node: &Arc<Node>, count: usize) {
+        let addresses: Vec<_> = gossip::live(node)
+            .into_iter()
+            .filter_map(|near| near.address)
+            .collect();
+        let talk = self.talk();
+        let chosen: Vec<_> = addresses
+            .choose_multiple(&mut node.rng(), count)
+            .copied()
+            .collect();
+        for address in chosen {
+            let node = Arc::clone(node);
+            let talk = talk.clone();
+            let work = node.work.clone();
+            work.spawn(async move {
+                if let Ok(answer) = node.peers.rollouts(address, talk).await {
+                    node.rollouts.hear(&node, &answer);
+                }
+            });
+        }
+    }
+
+    fn agent(&self) -> MutexGuard<'_, Agent> {
+        lock(&self.agent)
+    }
+}
+
+/// Weighs evidence and steps rollouts until the instance ends.
+pub async fn run(node: Arc<Node>) {
+    let mut tick = time::interval(STEP);
+    let mut due_since: HashMap<Revision, Instant> = HashMap::new();
+    let mut versions: HashMap<Revision, Version> = HashMap::new();
+    let mut steps = 0;
+    loop {
+        tokio::select! {
+            () = node.ending.cancelled() => return,
+            _ = tick.tick() => {}
+        }
+        steps += 1;
+        step(&node);
+        if steps % READ_STEPS == 0 && node.force.load().is_some() {
+            read_records(&node, &mut versions).await;
+        }
+        write_due(&node, &mut due_since, &mut versions).await;
+    }
+}
+
+fn step(node: &Arc<Node>) {
+    let Some(force) = node.force.load_full() else {
+        return;
+    };
+    let live = listed(node);
+    let (tripped, acting, is_talking) = {
+        let mut agent = node.rollouts.agent();
+        agent.set_live(&live);
+        let engines = |change: &Move| base_engines(&force, change);
+        let tripped = agent.weigh(engines, node::wall_ms());
+        let open = lock(&node.rollouts.open);
+        let acting = agent.acting(force.revision(), |model, version| {
+            let key = (model.clone(), version.clone());
+            open.get(&key).copied().unwrap_or(0)
+        });
+        let is_talking = force.headline.parts.values().any(|part| {
+            let rollout = agent.rollout(part.origin);
+            rollout.is_some_and(|rollout| rollout.moves.iter().any(|it| !it.phase.is_ended()))
+        });
+        (tripped, acting, is_talking)
+    };
+    let value = serde_json::to_vec(&acting).unwrap_or_default();
+    gossip::set(node, EntryKind::Acting, "", value);
+    if tripped {
+        node.rollouts.spread(node);
+    } else if is_talking {
+        node.rollouts.push(node, 1);
+    }
+}
+
+/// Reads the records in the store.
+async fn read_records(node: &Arc<Node>, versions: &mut HashMap<Revision, Version>) {
+    let Ok(listing) = node.platform.list_all(PREFIX).await else {
+        return;
+    };
+    let mut news = News::default();
+    for object in listing.objects {
+        if let Some(rollout) = celerypond_rollout::parse::<Rollout>(&object.value) {
+            versions.insert(rollout.origin, object.version);
+            news.rollouts.push(rollout);
+        }
+    }
+    let is_new = node.rollouts.agent().hear(&news);
+    if is_new {
+        node.rollouts.spread(node);
+    }
+}
+
+/// Writes the steps that are due, if this instance is the one whose turn it is.
+async fn write_due(
+    node: &Arc<Node>,
+    since: &mut HashMap<Revision, Instant>,
+    versions: &mut HashMap<Revision, Version>,
+) {
+    let Some(force) = node.force.load_full() else {
+        return;
+    };
+    let due = {
+        let agent = node.rollouts.agent();
+        let rates = |model: &ModelName| rate(node, model);
+        let is_listed = node.listed_at().is_some_and(|at| at.elapsed() < LIST_AGE);
+        agent.due(&force.bundle.models, rates, is_listed, node::wall_ms())
+    };
+    since.retain(|origin, _| due.iter().any(|rollout| rollout.origin == *origin));
+    for rollout in due {
+        let first = *since.entry(rollout.origin).or_insert_with(Instant::now);
+        let live = listed(node);
+        let turn = rank(&format!("driver {}", rollout.origin), &live);
+        let place = turn.iter().position(|name| *name == node.settings.instance);
+        let place = place.unwrap_or(turn.len()) as u32;
+        if first.elapsed() >= PATIENCE * place {
+            write(node, rollout, versions).await;
+        }
+    }
+}
+
+async fn write(node: &Arc<Node>, rollout: Rollout, versions: &mut HashMap<Revision, Version>) {
+    let key = rollout_key(rollout.origin);
+    let value: Bytes = serde_json::to_vec(&rollout).unwrap_or_default().into();
+    let result = match versions.get(&rollout.origin) {
+        None => node.platform.create(&key, value).await,
+        Some(version) => node.platform.update(&key, *version, value).await,
+    };
+    match result {
+        Ok(version) => {
+            versions.insert(rollout.origin, version);
+            for record in &rollout.moves {
+                let candidate = &record.change.candidate;
+                let (model, version) = (&candidate.model, &candidate.version);
+                log::info!("rollout of {model} {version}: {:?}", record.phase);
+            }
+            let news = News {
+                rollouts: vec![rollout],
+                brakes: Brakes::default(),
+            };
+            node.rollouts.agent().hear(&news);
+            node.rollouts.spread(node);
+        }
+        // Another instance made a step, or the reply was lost: the record tells.
+        Err(report) if *report.current_context() != PlatformError::Down => {
+            read_records(node, versions).await;
+        }
+        Err(_) => {}
+    }
+}
+
+fn status(
+    origin: Revision,
+    record: &celerypond_rollout::MoveRecord,
+    roster: &celerypond_rollout::Roster,
+    live: &[InstanceName],
+) -> RolloutStatus {
+    use celerypond_rollout::Phase;
+
+    let (stage, ending, cause) = match record.phase {
+        Phase::Stage { stage } => {
+            let text = format!("stage {} of {}", stage + 1, record.stages.len());
+            (text, None, None)
+        }
+        Phase::Closing => ("closing".to_owned(), None, None),
+        Phase::Done => ("done".to_owned(), Some("done"), None),
+        Phase::Braking { cause } => ("braking".to_owned(), None, Some(cause)),
+        Phase::TakenBack { cause } => ("taken back".to_owned(), Some("taken_back"), Some(cause)),
+        Phase::Superseded => ("superseded".to_owned(), None, None),
+    };
+    RolloutStatus {
+        model: record.change.candidate.model.clone(),
+        version: record.change.candidate.version.clone(),
+        stage,
+        ending,
+        cause,
+        acting: record.spread(origin, roster, live),
+        deadline_ms: record.deadline_ms,
+    }
+}
+
+fn brakes(node: &Node, agent: &Agent) -> Vec<Brake> {
+    let Some(force) = node.force.load_full() else {
+        return Vec::new();
+    };
+    let moves = force.headline.parts.values().flat_map(|part| {
+        part.moves
+            .iter()
+            .map(|change| (part.origin, change.candidate.clone()))
+    });
+    moves
+        .filter(|(origin, candidate)| agent.brakes().cause(*origin, candidate).is_some())
+        .map(|(revision, candidate)| Brake {
+            revision,
+            version: VersionName::new(format!(
+                "{}{SEPARATOR}{}",
+                candidate.model, candidate.version
+            )),
+        })
+        .collect()
+}
+
+fn base_engines(force: &Force, change: &Move) -> u32 {
+    let model = force.model(&change.candidate.model);
+    let versions = model.into_iter().flat_map(|model| &model.versions);
+    let base = versions
+        .filter(|version| version.name == change.base)
+        .map(|version| version.targets.len() as u32);
+    base.sum()
+}
+
+/// Returns the live instances by the platform's list.
+fn listed(node: &Node) -> Vec<InstanceName> {
+    let list = node.list.load();
+    let live = list
+        .instances
+        .iter()
+        .filter(|instance| instance.state == celerypond_platform::Presence::Live);
+    live.map(|instance| instance.name.clone()).collect()
+}
+
+/// Estimates the requests a second for a model over all instances from those of this one.
+fn rate(node: &Node, model: &ModelName) -> f64 {
+    let asked = lock(&node.rollouts.asked).get(model).copied().unwrap_or(0);
+    let seconds = (node.now_ms() as f64 / 1e3).max(1.0);
+    let instances = listed(node).len().max(1);
+    asked as f64 / seconds * instances as f64
+}
+
+/// Returns the kind of request that a version's faults may differ by.
+pub fn route(adapter: Option<&celerypond_types::AdapterName>) -> Route {
+    Route(adapter.map_or("", |adapter| adapter.as_str()).into())
+}
+
+/// Makes the trial of one chunk of an answer.
+pub fn trial(
+    model: &ModelName,
+    version: &VersionName,
+    route: &Route,
+    target: &celerypond_types::TargetName,
+) -> Trial {
+    Trial {
+        model: model.clone(),
+        version: version.clone(),
+        route: route.clone(),
+        target: target.clone(),
+        begun_ms: node::wall_ms(),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/daemon/src/roster.rs
+++ b/daemon/src/roster.rs
@@ -15,8 +15,7 @@
     let mut rng = node.rng();
     loop {
         if let Ok(list) = node.platform.instances().await {
-            node.share_rates(list.instances.len());
-            node.list.store(Arc::new(list));
+            node.take_list(list);
         }
         // Jitter keeps the instances from asking in step.
         let pause = Duration::from_millis(rng.random_range(EVERY_MS / 2..EVERY_MS * 3 / 2));
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use celerypond_bundle::Settings;
+use celerypond_route::{Drain, DrainEffect, Stage};
 use celerypond_telemetry::{Metrics, Output, SpanSettings, Spans};
 use error_stack::{Report, ResultExt};
 use thiserror::Error;
@@ -14,12 +15,17 @@
     time,
 };
 
-use crate::{admission::Admission, front, node::Node, roster, target_watch, watch};
+use crate::{
+    admission::Admission, front, gossip, limits, node::Node, peer_server, rollouts, roster,
+    target_watch, watch,
+};
 
 /// How often counters are sent to the collector.
 const PUBLISH: Duration = Duration::from_secs(10);
 /// How many events of targets may wait; more are dropped.
 const EVENTS: usize = 4096;
+/// How often a planned stop is looked at.
+const DRAIN_STEP: Duration = Duration::from_millis(100);
 /// How long background tasks may take to end.
 const JOIN: Duration = Duration::from_secs(5);
 
@@ -46,12 +52,18 @@
     let spans = spans(&settings)?;
     let metrics = metrics(&settings)?;
     let listener = bind(settings.address).await?;
+    let peer_listener = bind(settings.peer_address).await?;
     let mut stop = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
     let (events, told) = mpsc::channel(EVENTS);
     let node = Node::new(settings, metrics, events);
     let mut tasks = JoinSet::new();
-    tasks.spawn(watch::run(Arc::clone(&node)));
+    tasks.spawn(peer_server::run(Arc::clone(&node), peer_listener));
     tasks.spawn(roster::run(Arc::clone(&node)));
+    tasks.spawn(gossip::run(Arc::clone(&node)));
+    tasks.spawn(watch::run(Arc::clone(&node)));
+    tasks.spawn(watch::hold(Arc::clone(&node)));
+    tasks.spawn(rollouts::run(Arc::clone(&node)));
+    tasks.spawn(limits::run(Arc::clone(&node)));
     tasks.spawn(target_watch::run(Arc::clone(&node), told));
     tasks.spawn(Admission::run(Arc::clone(&node)));
     tasks.spawn(publish(Arc::clone(&node)));
@@ -69,21 +81,33 @@
 }
 
 /// Waits for a planned stop, and then until callers no longer hold this instance's address.
-///
-/// The failure: callers keep an answer of `/v1/entries` a while, and connect to an instance that
-/// has gone. While their answers last, this instance serves on, but is no longer in new answers.
-async fn leave(node: &Node, stop: &mut Signal) {
+async fn leave(node: &Arc<Node>, stop: &mut Signal) {
     stop.recv().await;
-    node.leaving.cancel();
-    let ttl = Duration::from_secs(node.settings.entries_ttl_s);
-    log::info!(
-        "leaving; new connections are refused in {} s",
-        ttl.as_secs()
-    );
-    tokio::select! {
-        () = time::sleep(ttl) => {}
-        _ = stop.recv() => log::info!("a second signal: new connections are refused now"),
+    let mut drain = step(node, Drain::default().stop(node.now_ms()));
+    let mut tick = time::interval(DRAIN_STEP);
+    while drain.stage() != Stage::Refusing {
+        tokio::select! {
+            _ = tick.tick() => drain = step(node, drain.step(node.now_ms(), 1)),
+            _ = stop.recv() => {
+                log::info!("a second signal: new connections are refused now");
+                return;
+            }
+        }
+    }
+}
+
+fn step(node: &Arc<Node>, (drain, effect): (Drain, Option<DrainEffect>)) -> Drain {
+    match effect {
+        Some(DrainEffect::Leave) => {
+            node.leaving.cancel();
+            gossip::leave(node);
+            log::info!("leaving: the address is given to nobody, callers who have it are served");
+        }
+        Some(DrainEffect::Refuse) => log::info!("leaving: new connections are refused"),
+        // The sockets end idle connections and wait for the others.
+        Some(DrainEffect::End) | None => {}
     }
+    drain
 }
 
 async fn finish(node: &Node, mut tasks: JoinSet<()>) {
@@ -94,6 +118,7 @@
     let joined = async {
         while tasks.join_next().await.is_some() {}
         node.work.wait().await;
+        node.peers.close().await;
     };
     if time::timeout(JOIN, joined).await.is_err() {
         let left = tasks.len() + node.work.len();
--- a/daemon/src/watch.rs
+++ b/daemon/src/watch.rs
@@ -1,78 +1,217 @@
-//! Brings bundles into force as the store names them.
+//! Brings bundles into force, as the store and other instances name them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use celerypond_bundle::Bundle;
 use celerypond_platform::Version;
-use celerypond_rollout::{bundle_key, Current, StoreCall, StoreReply, Submission, CURRENT_KEY};
-use rand::Rng;
-use tokio::time;
+use celerypond_rollout::{
+    bundle_key, is_watcher, Current, Headline, InForce, Source, StoreCall, StoreReply, Submission,
+    CURRENT_KEY,
+};
+use celerypond_types::{Digest, InstanceName, Revision};
+use rand::{rngs::SmallRng, seq::IndexedRandom, Rng};
+use serde::{Deserialize, Serialize};
+use tokio::time::{self, Instant};
 
-use crate::{force::Force, node::Node, store};
+use crate::{
+    force::Force,
+    gossip::{self, Near},
+    node::Node,
+    store,
+};
 
 /// How long one watch waits for a change.
 const WAIT: Duration = Duration::from_secs(10);
-/// The least pause after a failed call.
-const PAUSE_MS: u64 = 200;
+/// How often an instance looks at what it has heard.
+const STEP: Duration = Duration::from_millis(100);
+/// The least pause of a watcher after a failed call.
+const PAUSE_MS: u64 = 300;
 
-/// Watches the store until the instance ends.
+/// What an instance tells a peer of the bundle that it has in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    /// The revision, digest and what it changed.
+    pub headline: Headline,
+    /// The content.
+    pub bundle: Bundle,
+}
+
+impl Told {
+    /// Encodes it for a peer.
+    pub fn encode(&self) -> Vec<u8> {
+        // The types have text keys only, so they always have a JSON form.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
+/// Brings bundles into force until the instance ends.
 pub async fn run(node: Arc<Node>) {
+    let mut rng = node.rng();
+    ask_all(&node).await;
+    let mut step = time::interval(STEP);
+    loop {
+        tokio::select! {
+            () = node.ending.cancelled() => return,
+            () = node.look.notified() => {}
+            _ = step.tick() => {}
+        }
+        let is_due = node.in_force().poll(Instant::now(), &mut rng);
+        if is_due || node.force.load().is_none() {
+            ask_store(&node).await;
+        }
+        let heard = node.gossip().facts().revision();
+        if heard > node.in_force().revision() {
+            catch_up(&node, heard, &mut rng).await;
+        }
+        settle(&node);
+    }
+}
+
+/// Holds a watch on the store while this instance is one of the watchers of its data centre.
+pub async fn hold(node: Arc<Node>) {
     let mut rng = node.rng();
     let mut since = Version(0);
-    while !node.ending.is_cancelled() {
+    loop {
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS..2 * PAUSE_MS));
+        let is_watcher = is_watcher_here(&node);
+        let watched = async {
+            if !is_watcher {
+                time::sleep(WAIT / 10).await;
+                return Some(since);
+            }
+            let changes = node.platform.watch(CURRENT_KEY, since, WAIT).await.ok()?;
+            if !changes.changes.is_empty() {
+                ask_store(&node).await;
+            }
+            Some(changes.revision)
+        };
         let watched = tokio::select! {
             () = node.ending.cancelled() => return,
-            () = node.look.notified() => Some(since),
-            watched = watch(&node, since) => watched,
+            watched = watched => watched,
         };
-        let brought = match watched {
-            Some(revision) => {
-                since = revision;
-                bring_current(&node).await
-            }
-            None => false,
+        match watched {
+            Some(revision) => since = revision,
+            // Jitter keeps watchers from coming back to a recovered store in step.
+            None => time::sleep(pause).await,
+        }
+    }
+}
+
+/// Reads what the store names and brings it into force.
+pub async fn ask_store(node: &Arc<Node>) {
+    let call = StoreCall::read(CURRENT_KEY);
+    let current: Current = match store::call(&node.platform, &node.metrics, &call).await {
+        StoreReply::Found { value, .. } => match celerypond_rollout::parse(&value) {
+            Some(current) => current,
+            None => return,
+        },
+        StoreReply::Missing => return node.in_force().answered(Source::Store),
+        _ => return,
+    };
+    let headline = current.headline();
+    let digest = headline.digest;
+    let is_news = node.in_force().hear(headline, Source::Store);
+    if is_news || node.in_force().revision() < current.revision {
+        let Some(bundle) = read_bundle(node, digest).await else {
+            return;
         };
-        if !brought {
-            // Jitter keeps instances from coming back to a recovered store in step.
-            let pause = Duration::from_millis(rng.random_range(PAUSE_MS..2 * PAUSE_MS));
-            time::sleep(pause).await;
+        take(node, bundle);
+    }
+    node.in_force().answered(Source::Store);
+    settle(node);
+}
+
+async fn read_bundle(node: &Node, digest: Digest) -> Option<Bundle> {
+    let call = StoreCall::read(bundle_key(digest));
+    match store::call(&node.platform, &node.metrics, &call).await {
+        StoreReply::Found { value, .. } => {
+            let submission: Submission = celerypond_rollout::parse(&value)?;
+            Some(submission.bundle)
         }
+        _ => None,
     }
 }
 
-async fn watch(node: &Node, since: Version) -> Option<Version> {
-    let changes = node.platform.watch(CURRENT_KEY, since, WAIT).await.ok()?;
-    Some(changes.revision)
+/// Asks every instance that answers, and the store, as a starting instance does.
+async fn ask_all(node: &Arc<Node>) {
+    let peers = peers(node);
+    let asks = peers
+        .iter()
+        .map(|(name, address)| ask_peer(node, name, *address, Revision(0)));
+    futures::future::join_all(asks).await;
+    ask_store(node).await;
+    settle(node);
 }
 
-/// Brings what the store names into force; returns whether this instance now acts on it.
-pub async fn bring_current(node: &Node) -> bool {
-    let Some(current) = read::<Current>(node, StoreCall::read(CURRENT_KEY)).await else {
-        return false;
-    };
-    let held = node.force.load().as_ref().map(|force| force.revision);
-    if held.is_some_and(|held| held >= current.revision) {
-        return true;
+/// Fetches a bundle that others have, from one of them or from the store in turn.
+async fn catch_up(node: &Arc<Node>, revision: Revision, rng: &mut SmallRng) {
+    let peers = peers(node);
+    if let Some((name, address)) = peers.choose(rng) {
+        ask_peer(node, name, *address, revision).await;
     }
-    let call = StoreCall::read(bundle_key(current.digest));
-    let Some(submission) = read::<Submission>(node, call).await else {
-        return false;
+    if node.in_force().revision() < revision {
+        ask_store(node).await;
+    }
+}
+
+async fn ask_peer(node: &Arc<Node>, name: &InstanceName, address: SocketAddr, least: Revision) {
+    let source = Source::Peer(name.clone());
+    let Ok(answer) = node.peers.bundle(address, least).await else {
+        return;
     };
-    let force = Force::new(current.revision, Arc::new(submission.bundle));
-    if force.digest != current.digest {
-        // Content other than what was signed off must never act.
-        log::error!(
-            "the stored bundle does not have the digest {}",
-            current.digest
-        );
-        return false;
+    let told = answer.and_then(|told| serde_json::from_slice::<Told>(&told).ok());
+    if let Some(told) = told {
+        let is_news = node.in_force().hear(told.headline, source.clone());
+        if is_news {
+            take(node, told.bundle);
+        }
+    }
+    if least == Revision(0) {
+        node.in_force().answered(source);
     }
-    node.bring(force);
-    true
 }
 
-async fn read<T: serde::de::DeserializeOwned>(node: &Node, call: StoreCall) -> Option<T> {
-    match store::call(&node.platform, &node.metrics, &call).await {
-        StoreReply::Found { value, .. } => celerypond_rollout::parse(&value),
-        _ => None,
+fn take(node: &Node, bundle: Bundle) {
+    let result = node.in_force().take(bundle);
+    if let Err(error) = result {
+        log::warn!("a bundle was not taken: {error}");
     }
 }
+
+/// Lets requests see the bundle in force, once a starting instance knows enough.
+fn settle(node: &Arc<Node>) {
+    let peers: Vec<InstanceName> = peers(node).into_iter().map(|(name, _)| name).collect();
+    let held = {
+        let in_force: &InForce = &node.in_force();
+        // An instance that serves already only goes on to later revisions.
+        let is_ready = node.force.load().is_some() || in_force.is_settled(&peers);
+        in_force.held().filter(|_| is_ready).cloned()
+    };
+    let Some((headline, bundle)) = held else {
+        return;
+    };
+    let revision = headline.revision;
+    if node.bring(Force::new(headline, bundle)) {
+        node.gossip().raise(revision);
+        gossip::after(node);
+    }
+}
+
+fn peers(node: &Node) -> Vec<(InstanceName, SocketAddr)> {
+    let live = gossip::live(node);
+    live.into_iter()
+        .filter_map(|near| Some((near.name, near.address?)))
+        .collect()
+}
+
+fn is_watcher_here(node: &Node) -> bool {
+    let live: Vec<_> = gossip::live(node)
+        .into_iter()
+        .map(
+            |Near {
+                 name, data_centre, ..
+             }| (name, data_centre),
+        )
+        .collect();
+    is_watcher(&node.settings.instance, &node.settings.data_centre, &live)
+}
