--- /dev/null
+++ b/crates/answer/src/generation.rs
@@ -0,0 +1,276 @@
+//! Drives one answer from its first choice of a target to its end.
+
+mod choosing;
+mod ending;
+mod reading;
+
+use celerypond_types::{Attempt, TargetName};
+use tokio::time::Instant;
+
+use crate::{
+    outlet::Outlet, reader::Reader, Driver, Effect, Event, GenerationLimits, Input, KeeperRecord,
+    Link, Origin, Patience, Request, Seal, Splice, Stream, TakeOver,
+};
+
+/// Drives one answer from its first choice of a target to its end.
+///
+/// All tokens of an answer are of one version: once a token was shown, each further attempt is of
+/// the same version and starts with the exact tokens so far. If no target of that version is left,
+/// the answer waits until its deadline and then fails; it never goes on with another version.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_answer::{
+///     Driver, Effect, Generation, GenerationLimits, Input, Mode, Request, SealKey,
+/// };
+/// use celerypond_types::Digest;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let request = Request {
+///     key: "r".into(),
+///     body: Digest::of(b"{}"),
+///     seed: 1,
+///     limit: 100,
+///     mode: Mode::Streamed,
+///     deadline: now + Duration::from_secs(60),
+///     instance: "a".into(),
+/// };
+/// let seal = request.seal(&SealKey::new([7; 32]));
+/// let mut effects = Vec::new();
+/// let mut answer = Generation::new(
+///     request, GenerationLimits::default(), seal, Driver::new(1), now, &mut effects,
+/// );
+/// assert!(matches!(effects[..], [Effect::Choose(_)]));
+/// effects.clear();
+/// answer.step(now, Input::NoTarget, &mut effects);
+/// assert!(effects.is_empty() && answer.due() > Some(now));
+/// ```
+#[derive(Debug)]
+pub struct Generation {
+    request: Request,
+    limits: GenerationLimits,
+    seal: Seal,
+    /// The tokens so far, once a version was chosen.
+    splice: Option<Splice>,
+    outlet: Outlet,
+    state: State,
+    /// The highest attempt number of this driver.
+    attempt: Attempt,
+    /// The number of the next start, until they are used up.
+    fresh: Option<Attempt>,
+    links: u32,
+    barren: u32,
+    avoid: Vec<TargetName>,
+    /// Where the caller's tokens came from, if that is not where they are looked for first.
+    other: Option<Origin>,
+    /// When the last new token came.
+    last: Instant,
+    /// How often no target was available since then.
+    polls: u32,
+    /// When an answer whose caller went away is given up.
+    gone: Option<Instant>,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Waits for a target; asks again at `retry`.
+    Choosing { retry: Option<Instant> },
+    /// Reads a stream.
+    Reading(Reader),
+    /// Waits for the keepers' word on whether the stream may be stopped.
+    Reviewing {
+        due: Instant,
+        reader: Option<Reader>,
+    },
+    /// Finished, failed or given up.
+    Over,
+}
+
+impl Generation {
+    /// Begins a new answer.
+    pub fn new(
+        request: Request,
+        limits: GenerationLimits,
+        seal: Seal,
+        driver: Driver,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) -> Self {
+        let outlet = Outlet::new(request.mode);
+        let first = driver.first();
+        let mut generation = Self::with(request, limits, seal, outlet, first, now);
+        generation.fresh = Some(first);
+        generation.choose(now, out);
+        generation
+    }
+
+    /// Goes on with an answer that another instance began, or the same one for another connection.
+    ///
+    /// `patience` is that of the target of the plan's stream.
+    pub fn take_over(
+        request: Request,
+        limits: GenerationLimits,
+        seal: Seal,
+        plan: TakeOver,
+        patience: Patience,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) -> Self {
+        let request = Request {
+            seed: plan.origin.seed,
+            ..request
+        };
+        let outlet = Outlet::after(
+            request.mode,
+            plan.shown,
+            plan.digest,
+            &plan.tokens,
+            plan.text,
+        );
+        let stream = plan.origin.stream;
+        let splice = Splice::new(
+            request.key.clone(),
+            plan.origin.version,
+            stream.attempt,
+            request.limit,
+        );
+        let mut generation = Self::with(request, limits, seal, outlet, plan.attempt, now);
+        generation.splice = Some(splice.with_prefix(plan.tokens));
+        generation.other = plan.other;
+        generation.adopt(stream, plan.former, patience, now, out);
+        generation
+    }
+
+    /// Takes an input and appends what to do.
+    pub fn step(&mut self, now: Instant, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Opened(link) => self.opened(now, link, out),
+            Input::Refused(link, refusal) => self.refused(now, link, refusal, out),
+            Input::Event(link, Event::Frame(frame)) => self.frame(now, link, frame, out),
+            Input::Event(link, Event::Done(done)) => self.done(now, link, &done, out),
+            Input::Malformed(link) => self.broken(now, link, out),
+            Input::Closed(link) => self.closed(now, link, out),
+            Input::Chosen(chosen) => self.chosen(now, chosen, out),
+            Input::NoTarget => self.no_target(now),
+            Input::CallerGone => self.gone = Some(now + self.limits.grace),
+            Input::Fenced(record) => self.fenced(&record, out),
+            Input::Reviewed(record) => self.reviewed(record.as_ref(), out),
+            Input::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Returns when the next [`Input::Tick`] is needed, or `None` when the answer is over.
+    pub fn due(&self) -> Option<Instant> {
+        let due = match &self.state {
+            State::Choosing { retry, .. } => *retry,
+            State::Reading(reader) => Some(reader.due()),
+            State::Reviewing { due, .. } => return Some(*due),
+            State::Over => return None,
+        };
+        [due, self.gone, Some(self.request.deadline)]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Returns whether the answer is over.
+    pub const fn is_over(&self) -> bool {
+        matches!(self.state, State::Over)
+    }
+
+    /// Returns the tokens so far and their version, once one was chosen.
+    pub const fn splice(&self) -> Option<&Splice> {
+        self.splice.as_ref()
+    }
+
+    fn with(
+        request: Request,
+        limits: GenerationLimits,
+        seal: Seal,
+        outlet: Outlet,
+        attempt: Attempt,
+        now: Instant,
+    ) -> Self {
+        Self {
+            request,
+            limits,
+            seal,
+            splice: None,
+            outlet,
+            state: State::Choosing { retry: None },
+            attempt,
+            fresh: Driver::retry(attempt),
+            links: 0,
+            barren: 0,
+            avoid: Vec::new(),
+            other: None,
+            last: now,
+            polls: 0,
+            gone: None,
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if let State::Reviewing { due, .. } = self.state {
+            if now >= due {
+                self.abandon(false, out);
+            }
+            return;
+        }
+        if self.is_over() {
+            return;
+        }
+        if now >= self.request.deadline {
+            return self.fail(self.late(), out);
+        }
+        if self.gone.is_some_and(|gone| now >= gone) {
+            return self.review(now, out);
+        }
+        match &self.state {
+            State::Choosing {
+                retry: Some(retry), ..
+            } if now >= *retry => self.choose(now, out),
+            State::Reading(reader) if now >= reader.due() => {
+                let loss = reader.overdue();
+                self.lost(now, loss, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn record(&self, stream: &Stream, now: Instant) -> KeeperRecord {
+        let splice = self.splice.as_ref();
+        let left = self.request.deadline.saturating_duration_since(now);
+        KeeperRecord {
+            key: self.request.key.clone(),
+            origin: Origin {
+                attempt: self.attempt,
+                stream: stream.clone(),
+                version: splice.map_or_else(|| "".into(), |splice| splice.version().clone()),
+                seed: self.request.seed,
+            },
+            instance: self.request.instance.clone(),
+            prefix: splice.map_or_else(Vec::new, |splice| splice.tokens().to_vec()),
+            digest: splice.map(Splice::digest).unwrap_or_default(),
+            text: self.outlet.text().unwrap_or_default().to_owned(),
+            remaining: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn forget(&self) -> Effect {
+        Effect::Forget(self.request.key.clone(), self.attempt)
+    }
+
+    fn next(&self) -> celerypond_types::Position {
+        self.splice.as_ref().map(Splice::next).unwrap_or_default()
+    }
+
+    fn link(&mut self) -> Link {
+        self.links += 1;
+        Link(self.links)
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/runner.rs
@@ -0,0 +1,6 @@
+//! Runs all tests of the crate as one program.
+
+mod fake_store;
+mod test_desk;
+mod test_in_force;
+mod test_moves;
--- /dev/null
+++ b/daemon/src/front/completions.rs
@@ -0,0 +1,416 @@
+//! `POST /v1/completions`: generates an answer, streamed or whole.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use celerypond_answer::{
+    Driver, Emit, Finish, Generation, GenerationLimits, Mode, Request, ResumeToken, Seal, TakeOver,
+};
+use celerypond_bundle::{Account, Model};
+use celerypond_route::{Route, Waiting};
+use celerypond_telemetry::Counter;
+use celerypond_types::{
+    AdapterName, Digest, ModelName, NotRunReason, Position, Priority, RequestKey, TokenId,
+    VersionName,
+};
+use futures::{stream, Stream};
+use gotham::hyper::{HeaderMap, Response, StatusCode};
+use http::{header, HeaderValue};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    admission::Permit,
+    body,
+    force::Force,
+    front::{
+        auth, headers,
+        problem::{self, Kind, Problem},
+        Call, Reply,
+    },
+    generation::{Drive, Piece, PIECES},
+    link::Ask,
+    node::Node,
+};
+
+const DEFAULT_TOKENS: u32 = 1024;
+const MOST_TOKENS: u32 = 1 << 20;
+/// When to come back if no bundle is in force yet.
+const NO_BUNDLE: Duration = Duration::from_secs(1);
+
+/// The body of a request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Completion {
+    model: ModelName,
+    prompt: String,
+    #[serde(default = "default_tokens")]
+    max_tokens: u32,
+    seed: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    adapter: Option<AdapterName>,
+    /// The token ids that a caller has, if it comes back with `Last-Event-ID`.
+    #[serde(default)]
+    prefix: Vec<TokenId>,
+}
+
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [ChunkChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    position: Position,
+    token: TokenId,
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct Whole<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    version: &'a str,
+    choices: [WholeChoice<'a>; 1],
+    usage: Usage,
+}
+
+#[derive(Serialize)]
+struct WholeChoice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: celerypond_answer::Reason,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    completion_tokens: Position,
+}
+
+/// What a reply is written from.
+struct Named {
+    id: SmolStr,
+    model: ModelName,
+}
+
+fn default_tokens() -> u32 {
+    DEFAULT_TOKENS
+}
+
+/// Generates an answer.
+pub async fn complete(node: Arc<Node>, call: Call) -> Reply {
+    node.metrics.add(Counter::Requests, 1);
+    match begin(&node, call).await {
+        Ok(reply) => reply,
+        Err(problem) => {
+            node.metrics.add(Counter::Refused, 1);
+            problem.reply()
+        }
+    }
+}
+
+async fn begin(node: &Arc<Node>, call: Call) -> Result<Reply, Problem> {
+    let Some(force) = node.force.load_full() else {
+        return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
+    };
+    let account = auth::account(&force, &call.headers)?;
+    let text = headers::read_body(node, call.body).await?;
+    let completion: Completion =
+        serde_json::from_slice(&text).map_err(|error| Problem::new(Kind::BadRequest, error))?;
+    let model = check(&force, &completion)?;
+    let key = headers::request_key(&call.headers, &mut node.rng())?;
+    let named = Named {
+        id: SmolStr::new(key.as_str()),
+        model: completion.model.clone(),
+    };
+    let streamed = completion.stream;
+    let asked = Asked {
+        account,
+        model,
+        completion,
+        key,
+        headers: &call.headers,
+    };
+    let received = asked.spawn(node).await?;
+    if streamed {
+        return Ok(streamed_reply(named, received));
+    }
+    Ok(whole_reply(&named, received).await)
+}
+
+fn check<'a>(force: &'a Force, completion: &Completion) -> Result<&'a Model, Problem> {
+    let name = &completion.model;
+    let model = force
+        .model(name)
+        .ok_or_else(|| Problem::new(Kind::NotFound, format_args!("there is no model {name}")))?;
+    if let Some(adapter) = &completion.adapter
+        && !model.adapters.contains(adapter)
+    {
+        let message = format_args!("model {name} has no adapter {adapter}");
+        return Err(Problem::new(Kind::NotFound, message));
+    }
+    if !(1..=MOST_TOKENS).contains(&completion.max_tokens) {
+        let message = format_args!("max_tokens must be from 1 to {MOST_TOKENS}");
+        return Err(Problem::new(Kind::BadRequest, message));
+    }
+    Ok(model)
+}
+
+/// A request that was read and checked.
+struct Asked<'a> {
+    account: &'a Account,
+    model: &'a Model,
+    completion: Completion,
+    key: RequestKey,
+    headers: &'a HeaderMap,
+}
+
+impl Asked<'_> {
+    /// Begins to generate, or goes on where another instance or connection left off.
+    async fn spawn(self, node: &Arc<Node>) -> Result<mpsc::Receiver<Piece>, Problem> {
+        let now = Instant::now();
+        let longest = Duration::from_millis(self.model.deadline_ms);
+        let deadline = now + headers::deadline(self.headers, longest)?;
+        let priority = headers::priority(self.headers, self.account.priority)?;
+        let mut rng = node.rng();
+        let request = self.request(node, deadline, &mut rng);
+        let seal = request.seal(&node.seal_key);
+        let token = self.token(&seal)?;
+        let driver = Driver::draw(&mut rng);
+        let plan = TakeOver::plan(driver, token.as_ref(), None, &self.completion.prefix)
+            .map_err(|error| Problem::new(Kind::BadRequest, error))?;
+        let limits = GenerationLimits::default();
+        let mut effects = Vec::new();
+        let (answer, admitted) = match plan {
+            Some(plan) => {
+                let patience = node.stalls.patience(&plan.origin.stream.target, 0);
+                let answer = Generation::take_over(
+                    request.clone(),
+                    limits,
+                    seal,
+                    plan,
+                    patience,
+                    now,
+                    &mut effects,
+                );
+                (answer, None)
+            }
+            None => {
+                let admitted = self.admit(node, priority, deadline).await?;
+                let now = Instant::now();
+                let request = request.clone();
+                let answer = Generation::new(request, limits, seal, driver, now, &mut effects);
+                (answer, Some(admitted))
+            }
+        };
+        let ask = self.ask(request.key, priority);
+        let (pieces, received) = mpsc::channel(PIECES);
+        let drive = Drive::new(Arc::clone(node), ask, admitted, pieces);
+        node.work.spawn(drive.run(answer, effects));
+        Ok(received)
+    }
+
+    /// Waits for a place at an engine, within the account's limits.
+    async fn admit(
+        &self,
+        node: &Node,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<(VersionName, Permit), Problem> {
+        let view = node.view.load_full();
+        let accounts = view.accounts();
+        let found = accounts.key(&self.account.name);
+        let entry = found.and_then(|key| Some((key, accounts.get(key)?)));
+        let Some((account, entry)) = entry else {
+            return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
+        };
+        let now_ms = node.now_ms();
+        let tokens = self.completion.max_tokens.into();
+        entry
+            .meter
+            .admit(tokens, now_ms)
+            .map_err(|after| Problem::not_run(NotRunReason::AccountLimit, after))?;
+        let version = self.model.base.clone();
+        let Some(route) = view.version(&self.model.name, &version).map(Route::Version) else {
+            return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
+        };
+        let prefixes = prefixes(&self.completion.prompt);
+        let excluded = node.suspects.with(Vec::new(), Instant::now());
+        let ask = celerypond_route::Ask {
+            prefixes: &prefixes,
+            adapter: self.adapter_hash(),
+            excluded: &excluded,
+            near: Some(&node.settings.data_centre),
+        };
+        let patience = deadline.saturating_duration_since(Instant::now());
+        let patience = patience.min(start_within(priority));
+        let waiting = Waiting {
+            account,
+            weight: self.account.weight,
+            priority,
+            cost: 1,
+            deadline: now_ms + patience.as_millis() as u64,
+            item: (),
+        };
+        match node.admission.admit(node, route, &ask, waiting).await {
+            Ok(permit) => Ok((version, permit)),
+            Err(refusal) => {
+                entry.meter.settle(tokens, 0);
+                Err(Problem::not_run(refusal.reason, refusal.retry_after))
+            }
+        }
+    }
+
+    fn request(&self, node: &Node, deadline: Instant, rng: &mut impl Rng) -> Request {
+        Request {
+            // Two accounts may use the same key; at an engine their streams must differ.
+            key: RequestKey::new(format!("{}.{}", self.account.name, self.key)),
+            body: self.digest(),
+            seed: self.completion.seed.unwrap_or_else(|| rng.random()),
+            limit: self.completion.max_tokens,
+            mode: match self.completion.stream {
+                true => Mode::Streamed,
+                false => Mode::Buffered,
+            },
+            deadline,
+            instance: node.settings.instance.clone(),
+        }
+    }
+
+    /// Returns the digest of what decides the answer; the prefix that a caller brings does not.
+    fn digest(&self) -> Digest {
+        let completion = &self.completion;
+        let parts = (
+            &completion.model,
+            &completion.prompt,
+            completion.max_tokens,
+            completion.seed,
+            &completion.adapter,
+        );
+        Digest::of(&serde_json::to_vec(&parts).unwrap_or_default())
+    }
+
+    fn token(&self, seal: &Seal) -> Result<Option<ResumeToken>, Problem> {
+        let value = self.headers.get("last-event-id");
+        value
+            .map(|value| seal.decode(value.to_str().unwrap_or_default()))
+            .transpose()
+            .map_err(|error| Problem::new(Kind::BadRequest, error))
+    }
+
+    fn adapter_hash(&self) -> u64 {
+        let adapter = self.completion.adapter.as_ref();
+        adapter.map_or(0, |name| celerypond_route::hash(name.as_str().as_bytes()))
+    }
+
+    fn ask(self, request: RequestKey, priority: Priority) -> Ask {
+        Ask {
+            request,
+            model: self.completion.model,
+            adapter: self.completion.adapter,
+            prompt: self.completion.prompt,
+            max_tokens: self.completion.max_tokens,
+            priority,
+        }
+    }
+}
+
+/// Returns how long a request may wait to begin; longer waits are refused at once.
+fn start_within(priority: Priority) -> Duration {
+    match priority {
+        Priority::Interactive => Duration::from_secs(3),
+        Priority::Draft => Duration::from_secs(60),
+    }
+}
+
+/// Returns the hashes of the prompt's beginnings, the longest first.
+fn prefixes(prompt: &str) -> Vec<u64> {
+    const LENGTHS: [usize; 3] = [8192, 2048, 512];
+    let bytes = prompt.as_bytes();
+    LENGTHS
+        .iter()
+        .filter_map(|length| bytes.get(..*length))
+        .map(celerypond_route::hash)
+        .collect()
+}
+
+fn streamed_reply(named: Named, received: mpsc::Receiver<Piece>) -> Reply {
+    let mut reply = Response::new(body::streamed(events(named, received)));
+    let headers = reply.headers_mut();
+    let kind = HeaderValue::from_static("text/event-stream");
+    headers.insert(header::CONTENT_TYPE, kind);
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    reply
+}
+
+fn events(named: Named, received: mpsc::Receiver<Piece>) -> impl Stream<Item = Bytes> {
+    stream::unfold((named, received), |(named, mut received)| async {
+        let piece = received.recv().await?;
+        let text = match &piece {
+            Piece::Token(emit) => token_event(&named, emit),
+            Piece::End(finish) => end_event(&named, finish),
+            Piece::Failed(error) => {
+                let problem = Problem::new(Kind::Incomplete, error);
+                format!("event: error\ndata: {}\n\n", problem.text())
+            }
+        };
+        Some((Bytes::from(text), (named, received)))
+    })
+}
+
+fn token_event(named: &Named, emit: &Emit) -> String {
+    let chunk = Chunk {
+        id: &named.id,
+        object: "text_completion",
+        model: named.model.as_str(),
+        choices: [ChunkChoice {
+            index: 0,
+            position: emit.position,
+            token: emit.token,
+            text: &emit.text,
+        }],
+    };
+    let data = serde_json::to_string(&chunk).unwrap_or_default();
+    format!("id: {}\ndata: {data}\n\n", emit.id)
+}
+
+fn end_event(named: &Named, finish: &Finish) -> String {
+    let data = serde_json::to_string(&whole(named, finish)).unwrap_or_default();
+    format!("data: {data}\n\ndata: [DONE]\n\n")
+}
+
+async fn whole_reply(named: &Named, mut received: mpsc::Receiver<Piece>) -> Reply {
+    while let Some(piece) = received.recv().await {
+        match piece {
+            Piece::Token(_) => {}
+            Piece::End(finish) => return problem::json(StatusCode::OK, &whole(named, &finish)),
+            Piece::Failed(error) => return Problem::new(Kind::Incomplete, error).reply(),
+        }
+    }
+    Problem::new(Kind::Incomplete, celerypond_answer::Incomplete::Abandoned).reply()
+}
+
+fn whole<'a>(named: &'a Named, finish: &'a Finish) -> Whole<'a> {
+    Whole {
+        id: &named.id,
+        object: "text_completion",
+        model: named.model.as_str(),
+        version: finish.version.as_str(),
+        choices: [WholeChoice {
+            index: 0,
+            text: finish.text.as_deref().unwrap_or_default(),
+            finish_reason: finish.reason,
+        }],
+        usage: Usage {
+            completion_tokens: finish.length,
+        },
+    }
+}
