answer: give a slow engine that answers probes more time

Now an engine that answers the probe gets twice the time after each, up to a bound for a stuck stream, and only attempts that broke count as fruitless.

--- /dev/null
+++ b/bench/src/answer/cost.rs
@@ -0,0 +1,177 @@
+//! What the splice costs for each token and each open answer, on this machine.
+
+use std::{fs, hint::black_box, time::Instant as Clock};
+
+use celerypond_answer::{
+    ChainDigest, Chosen, Driver, Effect, Event, Frame, Generation, GenerationLimits, Input, Link,
+    Mode, Request, SealKey, Splice, Stall, StallLimits,
+};
+use celerypond_types::{Attempt, Digest, Position, TokenId};
+use tokio::time::{Duration, Instant};
+
+use crate::table::Row;
+
+const TOKENS: u32 = 10_000;
+const OPEN: usize = 20_000;
+const LENGTH: u32 = 344;
+const PAGE: f64 = 4096.0;
+
+/// Takes the measures.
+pub(super) fn run(seeds: u64) -> Vec<Row> {
+    let times = |work: fn() -> u64| (0..seeds).map(|_| nanoseconds(work)).collect();
+    vec![
+        Row::of(
+            "cost of a token",
+            "baseline: JSON parse alone",
+            "ns",
+            times(parse),
+        ),
+        Row::of("cost of a token", "chain: SHA-256", "ns", times(sha)),
+        Row::of(
+            "cost of a token",
+            "chain: rapidhash (chosen)",
+            "ns",
+            times(chain),
+        ),
+        Row::of("cost of a token", "splice", "ns", times(splice)),
+        Row::of(
+            "cost of a token",
+            "whole generation with id",
+            "ns",
+            times(whole),
+        ),
+        Row::of(
+            "memory of an open answer",
+            "344 tokens, streamed",
+            "B",
+            vec![memory()],
+        ),
+    ]
+}
+
+fn nanoseconds(work: fn() -> u64) -> f64 {
+    let start = Clock::now();
+    black_box(work());
+    start.elapsed().as_nanos() as f64 / f64::from(TOKENS)
+}
+
+fn frame(position: u32) -> Frame {
+    Frame {
+        request: "order-1234567".into(),
+        attempt: Attempt(0),
+        version: "v1".into(),
+        position: Position(position),
+        token: TokenId(position.wrapping_mul(0x9e37_79b9)),
+        text: "word ".into(),
+    }
+}
+
+fn parse() -> u64 {
+    let data = serde_json::to_string(&frame(7)).unwrap_or_default();
+    (0..TOKENS)
+        .filter(|_| Event::parse(black_box(&data)).is_ok())
+        .count() as u64
+}
+
+fn sha() -> u64 {
+    let mut state = [0; 36];
+    for token in 0..TOKENS {
+        state[32..].copy_from_slice(&token.to_le_bytes());
+        let digest = Digest::of(black_box(&state));
+        state[..32].copy_from_slice(digest.as_bytes());
+    }
+    u64::from(state[0])
+}
+
+fn chain() -> u64 {
+    (0..TOKENS)
+        .fold(ChainDigest::default(), |digest, token| {
+            digest.with(black_box(TokenId(token)))
+        })
+        .0
+}
+
+fn splice() -> u64 {
+    let mut splice = Splice::new("order-1234567".into(), "v1".into(), Attempt(0), TOKENS);
+    let mut frame = frame(0);
+    for position in 0..TOKENS {
+        frame.position = Position(position);
+        black_box(splice.accept(black_box(&frame)));
+    }
+    splice.digest().0
+}
+
+fn whole() -> u64 {
+    let (mut generation, now) = open("order-1234567");
+    let mut out = Vec::new();
+    for position in 0..TOKENS {
+        let frame = Frame {
+            attempt: generation.splice().map(Splice::attempt).unwrap_or_default(),
+            ..frame(position)
+        };
+        generation.step(now, Input::Event(Link(1), Event::Frame(frame)), &mut out);
+        black_box(&out);
+        out.clear();
+    }
+    generation.splice().map_or(0, |splice| splice.digest().0)
+}
+
+fn open(key: &str) -> (Generation, Instant) {
+    let now = Instant::now();
+    let request = Request {
+        key: key.into(),
+        body: Digest::of(b"body"),
+        seed: 1,
+        limit: TOKENS,
+        mode: Mode::Streamed,
+        deadline: now + Duration::from_secs(600),
+        instance: "instance-1".into(),
+    };
+    let seal = request.seal(&SealKey::new([7; 32]));
+    let limits = GenerationLimits::default();
+    let mut out: Vec<Effect> = Vec::new();
+    let mut generation = Generation::new(request, limits, seal, Driver::new(1), now, &mut out);
+    let chosen = Chosen {
+        target: "engine-1".into(),
+        version: "v1".into(),
+        patience: Stall::new(StallLimits::default()).patience(0),
+    };
+    generation.step(now, Input::Chosen(chosen), &mut out);
+    (generation, now)
+}
+
+/// Resident memory for each of many open answers; 0 where the system does not tell.
+fn memory() -> f64 {
+    let before = resident();
+    let answers: Vec<Generation> = (0..OPEN)
+        .map(|at| filled(&format!("order-{at:07}")))
+        .collect();
+    let after = resident();
+    black_box(&answers);
+    (after - before) / OPEN as f64
+}
+
+fn filled(key: &str) -> Generation {
+    let (mut generation, now) = open(key);
+    let attempt = generation.splice().map(Splice::attempt).unwrap_or_default();
+    let mut out = Vec::new();
+    for position in 0..LENGTH {
+        let frame = Frame {
+            request: key.into(),
+            attempt,
+            ..frame(position)
+        };
+        generation.step(now, Input::Event(Link(1), Event::Frame(frame)), &mut out);
+        out.clear();
+    }
+    generation
+}
+
+fn resident() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE
+}
--- /dev/null
+++ b/bench/src/answer/model.rs
@@ -0,0 +1,829 @@
+//! Engines, callers and instances in virtual time, at the level of decisions.
+//!
+//! The engines work in steps: a step takes one decode gap, plus the time to read one chunk for each
+//! stream that still reads its prompt and prefix. All figures of the model are the constants below.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use celerypond_answer::{
+    Chosen, Driver, Effect, Event, Frame, Generation, GenerationLimits, Input, KeeperRecord, Link,
+    Mode, Pace, Patience, Refusal, Request, Seal, SealKey, Stall, StallLimits, Start, Stream,
+    TakeOver, WaiterKey,
+};
+use celerypond_types::{Attempt, Digest, Position, TargetKey, TargetName, TokenId, VersionKey};
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use slotmap::SlotMap;
+use tokio::time::Instant;
+
+use super::way::{Fault, TakeOverWay, Way};
+
+/// How many engines there are when one fails, and when a third of them does.
+const ENGINES: (usize, usize) = (24, 30);
+/// 32,000 requests a second of 344 tokens at 40 ms a token, on 11,000 engines.
+const STREAMS: usize = 40;
+const GAP_US: (u64, u64) = (30_000, 52_000);
+const PREFILL_US: u64 = 50;
+const CHUNK: u64 = 512;
+const PROMPT: (u64, u64) = (200, 1800);
+const SHORT_MEAN: f64 = 100.0;
+const LONG_MEAN: f64 = 2000.0;
+/// 13 of 100 answers are long; at any moment they make up three of four of those open.
+const LONG_SHARE: (f64, f64) = (0.13, 0.75);
+const LONGEST: f64 = 1500.0;
+const WIRE_US: u64 = 1000;
+const RECONNECT_US: u64 = 50_000;
+const EJECTION_US: u64 = 2_000_000;
+/// The number that an answer gives its first connection.
+const FIRST_LINK: Link = Link(1);
+const FAULT_US: u64 = 500_000;
+const ARRIVE_US: u64 = 3_000_000;
+const END_US: u64 = 80_000_000;
+/// 32,000 requests a second at 11,000 engines, for one engine.
+const ARRIVAL_US: u64 = 11_000_000 / 32;
+
+/// What one run showed.
+#[derive(Default)]
+pub(super) struct Seen {
+    /// Time between the last token before the fault and the next one, of answers it hit, in ms.
+    pub(super) resumed: Vec<f64>,
+    /// The longest time between two tokens after the fault, of answers it did not hit, in ms.
+    pub(super) others: Vec<f64>,
+    /// Time to the first token of answers that came after the fault, in ms.
+    pub(super) first: Vec<f64>,
+    /// Tokens generated for each token delivered, of answers that the fault hit.
+    pub(super) extra: Vec<f64>,
+    /// Time to read the prompt and the tokens so far alone, of answers the fault hit, in ms.
+    pub(super) read: Vec<f64>,
+    /// Answers that failed or had no next token when the run ended.
+    pub(super) lost: u64,
+}
+
+struct Engine {
+    key: TargetKey,
+    dead: bool,
+    paused: u64,
+    ejected: u64,
+    stepping: bool,
+    streams: Vec<Written>,
+}
+
+struct Written {
+    answer: usize,
+    attempt: Attempt,
+    first: u32,
+    next: u32,
+    unread: u64,
+    reader: Option<(Link, u32)>,
+    silent: bool,
+}
+
+struct Answer {
+    generation: Generation,
+    prompt: u64,
+    length: u32,
+    shown: u32,
+    id: String,
+    last: u64,
+    hit: bool,
+    resumed: bool,
+    longest: u64,
+    born: u64,
+    generated: u64,
+    record: Option<KeeperRecord>,
+    granted: Option<TargetKey>,
+    over: bool,
+    down: bool,
+    conn: u32,
+}
+
+enum Act {
+    Step(usize),
+    Input(usize, u32, Input),
+    Tick(usize),
+    Fault,
+    Arrive,
+    Reconnect(usize),
+}
+
+pub(super) struct Model {
+    way: Way,
+    fault: Fault,
+    now: u64,
+    turn: u64,
+    base: Instant,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    acts: HashMap<usize, Act>,
+    engines: Vec<Engine>,
+    index: HashMap<TargetKey, usize>,
+    answers: Vec<Answer>,
+    pace: Option<Pace>,
+    waiters: HashMap<WaiterKey, usize>,
+    held: VecDeque<usize>,
+    version: VersionKey,
+    patience: Patience,
+    rng: StdRng,
+    struck: bool,
+}
+
+impl Model {
+    pub(super) fn new(way: Way, fault: Fault, seed: u64) -> Self {
+        let mut keys = SlotMap::<TargetKey, ()>::with_key();
+        let count = if fault.third() { ENGINES.1 } else { ENGINES.0 };
+        let engines: Vec<Engine> = (0..count)
+            .map(|_| Engine {
+                key: keys.insert(()),
+                dead: false,
+                paused: 0,
+                ejected: 0,
+                stepping: false,
+                streams: Vec::new(),
+            })
+            .collect();
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            way,
+            fault,
+            now: 0,
+            turn: 0,
+            base: Instant::now(),
+            queue: BinaryHeap::new(),
+            acts: HashMap::new(),
+            index: engines.iter().map(|engine| engine.key).zip(0..).collect(),
+            engines,
+            answers: Vec::new(),
+            pace: way.pace.map(Pace::new),
+            waiters: HashMap::new(),
+            held: VecDeque::new(),
+            version: SlotMap::<VersionKey, ()>::with_key().insert(()),
+            patience: learned(&mut rng, way),
+            rng,
+            struck: false,
+        }
+    }
+
+    pub(super) fn run(mut self) -> Seen {
+        for _ in 0..self.engines.len() * STREAMS {
+            self.open(true);
+        }
+        self.after(FAULT_US, Act::Fault);
+        self.after(FAULT_US, Act::Arrive);
+        while let Some(Reverse((at, _, id))) = self.queue.pop() {
+            self.now = at;
+            if at > END_US || (self.struck && self.settled()) {
+                break;
+            }
+            if let Some(act) = self.acts.remove(&id) {
+                self.act(act);
+            }
+        }
+        self.seen()
+    }
+
+    /// Whether every answer that the fault hit has gone on.
+    fn settled(&self) -> bool {
+        self.turn.is_multiple_of(1024)
+            && self.now > FAULT_US + 3_000_000
+            && self
+                .answers
+                .iter()
+                .all(|answer| !answer.hit || answer.resumed || answer.over)
+    }
+
+    fn seen(&self) -> Seen {
+        let mut seen = Seen::default();
+        for answer in &self.answers {
+            if !answer.hit {
+                let list = if answer.born > 0 {
+                    &mut seen.first
+                } else {
+                    &mut seen.others
+                };
+                list.extend((answer.longest > 0).then_some(answer.longest as f64 / 1000.0));
+                continue;
+            }
+            if answer.resumed {
+                seen.resumed.push(answer.longest as f64 / 1000.0);
+                let delivered = f64::from(answer.shown.max(1));
+                let tokens = answer.prompt + u64::from(answer.shown);
+                seen.read.push((tokens * PREFILL_US) as f64 / 1000.0);
+                seen.extra.push(answer.generated as f64 / delivered);
+            } else {
+                seen.lost += 1;
+            }
+        }
+        seen
+    }
+
+    fn after(&mut self, delay: u64, act: Act) {
+        self.turn += 1;
+        let id = self.turn as usize;
+        self.acts.insert(id, act);
+        self.queue.push(Reverse((self.now + delay, self.turn, id)));
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + Duration::from_micros(self.now)
+    }
+
+    /// Opens an answer; one of the first population is in the middle of its length.
+    fn open(&mut self, first: bool) {
+        let length = self.length(if first { LONG_SHARE.1 } else { LONG_SHARE.0 });
+        let at = self.answers.len();
+        let request = self.request(at);
+        let mut out = Vec::new();
+        let driver = Driver::draw(&mut self.rng);
+        let limits = GenerationLimits::default();
+        let seal = seal(&request);
+        let now = self.instant();
+        let generation = Generation::new(request, limits, seal, driver, now, &mut out);
+        self.answers.push(Answer {
+            generation,
+            prompt: self.rng.random_range(PROMPT.0..PROMPT.1),
+            length: if first { u32::MAX } else { length },
+            shown: 0,
+            id: String::new(),
+            last: self.now,
+            hit: false,
+            resumed: false,
+            longest: 0,
+            born: if first { 0 } else { self.now },
+            generated: 0,
+            record: None,
+            granted: None,
+            over: false,
+            down: false,
+            conn: 0,
+        });
+        if first {
+            self.begun(at, length);
+        } else {
+            self.apply(at, out);
+        }
+    }
+
+    /// Lets an answer be at a place in its middle, at an engine of its own.
+    fn begun(&mut self, at: usize, shown: u32) {
+        let engine = at % self.engines.len();
+        let input = Input::Chosen(Chosen {
+            target: engine.to_string().as_str().into(),
+            version: "v1".into(),
+            patience: self.patience(at),
+        });
+        let mut out = Vec::new();
+        let now = self.instant();
+        let answer = &mut self.answers[at];
+        answer.generation.step(now, input, &mut out);
+        let splice = answer.generation.splice();
+        let attempt = splice.map(|splice| splice.attempt()).unwrap_or_default();
+        for position in 0..shown {
+            let event = Event::Frame(frame(at, attempt, position));
+            let input = Input::Event(FIRST_LINK, event);
+            answer.generation.step(now, input, &mut out);
+        }
+        for effect in out {
+            match effect {
+                Effect::Keep(record) => answer.record = Some(record),
+                Effect::Emit(emit) => answer.id = emit.id.to_string(),
+                _ => {}
+            }
+        }
+        answer.shown = shown;
+        answer.generated = u64::from(shown);
+        self.engines[engine].streams.push(Written {
+            answer: at,
+            attempt,
+            first: 0,
+            next: shown,
+            unread: 0,
+            reader: Some((FIRST_LINK, shown)),
+            silent: false,
+        });
+        self.wake(engine);
+    }
+
+    fn length(&mut self, long: f64) -> u32 {
+        let long = self.rng.random_bool(long);
+        let mean = if long { LONG_MEAN } else { SHORT_MEAN };
+        let drawn = -mean * (1.0 - self.rng.random::<f64>()).ln();
+        drawn.clamp(1.0, LONGEST) as u32
+    }
+
+    fn request(&self, at: usize) -> Request {
+        Request {
+            key: format!("r{at}").as_str().into(),
+            body: Digest::of(b"body"),
+            seed: at as u64,
+            limit: 1_000_000,
+            mode: Mode::Streamed,
+            deadline: self.base + Duration::from_secs(600),
+            instance: "a".into(),
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Step(engine) => self.step(engine),
+            Act::Input(answer, conn, input) if self.answers[answer].conn == conn => {
+                self.input(answer, input);
+            }
+            Act::Input(..) => {}
+            Act::Tick(answer) => {
+                let due = self.answers[answer].generation.due();
+                if due.is_some_and(|due| due <= self.instant()) {
+                    self.input(answer, Input::Tick);
+                }
+            }
+            Act::Fault => self.strike(),
+            Act::Arrive => {
+                if self.now > FAULT_US + ARRIVE_US {
+                    return;
+                }
+                self.open(false);
+                self.after(ARRIVAL_US / self.engines.len() as u64, Act::Arrive);
+            }
+            Act::Reconnect(answer) => self.reconnect(answer),
+        }
+    }
+
+    fn input(&mut self, at: usize, input: Input) {
+        let now = self.instant();
+        let answer = &mut self.answers[at];
+        if answer.over || answer.down {
+            return;
+        }
+        let before = answer.generation.due();
+        let mut out = Vec::new();
+        answer.generation.step(now, input, &mut out);
+        let due = answer.generation.due();
+        self.apply(at, out);
+        // With a token each 40 ms the next tick is only looked at now and then.
+        // Before the fault nothing stalls.
+        if due.is_some() && due != before && self.struck {
+            self.watch(at);
+        }
+    }
+
+    /// Sees to it that the next tick comes.
+    fn watch(&mut self, at: usize) {
+        if let Some(due) = self.answers[at].generation.due() {
+            let left = due.saturating_duration_since(self.instant());
+            self.after(left.as_micros() as u64, Act::Tick(at));
+        }
+    }
+
+    fn apply(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Choose(choice) => self.choose(at, &choice.avoid, choice.resumes),
+                Effect::Start(start) => self.start(at, start),
+                Effect::Resume { link, stream, from } => self.resume(at, link, &stream, from),
+                Effect::Close(link) => self.close(at, link),
+                Effect::Cancel(stream) => self.cancel(at, &stream),
+                Effect::Keep(record) => self.answers[at].record = Some(record),
+                Effect::Emit(emit) => self.emit(at, emit.id.as_str()),
+                Effect::Fail(_) => self.answers[at].over = true,
+                Effect::Forget(..) | Effect::Tell(..) | Effect::Review(_) | Effect::Finish(_) => {}
+            }
+        }
+    }
+
+    fn emit(&mut self, at: usize, id: &str) {
+        let now = self.now;
+        let answer = &mut self.answers[at];
+        let gap = now - answer.last;
+        let first = answer.shown == 0;
+        answer.shown += 1;
+        answer.last = now;
+        id.clone_into(&mut answer.id);
+        // What was on its way when the fault came is not a resume.
+        let after = self.struck && now > FAULT_US + WIRE_US;
+        if after && !(answer.hit && answer.resumed) && (answer.born == 0 || first) {
+            answer.resumed = answer.hit;
+            answer.longest = answer.longest.max(gap);
+        }
+        if answer.shown >= answer.length {
+            answer.over = true;
+            let length = answer.length;
+            for engine in &mut self.engines {
+                engine
+                    .streams
+                    .retain(|written| written.answer != at || written.next < length);
+            }
+        }
+        self.release(at);
+    }
+
+    /// Gives back the place of a resume, and starts what waits for it.
+    fn release(&mut self, at: usize) {
+        let Some(target) = self.answers[at].granted.take() else {
+            return;
+        };
+        if let Some(pace) = &mut self.pace {
+            pace.settle(target);
+        }
+        self.grant();
+    }
+
+    fn choose(&mut self, at: usize, avoid: &[TargetName], resumes: bool) {
+        let last = self.base + Duration::from_micros(self.answers[at].last);
+        match &mut self.pace {
+            Some(pace) if resumes => {
+                let waiter = pace.wait(self.version, last);
+                self.waiters.insert(waiter, at);
+                self.grant();
+            }
+            Some(pace) if !pace.admits(self.version) => self.held.push_back(at),
+            _ => {
+                let target = self.pick(avoid, |_| true);
+                self.chosen(at, target);
+            }
+        }
+    }
+
+    fn grant(&mut self) {
+        loop {
+            let Some(mut pace) = self.pace.take() else {
+                return;
+            };
+            let grant = pace.grant(|_, free| {
+                let target = self.pick(&[], free)?;
+                Some(self.engines[target].key)
+            });
+            let admits = pace.admits(self.version);
+            self.pace = Some(pace);
+            let Some(grant) = grant else {
+                if admits {
+                    self.admit();
+                }
+                return;
+            };
+            if let Some(at) = self.waiters.remove(&grant.waiter) {
+                self.answers[at].granted = Some(grant.target);
+                self.chosen(at, Some(self.index[&grant.target]));
+            }
+        }
+    }
+
+    fn admit(&mut self) {
+        while let Some(at) = self.held.pop_front() {
+            let target = self.pick(&[], |_| true);
+            self.chosen(at, target);
+        }
+    }
+
+    fn chosen(&mut self, at: usize, target: Option<usize>) {
+        let patience = self.patience(at);
+        let input = match target {
+            Some(target) => Input::Chosen(Chosen {
+                target: target.to_string().as_str().into(),
+                version: "v1".into(),
+                patience,
+            }),
+            None => Input::NoTarget,
+        };
+        let conn = self.answers[at].conn;
+        self.after(0, Act::Input(at, conn, input));
+    }
+
+    fn patience(&self, at: usize) -> Patience {
+        let answer = &self.answers[at];
+        let tokens = answer.prompt + u64::from(answer.shown);
+        let read = Duration::from_micros(PREFILL_US * tokens);
+        Patience {
+            first: self.patience.first + read * 2,
+            ..self.patience
+        }
+    }
+
+    /// Chooses the less loaded of two engines that are not known to be out.
+    fn pick(&mut self, avoid: &[TargetName], fits: impl Fn(TargetKey) -> bool) -> Option<usize> {
+        let now = self.now;
+        let fit: Vec<usize> = (0..self.engines.len())
+            .filter(|at| self.engines[*at].ejected <= now && fits(self.engines[*at].key))
+            .filter(|at| !avoid.iter().any(|name| name.as_str() == at.to_string()))
+            .collect();
+        if fit.is_empty() {
+            return None;
+        }
+        let one = fit[self.rng.random_range(0..fit.len())];
+        let two = fit[self.rng.random_range(0..fit.len())];
+        let load = |at: usize| self.engines[at].streams.len();
+        Some(if load(one) <= load(two) { one } else { two })
+    }
+
+    fn start(&mut self, at: usize, start: Start) {
+        let engine = number(&start.stream.target);
+        if self.engines[engine].dead {
+            return self.reply(at, Input::Closed(start.link), 2 * WIRE_US);
+        }
+        let known = if self.way.prefix {
+            start.prefix.len() as u32
+        } else {
+            0
+        };
+        let answer = &self.answers[at];
+        let written = Written {
+            answer: at,
+            attempt: start.stream.attempt,
+            first: start.prefix.len() as u32,
+            next: known,
+            unread: answer.prompt + u64::from(known),
+            reader: Some((start.link, start.prefix.len() as u32)),
+            silent: false,
+        };
+        self.engines[engine].streams.push(written);
+        if self.engines[engine].paused <= self.now {
+            self.reply(at, Input::Opened(start.link), 2 * WIRE_US);
+        }
+        self.wake(engine);
+    }
+
+    fn resume(&mut self, at: usize, link: Link, stream: &Stream, from: Position) {
+        let engine = number(&stream.target);
+        let state = &mut self.engines[engine];
+        if state.dead || (!self.way.probe && self.answers[at].conn == 0) {
+            return self.reply(at, Input::Closed(link), 2 * WIRE_US);
+        }
+        if state.paused > self.now {
+            return;
+        }
+        let found = state
+            .streams
+            .iter_mut()
+            .find(|written| written.answer == at && written.attempt == stream.attempt);
+        let Some(written) = found.filter(|written| from.0 >= written.first) else {
+            return self.reply(at, Input::Refused(link, Refusal::Gone), 2 * WIRE_US);
+        };
+        written.reader = Some((link, from.0));
+        written.silent = false;
+        let (attempt, next) = (written.attempt, written.next);
+        let trips = self.way.trips;
+        self.reply(at, Input::Opened(link), 2 * WIRE_US * trips);
+        let frames: Vec<Frame> = (from.0..next).map(|p| frame(at, attempt, p)).collect();
+        for frame in frames {
+            let input = Input::Event(link, Event::Frame(frame));
+            self.reply(at, input, 2 * WIRE_US * trips);
+        }
+        if let Some(written) = self.written(engine, at, attempt) {
+            written.reader = Some((link, next));
+        }
+    }
+
+    fn written(&mut self, engine: usize, at: usize, attempt: Attempt) -> Option<&mut Written> {
+        self.engines[engine]
+            .streams
+            .iter_mut()
+            .find(|written| written.answer == at && written.attempt == attempt)
+    }
+
+    fn close(&mut self, at: usize, link: Link) {
+        for engine in &mut self.engines {
+            for written in &mut engine.streams {
+                if written.answer == at && written.reader.is_some_and(|(held, _)| held == link) {
+                    written.reader = None;
+                }
+            }
+        }
+    }
+
+    fn cancel(&mut self, at: usize, stream: &Stream) {
+        let engine = number(&stream.target);
+        let now = self.now;
+        let state = &mut self.engines[engine];
+        state.ejected = state.ejected.max(now + EJECTION_US);
+        // A paused engine is told again until it answers, so it stops the stream first of all.
+        state
+            .streams
+            .retain(|written| written.answer != at || written.attempt != stream.attempt);
+        self.release(at);
+    }
+
+    fn reply(&mut self, at: usize, input: Input, delay: u64) {
+        let conn = self.answers[at].conn;
+        self.after(delay, Act::Input(at, conn, input));
+    }
+
+    fn wake(&mut self, engine: usize) {
+        if !self.engines[engine].stepping {
+            self.engines[engine].stepping = true;
+            let delay = self.step_time(engine);
+            self.after(delay, Act::Step(engine));
+        }
+    }
+
+    fn step_time(&mut self, engine: usize) -> u64 {
+        let gap = self.rng.random_range(GAP_US.0..GAP_US.1);
+        let streams = &self.engines[engine].streams;
+        let read: u64 = streams
+            .iter()
+            .map(|written| written.unread.min(CHUNK))
+            .sum();
+        gap + read * PREFILL_US
+    }
+
+    fn step(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        if state.dead {
+            return;
+        }
+        if state.paused > self.now {
+            let delay = state.paused - self.now;
+            return self.after(delay, Act::Step(engine));
+        }
+        let mut sent = Vec::new();
+        for written in &mut state.streams {
+            if written.unread > 0 {
+                written.unread -= written.unread.min(CHUNK);
+                continue;
+            }
+            let position = written.next;
+            written.next += 1;
+            self.answers[written.answer].generated += 1;
+            let Some((link, next)) = &mut written.reader else {
+                continue;
+            };
+            if written.silent || position < *next {
+                continue;
+            }
+            *next = position + 1;
+            sent.push((
+                written.answer,
+                *link,
+                frame(written.answer, written.attempt, position),
+            ));
+        }
+        for (at, link, frame) in sent {
+            self.reply(at, Input::Event(link, Event::Frame(frame)), WIRE_US);
+        }
+        let delay = self.step_time(engine);
+        self.after(delay, Act::Step(engine));
+    }
+
+    fn strike(&mut self) {
+        self.struck = true;
+        let count = if self.fault.third() {
+            self.engines.len() / 3
+        } else {
+            1
+        };
+        for engine in 0..count {
+            let hit: Vec<(usize, Option<(Link, u32)>)> = self.engines[engine]
+                .streams
+                .iter()
+                .map(|written| (written.answer, written.reader))
+                .collect();
+            for (at, _) in &hit {
+                self.answers[*at].hit = true;
+                self.watch(*at);
+            }
+            match self.fault {
+                Fault::Death | Fault::Third => self.kill(engine, &hit),
+                Fault::Silence => self.engines[engine]
+                    .streams
+                    .iter_mut()
+                    .for_each(|written| written.silent = true),
+                Fault::Pause => self.engines[engine].paused = self.now + 10_000_000,
+                Fault::Router => self.drop_connections(&hit),
+                Fault::Both => {
+                    self.engines[engine].dead = true;
+                    self.engines[engine].ejected = u64::MAX;
+                    self.drop_connections(&hit);
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, engine: usize, hit: &[(usize, Option<(Link, u32)>)]) {
+        self.engines[engine].dead = true;
+        self.engines[engine].ejected = u64::MAX;
+        for (at, reader) in hit {
+            if let Some((link, _)) = reader {
+                self.reply(*at, Input::Closed(*link), WIRE_US);
+            }
+        }
+    }
+
+    fn drop_connections(&mut self, hit: &[(usize, Option<(Link, u32)>)]) {
+        for (at, _) in hit {
+            self.answers[*at].conn += 1;
+            self.answers[*at].down = true;
+            self.after(RECONNECT_US, Act::Reconnect(*at));
+        }
+    }
+
+    /// Goes on at another instance, in the way that is weighed.
+    fn reconnect(&mut self, at: usize) {
+        for engine in &mut self.engines {
+            let streams = engine.streams.iter_mut();
+            streams
+                .filter(|written| written.answer == at)
+                .for_each(|written| written.reader = None);
+        }
+        self.answers[at].down = false;
+        let request = self.request(at);
+        let seal = seal(&request);
+        let shown = self.answers[at].shown;
+        let token = seal.decode(&self.answers[at].id).ok();
+        let all: Vec<TokenId> = (0..shown).map(|position| token_of(at, position)).collect();
+        let record = self.answers[at].record.clone();
+        let (record, brought) = self.way.takeover.known(record, &all);
+        let driver = Driver::draw(&mut self.rng);
+        let plan = TakeOver::plan(driver, token.as_ref(), record.as_ref(), &brought);
+        let limits = GenerationLimits::default();
+        let now = self.instant();
+        let mut out = Vec::new();
+        let patience = self.patience(at);
+        self.answers[at].generation = match plan {
+            Ok(Some(plan)) if self.way.takeover != TakeOverWay::Restart => {
+                Generation::take_over(request, limits, seal, plan, patience, now, &mut out)
+            }
+            _ => self.anew(at, request, seal, driver, &mut out),
+        };
+        self.apply(at, out);
+        self.watch(at);
+    }
+
+    /// Starts from zero; the caller passes over what it has already.
+    fn anew(
+        &mut self,
+        at: usize,
+        request: Request,
+        seal: Seal,
+        driver: Driver,
+        out: &mut Vec<Effect>,
+    ) -> Generation {
+        for engine in &mut self.engines {
+            engine.streams.retain(|written| written.answer != at);
+        }
+        let plan = TakeOver {
+            attempt: driver.first(),
+            origin: celerypond_answer::Origin {
+                attempt: driver.first(),
+                stream: Stream {
+                    target: "0".into(),
+                    attempt: driver.first(),
+                },
+                version: "v1".into(),
+                seed: at as u64,
+            },
+            other: None,
+            former: None,
+            shown: Position(self.answers[at].shown),
+            digest: seal
+                .decode(&self.answers[at].id)
+                .map(|token| token.digest)
+                .unwrap_or_default(),
+            tokens: Vec::new(),
+            text: String::new(),
+        };
+        let limits = GenerationLimits::default();
+        let (now, patience) = (self.instant(), self.patience(at));
+        Generation::take_over(request, limits, seal, plan, patience, now, out)
+    }
+}
+
+fn seal(request: &Request) -> Seal {
+    request.seal(&SealKey::new([7; 32]))
+}
+
+fn number(target: &TargetName) -> usize {
+    target.as_str().parse().unwrap_or(0)
+}
+
+fn token_of(answer: usize, position: u32) -> TokenId {
+    TokenId((answer as u32).wrapping_mul(0x9e37_79b9) ^ position.wrapping_mul(0x85eb_ca6b))
+}
+
+fn frame(answer: usize, attempt: Attempt, position: u32) -> Frame {
+    Frame {
+        request: format!("r{answer}").as_str().into(),
+        attempt,
+        version: "v1".into(),
+        position: Position(position),
+        token: token_of(answer, position),
+        text: "word".into(),
+    }
+}
+
+/// The timeouts after 10,000 gaps of a healthy engine, or a fixed one.
+fn learned(rng: &mut StdRng, way: Way) -> Patience {
+    let mut stall = Stall::new(StallLimits::default());
+    for _ in 0..10_000 {
+        let gap = rng.random_range(GAP_US.0..GAP_US.1);
+        stall.observe(Duration::from_micros(gap + WIRE_US));
+    }
+    let patience = stall.patience(0);
+    match way.timeout {
+        Some(gap) => Patience {
+            gap,
+            first: gap,
+            stuck: gap,
+            ..patience
+        },
+        None => patience,
+    }
+}
--- a/crates/answer/src/generation.rs
+++ b/crates/answer/src/generation.rs
@@ -235,7 +235,7 @@
                 retry: Some(retry), ..
             } if now >= *retry => self.choose(now, out),
             State::Reading(reader) if now >= reader.due() => {
-                let loss = reader.overdue();
+                let loss = reader.overdue(now);
                 self.lost(now, loss, out);
             }
             _ => {}
--- a/crates/answer/src/reader.rs
+++ b/crates/answer/src/reader.rs
@@ -5,11 +5,21 @@
 
 use crate::{Link, Patience, Stream};
 
+/// How many times the wait for the first token an attempt gets while its engine answers probes.
+const STUCK_FIRSTS: u32 = 4;
+/// Enough to pass any sensible bound, and few enough not to overflow.
+const MAX_DOUBLINGS: u32 = 10;
+
 /// Reads one stream of an engine over one connection after another.
 ///
 /// A resume on a new connection is the probe: an engine that answers it is alive and has the
 /// stream, so the old connection was lost track of and reading goes on here. One that does not is
 /// dead or paused, and the stream is given up.
+///
+/// The failure: many resumes at once make all engines slow. If each slow stream were started anew
+/// elsewhere, its prefix would be read once more there, which makes the engines slower yet; the
+/// symptom would be answers that move about and never go on. An engine that answers is therefore
+/// given twice the time after each probe, up to a bound for one whose stream is stuck.
 #[derive(Clone, Debug)]
 pub(crate) struct Reader {
     stream: Stream,
@@ -23,8 +33,12 @@
     opened: bool,
     /// Whether the stream is known to have had a token.
     begun: bool,
-    /// Whether a probe was made since the last token.
-    probed: bool,
+    /// How many probes were made since the last token.
+    probes: u32,
+    /// When the last token came, or the stream was started.
+    since: Instant,
+    /// Whether a connection broke since then.
+    broke: bool,
 }
 
 /// What the loss of a connection means.
@@ -50,7 +64,9 @@
             due: now + patience.probe,
             opened: false,
             begun: false,
-            probed: false,
+            probes: 0,
+            since: now,
+            broke: false,
         }
     }
 
@@ -60,7 +76,7 @@
             link: None,
             probe: Some(link),
             begun: true,
-            probed: true,
+            probes: 1,
             ..Self::start(stream, link, patience, now)
         }
     }
@@ -74,7 +90,8 @@
         if self.probe.is_some() && self.link == Some(link) {
             return None;
         }
-        self.due = now + self.wait();
+        let wait = self.wait() * (1 << self.probes.min(MAX_DOUBLINGS));
+        self.due = (now + wait).min(self.limit()).max(now);
         self.switch(link)
     }
 
@@ -82,7 +99,9 @@
     pub(crate) fn progress(&mut self, link: Link, now: Instant) -> Option<Link> {
         self.opened = true;
         self.begun = true;
-        self.probed = false;
+        self.broke = false;
+        self.probes = 0;
+        self.since = now;
         self.due = now + self.wait();
         if self.link == Some(link) {
             return self.probe.take();
@@ -93,31 +112,32 @@
     /// Probes over a new connection.
     pub(crate) fn probe(&mut self, link: Link, now: Instant) {
         self.probe = Some(link);
-        self.probed = true;
+        self.probes += 1;
         self.due = now + self.patience.probe;
     }
 
     /// Takes note of the loss of a connection.
     pub(crate) fn lose(&mut self, link: Link) -> Loss {
+        if !self.holds(link) {
+            return Loss::Stale;
+        }
+        self.broke = true;
         if self.probe == Some(link) {
             self.probe = None;
             return Loss::GiveUp;
         }
-        if self.link != Some(link) {
-            return Loss::Stale;
-        }
         self.link = None;
         match self.probe {
             Some(_) => Loss::Wait,
             // A start that never got through has no stream to resume.
-            None if !self.opened => Loss::GiveUp,
-            None => self.overdue(),
+            None if !self.opened || self.probes > 0 => Loss::GiveUp,
+            None => Loss::Probe,
         }
     }
 
     /// Returns what to do when the time is up.
-    pub(crate) const fn overdue(&self) -> Loss {
-        if self.probed {
+    pub(crate) fn overdue(&self, now: Instant) -> Loss {
+        if self.probe.is_some() || now >= self.limit() {
             Loss::GiveUp
         } else {
             Loss::Probe
@@ -133,9 +153,9 @@
         [self.link, self.probe].into_iter().flatten()
     }
 
-    /// Returns whether the engine took the attempt, yet it brought no token.
+    /// Returns whether the engine took the attempt and failed before its first token.
     pub(crate) const fn is_barren(&self) -> bool {
-        self.opened && !self.begun
+        self.opened && !self.begun && self.broke
     }
 
     pub(crate) const fn patience(&self) -> Patience {
@@ -154,6 +174,16 @@
         &self.stream.target
     }
 
+    /// Returns when a stream is given up although its engine answers.
+    fn limit(&self) -> Instant {
+        let stuck = if self.begun {
+            self.patience.stuck
+        } else {
+            self.patience.first * STUCK_FIRSTS
+        };
+        self.since + stuck
+    }
+
     const fn wait(&self) -> std::time::Duration {
         if self.begun {
             self.patience.gap
--- a/crates/answer/src/stall.rs
+++ b/crates/answer/src/stall.rs
@@ -29,6 +29,8 @@
     pub prefill: Duration,
     /// How long a probe may take.
     pub probe: Duration,
+    /// How long a stream may give no token although its engine answers probes.
+    pub stuck: Duration,
 }
 
 /// The timeouts of one attempt.
@@ -40,6 +42,9 @@
     pub gap: Duration,
     /// How long to wait for the answer to a probe.
     pub probe: Duration,
+    /// How long to go without a token although the engine answers probes. An attempt that has had
+    /// none yet gets several times `first` instead.
+    pub stuck: Duration,
 }
 
 /// Learns the gaps between tokens of one target, and sets the progress timeout from them.
@@ -79,6 +84,7 @@
             first: Duration::from_millis(900),
             prefill: Duration::from_micros(200),
             probe: Duration::from_millis(200),
+            stuck: Duration::from_millis(1500),
         }
     }
 }
@@ -110,6 +116,7 @@
             first: self.limits.first.max(gap) + self.limits.prefill * tokens,
             gap,
             probe: self.limits.probe,
+            stuck: self.limits.stuck.max(gap * 2),
         }
     }
 
--- a/crates/answer/tests/test_scripts.rs
+++ b/crates/answer/tests/test_scripts.rs
@@ -66,6 +66,7 @@
         ["kill", at] => Fault::Kill(index(at)?),
         ["pause", at, time] => Fault::Pause(index(at)?, ms(time)?),
         ["silence", at] => Fault::Silence(index(at)?),
+        ["slow", at, time] => Fault::Slow(index(at)?, ms(time)?),
         ["load", at, version] => Fault::Load(index(at)?, version.into()),
         ["unload", at] => Fault::Unload(index(at)?),
         ["kill-router", at] => Fault::KillRouter(index(at)?),
--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -36,6 +36,8 @@
     Wake(usize),
     /// All open connections to the engine go silent for good.
     Silence(usize),
+    /// The engine answers at once, but takes this long for a token.
+    Slow(usize, Duration),
     Load(usize, VersionName),
     Unload(usize),
     KillRouter(usize),
@@ -74,6 +76,7 @@
 
 #[derive(Default)]
 struct Engine {
+    slow: Duration,
     loaded: BTreeSet<VersionName>,
     dead: bool,
     paused: bool,
@@ -579,6 +582,7 @@
         first: Duration::from_millis(300),
         gap: Duration::from_millis(100),
         probe: Duration::from_millis(50),
+        stuck: Duration::from_millis(400),
     }
 }
 
@@ -654,7 +658,8 @@
         let from = Position(written.first as u32);
         self.engines[at].streams.insert(attempt, written);
         self.read(at, drive, start.link, attempt, from);
-        self.after(GAP, Act::Write(at, attempt));
+        let gap = GAP + self.engines[at].slow;
+        self.after(gap, Act::Write(at, attempt));
     }
 
     fn read(&mut self, at: usize, drive: usize, link: Link, attempt: Attempt, from: Position) {
@@ -700,7 +705,8 @@
         self.lineage
             .insert((before, token), written.version.clone());
         self.generated += 1;
-        self.after(GAP, Act::Write(at, attempt));
+        let gap = GAP + self.engines[at].slow;
+        self.after(gap, Act::Write(at, attempt));
         for key in self.readers(at, attempt) {
             self.pump(key);
         }
@@ -819,6 +825,10 @@
                     .filter(|reading| reading.engine == at)
                     .for_each(|reading| reading.silent = true);
             }
+            Fault::Slow(at, time) => {
+                let at = engine(at);
+                self.engines[at].slow = time;
+            }
             Fault::Load(at, version) => {
                 self.engines[at].loaded.insert(version);
             }
