answer: copy the tokens of very long answers to their keepers

An answer whose engine and instance die at once is generated again up to where its caller is, unless the caller brings its tokens. From a length on (7,500 tokens by default) 64 tokens at a time go to the keepers.

A take-over that turns back to the caller's own stream now takes a new attempt number, so that the keepers drop copies of the other sequence.

--- a/bench/src/answer.rs
+++ b/bench/src/answer.rs
@@ -32,51 +32,43 @@
 
 fn plans() -> Vec<(Fault, Vec<Way>)> {
     let ours = Way::OURS;
-    let anew = Way {
-        name: "baseline: start anew elsewhere",
-        prefix: false,
-        probe: false,
-        timeout: Some(NO_TIMEOUT),
-        ..ours
-    };
-    let elsewhere = Way {
-        name: "prefix elsewhere, no probe",
-        probe: false,
-        ..ours
-    };
-    let health = Way {
-        name: "health probe, then resume",
-        trips: 2,
-        ..ours
-    };
-    let fixed = Way {
-        name: "baseline: fixed timeout of 5 s",
-        timeout: Some(FIXED_TIMEOUT),
-        ..ours
-    };
-    let take = |name, takeover| Way {
-        name,
-        takeover,
-        ..ours
+    let with = |name, change: fn(&mut Way)| {
+        let mut way = Way { name, ..ours };
+        change(&mut way);
+        way
     };
+    let anew = with("baseline: start anew elsewhere", |way| {
+        way.prefix = false;
+        way.probe = false;
+        way.timeout = Some(NO_TIMEOUT);
+    });
+    let elsewhere = with("prefix elsewhere, no probe", |way| way.probe = false);
+    let health = with("health probe, then resume", |way| way.trips = 2);
+    let fixed = with("baseline: fixed timeout of 5 s", |way| {
+        way.timeout = Some(FIXED_TIMEOUT);
+    });
     let takes = vec![
-        take("baseline: start from zero", TakeOverWay::Restart),
-        take("a: resume token", TakeOverWay::Token),
-        take("a+b: token and stub", TakeOverWay::Stub),
-        take("c: copy each 64 tokens", TakeOverWay::Copy(64)),
-        take("d: caller brings its tokens", TakeOverWay::Brought),
+        with("baseline: start from zero", |way| {
+            way.takeover = TakeOverWay::Restart
+        }),
+        with("a: resume token", |way| way.takeover = TakeOverWay::Token),
+        with("a+b: token and stub", |way| {
+            way.takeover = TakeOverWay::Stub
+        }),
+        with("c: copy each 64 tokens", |way| {
+            way.takeover = TakeOverWay::Copy(64)
+        }),
+        with("d: caller brings its tokens", |way| {
+            way.takeover = TakeOverWay::Brought
+        }),
     ];
     let pace = |name, target| Way {
         name,
         pace: Some(PaceLimits { target }),
         ..ours
     };
-    let unpaced = Way {
-        name: "baseline: not paced",
-        ..ours
-    };
     let paced = vec![
-        unpaced,
+        with("baseline: not paced", |_| ()),
         pace("paced, 1 a target", 1),
         pace("paced, 2 a target", 2),
         pace("paced, 4 a target", 4),
--- a/bench/src/answer/model.rs
+++ b/bench/src/answer/model.rs
@@ -41,6 +41,8 @@
 const FIRST_LINK: Link = Link(1);
 const FAULT_US: u64 = 500_000;
 const ARRIVE_US: u64 = 3_000_000;
+/// How long a run goes on after that.
+const CALM_US: u64 = 500_000;
 const END_US: u64 = 80_000_000;
 /// 32,000 requests a second at 11,000 engines, for one engine.
 const ARRIVAL_US: u64 = 11_000_000 / 32;
@@ -127,6 +129,8 @@
     patience: Patience,
     rng: StdRng,
     struck: bool,
+    /// When all answers that the fault hit had gone on.
+    calm: u64,
 }
 
 impl Model {
@@ -162,6 +166,7 @@
             patience: learned(&mut rng, way),
             rng,
             struck: false,
+            calm: u64::MAX,
         }
     }
 
@@ -173,9 +178,12 @@
         self.after(FAULT_US, Act::Arrive);
         while let Some(Reverse((at, _, id))) = self.queue.pop() {
             self.now = at;
-            if at > END_US || (self.struck && self.settled()) {
+            if at > END_US || at > self.calm.saturating_add(CALM_US) {
                 break;
             }
+            if self.calm == u64::MAX && self.struck && self.settled() {
+                self.calm = at;
+            }
             if let Some(act) = self.acts.remove(&id) {
                 self.act(act);
             }
@@ -386,7 +394,11 @@
                 Effect::Keep(record) => self.answers[at].record = Some(record),
                 Effect::Emit(emit) => self.emit(at, emit.id.as_str()),
                 Effect::Fail(_) => self.answers[at].over = true,
-                Effect::Forget(..) | Effect::Tell(..) | Effect::Review(_) | Effect::Finish(_) => {}
+                Effect::Copy(_)
+                | Effect::Forget(..)
+                | Effect::Tell(..)
+                | Effect::Review(_)
+                | Effect::Finish(_) => {}
             }
         }
     }
--- a/crates/answer/src/effect.rs
+++ b/crates/answer/src/effect.rs
@@ -5,7 +5,7 @@
 };
 use smol_str::SmolStr;
 
-use crate::{Incomplete, KeeperRecord, Link, Reason, Stream};
+use crate::{Incomplete, KeeperCopy, KeeperRecord, Link, Reason, Stream};
 
 /// What an answer asks its instance to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +30,8 @@
     Cancel(Stream),
     /// Put the record at the keepers; answer with `Fenced` if one has a higher record.
     Keep(KeeperRecord),
+    /// Add tokens to the record at the keepers.
+    Copy(KeeperCopy),
     /// Remove the record from the keepers, unless it is of a later attempt.
     Forget(RequestKey, Attempt),
     /// Send the record to the instance that drove the request before.
--- a/crates/answer/src/generation.rs
+++ b/crates/answer/src/generation.rs
@@ -67,6 +67,8 @@
     avoid: Vec<TargetName>,
     /// Where the caller's tokens came from, if that is not where they are looked for first.
     other: Option<Origin>,
+    /// How many tokens the keepers have, and how many bytes of text.
+    copied: (u32, usize),
     /// When the last new token came.
     last: Instant,
     /// How often no target was available since then.
@@ -208,6 +210,7 @@
             barren: 0,
             avoid: Vec::new(),
             other: None,
+            copied: (0, 0),
             last: now,
             polls: 0,
             gone: None,
@@ -261,6 +264,12 @@
         }
     }
 
+    /// Returns the effect that puts the record at the keepers, who have its prefix from then on.
+    fn keep(&mut self, record: KeeperRecord) -> Effect {
+        self.copied = (record.position().0, record.text.len());
+        Effect::Keep(record)
+    }
+
     fn forget(&self) -> Effect {
         Effect::Forget(self.request.key.clone(), self.attempt)
     }
--- a/crates/answer/src/generation/choosing.rs
+++ b/crates/answer/src/generation/choosing.rs
@@ -24,7 +24,7 @@
         if let Some(former) = former.filter(|former| *former != self.request.instance) {
             out.push(Effect::Tell(former, record.clone()));
         }
-        out.push(Effect::Keep(record));
+        out.push(self.keep(record));
         let link = self.link();
         out.push(Effect::Resume {
             link,
@@ -76,7 +76,7 @@
             seed: self.request.seed,
             prefix: record.prefix.clone(),
         }));
-        out.push(Effect::Keep(record));
+        out.push(self.keep(record));
         self.state = State::Reading(Reader::start(stream, link, chosen.patience, now));
     }
 
--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -1,9 +1,13 @@
 //! The reading of a stream, and what to do when it fails.
 
+use celerypond_types::Position;
 use tokio::time::Instant;
 
 use super::{ending, Generation, State};
-use crate::{reader::Loss, Done, Effect, Frame, Incomplete, Link, Refusal, Splice, Verdict};
+use crate::{
+    reader::Loss, Done, Driver, Effect, Frame, Incomplete, KeeperCopy, Link, Refusal, Splice,
+    Verdict,
+};
 
 impl Generation {
     pub(super) fn opened(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
@@ -45,13 +49,33 @@
                 self.last = now;
                 match self.outlet.take(frame, splice) {
                     Ok(effect) => out.extend(effect),
-                    Err(error) => self.diverged(now, error, out),
+                    Err(error) => return self.diverged(now, error, out),
                 }
+                self.copy(out);
             }
             verdict => self.judge(now, link, verdict, out),
         }
     }
 
+    /// Copies the tokens of a long answer to its keepers, some at a time.
+    fn copy(&mut self, out: &mut Vec<Effect>) {
+        let Some(splice) = &self.splice else { return };
+        let (length, copies) = (splice.next().0, self.limits.copies);
+        let (tokens, bytes) = self.copied;
+        if length < copies.after || length < tokens + copies.each {
+            return;
+        }
+        let text = self.outlet.text().unwrap_or_default();
+        out.push(Effect::Copy(KeeperCopy {
+            key: self.request.key.clone(),
+            attempt: self.attempt,
+            from: Position(tokens),
+            tokens: splice.tokens()[tokens as usize..].to_vec(),
+            text: text[bytes..].to_owned(),
+        }));
+        self.copied = (length, text.len());
+    }
+
     pub(super) fn done(&mut self, now: Instant, link: Link, done: &Done, out: &mut Vec<Effect>) {
         let (State::Reading(_), Some(splice)) = (&self.state, &self.splice) else {
             return;
@@ -147,6 +171,12 @@
             return false;
         };
         let patience = reader.patience();
+        // A higher number, so that the keepers drop what was copied of the other sequence.
+        let Some(number) = self.fresh else {
+            return false;
+        };
+        self.attempt = number;
+        self.fresh = Driver::retry(number);
         let (key, limit) = (self.request.key.clone(), self.request.limit);
         let attempt = other.stream.attempt;
         self.splice = Some(Splice::new(key, other.version, attempt, limit));
--- a/crates/answer/src/incomplete.rs
+++ b/crates/answer/src/incomplete.rs
@@ -18,8 +18,8 @@
     /// The deadline passed before any target was available.
     #[error("no target was available before the deadline")]
     NotStarted,
-    /// Too many attempts in succession brought no token.
-    #[error("{attempts} attempts in succession brought no token")]
+    /// Too many attempts in succession broke before their first token.
+    #[error("{attempts} attempts in succession broke before their first token")]
     Barren {
         /// How many.
         attempts: u32,
--- a/crates/answer/src/keeper.rs
+++ b/crates/answer/src/keeper.rs
@@ -5,7 +5,7 @@
 use celerypond_types::{Attempt, RequestKey};
 use tokio::time::Instant;
 
-use crate::KeeperRecord;
+use crate::{KeeperCopy, KeeperRecord};
 
 /// The records that an instance keeps for others.
 ///
@@ -57,6 +57,17 @@
         higher
     }
 
+    /// Adds tokens to a record, if they follow its last one.
+    pub fn extend(&mut self, copy: &KeeperCopy) {
+        if let Some(kept) = self.records.remove(&copy.key) {
+            let kept = Kept {
+                record: kept.record.extend(copy),
+                ..kept
+            };
+            self.records.insert(copy.key.clone(), kept);
+        }
+    }
+
     /// Returns the record of a request.
     pub fn get(&self, now: Instant, key: &RequestKey) -> Option<&KeeperRecord> {
         self.records
--- a/crates/answer/src/pace.rs
+++ b/crates/answer/src/pace.rs
@@ -70,9 +70,31 @@
     pub target: TargetKey,
 }
 
+/// How many prefixes a target reads at once; measured, see the design note.
+const TARGET_RESUMES: u32 = 8;
+
 impl Default for PaceLimits {
     fn default() -> Self {
-        Self { target: 2 }
+        Self::shared(1)
+    }
+}
+
+impl PaceLimits {
+    /// Returns the limits of one of `instances` that send to the same targets.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_answer::PaceLimits;
+    ///
+    /// assert_eq!(PaceLimits::shared(3).target, 2);
+    /// assert_eq!(PaceLimits::shared(900).target, 1);
+    /// ```
+    pub const fn shared(instances: u32) -> Self {
+        let share = TARGET_RESUMES / if instances == 0 { 1 } else { instances };
+        Self {
+            target: if share == 0 { 1 } else { share },
+        }
     }
 }
 
--- a/crates/answer/src/record.rs
+++ b/crates/answer/src/record.rs
@@ -12,7 +12,7 @@
 ///
 /// It is written once an attempt and not once a token: the position and digest of what the caller
 /// has come with the caller's resume token. An attempt that was started with a prefix carries the
-/// prefix, which its engine's stream does not repeat.
+/// prefix, which its engine's stream does not repeat. Very long answers add their later tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeeperRecord {
     /// The request.
@@ -21,7 +21,7 @@
     pub origin: Origin,
     /// The instance that drives the request.
     pub instance: InstanceName,
-    /// The tokens before the stream's first one.
+    /// The first tokens of the answer, at least those before the stream's first one.
     pub prefix: Vec<TokenId>,
     /// The digest of the prefix.
     pub digest: ChainDigest,
@@ -31,6 +31,21 @@
     pub remaining: u32,
 }
 
+/// Tokens that are added to a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperCopy {
+    /// The request.
+    pub key: RequestKey,
+    /// The driver's latest attempt number.
+    pub attempt: Attempt,
+    /// The place of the first token.
+    pub from: Position,
+    /// The tokens.
+    pub tokens: Vec<TokenId>,
+    /// Their text, if the answer is not streamed.
+    pub text: String,
+}
+
 /// The ways in which bytes are not a record.
 #[derive(Debug, Error)]
 pub enum RecordError {
@@ -58,7 +73,7 @@
         &self.origin.version
     }
 
-    /// Returns how many tokens came before the stream's first one.
+    /// Returns how many tokens the prefix has.
     pub const fn position(&self) -> Position {
         // The limit of an answer is a u32.
         Position(self.prefix.len() as u32)
@@ -80,6 +95,18 @@
         }
     }
 
+    /// Returns the record with more tokens, or without change if they don't follow its last one.
+    #[must_use]
+    pub fn extend(mut self, copy: &KeeperCopy) -> Self {
+        if copy.attempt == self.attempt() && copy.from == self.position() {
+            let fold = |digest: ChainDigest, token: &TokenId| digest.with(*token);
+            self.digest = copy.tokens.iter().fold(self.digest, fold);
+            self.prefix.extend(&copy.tokens);
+            self.text.push_str(&copy.text);
+        }
+        self
+    }
+
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
         // Writing plain fields to memory can't fail.
--- a/crates/answer/src/request.rs
+++ b/crates/answer/src/request.rs
@@ -48,8 +48,23 @@
     pub rest: Duration,
     /// How long an answer of which nothing was shown waits for its version.
     pub cede: Duration,
-    /// How many attempts in succession may bring no token.
+    /// How many attempts in succession may break before their first token.
     pub barren: u32,
+    /// When the tokens of an answer are copied to its keepers.
+    pub copies: Copies,
+}
+
+/// When the tokens of an answer are copied to its keepers.
+///
+/// Without a copy, an answer that loses its engine and its instance at once is generated once more
+/// up to where its caller is, unless the caller brings its tokens. Copies cost bandwidth, so only
+/// the longest answers are worth them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Copies {
+    /// From which length on.
+    pub after: u32,
+    /// How many tokens go together.
+    pub each: u32,
 }
 
 impl Default for GenerationLimits {
@@ -61,6 +76,10 @@
             rest: Duration::from_secs(1),
             cede: Duration::from_millis(500),
             barren: 8,
+            copies: Copies {
+                after: 7500,
+                each: 64,
+            },
         }
     }
 }
--- a/crates/answer/tests/test_scripts.rs
+++ b/crates/answer/tests/test_scripts.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, fmt::Write as _, time::Duration};
 
-use celerypond_answer::Mode;
+use celerypond_answer::{Copies, Mode};
 use goldenscript::{Argument, Command, Context};
 use rstest::rstest;
 
@@ -26,6 +26,10 @@
                 world.deadline = ms(args.take_key("deadline").unwrap_or("5000"))?;
                 world.drifts = args.take_key("drifts").is_some();
                 world.brings = args.take_key("brings").is_some();
+                if let Some(after) = args.take_key("copies") {
+                    let after = after.parse()?;
+                    world.copies = Copies { after, each: 4 };
+                }
                 if args.take_key("mode") == Some("buffered") {
                     world.mode = Mode::Buffered;
                 }
--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -9,9 +9,9 @@
 };
 
 use celerypond_answer::{
-    Choice, Chosen, Done, Driver, Effect, Emit, Event, Finish, Frame, Generation, GenerationLimits,
-    Incomplete, Input, Keeper, KeeperRecord, Link, Mode, Patience, Reason, Refusal, Request, Seal,
-    SealKey, Start, TakeOver,
+    Choice, Chosen, Copies, Done, Driver, Effect, Emit, Event, Finish, Frame, Generation,
+    GenerationLimits, Incomplete, Input, Keeper, KeeperRecord, Link, Mode, Patience, Reason,
+    Refusal, Request, Seal, SealKey, Start, TakeOver,
 };
 use celerypond_types::{Attempt, Digest, Position, RequestKey, TargetName, TokenId, VersionName};
 use rand::{rngs::StdRng, seq::IndexedRandom, Rng, SeedableRng};
@@ -144,6 +144,7 @@
     pub(crate) limit: u32,
     pub(crate) seed: u64,
     pub(crate) brings: bool,
+    pub(crate) copies: Copies,
     /// Whether engines of one version and seed give different tokens, as real ones may.
     pub(crate) drifts: bool,
     pub(crate) generated: usize,
@@ -205,6 +206,7 @@
             limit: 200,
             seed,
             brings: false,
+            copies: GenerationLimits::default().copies,
             drifts: false,
             generated: 0,
             deadline: Duration::from_secs(60),
@@ -399,6 +401,10 @@
                 self.after(WIRE, Act::Call(index(&stream.target), call));
             }
             Effect::Keep(record) => self.keep(drive, &record),
+            Effect::Copy(copy) => self
+                .keepers
+                .iter_mut()
+                .for_each(|keeper| keeper.extend(&copy)),
             Effect::Forget(key, attempt) => self
                 .keepers
                 .iter_mut()
@@ -544,7 +550,10 @@
     ) -> (Generation, Vec<Effect>) {
         let mut out = Vec::new();
         let now = self.instant();
-        let limits = GenerationLimits::default();
+        let limits = GenerationLimits {
+            copies: self.copies,
+            ..GenerationLimits::default()
+        };
         let shown = &self.callers[caller].tokens;
         let token = shown.last().map(|emit| seal.decode(&emit.id).unwrap());
         let brought: Vec<TokenId> = shown
