--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -9,9 +9,9 @@
 };
 
 use celerypond_answer::{
-    Choice, Chosen, Done, Driver, Effect, Emit, Event, Finish, Frame, Generation, GenerationLimits,
-    Incomplete, Input, Keeper, KeeperRecord, Link, Mode, Patience, Reason, Refusal, Request, Seal,
-    SealKey, Start, TakeOver,
+    Choice, Chosen, Copies, Done, Driver, Effect, Emit, Event, Finish, Frame, Generation,
+    GenerationLimits, Incomplete, Input, Keeper, KeeperRecord, Link, Mode, Patience, Reason,
+    Refusal, Request, Seal, SealKey, Start, TakeOver,
 };
 use celerypond_types::{Attempt, Digest, Position, RequestKey, TargetName, TokenId, VersionName};
 use rand::{rngs::StdRng, seq::IndexedRandom, Rng, SeedableRng};
@@ -36,6 +36,8 @@
     Wake(usize),
     /// All open connections to the engine go silent for good.
     Silence(usize),
+    /// The engine answers at once, but takes this long for a token.
+    Slow(usize, Duration),
     Load(usize, VersionName),
     Unload(usize),
     KillRouter(usize),
@@ -74,6 +76,7 @@
 
 #[derive(Default)]
 struct Engine {
+    slow: Duration,
     loaded: BTreeSet<VersionName>,
     dead: bool,
     paused: bool,
@@ -141,6 +144,7 @@
     pub(crate) limit: u32,
     pub(crate) seed: u64,
     pub(crate) brings: bool,
+    pub(crate) copies: Copies,
     /// Whether engines of one version and seed give different tokens, as real ones may.
     pub(crate) drifts: bool,
     pub(crate) generated: usize,
@@ -202,6 +206,7 @@
             limit: 200,
             seed,
             brings: false,
+            copies: GenerationLimits::default().copies,
             drifts: false,
             generated: 0,
             deadline: Duration::from_secs(60),
@@ -396,6 +401,10 @@
                 self.after(WIRE, Act::Call(index(&stream.target), call));
             }
             Effect::Keep(record) => self.keep(drive, &record),
+            Effect::Copy(copy) => self
+                .keepers
+                .iter_mut()
+                .for_each(|keeper| keeper.extend(&copy)),
             Effect::Forget(key, attempt) => self
                 .keepers
                 .iter_mut()
@@ -541,7 +550,10 @@
     ) -> (Generation, Vec<Effect>) {
         let mut out = Vec::new();
         let now = self.instant();
-        let limits = GenerationLimits::default();
+        let limits = GenerationLimits {
+            copies: self.copies,
+            ..GenerationLimits::default()
+        };
         let shown = &self.callers[caller].tokens;
         let token = shown.last().map(|emit| seal.decode(&emit.id).unwrap());
         let brought: Vec<TokenId> = shown
@@ -579,6 +591,7 @@
         first: Duration::from_millis(300),
         gap: Duration::from_millis(100),
         probe: Duration::from_millis(50),
+        stuck: Duration::from_millis(400),
     }
 }
 
@@ -654,7 +667,8 @@
         let from = Position(written.first as u32);
         self.engines[at].streams.insert(attempt, written);
         self.read(at, drive, start.link, attempt, from);
-        self.after(GAP, Act::Write(at, attempt));
+        let gap = GAP + self.engines[at].slow;
+        self.after(gap, Act::Write(at, attempt));
     }
 
     fn read(&mut self, at: usize, drive: usize, link: Link, attempt: Attempt, from: Position) {
@@ -700,7 +714,8 @@
         self.lineage
             .insert((before, token), written.version.clone());
         self.generated += 1;
-        self.after(GAP, Act::Write(at, attempt));
+        let gap = GAP + self.engines[at].slow;
+        self.after(gap, Act::Write(at, attempt));
         for key in self.readers(at, attempt) {
             self.pump(key);
         }
@@ -819,6 +834,10 @@
                     .filter(|reading| reading.engine == at)
                     .for_each(|reading| reading.silent = true);
             }
+            Fault::Slow(at, time) => {
+                let at = engine(at);
+                self.engines[at].slow = time;
+            }
             Fault::Load(at, version) => {
                 self.engines[at].loaded.insert(version);
             }
