--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -3,12 +3,17 @@
 use std::{fmt::Arguments, time::SystemTime};
 
 use error_stack::{Report, ResultExt as _};
-use log::{LevelFilter, Record};
+use log::{Level, LevelFilter, Record};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::{output::Writer, Output};
 
+/// The least important lines of libraries that are kept; some write a line for each call.
+const LIBRARIES: Level = Level::Warn;
+/// The prefix of our modules.
+const OWN_MODULES: &str = "celerypond";
+
 /// The form of a log line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +86,7 @@
         let writer = self.output.open().change_context(LogError::Output)?;
         Ok(fern::Dispatch::new()
             .level(self.level)
+            .filter(|line| line.target().starts_with(OWN_MODULES) || line.level() <= LIBRARIES)
             .format(move |out, message, record| match format {
                 LogFormat::Text => out.finish(format_args!("{}", text(message, record))),
                 LogFormat::Json => out.finish(format_args!("{}", json(message, record))),
--- a/daemon/src/engine.rs
+++ b/daemon/src/engine.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use sse_stream::SseStream;
+use tokio::time::Instant;
 
 use crate::{
     body,
@@ -183,6 +184,34 @@
     })
 }
 
+/// Sends an order, if it can be written before `last`, and gives it up after `limit`; returns the
+/// status and when to come back.
+///
+/// The connection is made before the clock is looked at: an order that waits for a connection would
+/// be written long after the look. A connection that is given up is reset, or the kernel would go on
+/// sending an order that counts as over.
+///
+/// # Errors
+///
+/// A [`CallError`]; after `Connect` nothing was sent.
+pub async fn order(
+    address: SocketAddr,
+    value: Vec<u8>,
+    last: Instant,
+    limit: Duration,
+) -> Result<Option<(StatusCode, Option<Duration>)>, Report<CallError>> {
+    let request = request(address, Method::POST, "/v1/orders", value)?;
+    let fresh = Fresh::connect_resetting(address).await?;
+    if Instant::now() >= last {
+        return Ok(None);
+    }
+    let answer = fresh.send(request, limit).await?;
+    let after = answer.response.headers().get(header::RETRY_AFTER);
+    let after = after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let status = answer.response.status();
+    Ok(Some((status, after.map(Duration::from_secs))))
+}
+
 /// Makes a call with a small answer.
 ///
 /// # Errors
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -106,6 +106,12 @@
     tokens: Option<u32>,
 }
 
+impl Drop for Drive {
+    fn drop(&mut self) {
+        self.node.open_requests(-1);
+    }
+}
+
 impl Drive {
     /// Prepares to drive an answer whose pieces go to `pieces`.
     pub fn new(
@@ -115,6 +121,7 @@
         pieces: mpsc::Sender<Piece>,
     ) -> Self {
         let (version, permit) = admitted.unzip();
+        node.open_requests(1);
         let (inputs, received) = mpsc::channel(INPUTS);
         Self {
             rng: node.rng(),
@@ -196,6 +203,7 @@
             }
             Effect::Cancel(stream) => self.cancel(stream),
             Effect::Review(request) => self.review(request),
+            Effect::Copy(_) => {}
             Effect::Keep(record) => keeping::keep(&self.node, &record, &self.inputs),
             Effect::Forget(request, attempt) => keeping::forget(&self.node, &request, attempt),
             Effect::Tell(instance, record) => keeping::tell(&self.node, &instance, &record),
--- a/daemon/src/http_call.rs
+++ b/daemon/src/http_call.rs
@@ -64,14 +64,23 @@
     ///
     /// `Connect`: nothing was sent.
     pub async fn connect(address: SocketAddr) -> Result<Self, Report<CallError>> {
-        let socket = time::timeout(CONNECT, TcpStream::connect(address))
-            .await
-            .change_context(CallError::Connect)?
-            .change_context(CallError::Connect)?;
-        // Without this, the second small write of a request waits for an acknowledgement.
+        Self::over(socket(address).await?).await
+    }
+
+    /// Connects so that a close discards what was not sent yet.
+    ///
+    /// # Errors
+    ///
+    /// `Connect`: nothing was sent.
+    pub async fn connect_resetting(address: SocketAddr) -> Result<Self, Report<CallError>> {
+        let socket = socket(address).await?;
         socket
-            .set_nodelay(true)
+            .set_zero_linger()
             .change_context(CallError::Connect)?;
+        Self::over(socket).await
+    }
+
+    async fn over(socket: TcpStream) -> Result<Self, Report<CallError>> {
         let (sender, connection) = http1::handshake(TokioIo::new(socket))
             .await
             .change_context(CallError::Connect)?;
@@ -103,3 +112,15 @@
         })
     }
 }
+
+async fn socket(address: SocketAddr) -> Result<TcpStream, Report<CallError>> {
+    let socket = time::timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .change_context(CallError::Connect)?
+        .change_context(CallError::Connect)?;
+    // Without this, the second small write of a request waits for an acknowledgement.
+    socket
+        .set_nodelay(true)
+        .change_context(CallError::Connect)?;
+    Ok(socket)
+}
--- a/daemon/src/keeping.rs
+++ b/daemon/src/keeping.rs
@@ -5,7 +5,7 @@
 use celerypond_answer::{Input, KeeperRecord};
 use celerypond_fleet::{KeepersError, Progress, Record};
 use celerypond_types::{Attempt, InstanceName, RequestKey};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 use crate::{gossip, node::Node};
 
@@ -69,7 +69,11 @@
     let keepers = gossip::keepers(node, request);
     let asks = keepers.into_iter().map(|keeper| ask(node, keeper, request));
     let found = futures::future::join_all(asks).await;
-    found.into_iter().flatten().reduce(KeeperRecord::merge)
+    // This instance may be a keeper itself.
+    let own = node.keepers().kept(request, Instant::now()).cloned();
+    let own = own.and_then(|record| KeeperRecord::decode(&record.bytes).ok());
+    let all = found.into_iter().chain([own]).flatten();
+    all.reduce(KeeperRecord::merge)
 }
 
 /// Passes a record of another driver on to this instance's driver of the same request.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod link;
 pub mod node;
+pub mod orders;
 pub mod peer_server;
 pub mod peers;
 pub mod rollouts;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -55,7 +55,8 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(server::run(settings)) {
+    let served = runtime.block_on(async { server::run(settings, server::signals()?).await });
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             log::error!("{report:?}");
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        atomic::{AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicI64, AtomicU64, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -18,7 +18,7 @@
 use celerypond_rollout::InForce;
 use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
-use celerypond_types::RequestKey;
+use celerypond_types::{RequestKey, TargetName, VersionName};
 use rand::{rngs::SmallRng, SeedableRng};
 use smol_str::format_smolstr;
 use tokio::{
@@ -28,8 +28,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, peers::Peers,
-    rollouts::Rollouts, stalls::Stalls, suspects::Suspects, target_watch::TargetEvent,
+    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, orders::Reports,
+    peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
+    target_watch::TargetEvent,
 };
 
 /// The platform's rates for all instances together, of which each uses its share.
@@ -94,6 +95,8 @@
     keepers: Mutex<Keepers>,
     drivers: Mutex<HashMap<RequestKey, mpsc::Sender<Input>>>,
     listed: Mutex<Option<Instant>>,
+    reports: Mutex<Reports>,
+    open: AtomicI64,
     seed: Mutex<SmallRng>,
     nonce: AtomicU64,
 }
@@ -145,6 +148,8 @@
             keepers: Mutex::new(Keepers::new(KEEPER_BYTES)),
             drivers: Mutex::default(),
             listed: Mutex::default(),
+            reports: Mutex::default(),
+            open: AtomicI64::new(0),
             seed: Mutex::new(rng),
             nonce,
         })
@@ -181,6 +186,12 @@
         let _ = self.events.try_send(event);
     }
 
+    /// Counts answers that begin or end.
+    pub fn open_requests(&self, change: i64) {
+        let open = self.open.fetch_add(change, Relaxed) + change;
+        self.metrics.set(Gauge::OpenRequests, open.max(0) as u64);
+    }
+
     /// Returns the time in milliseconds by the clock of the snapshots.
     pub fn now_ms(&self) -> u64 {
         self.view.load().clock().millis(Instant::now())
@@ -211,6 +222,16 @@
         lock(&self.drivers)
     }
 
+    /// Takes what an engine has loaded, by its own word.
+    pub fn report(&self, target: &TargetName, versions: Vec<VersionName>) {
+        lock(&self.reports).insert(target.clone(), versions);
+    }
+
+    /// Returns what an engine had loaded when it was last asked.
+    pub fn reported(&self, target: &TargetName) -> Option<Vec<VersionName>> {
+        lock(&self.reports).get(target).cloned()
+    }
+
     /// Takes the platform's list of instances.
     pub fn take_list(&self, list: InstanceList) {
         self.share_rates(list.instances.len());
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -9,15 +9,19 @@
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    signal::unix::{signal, Signal, SignalKind},
+    signal::unix::{signal, SignalKind},
     sync::mpsc,
     task::JoinSet,
     time,
 };
 
 use crate::{
-    admission::Admission, front, gossip, limits, node::Node, peer_server, rollouts, roster,
-    target_watch, watch,
+    admission::Admission,
+    front, gossip, limits,
+    node::Node,
+    orders, peer_server, rollouts, roster,
+    target_watch::{self, TargetEvent},
+    watch,
 };
 
 /// How often counters are sent to the collector.
@@ -45,32 +49,26 @@
 
 /// Runs an instance until a planned stop is complete.
 ///
+/// Each value from `stops` asks for the planned stop; a second one hurries it.
+///
 /// # Errors
 ///
 /// A [`ServerError`] when the instance could not start.
-pub async fn run(settings: Settings) -> Result<(), Report<ServerError>> {
+pub async fn run(
+    settings: Settings,
+    mut stops: mpsc::Receiver<()>,
+) -> Result<(), Report<ServerError>> {
     let spans = spans(&settings)?;
     let metrics = metrics(&settings)?;
     let listener = bind(settings.address).await?;
     let peer_listener = bind(settings.peer_address).await?;
-    let mut stop = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
     let (events, told) = mpsc::channel(EVENTS);
     let node = Node::new(settings, metrics, events);
-    let mut tasks = JoinSet::new();
-    tasks.spawn(peer_server::run(Arc::clone(&node), peer_listener));
-    tasks.spawn(roster::run(Arc::clone(&node)));
-    tasks.spawn(gossip::run(Arc::clone(&node)));
-    tasks.spawn(watch::run(Arc::clone(&node)));
-    tasks.spawn(watch::hold(Arc::clone(&node)));
-    tasks.spawn(rollouts::run(Arc::clone(&node)));
-    tasks.spawn(limits::run(Arc::clone(&node)));
-    tasks.spawn(target_watch::run(Arc::clone(&node), told));
-    tasks.spawn(Admission::run(Arc::clone(&node)));
-    tasks.spawn(publish(Arc::clone(&node)));
+    let tasks = spawn(&node, peer_listener, told);
     log::info!("serving callers at {}", node.address());
     tokio::select! {
         never = front::serve(Arc::clone(&node), listener) => match never {},
-        () = leave(&node, &mut stop) => {}
+        () = leave(&node, &mut stops) => {}
     }
     finish(&node, tasks).await;
     if let Some(spans) = spans {
@@ -80,16 +78,50 @@
     Ok(())
 }
 
+/// Returns a value for each signal that asks for the planned stop.
+///
+/// # Errors
+///
+/// [`ServerError::Signal`] when signals can't be received.
+pub fn signals() -> Result<mpsc::Receiver<()>, Report<ServerError>> {
+    let mut signals = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
+    let (sender, receiver) = mpsc::channel(1);
+    // The task ends with the runtime: a process listens to signals for as long as it lives.
+    tokio::spawn(async move {
+        while signals.recv().await.is_some() && sender.send(()).await.is_ok() {}
+    });
+    Ok(receiver)
+}
+
+fn spawn(node: &Arc<Node>, peers: TcpListener, told: mpsc::Receiver<TargetEvent>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(peer_server::run(Arc::clone(node), peers));
+    tasks.spawn(roster::run(Arc::clone(node)));
+    tasks.spawn(gossip::run(Arc::clone(node)));
+    tasks.spawn(watch::run(Arc::clone(node)));
+    tasks.spawn(watch::hold(Arc::clone(node)));
+    tasks.spawn(rollouts::run(Arc::clone(node)));
+    tasks.spawn(orders::run(Arc::clone(node)));
+    tasks.spawn(limits::run(Arc::clone(node)));
+    tasks.spawn(target_watch::run(Arc::clone(node), told));
+    tasks.spawn(Admission::run(Arc::clone(node)));
+    tasks.spawn(publish(Arc::clone(node)));
+    tasks
+}
+
 /// Waits for a planned stop, and then until callers no longer hold this instance's address.
-async fn leave(node: &Arc<Node>, stop: &mut Signal) {
-    stop.recv().await;
+async fn leave(node: &Arc<Node>, stops: &mut mpsc::Receiver<()>) {
+    // Without anyone who could ask for a stop, the instance serves on.
+    if stops.recv().await.is_none() {
+        std::future::pending::<()>().await;
+    }
     let mut drain = step(node, Drain::default().stop(node.now_ms()));
     let mut tick = time::interval(DRAIN_STEP);
     while drain.stage() != Stage::Refusing {
         tokio::select! {
             _ = tick.tick() => drain = step(node, drain.step(node.now_ms(), 1)),
-            _ = stop.recv() => {
-                log::info!("a second signal: new connections are refused now");
+            Some(()) = stops.recv() => {
+                log::info!("asked to stop again: new connections are refused now");
                 return;
             }
         }
--- a/daemon/src/target_watch.rs
+++ b/daemon/src/target_watch.rs
@@ -6,7 +6,7 @@
 use celerypond_platform::Presence;
 use celerypond_route::{Departure, EjectEffect, EjectLimits, Ejector, Route, Target, View, Word};
 use celerypond_telemetry::{Counter, Gauge};
-use celerypond_types::TargetKey;
+use celerypond_types::{TargetKey, VersionName};
 use rand::{rngs::SmallRng, Rng};
 use slotmap::SecondaryMap;
 use tokio::{
@@ -50,6 +50,7 @@
     target: TargetKey,
     sent_ms: u64,
     word: Option<Word>,
+    versions: Option<Vec<VersionName>>,
     load: Option<engine::Load>,
 }
 
@@ -130,6 +131,9 @@
                 target.gauge.confirm(polled.sent_ms);
             }
         }
+        if let Some(versions) = &polled.versions {
+            self.node.report(&target.name, versions.clone());
+        }
         if let Some(load) = polled.load {
             let sampled_ms = polled.sent_ms.saturating_sub(load.age_ms);
             target.gauge.report(sampled_ms, load.running + load.queued);
@@ -249,10 +253,12 @@
             engine::load(target.address, "/health"),
         ),
     };
+    let health = health.ok().flatten();
     Polled {
         target: key,
         sent_ms,
-        word: health.ok().flatten().map(|health| word(health.state)),
+        word: health.as_ref().map(|health| word(health.state)),
+        versions: health.map(|health| health.versions),
         load: load.ok().flatten(),
     }
 }
