--- a/bench/src/answer/cost.rs
+++ b/bench/src/answer/cost.rs
@@ -3,8 +3,8 @@
 use std::{fs, hint::black_box, time::Instant as Clock};
 
 use celerypond_answer::{
-    ChainDigest, Chosen, Driver, Effect, Event, Frame, Generation, GenerationLimits, Input, Link,
-    Mode, Request, SealKey, Splice, Stall, StallLimits,
+    ChainDigest, Chosen, Driver, Effect, Event, Frame, Generation, GenerationLimits, Input,
+    KeeperRecord, Link, Mode, Origin, Request, SealKey, Splice, Stall, StallLimits, Stream,
 };
 use celerypond_types::{Attempt, Digest, Position, TokenId};
 use tokio::time::{Duration, Instant};
@@ -140,6 +140,29 @@
     (generation, now)
 }
 
+/// Encoded length of a record whose prefix has `tokens` tokens.
+fn record(tokens: u32) -> f64 {
+    let prefix: Vec<TokenId> = (0..tokens).map(TokenId).collect();
+    let record = KeeperRecord {
+        key: "order-1234567".into(),
+        origin: Origin {
+            attempt: Attempt(0),
+            stream: Stream {
+                target: "engine-1".into(),
+                attempt: Attempt(0),
+            },
+            version: "v1".into(),
+            seed: 1,
+        },
+        instance: "instance-1".into(),
+        digest: ChainDigest::of(&prefix),
+        prefix,
+        text: String::new(),
+        remaining: 60_000,
+    };
+    record.encode().len() as f64
+}
+
 /// Resident memory for each of many open answers; 0 where the system does not tell.
 fn memory() -> f64 {
     let before = resident();
