answer: keep the gaps of a target in 16-bit counts of milliseconds; bench: bytes of a record

An instance may watch hundreds of targets. Counts of 32 bits over 60 s in microseconds were about 20 KB a target.

--- a/bench/src/answer/cost.rs
+++ b/bench/src/answer/cost.rs
@@ -40,6 +40,13 @@
             "ns",
             times(whole),
         ),
+        Row::of("bytes of a keeper record", "stub", "B", vec![record(0)]),
+        Row::of(
+            "bytes of a keeper record",
+            "with 64 tokens",
+            "B",
+            vec![record(64)],
+        ),
         Row::of(
             "memory of an open answer",
             "344 tokens, streamed",
--- a/crates/answer/src/stall.rs
+++ b/crates/answer/src/stall.rs
@@ -5,9 +5,10 @@
 use hdrhistogram::Histogram;
 
 /// The longest gap that is told apart from longer ones.
-const LONGEST_GAP: Duration = Duration::from_secs(60);
+const LONGEST_GAP: Duration = Duration::from_secs(10);
 const SIGNIFICANT_DIGITS: u8 = 2;
-/// How many gaps make a window; the estimate covers the last one to two windows.
+/// How many gaps make a window; the estimate covers the last one to two windows. Few enough for
+/// counts of 16 bits, which keep a target below 5 KB.
 const WINDOW_GAPS: u64 = 4096;
 /// Below this number of gaps the ceiling is used.
 const ENOUGH_GAPS: u64 = 100;
@@ -70,8 +71,8 @@
 #[derive(Clone, Debug)]
 pub struct Stall {
     limits: StallLimits,
-    recent: Histogram<u32>,
-    earlier: Histogram<u32>,
+    recent: Histogram<u16>,
+    earlier: Histogram<u16>,
 }
 
 impl Default for StallLimits {
@@ -106,7 +107,7 @@
         if self.recent.len() >= WINDOW_GAPS {
             self.earlier = std::mem::replace(&mut self.recent, empty());
         }
-        self.recent.saturating_record(gap.as_micros() as u64);
+        self.recent.saturating_record(gap.as_millis() as u64);
     }
 
     /// Returns the timeouts for an attempt that first reads `tokens` of prompt and prefix.
@@ -127,15 +128,15 @@
         }
         let recent = self.recent.value_at_quantile(limits.quantile);
         let earlier = self.earlier.value_at_quantile(limits.quantile);
-        let quantile = Duration::from_micros(recent.max(earlier));
+        let quantile = Duration::from_millis(recent.max(earlier));
         quantile
             .mul_f64(limits.factor)
             .clamp(limits.floor, limits.ceiling)
     }
 }
 
-fn empty() -> Histogram<u32> {
-    let longest = LONGEST_GAP.as_micros() as u64;
+fn empty() -> Histogram<u16> {
+    let longest = LONGEST_GAP.as_millis() as u64;
     // The bounds are constants that the histogram accepts.
     Histogram::new_with_max(longest, SIGNIFICANT_DIGITS).expect("constant bounds are valid")
 }
