--- a/bench/src/answer/cost.rs
+++ b/bench/src/answer/cost.rs
@@ -14,6 +14,7 @@
 const TOKENS: u32 = 10_000;
 const OPEN: usize = 20_000;
 const LENGTH: u32 = 344;
+const TARGETS: usize = 2_000;
 const PAGE: f64 = 4096.0;
 
 /// Takes the measures.
@@ -40,6 +41,12 @@
             "ns",
             times(whole),
         ),
+        Row::of(
+            "memory of a target's gaps",
+            "two windows",
+            "B",
+            vec![gaps()],
+        ),
         Row::of("bytes of a keeper record", "stub", "B", vec![record(0)]),
         Row::of(
             "bytes of a keeper record",
@@ -147,6 +154,23 @@
     (generation, now)
 }
 
+/// Resident memory for the observed gaps of each of many targets.
+fn gaps() -> f64 {
+    let before = resident();
+    let stalls: Vec<Stall> = (0..TARGETS).map(|_| observed()).collect();
+    let after = resident();
+    black_box(&stalls);
+    (after - before) / TARGETS as f64
+}
+
+fn observed() -> Stall {
+    let mut stall = Stall::new(StallLimits::default());
+    for gap in 0..LENGTH * 20 {
+        stall.observe(Duration::from_millis(u64::from(gap % 400)));
+    }
+    stall
+}
+
 /// Encoded length of a record whose prefix has `tokens` tokens.
 fn record(tokens: u32) -> f64 {
     let prefix: Vec<TokenId> = (0..tokens).map(TokenId).collect();
--- /dev/null
+++ b/bench/src/answer/model/instances.rs
@@ -0,0 +1,254 @@
+//! The instances, which drive the real state machines.
+
+use super::*;
+
+impl Model {
+    pub(super) fn input(&mut self, at: usize, input: Input) {
+        let now = self.instant();
+        let answer = &mut self.answers[at];
+        if answer.over || answer.down {
+            return;
+        }
+        let before = answer.generation.due();
+        let mut out = Vec::new();
+        answer.generation.step(now, input, &mut out);
+        let due = answer.generation.due();
+        self.apply(at, out);
+        // With a token each 40 ms the next tick is only looked at now and then.
+        // Before the fault nothing stalls.
+        if due.is_some() && due != before && self.struck {
+            self.watch(at);
+        }
+    }
+
+    /// Sees to it that the next tick comes.
+    pub(super) fn watch(&mut self, at: usize) {
+        if let Some(due) = self.answers[at].generation.due() {
+            let left = due.saturating_duration_since(self.instant());
+            self.after(left.as_micros() as u64, Act::Tick(at));
+        }
+    }
+
+    pub(super) fn apply(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Choose(choice) => self.choose(at, &choice.avoid, choice.resumes),
+                Effect::Start(start) => self.start(at, start),
+                Effect::Resume { link, stream, from } => self.resume(at, link, &stream, from),
+                Effect::Close(link) => self.close(at, link),
+                Effect::Cancel(stream) => self.cancel(at, &stream),
+                Effect::Keep(record) => self.answers[at].record = Some(record),
+                Effect::Emit(emit) => self.emit(at, emit.id.as_str()),
+                Effect::Fail(_) => self.answers[at].over = true,
+                Effect::Copy(_)
+                | Effect::Forget(..)
+                | Effect::Tell(..)
+                | Effect::Review(_)
+                | Effect::Finish(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn emit(&mut self, at: usize, id: &str) {
+        let now = self.now;
+        let answer = &mut self.answers[at];
+        let gap = now - answer.last;
+        let first = answer.shown == 0;
+        answer.shown += 1;
+        answer.last = now;
+        id.clone_into(&mut answer.id);
+        // What was on its way when the fault came is not a resume.
+        let after = self.struck && now > FAULT_US + WIRE_US;
+        if after && !(answer.hit && answer.resumed) && (answer.born == 0 || first) {
+            answer.resumed = answer.hit;
+            answer.longest = answer.longest.max(gap);
+        }
+        if answer.shown >= answer.length {
+            answer.over = true;
+            let length = answer.length;
+            for engine in &mut self.engines {
+                engine
+                    .streams
+                    .retain(|written| written.answer != at || written.next < length);
+            }
+        }
+        self.release(at);
+    }
+
+    /// Gives back the place of a resume, and starts what waits for it.
+    pub(super) fn release(&mut self, at: usize) {
+        let Some(target) = self.answers[at].granted.take() else {
+            return;
+        };
+        if let Some(pace) = &mut self.pace {
+            pace.settle(target);
+        }
+        self.grant();
+    }
+
+    pub(super) fn choose(&mut self, at: usize, avoid: &[TargetName], resumes: bool) {
+        let last = self.base + Duration::from_micros(self.answers[at].last);
+        match &mut self.pace {
+            Some(pace) if resumes => {
+                let waiter = pace.wait(self.version, last);
+                self.waiters.insert(waiter, at);
+                self.grant();
+            }
+            Some(pace) if !pace.admits(self.version) => self.held.push_back(at),
+            _ => {
+                let target = self.pick(avoid, |_| true);
+                self.chosen(at, target);
+            }
+        }
+    }
+
+    pub(super) fn grant(&mut self) {
+        loop {
+            let Some(mut pace) = self.pace.take() else {
+                return;
+            };
+            let grant = pace.grant(|_, free| {
+                let target = self.pick(&[], free)?;
+                Some(self.engines[target].key)
+            });
+            let admits = pace.admits(self.version);
+            self.pace = Some(pace);
+            let Some(grant) = grant else {
+                if admits {
+                    self.admit();
+                }
+                return;
+            };
+            if let Some(at) = self.waiters.remove(&grant.waiter) {
+                self.answers[at].granted = Some(grant.target);
+                self.chosen(at, Some(self.index[&grant.target]));
+            }
+        }
+    }
+
+    pub(super) fn admit(&mut self) {
+        while let Some(at) = self.held.pop_front() {
+            let target = self.pick(&[], |_| true);
+            self.chosen(at, target);
+        }
+    }
+
+    pub(super) fn chosen(&mut self, at: usize, target: Option<usize>) {
+        let patience = self.patience(at);
+        let input = match target {
+            Some(target) => Input::Chosen(Chosen {
+                target: target.to_string().as_str().into(),
+                version: "v1".into(),
+                patience,
+            }),
+            None => Input::NoTarget,
+        };
+        let conn = self.answers[at].conn;
+        self.after(0, Act::Input(at, conn, input));
+    }
+
+    pub(super) fn patience(&self, at: usize) -> Patience {
+        let answer = &self.answers[at];
+        let tokens = answer.prompt + u64::from(answer.shown);
+        let read = Duration::from_micros(PREFILL_US * tokens);
+        Patience {
+            first: self.patience.first + read * 2,
+            ..self.patience
+        }
+    }
+
+    /// Chooses the less loaded of two engines that are not known to be out.
+    pub(super) fn pick(
+        &mut self,
+        avoid: &[TargetName],
+        fits: impl Fn(TargetKey) -> bool,
+    ) -> Option<usize> {
+        let now = self.now;
+        let fit: Vec<usize> = (0..self.engines.len())
+            .filter(|at| self.engines[*at].ejected <= now && fits(self.engines[*at].key))
+            .filter(|at| !avoid.iter().any(|name| name.as_str() == at.to_string()))
+            .collect();
+        if fit.is_empty() {
+            return None;
+        }
+        let one = fit[self.rng.random_range(0..fit.len())];
+        let two = fit[self.rng.random_range(0..fit.len())];
+        let load = |at: usize| self.engines[at].streams.len();
+        Some(if load(one) <= load(two) { one } else { two })
+    }
+
+    pub(super) fn reply(&mut self, at: usize, input: Input, delay: u64) {
+        let conn = self.answers[at].conn;
+        self.after(delay, Act::Input(at, conn, input));
+    }
+
+    /// Goes on at another instance, in the way that is weighed.
+    pub(super) fn reconnect(&mut self, at: usize) {
+        for engine in &mut self.engines {
+            let streams = engine.streams.iter_mut();
+            streams
+                .filter(|written| written.answer == at)
+                .for_each(|written| written.reader = None);
+        }
+        self.answers[at].down = false;
+        let request = self.request(at);
+        let seal = seal(&request);
+        let shown = self.answers[at].shown;
+        let token = seal.decode(&self.answers[at].id).ok();
+        let all: Vec<TokenId> = (0..shown).map(|position| token_of(at, position)).collect();
+        let record = self.answers[at].record.clone();
+        let (record, brought) = self.way.takeover.known(record, &all);
+        let driver = Driver::draw(&mut self.rng);
+        let plan = TakeOver::plan(driver, token.as_ref(), record.as_ref(), &brought);
+        let limits = GenerationLimits::default();
+        let now = self.instant();
+        let mut out = Vec::new();
+        let patience = self.patience(at);
+        self.answers[at].generation = match plan {
+            Ok(Some(plan)) if self.way.takeover != TakeOverWay::Restart => {
+                Generation::take_over(request, limits, seal, plan, patience, now, &mut out)
+            }
+            _ => self.anew(at, request, seal, driver, &mut out),
+        };
+        self.apply(at, out);
+        self.watch(at);
+    }
+
+    /// Starts from zero; the caller passes over what it has already.
+    pub(super) fn anew(
+        &mut self,
+        at: usize,
+        request: Request,
+        seal: Seal,
+        driver: Driver,
+        out: &mut Vec<Effect>,
+    ) -> Generation {
+        for engine in &mut self.engines {
+            engine.streams.retain(|written| written.answer != at);
+        }
+        let plan = TakeOver {
+            attempt: driver.first(),
+            origin: celerypond_answer::Origin {
+                attempt: driver.first(),
+                stream: Stream {
+                    target: "0".into(),
+                    attempt: driver.first(),
+                },
+                version: "v1".into(),
+                seed: at as u64,
+            },
+            other: None,
+            former: None,
+            shown: Position(self.answers[at].shown),
+            digest: seal
+                .decode(&self.answers[at].id)
+                .map(|token| token.digest)
+                .unwrap_or_default(),
+            tokens: Vec::new(),
+            text: String::new(),
+        };
+        let limits = GenerationLimits::default();
+        let (now, patience) = (self.instant(), self.patience(at));
+        Generation::take_over(request, limits, seal, plan, patience, now, out)
+    }
+}
