ledger: check histories of concurrent calls under faults

The checks: executions per key at most 1, nobody told not run for a call that ran, each answer that of its own key, nothing run after its time, every caller answered once, and a linearizable register per key by todc-utils.

--- a/crates/ledger/tests/runner.rs
+++ b/crates/ledger/tests/runner.rs
@@ -1,1 +1,9 @@
 //! The integration tests of the crate, in one binary.
+
+mod history;
+mod store;
+mod test_failure;
+mod test_history;
+mod test_scripts;
+mod test_trace;
+mod world;
