--- a/crates/ledger/tests/world.rs
+++ b/crates/ledger/tests/world.rs
@@ -278,7 +278,8 @@
         match effect {
             Effect::Answer { id, answer } => self.answered(id, answer),
             Effect::Dispatch { id, unsent } => {
-                let wait = self.millis(0, 2);
+                // Time to connect, in which a pause leaves the permission to send out of date.
+                let wait = self.millis(0, 100);
                 let run = self.nodes[node].run;
                 self.after(wait, Event::Send(node, run, id, unsent));
             }
