daemon: start no rollout on engines that have not loaded its version

Until an engine reports the version, the one that it replaces serves on. Groups are now set, so words on what instances act on spread.

--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -247,7 +247,7 @@
             .meter
             .admit(tokens, now_ms)
             .map_err(|after| Problem::not_run(NotRunReason::AccountLimit, after))?;
-        let version = node.rollouts.choose(self.model);
+        let version = node.rollouts.choose(node, self.model);
         let Some(route) = view.version(&self.model.name, &version).map(Route::Version) else {
             return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
         };
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -259,6 +259,11 @@
                 self.failed(*link);
                 self.end_chunk(*link, Failure::Error);
             }
+            // That an engine has not loaded a version says nothing about the version.
+            Input::Refused(link, Refusal::Version) => {
+                self.take_trying(*link);
+                self.chunk.take_if(|chunk| chunk.link == *link);
+            }
             Input::Refused(link, _) => {
                 self.take_trying(*link);
                 self.end_chunk(*link, Failure::Refused);
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerypond_fleet::{Candidate, EntryKind, Event, Listed, MemberState, Outgoing};
+use celerypond_fleet::{Candidate, EntryKind, Event, Listed, MemberState, Outgoing, Subset};
 use celerypond_platform::Presence;
 use celerypond_telemetry::{Counter, Gauge};
 use celerypond_types::{DataCentre, InstanceName, RequestKey};
@@ -22,9 +22,11 @@
             _ = round.tick() => {}
         }
         let list = listed(&node);
+        let group = group(&node, &list);
         let sends = {
             let mut gossip = node.gossip();
             gossip.list(&list, Instant::now());
+            gossip.set_group(group);
             gossip.tick(Instant::now())
         };
         deliver(&node, sends);
@@ -105,6 +107,12 @@
     after(&node);
 }
 
+/// Returns the instances that share evidence, demand and load with this one.
+fn group(node: &Node, list: &[Listed]) -> Vec<InstanceName> {
+    let names: Vec<InstanceName> = list.iter().map(|listed| listed.name.clone()).collect();
+    Subset::of(&node.settings.instance, &names, &[]).peers
+}
+
 fn listed(node: &Node) -> Vec<Listed> {
     let list = node.list.load();
     let instances = list.instances.iter();
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -168,6 +168,7 @@
         if last.is_some_and(|last| last.revision() >= force.revision()) {
             return false;
         }
+        self.rollouts.set_force(&force);
         self.view
             .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
         self.metrics.add(Counter::Bundles, 1);
--- a/daemon/src/rollouts.rs
+++ b/daemon/src/rollouts.rs
@@ -15,7 +15,7 @@
     rank, rollout_key, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News, Report,
     Rollout, Route, Spread, Trial,
 };
-use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, VersionName};
+use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, TargetName, VersionName};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{self, Instant};
@@ -107,9 +107,23 @@
     }
 
     /// Chooses the version that takes the next request for a model.
-    pub fn choose(&self, model: &Model) -> VersionName {
+    ///
+    /// The failure: a bundle names a version that engines have not loaded yet, and its first requests
+    /// are refused. The symptom would be a good version that is taken back. Until an engine reports
+    /// it, the version that it is to replace serves on.
+    pub fn choose(&self, node: &Node, model: &Model) -> VersionName {
         *lock(&self.asked).entry(model.name.clone()).or_default() += 1;
-        self.agent().choose(model)
+        let chosen = self.agent().choose(model);
+        if is_loaded(node, model, &chosen) {
+            return chosen;
+        }
+        let force = node.force.load();
+        let part = force
+            .as_ref()
+            .and_then(|force| force.headline.parts.get(&model.name));
+        let mut moves = part.into_iter().flat_map(|part| &part.moves);
+        let moved = moves.find(|change| change.candidate.version == chosen);
+        moved.map_or(chosen, |change| change.base.clone())
     }
 
     /// Counts an answer in at the base or a candidate.
@@ -134,12 +148,12 @@
         };
         let part = force.headline.parts.get(&model.name);
         let engines = part.and_then(|part| self.agent().engines(part.origin, &candidate));
-        let Some(engines) = engines else {
-            return Vec::new();
-        };
+        let engines = engines.map_or(found.targets.len(), |engines| engines as usize);
         let view = node.view.load();
         // All instances leave out the same engines, in the order that the bundle names them.
-        let left_out = found.targets.iter().skip(engines as usize);
+        let (used, left_out) = found.targets.split_at(engines.min(found.targets.len()));
+        let unloaded = used.iter().filter(|name| !has_loaded(node, name, version));
+        let left_out = left_out.iter().chain(unloaded);
         left_out.filter_map(|name| view.key(name)).collect()
     }
 
@@ -434,6 +448,19 @@
     }
 }
 
+/// Returns whether any engine of a version reports to have loaded it.
+fn is_loaded(node: &Node, model: &Model, version: &VersionName) -> bool {
+    let found = model.versions.iter().find(|found| found.name == *version);
+    let mut targets = found.into_iter().flat_map(|found| &found.targets);
+    targets.any(|target| has_loaded(node, target, version))
+}
+
+/// Returns whether an engine may have a version loaded; one that was never asked may.
+fn has_loaded(node: &Node, target: &TargetName, version: &VersionName) -> bool {
+    let reported = node.reported(target);
+    reported.is_none_or(|versions| versions.contains(version))
+}
+
 fn brakes(node: &Node, agent: &Agent) -> Vec<Brake> {
     let Some(force) = node.force.load_full() else {
         return Vec::new();
@@ -492,7 +519,7 @@
     model: &ModelName,
     version: &VersionName,
     route: &Route,
-    target: &celerypond_types::TargetName,
+    target: &TargetName,
 ) -> Trial {
     Trial {
         model: model.clone(),
