--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -107,14 +107,8 @@
 
     /// Reads on over another connection: this one mixes up its answers or drops some.
     pub(super) fn broken(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
-        let held = match &self.state {
-            State::Reading(reader) => reader.holds(link),
-            _ => false,
-        };
-        if held {
-            out.push(Effect::Close(link));
-            self.closed(now, link, out);
-        }
+        out.push(Effect::Close(link));
+        self.closed(now, link, out);
     }
 
     /// Reads on from another engine: this one contradicts itself.
