answer: leave a fenced stream to its caller, and tell a foreign record sooner

Cause: with two callers of one request and engines that give different tokens, a fenced driver stopped its stream although its caller came back for it, and a record that was plainly of another sequence was still tried first. Now a stream that has had a token goes on after its driver is fenced, and a record whose prefix contradicts the caller's digest is not tried. An engine that answers "gone" is not avoided for the next attempt.

Script two_routers_drive_one_request: both callers whole, before one.

--- a/crates/answer/src/generation.rs
+++ b/crates/answer/src/generation.rs
@@ -65,7 +65,7 @@
     links: u32,
     barren: u32,
     avoid: Vec<TargetName>,
-    /// Where the caller's tokens came from, if that is not where they are looked for first.
+    /// Where else the caller's tokens may be found.
     other: Option<Origin>,
     /// How many tokens the keepers have, and how many bytes of text.
     copied: (u32, usize),
--- a/crates/answer/src/generation/ending.rs
+++ b/crates/answer/src/generation/ending.rs
@@ -30,7 +30,10 @@
         out.push(Effect::Fail(error));
     }
 
-    /// Gives up in favour of another driver, whose stream must go on.
+    /// Gives up in favour of another driver.
+    ///
+    /// A stream that has had a token goes on: the other driver may read it, or a caller may come
+    /// back with a resume token that names it. One without a token is stopped, as nobody knows it.
     pub(super) fn fenced(&mut self, record: &KeeperRecord, out: &mut Vec<Effect>) {
         if record.attempt() <= self.attempt || self.is_over() {
             return;
@@ -42,7 +45,7 @@
             ..
         } = state
         {
-            if reader.stream() == record.stream() {
+            if reader.has_begun() {
                 out.extend(reader.links().map(Effect::Close));
             } else {
                 stop(&reader, out);
--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -34,7 +34,12 @@
             Refusal::Failed => self.barren += 1,
             Refusal::Busy | Refusal::Gone | Refusal::Version => {}
         }
+        let target = reader.target().clone();
         self.give_up(now, out);
+        if refusal == Refusal::Gone {
+            // It is alive, and may start an attempt.
+            self.avoid.retain(|avoided| *avoided != target);
+        }
     }
 
     pub(super) fn frame(&mut self, now: Instant, link: Link, frame: Frame, out: &mut Vec<Effect>) {
@@ -147,8 +152,8 @@
         });
     }
 
-    /// Looks for the caller's tokens where they came from: what was read is another driver's, whose
-    /// stream is left alone.
+    /// Looks for the caller's tokens elsewhere: what was read is another driver's, whose stream is
+    /// left alone.
     pub(super) fn diverged(&mut self, now: Instant, error: Incomplete, out: &mut Vec<Effect>) {
         if self.other.is_none() {
             return self.fail(error, out);
@@ -156,11 +161,11 @@
         if let State::Reading(reader) = &self.state {
             out.extend(reader.links().map(Effect::Close));
         }
-        self.turn_back(now, out);
+        self.turn_to_other(now, out);
     }
 
-    /// Reads the stream that the caller's tokens came from, if it is not the one tried already.
-    pub(super) fn turn_back(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
+    /// Reads the other stream that may have the caller's tokens, once.
+    pub(super) fn turn_to_other(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
         let (State::Reading(reader), Some(other)) = (&self.state, self.other.take()) else {
             return false;
         };
@@ -188,7 +193,7 @@
         }
         self.avoid.push(reader.target().clone());
         ending::stop(reader, out);
-        if self.outlet.proof().is_err() && self.turn_back(now, out) {
+        if self.outlet.proof().is_err() && self.turn_to_other(now, out) {
             return;
         }
         if self.barren > self.limits.barren {
--- a/crates/answer/src/reader.rs
+++ b/crates/answer/src/reader.rs
@@ -153,6 +153,11 @@
         [self.link, self.probe].into_iter().flatten()
     }
 
+    /// Returns whether the stream is known to have had a token.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Returns whether the engine took the attempt and failed before its first token.
     pub(crate) const fn is_barren(&self) -> bool {
         self.opened && !self.begun && self.broke
--- a/crates/answer/src/takeover.rs
+++ b/crates/answer/src/takeover.rs
@@ -12,8 +12,8 @@
     pub attempt: Attempt,
     /// The stream, version and seed to go on with.
     pub origin: Origin,
-    /// The caller's own origin, if the keepers know a later one of the same version. The later one
-    /// may go on from it, or belong to another caller's driver that knew nothing of it.
+    /// Where the caller's last token came from, if the keepers know of a later attempt that is looked
+    /// at first. That one may belong to another caller's driver.
     pub other: Option<Origin>,
     /// The instance that drove the request before, if a keeper knew it.
     pub former: Option<InstanceName>,
@@ -62,7 +62,7 @@
         record: Option<&KeeperRecord>,
         brought: &[TokenId],
     ) -> Result<Option<Self>, TakeOverError> {
-        let Some(origin) = origin(token, record) else {
+        let Some((origin, other)) = origins(token, record) else {
             return Ok(None);
         };
         let known = [
@@ -76,10 +76,8 @@
         let (tokens, text) = start(shown, digest, record_of(record, &origin), brought)?;
         Ok(Some(Self {
             attempt,
-            other: token
-                .map(|token| token.origin.clone())
-                .filter(|other| other.stream != origin.stream),
             origin,
+            other,
             former: record.map(|record| record.instance.clone()),
             shown,
             digest,
@@ -89,18 +87,36 @@
     }
 }
 
-/// Chooses the later of the two origins; but what the caller has fixes the version.
-fn origin(token: Option<&ResumeToken>, record: Option<&KeeperRecord>) -> Option<Origin> {
-    let token = token.map(|token| &token.origin);
-    let record = record.map(|record| &record.origin);
-    match (token, record) {
-        (Some(token), Some(record))
-            if token.version != record.version || token.attempt > record.attempt =>
-        {
-            Some(token.clone())
+/// Chooses where to look for the answer's tokens first, and where then.
+///
+/// What the caller has fixes the version. The later attempt goes first, unless its record proves
+/// that it is another driver's, which goes on from other tokens than the caller's.
+fn origins(
+    token: Option<&ResumeToken>,
+    record: Option<&KeeperRecord>,
+) -> Option<(Origin, Option<Origin>)> {
+    let (token, record) = match (token, record) {
+        (Some(token), Some(record)) => (token, record),
+        (token, record) => {
+            let origin = token.map(|token| &token.origin);
+            let only = origin.or(record.map(|record| &record.origin));
+            return only.map(|only| (only.clone(), None));
         }
-        (token, record) => record.or(token).cloned(),
+    };
+    let own = token.origin.clone();
+    if *record.version() != own.version || record.attempt() < own.attempt || strays(record, token) {
+        return Some((own, None));
     }
+    let other = (*record.stream() != own.stream).then_some(own);
+    Some((record.origin.clone(), other))
+}
+
+/// Whether a record's tokens are others than the caller's.
+fn strays(record: &KeeperRecord, token: &ResumeToken) -> bool {
+    record
+        .prefix
+        .get(..token.position.0 as usize)
+        .is_some_and(|known| ChainDigest::of(known) != token.digest)
 }
 
 /// Returns the record if it is about the stream of `origin`.
