--- a/bench/src/answer.rs
+++ b/bench/src/answer.rs
@@ -80,6 +80,7 @@
         (Fault::Silence, vec![fixed, elsewhere, health, ours]),
         (Fault::Pause, vec![fixed, elsewhere, ours]),
         (Fault::Router, takes.clone()),
+        (Fault::Later, takes.clone()),
         (Fault::Both, takes),
         (Fault::Third, paced),
     ]
@@ -101,6 +102,10 @@
         Fault::Silence => ["silence: gap seen", "silence: tokens made/shown"],
         Fault::Pause => ["engine pause: gap seen", "engine pause: tokens made/shown"],
         Fault::Router => ["router death: gap seen", "router death: tokens made/shown"],
+        Fault::Later => [
+            "engine, then router: gap seen",
+            "engine, then router: made/shown",
+        ],
         Fault::Both => [
             "engine and router: gap seen",
             "engine and router: made/shown",
--- a/bench/src/answer/model.rs
+++ b/bench/src/answer/model.rs
@@ -43,6 +43,8 @@
 /// The number that an answer gives its first connection.
 const FIRST_LINK: Link = Link(1);
 const FAULT_US: u64 = 500_000;
+/// How long after the engine the instances die.
+const LATER_US: u64 = 2_000_000;
 const ARRIVE_US: u64 = 3_000_000;
 /// How long a run goes on after that.
 const CALM_US: u64 = 500_000;
@@ -132,6 +134,8 @@
     patience: Patience,
     rng: StdRng,
     struck: bool,
+    /// When the last fault came.
+    fault_at: u64,
     /// When all answers that the fault hit had gone on.
     calm: u64,
 }
@@ -169,6 +173,7 @@
             patience: learned(&mut rng, way),
             rng,
             struck: false,
+            fault_at: 0,
             calm: u64::MAX,
         }
     }
--- a/bench/src/answer/model/engines.rs
+++ b/bench/src/answer/model/engines.rs
@@ -152,7 +152,14 @@
     }
 
     pub(super) fn strike(&mut self) {
+        self.fault_at = self.now;
+        if self.struck {
+            return self.strike_again();
+        }
         self.struck = true;
+        if self.fault == Fault::Later {
+            self.after(LATER_US, Act::Fault);
+        }
         let count = if self.fault.third() {
             self.engines.len() / 3
         } else {
@@ -169,7 +176,7 @@
                 self.watch(*at);
             }
             match self.fault {
-                Fault::Death | Fault::Third => self.kill(engine, &hit),
+                Fault::Death | Fault::Later | Fault::Third => self.kill(engine, &hit),
                 Fault::Silence => self.engines[engine]
                     .streams
                     .iter_mut()
@@ -185,6 +192,19 @@
         }
     }
 
+    /// Lets the instances die of the answers that the first fault hit.
+    fn strike_again(&mut self) {
+        let mut hit = Vec::new();
+        for (at, answer) in self.answers.iter_mut().enumerate() {
+            if answer.hit && !answer.over {
+                answer.resumed = false;
+                answer.longest = 0;
+                hit.push((at, None));
+            }
+        }
+        self.drop_connections(&hit);
+    }
+
     pub(super) fn kill(&mut self, engine: usize, hit: &[(usize, Option<(Link, u32)>)]) {
         self.engines[engine].dead = true;
         self.engines[engine].ejected = u64::MAX;
--- a/bench/src/answer/model/instances.rs
+++ b/bench/src/answer/model/instances.rs
@@ -58,7 +58,7 @@
         answer.last = now;
         id.clone_into(&mut answer.id);
         // What was on its way when the fault came is not a resume.
-        let after = self.struck && now > FAULT_US + WIRE_US;
+        let after = self.struck && now > self.fault_at + WIRE_US;
         if after && !(answer.hit && answer.resumed) && (answer.born == 0 || first) {
             answer.resumed = answer.hit;
             answer.longest = answer.longest.max(gap);
--- a/bench/src/answer/way.rs
+++ b/bench/src/answer/way.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use celerypond_answer::{ChainDigest, KeeperRecord, PaceLimits};
-use celerypond_types::TokenId;
+use celerypond_types::{Position, TokenId};
 
 /// What fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     Router,
     /// They and the engine die.
     Both,
+    /// The engine dies, and 2 s later the instances of the same answers.
+    Later,
     /// A third of the engines dies.
     Third,
 }
@@ -84,11 +86,16 @@
             Self::Brought => (record, shown.to_vec()),
             Self::Copy(each) => {
                 let prefix = shown[..shown.len() / each * each].to_vec();
+                let copied_to = Position(prefix.len() as u32);
+                let record_of_attempt = record.clone();
                 let copied = record.map(|record| KeeperRecord {
                     digest: ChainDigest::of(&prefix),
                     prefix,
                     ..record
                 });
+                // An attempt that was started with a longer prefix has it in its record.
+                let longer = record_of_attempt.filter(|record| record.position() > copied_to);
+                let copied = longer.or(copied);
                 (copied, Vec::new())
             }
         }
--- a/crates/answer/src/generation.rs
+++ b/crates/answer/src/generation.rs
@@ -8,8 +8,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    outlet::Outlet, reader::Reader, Driver, Effect, Event, GenerationLimits, Input, KeeperRecord,
-    Link, Origin, Patience, Request, Seal, Splice, Stream, TakeOver,
+    outlet::Outlet, reader::Reader, ChainDigest, Driver, Effect, Event, GenerationLimits, Input,
+    KeeperRecord, Link, Origin, Patience, Request, Seal, Splice, Stream, TakeOver,
 };
 
 /// Drives one answer from its first choice of a target to its end.
@@ -67,6 +67,8 @@
     avoid: Vec<TargetName>,
     /// Where else the caller's tokens may be found.
     other: Option<Origin>,
+    /// When the record goes to the keepers at the latest, as long as it has not.
+    held: Option<Instant>,
     /// How many tokens the keepers have, and how many bytes of text.
     copied: (u32, usize),
     /// When the last new token came.
@@ -106,6 +108,7 @@
         let first = driver.first();
         let mut generation = Self::with(request, limits, seal, outlet, first, now);
         generation.fresh = Some(first);
+        generation.held = Some(now + generation.limits.settle);
         generation.choose(now, out);
         generation
     }
@@ -169,7 +172,7 @@
     pub fn due(&self) -> Option<Instant> {
         let due = match &self.state {
             State::Choosing { retry, .. } => *retry,
-            State::Reading(reader) => Some(reader.due()),
+            State::Reading(reader) => [Some(reader.due()), self.held].into_iter().flatten().min(),
             State::Reviewing { due, .. } => return Some(*due),
             State::Over => return None,
         };
@@ -210,6 +213,7 @@
             barren: 0,
             avoid: Vec::new(),
             other: None,
+            held: None,
             copied: (0, 0),
             last: now,
             polls: 0,
@@ -233,6 +237,7 @@
         if self.gone.is_some_and(|gone| now >= gone) {
             return self.review(now, out);
         }
+        self.settle(now, out);
         match &self.state {
             State::Choosing {
                 retry: Some(retry), ..
@@ -245,6 +250,24 @@
         }
     }
 
+    /// Puts the record of an answer that has become old enough at the keepers.
+    fn settle(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let State::Reading(reader) = &self.state else {
+            return;
+        };
+        if self.held.is_none_or(|held| now < held) {
+            return;
+        }
+        // The stream has all tokens, so the record needs none.
+        let record = KeeperRecord {
+            prefix: Vec::new(),
+            digest: ChainDigest::default(),
+            text: String::new(),
+            ..self.record(reader.stream(), now)
+        };
+        out.push(self.keep(record));
+    }
+
     fn record(&self, stream: &Stream, now: Instant) -> KeeperRecord {
         let splice = self.splice.as_ref();
         let left = self.request.deadline.saturating_duration_since(now);
@@ -266,12 +289,15 @@
 
     /// Returns the effect that puts the record at the keepers, who have its prefix from then on.
     fn keep(&mut self, record: KeeperRecord) -> Effect {
+        self.held = None;
         self.copied = (record.position().0, record.text.len());
         Effect::Keep(record)
     }
 
-    fn forget(&self) -> Effect {
-        Effect::Forget(self.request.key.clone(), self.attempt)
+    /// Returns the effect that removes the record, if the keepers have one.
+    fn forget(&self) -> Option<Effect> {
+        let forget = || Effect::Forget(self.request.key.clone(), self.attempt);
+        self.held.is_none().then(forget)
     }
 
     fn next(&self) -> celerypond_types::Position {
--- a/crates/answer/src/generation/choosing.rs
+++ b/crates/answer/src/generation/choosing.rs
@@ -76,7 +76,9 @@
             seed: self.request.seed,
             prefix: record.prefix.clone(),
         }));
-        out.push(self.keep(record));
+        if self.held.is_none() || !record.prefix.is_empty() {
+            out.push(self.keep(record));
+        }
         self.state = State::Reading(Reader::start(stream, link, chosen.patience, now));
     }
 
--- a/crates/answer/src/generation/ending.rs
+++ b/crates/answer/src/generation/ending.rs
@@ -12,7 +12,7 @@
             let others = reader.links().filter(|held| *held != link);
             out.extend(others.map(Effect::Close));
         }
-        out.push(self.forget());
+        out.extend(self.forget());
         let Some(splice) = &self.splice else { return };
         out.push(Effect::Finish(Finish {
             reason,
@@ -26,7 +26,7 @@
         if let State::Reading(reader) = std::mem::replace(&mut self.state, State::Over) {
             stop(&reader, out);
         }
-        out.push(self.forget());
+        out.extend(self.forget());
         out.push(Effect::Fail(error));
     }
 
@@ -96,7 +96,7 @@
             }
         }
         if sure {
-            out.push(self.forget());
+            out.extend(self.forget());
         }
         out.push(Effect::Fail(Incomplete::Abandoned));
     }
--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -67,7 +67,7 @@
         let Some(splice) = &self.splice else { return };
         let (length, copies) = (splice.next().0, self.limits.copies);
         let (tokens, bytes) = self.copied;
-        if length < copies.after || length < tokens + copies.each {
+        if self.held.is_some() || length < copies.after || length < tokens + copies.each {
             return;
         }
         let text = self.outlet.text().unwrap_or_default();
--- a/crates/answer/src/request.rs
+++ b/crates/answer/src/request.rs
@@ -48,6 +48,9 @@
     pub rest: Duration,
     /// How long an answer of which nothing was shown waits for its version.
     pub cede: Duration,
+    /// How old a new answer is when its record goes to the keepers. A younger one loses little, and
+    /// most answers are over by then.
+    pub settle: Duration,
     /// How many attempts in succession may break before their first token.
     pub barren: u32,
     /// When the tokens of an answer are copied to its keepers.
@@ -75,6 +78,7 @@
             poll: Duration::from_millis(50),
             rest: Duration::from_secs(1),
             cede: Duration::from_millis(500),
+            settle: Duration::from_secs(5),
             barren: 8,
             copies: Copies {
                 after: 7500,
--- a/crates/answer/tests/test_history.rs
+++ b/crates/answer/tests/test_history.rs
@@ -118,6 +118,7 @@
 fn random(seed: u64) -> World {
     let mut world = World::new(4, 3, seed);
     world.limit = 60;
+    world.settle = ms(seed % 3 * 300);
     world.later(ms(0), Fault::Load(0, "v2".into()));
     for _ in 0..8 {
         let (at, fault) = (world.moment(), world.draw());
--- a/crates/answer/tests/test_scripts.rs
+++ b/crates/answer/tests/test_scripts.rs
@@ -26,6 +26,7 @@
                 world.deadline = ms(args.take_key("deadline").unwrap_or("5000"))?;
                 world.drifts = args.take_key("drifts").is_some();
                 world.brings = args.take_key("brings").is_some();
+                world.settle = ms(args.take_key("settle").unwrap_or("0"))?;
                 if let Some(after) = args.take_key("copies") {
                     let after = after.parse()?;
                     world.copies = Copies { after, each: 4 };
--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -149,6 +149,7 @@
     pub(crate) seed: u64,
     pub(crate) brings: bool,
     pub(crate) copies: Copies,
+    pub(crate) settle: Duration,
     /// Whether engines of one version and seed give different tokens, as real ones may.
     pub(crate) drifts: bool,
     pub(crate) generated: usize,
@@ -211,6 +212,7 @@
             seed,
             brings: false,
             copies: GenerationLimits::default().copies,
+            settle: Duration::ZERO,
             drifts: false,
             generated: 0,
             deadline: Duration::from_secs(60),
--- a/crates/answer/tests/world/instances.rs
+++ b/crates/answer/tests/world/instances.rs
@@ -217,6 +217,7 @@
         let now = self.instant();
         let limits = GenerationLimits {
             copies: self.copies,
+            settle: self.settle,
             ..GenerationLimits::default()
         };
         let shown = &self.callers[caller].tokens;
