--- a/crates/answer/src/generation/ending.rs
+++ b/crates/answer/src/generation/ending.rs
@@ -12,7 +12,7 @@
             let others = reader.links().filter(|held| *held != link);
             out.extend(others.map(Effect::Close));
         }
-        out.push(self.forget());
+        out.extend(self.forget());
         let Some(splice) = &self.splice else { return };
         out.push(Effect::Finish(Finish {
             reason,
@@ -26,11 +26,14 @@
         if let State::Reading(reader) = std::mem::replace(&mut self.state, State::Over) {
             stop(&reader, out);
         }
-        out.push(self.forget());
+        out.extend(self.forget());
         out.push(Effect::Fail(error));
     }
 
-    /// Gives up in favour of another driver, whose stream must go on.
+    /// Gives up in favour of another driver.
+    ///
+    /// A stream that has had a token goes on: the other driver may read it, or a caller may come
+    /// back with a resume token that names it. One without a token is stopped, as nobody knows it.
     pub(super) fn fenced(&mut self, record: &KeeperRecord, out: &mut Vec<Effect>) {
         if record.attempt() <= self.attempt || self.is_over() {
             return;
@@ -42,7 +45,7 @@
             ..
         } = state
         {
-            if reader.stream() == record.stream() {
+            if reader.has_begun() {
                 out.extend(reader.links().map(Effect::Close));
             } else {
                 stop(&reader, out);
@@ -93,7 +96,7 @@
             }
         }
         if sure {
-            out.push(self.forget());
+            out.extend(self.forget());
         }
         out.push(Effect::Fail(Incomplete::Abandoned));
     }
