--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -24,6 +24,9 @@
 /// The size of an intent, in bytes, at most.
 const INTENT_BYTES: usize = 300;
 
+/// How many batches are read one by one before the log is listed instead.
+const CATCH_UP: u32 = 16;
+
 /// The ordinal of a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ShardNumber(pub u16);
@@ -79,6 +82,8 @@
     poll_wait: Duration,
     /// Whether the log must be listed again.
     reload: bool,
+    /// How many batches of others were read since the log was known to its end; 0 if it is.
+    behind: u32,
 }
 
 impl Shard {
@@ -102,6 +107,7 @@
             poll_at: now,
             poll_wait: settings.poll,
             reload: true,
+            behind: 0,
         }
     }
 
@@ -306,7 +312,7 @@
             self.step = Step::Loading;
             let prefix = self.prefix();
             self.callers.effects.push(Effect::List { prefix });
-        } else if self.write_due().is_some_and(|at| at <= now) {
+        } else if self.behind == 0 && self.write_due().is_some_and(|at| at <= now) {
             self.write(now);
         } else {
             self.step = Step::Polling;
@@ -316,7 +322,8 @@
 
     /// Returns when a call of the store is due.
     fn next_call(&self) -> Option<Instant> {
-        let poll = (!self.callers.followers.is_empty()).then_some(self.poll_at);
+        let polls = self.behind > 0 || !self.callers.followers.is_empty();
+        let poll = polls.then_some(self.poll_at);
         self.write_due().into_iter().chain(poll).min()
     }
 
@@ -403,7 +410,7 @@
             Some(found) if found.batch.is(&flight.batch) => self.won(flight, found.version, now),
             Some(found) if found.batch.sequence == sequence => {
                 self.put_back(flight, now);
-                self.apply(&found, now);
+                self.follow(&found, now);
             }
             // The place was used again since, so this instance was paused for long.
             Some(found) if found.batch.sequence > sequence => {
@@ -504,10 +511,7 @@
             },
         };
         match found {
-            Some(found) if found.batch.sequence == place.sequence => {
-                self.poll_at = now;
-                self.apply(&found, now);
-            }
+            Some(found) if found.batch.sequence == place.sequence => self.follow(&found, now),
             Some(found) if found.batch.sequence > place.sequence => self.reload = true,
             Some(_) | None => self.at_head(now),
         }
@@ -516,6 +520,7 @@
     /// Gives up the intents of other writers that are over, after the log was read to its end.
     fn at_head(&mut self, now: Instant) {
         self.health = Health::default();
+        self.behind = 0;
         self.poll_at = now + self.poll_wait;
         self.poll_wait = (self.poll_wait * 2).min(self.settings.poll_most);
         let Some(log) = &self.log else { return };
@@ -526,6 +531,17 @@
         self.callers.give_up(|call| is_over(call));
     }
 
+    /// Adds a batch of another writer and reads on, as more are likely to follow.
+    ///
+    /// Without reading on, each missing batch would cost a write that loses, at the pace of writes,
+    /// and a shard that is slower than the others together would never get to write.
+    fn follow(&mut self, found: &Stored, now: Instant) {
+        self.poll_at = now;
+        self.behind += 1;
+        self.reload |= self.behind > CATCH_UP;
+        self.apply(found, now);
+    }
+
     /// Adds a batch that this shard did not know to be in the log.
     fn apply(&mut self, found: &Stored, now: Instant) {
         let Some(log) = &mut self.log else { return };
@@ -565,6 +581,7 @@
         let open = log.open(self.writer, log.all());
         self.log = Some(log);
         self.reload = false;
+        self.behind = 0;
         self.health = Health::default();
         self.release(open, now);
         self.admit_again(now);
--- a/crates/ledger/tests/runner.rs
+++ b/crates/ledger/tests/runner.rs
@@ -5,5 +5,6 @@
 mod test_failure;
 mod test_history;
 mod test_scripts;
+mod test_shard;
 mod test_trace;
 mod world;
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -53,6 +53,13 @@
         WriteReply::Written(version)
     }
 
+    pub(crate) fn copy(&self) -> Self {
+        Self {
+            objects: self.objects.clone(),
+            ..*self
+        }
+    }
+
     pub(crate) fn get(&self, key: &str) -> ReadReply {
         let found = self.objects.get(key).cloned();
         found.map_or(ReadReply::Missing, ReadReply::Found)
--- a/crates/ledger/tests/world.rs
+++ b/crates/ledger/tests/world.rs
@@ -54,7 +54,7 @@
     Send(usize, u64, CallId, Unsent),
     Execute(usize, u64, CallId, CallKey, Finished),
     Finish(usize, u64, Finished),
-    Tick(usize, u64),
+    Tick(usize, Instant),
     Arrive(usize, CallKey, u32),
     Patience(CallId, u32),
     Trouble,
@@ -198,7 +198,7 @@
             Event::Finish(node, run, finished) if run == self.nodes[node].run => {
                 self.with(node, |shard, now| shard.finish(finished, now));
             }
-            Event::Tick(node, run) if run == self.nodes[node].run => {
+            Event::Tick(node, at) if self.nodes[node].wake == Some(at) => {
                 self.nodes[node].wake = None;
                 self.with(node, Shard::tick);
             }
@@ -264,12 +264,12 @@
             self.carry_out(node, effect);
         }
         let state = &self.nodes[node];
-        let (run, wake) = (state.run, state.shard.wake_at());
+        let wake = state.shard.wake_at();
         if let Some(at) = wake.filter(|at| state.wake.is_none_or(|wake| *at < wake)) {
             self.nodes[node].wake = Some(at);
             self.after(
                 at.saturating_duration_since(self.now),
-                Event::Tick(node, run),
+                Event::Tick(node, at),
             );
         }
     }
