rollout: judge by a Bayes factor on the base in the same window

Cause: a plug-in estimate of the base's rate from the few trials that a high share leaves it blamed a good version whenever the base was lucky while something hit both. First chunks are counted apart from later ones, trials under way count, and evidence is weighed right after each failure.

--- a/bench/src/rollout.rs
+++ b/bench/src/rollout.rs
@@ -1,8 +1,204 @@
-//! Measures of the `rollout` crate.
+//! Measures of the `rollout` crate: good versions done by the deadline, bad ones taken back.
+//!
+//! The fake fleet is the one that the crate's tests use.
 
+#[expect(dead_code, reason = "The tests of the crate use more of it.")]
+#[path = "../../crates/rollout/tests/fake_fleet.rs"]
+mod fake_fleet;
+#[expect(dead_code, reason = "The tests of the crate use more of it.")]
+#[path = "../../crates/rollout/tests/fake_store.rs"]
+mod fake_store;
+
+use std::thread;
+
+use celerypond_rollout::{Method, Phase};
+
+use self::fake_fleet::{FakeFleet, Kind, Outcome, Setting, Trouble, Way};
 use crate::table::Row;
 
+const KINDS: [(Kind, &str); 6] = [
+    (Kind::Good, "good"),
+    (Kind::AtOnce, "fails at once"),
+    (Kind::AfterMinutes, "fails after minutes"),
+    (Kind::UnderLoad, "fails under load"),
+    (Kind::OneRoute, "fails on one route"),
+    (Kind::Slow, "slow"),
+];
+const THREADS: u64 = 4;
+const END_MS: u64 = 900_000;
+const AFTER_MS: u64 = 3_000;
+
 /// Takes the measures.
-pub(crate) fn run(_seeds: u64) -> Vec<Row> {
-    Vec::new()
+pub(crate) fn run(seeds: u64) -> Vec<Row> {
+    let method = Method::default();
+    let all = KINDS.map(|(kind, _)| kind);
+    let pooled = Method {
+        routes: false,
+        ..method
+    };
+    let counted = Method {
+        targets: false,
+        discount: false,
+        ..method
+    };
+    // A baseline is run on the kinds that it can differ on.
+    let ways: [(&str, Way, &[Kind]); 4] = [
+        ("celerypond", Way::Judged(method), &all),
+        (
+            "baseline: pooled routes",
+            Way::Judged(pooled),
+            &[Kind::Good, Kind::OneRoute],
+        ),
+        (
+            "baseline: crashes in full",
+            Way::Judged(counted),
+            &[Kind::Good],
+        ),
+        ("baseline: fixed steps", Way::Canary, &all),
+    ];
+    let mut rows = Vec::new();
+    for (deployment, setting) in [("Holding", holding()), ("Harrowgate", harrowgate())] {
+        for (way, method, kinds) in ways {
+            for (kind, name) in KINDS {
+                if !kinds.contains(&kind) {
+                    continue;
+                }
+                let setting = Setting {
+                    kind,
+                    way: method,
+                    ..setting.clone()
+                };
+                let outcomes = outcomes(&setting, seeds);
+                rows.extend(report(
+                    &format!("{deployment}, {name}: {way}"),
+                    kind,
+                    &outcomes,
+                ));
+            }
+        }
+        let general = [
+            (200_000, Trouble::General(true)),
+            (215_000, Trouble::General(false)),
+            (480_000, Trouble::General(true)),
+            (490_000, Trouble::General(false)),
+        ];
+        let setting = Setting {
+            troubles: general.to_vec(),
+            ..setting
+        };
+        let outcomes = outcomes(&setting, seeds);
+        rows.extend(report(
+            &format!("{deployment}, good, all engines failing twice: celerypond"),
+            Kind::Good,
+            &outcomes,
+        ));
+    }
+    rows
+}
+
+/// 20 engines, 7 instances, 12 requests a second.
+fn holding() -> Setting {
+    Setting::holding(Kind::Good)
+}
+
+/// 35 engines, 7 instances, 20 requests a second.
+fn harrowgate() -> Setting {
+    Setting {
+        base_engines: 18,
+        new_engines: 17,
+        rate: 20.0,
+        ..Setting::holding(Kind::Good)
+    }
+}
+
+fn outcomes(setting: &Setting, seeds: u64) -> Vec<Outcome> {
+    let part = |first: u64| {
+        let seeds = (first..seeds).step_by(THREADS as usize);
+        let run = |seed| {
+            FakeFleet::new(setting.clone(), seed)
+                .run(END_MS, AFTER_MS)
+                .clone()
+        };
+        seeds.map(run).collect::<Vec<_>>()
+    };
+    thread::scope(|scope| {
+        let parts: Vec<_> = (0..THREADS)
+            .map(|first| scope.spawn(move || part(first)))
+            .collect();
+        parts
+            .into_iter()
+            .flat_map(|part| part.join().unwrap_or_default())
+            .collect()
+    })
+}
+
+fn report(way: &str, kind: Kind, outcomes: &[Outcome]) -> Vec<Row> {
+    let is_good = kind == Kind::Good;
+    let is_right = |outcome: &Outcome| match outcome.phase {
+        Some(Phase::Done) => is_good,
+        Some(Phase::TakenBack { .. }) => !is_good,
+        _ => false,
+    };
+    let of = |value: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(value).collect::<Vec<_>>();
+    let mean = |values: Vec<f64>| values.iter().sum::<f64>() / values.len() as f64;
+    let right = mean(of(&|outcome| f64::from(u8::from(is_right(outcome)))));
+    let lies = mean(of(&|outcome| f64::from(u8::from(outcome.lie.is_some()))));
+    let count = outcomes.len() as u64;
+    let single = |measure, value| Row {
+        measure,
+        way: way.to_owned(),
+        unit: "%",
+        median: 100.0 * value,
+        p99: 100.0 * value,
+        samples: count,
+    };
+    let mut rows = vec![
+        single("rollout: right ending", right),
+        single("rollout: untrue report", lies),
+    ];
+    if is_good {
+        let ended = of(&|outcome| outcome.ended_ms as f64 / 1e3);
+        rows.push(Row::of("rollout: time to report", way, "s", ended));
+        let bytes = of(&|outcome| outcome.report_bytes as f64 / 7.0);
+        rows.push(Row::of(
+            "rollout: report, per instance",
+            way,
+            "bytes of JSON",
+            bytes,
+        ));
+        return rows;
+    }
+    let span =
+        |from: Option<u64>, to: u64| from.map_or(0.0, |from| to.saturating_sub(from) as f64 / 1e3);
+    let shown = of(&|outcome| span(outcome.shown_ms, outcome.last_sent_ms));
+    let proved = of(&|outcome| span(outcome.proved_ms, outcome.last_sent_ms));
+    let sent = of(&|outcome| outcome.sent_after_shown as f64);
+    let harmed = of(&|outcome| outcome.harmed as f64);
+    let late = of(&|outcome| outcome.sent_after_proved as f64);
+    rows.push(Row::of(
+        "rollout: first fault to last sent",
+        way,
+        "s",
+        shown,
+    ));
+    rows.push(Row::of(
+        "rollout: sent after first fault",
+        way,
+        "requests",
+        sent,
+    ));
+    rows.push(Row::of(
+        "rollout: hit by the fault",
+        way,
+        "requests",
+        harmed,
+    ));
+    rows.push(Row::of("rollout: provable to last sent", way, "s", proved));
+    rows.push(Row::of(
+        "rollout: sent after provable",
+        way,
+        "requests",
+        late,
+    ));
+    rows
 }
--- /dev/null
+++ b/crates/rollout/src/agent/judging.rs
@@ -0,0 +1,199 @@
+//! How an instance weighs evidence, says what it acts on and proposes the next step.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use celerypond_bundle::Model;
+use celerypond_types::{ModelName, Revision, VersionName};
+
+use super::{subject, Agent};
+use crate::{
+    acting::{Acting, ActingMove},
+    judge::{Engines, Judge},
+    moves::{Candidate, Move},
+    plan::{plan, Demand},
+    rollout::{MoveRecord, Phase, Rollout, View},
+};
+
+/// How many engines of the base an instance assumes when the bundle names none.
+const MIN_BASE_ENGINES: u32 = 1;
+const MS_PER_S: u64 = 1_000;
+
+impl Agent {
+    /// Weighs all evidence; returns whether a brake was tripped, which peers must hear at once.
+    ///
+    /// Call it after each failure as well as now and then: the evidence is strongest right after one.
+    pub fn weigh(&mut self, base_engines: impl Fn(&Move) -> u32, now_ms: u64) -> bool {
+        for report in self.own.values() {
+            self.evidence.merge(report.clone());
+        }
+        let rollouts = self.rollouts.values();
+        let records = rollouts.flat_map(|rollout| {
+            let origin = rollout.origin;
+            rollout.moves.iter().map(move |record| (origin, record))
+        });
+        let running = records.filter(|(origin, record)| self.is_running(*origin, record));
+        let running: Vec<_> = running
+            .map(|(origin, record)| (origin, record.clone()))
+            .collect();
+        let mut is_new = false;
+        for (origin, record) in running {
+            let candidate = record.change.candidate.clone();
+            let stage = &record.stages[usize::from(record.stage())];
+            let engines = Engines {
+                new: record.change.engines,
+                base: base_engines(&record.change).max(MIN_BASE_ENGINES),
+            };
+            let key = (origin, candidate.clone());
+            let judge = self.judges.entry(key.clone()).or_insert_with(|| {
+                let subject = subject(origin, &candidate.model);
+                Judge::new(
+                    subject,
+                    candidate.version.clone(),
+                    record.change.base.clone(),
+                    self.method,
+                )
+            });
+            let verdict = judge.weigh(&self.evidence, stage, engines, now_ms);
+            let Some(verdict) = verdict else { continue };
+            if self.promised.contains(&key) {
+                self.objections.insert(key, verdict.cause);
+            } else {
+                is_new |= self.brakes.trip(origin, candidate, verdict.cause);
+            }
+        }
+        is_new
+    }
+
+    /// Returns what this instance acts on, for peers; `base_open` counts open answers of a version.
+    pub fn acting(
+        &mut self,
+        revision: Revision,
+        base_open: impl Fn(&ModelName, &VersionName) -> u32,
+    ) -> Acting {
+        let mut moves = Vec::new();
+        for (origin, change) in self.changes() {
+            let open = base_open(&change.candidate.model, &change.base);
+            moves.push(self.acting_move(origin, change, open));
+        }
+        self.sequence += 1;
+        let acting = Acting {
+            instance: self.me.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            revision,
+            moves,
+        };
+        self.roster.merge(acting.clone());
+        acting
+    }
+
+    fn acting_move(&mut self, origin: Revision, change: Move, base_open: u32) -> ActingMove {
+        let share_ppm = self.share(origin, &change);
+        let candidate = change.candidate;
+        let key = (origin, candidate.clone());
+        let braked = self.brakes.cause(origin, &candidate).is_some();
+        let record = self.record(origin, &candidate);
+        let stage = record.map_or(0, MoveRecord::stage);
+        if record.is_some_and(|record| record.phase == Phase::Closing) && !braked {
+            self.promised.insert(key.clone());
+        }
+        ActingMove {
+            origin,
+            candidate,
+            stage,
+            share_ppm,
+            braked,
+            promised: self.promised.contains(&key),
+            base_open,
+        }
+    }
+
+    /// Returns the records that are due to be written: first those not yet made, then next steps.
+    ///
+    /// A new record is to be written if absent, a next step if the record has not changed.
+    /// `is_listed` tells whether the list of live instances could be had lately, and `rate` gives the
+    /// requests a second for a model.
+    pub fn due(
+        &self,
+        models: &[Model],
+        rate: impl Fn(&ModelName) -> f64,
+        is_listed: bool,
+        now_ms: u64,
+    ) -> Vec<Rollout> {
+        let view = View {
+            me: &self.me,
+            now_ms,
+            live: is_listed.then_some(self.live.as_slice()),
+            roster: &self.roster,
+            brakes: &self.brakes,
+        };
+        let mut due = self.missing(models, rate, is_listed);
+        due.extend(self.rollouts.values().filter_map(|rollout| {
+            let origin = rollout.origin;
+            let answers = |candidate: &Candidate| {
+                let subject = subject(origin, &candidate.model);
+                self.evidence
+                    .total(&subject, &candidate.version, None)
+                    .first
+                    .times
+                    .count()
+            };
+            let objection =
+                |candidate: &Candidate| self.objections.get(&(origin, candidate.clone())).copied();
+            let superseded = |candidate: &Candidate| {
+                let part = self.parts.get(&candidate.model);
+                part.is_some_and(|part| part.origin > origin)
+            };
+            rollout.next(&view, answers, objection, superseded)
+        }));
+        due
+    }
+
+    fn missing(
+        &self,
+        models: &[Model],
+        rate: impl Fn(&ModelName) -> f64,
+        is_listed: bool,
+    ) -> Vec<Rollout> {
+        let mut found: BTreeMap<Revision, (u64, Vec<_>)> = BTreeMap::new();
+        for model in models {
+            let Some(part) = self.parts.get(&model.name) else {
+                continue;
+            };
+            if self.rollouts.contains_key(&part.origin) || part.moves.is_empty() || !is_listed {
+                continue;
+            }
+            let demand = Demand {
+                within: Duration::from_secs(model.complete_within_s),
+                answer: Duration::from_millis(model.deadline_ms),
+                instances: self.live.len() as u32,
+                requests_per_s: rate(&model.name),
+            };
+            let deadline_ms = part.rolled_ms + model.complete_within_s * MS_PER_S;
+            let entry = found
+                .entry(part.origin)
+                .or_insert((part.rolled_ms, Vec::new()));
+            entry.1.extend(part.moves.iter().map(|change| {
+                let from_ppm = self.share(part.origin, change);
+                let change = Move {
+                    from_ppm,
+                    ..change.clone()
+                };
+                let stages = plan(&change, &demand, self.method.steps);
+                (change, stages, deadline_ms)
+            }));
+        }
+        let record = |(origin, (rolled_ms, moves))| {
+            Rollout::new(origin, rolled_ms, self.me.clone(), moves, &self.live)
+        };
+        found.into_iter().map(record).collect()
+    }
+
+    pub(super) fn is_running(&self, origin: Revision, record: &MoveRecord) -> bool {
+        let candidate = &record.change.candidate;
+        let part = self.parts.get(&candidate.model);
+        let is_current = part.is_some_and(|part| part.origin == origin);
+        let is_open = matches!(record.phase, Phase::Stage { .. } | Phase::Closing);
+        is_current && is_open && self.brakes.cause(origin, candidate).is_none()
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/agent/traffic.rs
@@ -0,0 +1,152 @@
+//! How an instance splits requests and counts what comes of them.
+
+use celerypond_bundle::Model;
+use celerypond_types::{Revision, VersionName};
+
+use super::{subject, Agent};
+use crate::{
+    evidence::{Report, Subject, Trial},
+    moves::{shares, Candidate, Move},
+    plan::MAX_WITNESSES,
+    rank::rank,
+    rollout::{sender_role, Phase},
+    tally::{Failure, Trials},
+};
+
+impl Agent {
+    /// Chooses the version that takes the next request for a model.
+    pub fn choose(&mut self, model: &Model) -> VersionName {
+        let part = self.parts.get(&model.name);
+        let changes = part.map_or_else(Vec::new, |part| part.moves.clone());
+        let origin = part.map_or_else(Revision::default, |part| part.origin);
+        let base = changes
+            .first()
+            .map_or(&model.base, |change| &change.base)
+            .clone();
+        let mut wanted = shares(model);
+        for change in &changes {
+            let share = self.share(origin, change);
+            wanted.insert(change.candidate.version.clone(), share);
+        }
+        wanted.remove(&base);
+        for (version, share_ppm) in wanted {
+            let candidate = Candidate {
+                model: model.name.clone(),
+                version: version.clone(),
+            };
+            if self.splitters.entry(candidate).or_default().take(share_ppm) {
+                return version;
+            }
+        }
+        base
+    }
+
+    /// Returns the part of its requests that this instance sends to a version under rollout.
+    pub fn share(&self, origin: Revision, change: &Move) -> u32 {
+        let candidate = &change.candidate;
+        if self.brakes.cause(origin, candidate).is_some() {
+            return 0;
+        }
+        let Some(record) = self.record(origin, candidate) else {
+            // The bundle is in force but its first stage is not known yet: all stays as it was.
+            let last = self.last.get(candidate).copied().unwrap_or(0);
+            return last.min(change.from_ppm);
+        };
+        let is_sender = record
+            .senders
+            .as_ref()
+            .is_none_or(|all| all.contains(&self.me));
+        match record.phase {
+            Phase::Stage { .. } if is_sender => record.local_ppm,
+            Phase::Stage { .. } | Phase::Superseded => record.change.from_ppm,
+            Phase::Closing | Phase::Done => record.change.to_ppm,
+            Phase::Braking { .. } | Phase::TakenBack { .. } => 0,
+        }
+    }
+
+    /// Returns how many engines serve a version now, out of those that the bundle names.
+    pub fn engines(&self, origin: Revision, candidate: &Candidate) -> Option<u32> {
+        let record = self.rollouts.get(&origin)?.find(candidate)?;
+        let stage = record.stages.get(usize::from(record.stage()))?;
+        Some(stage.engines)
+    }
+
+    /// Notes that a chunk was asked for.
+    pub fn sent(&mut self, trial: &Trial) {
+        if let Some(subject) = self.counted(trial) {
+            self.since_ms.entry(subject).or_insert(trial.begun_ms);
+        }
+        if let Some(trials) = self.trials(trial) {
+            trials.sent += 1;
+        }
+    }
+
+    /// Notes that a chunk came: its time to the first token, or its time per token.
+    pub fn came(&mut self, trial: &Trial, time_us: u64) {
+        if let Some(trials) = self.trials(trial) {
+            trials.times.add(time_us);
+        }
+    }
+
+    /// Notes that a chunk failed.
+    pub fn failed(&mut self, trial: &Trial, failure: Failure, now_ms: u64) {
+        let discount = self.method.discount;
+        let Some(report) = self.report(trial) else {
+            return;
+        };
+        let breaks = discount && matches!(failure, Failure::Cut | Failure::Stalled);
+        if breaks && report.broke(&trial.version, &trial.target, trial.begun_ms, now_ms) {
+            report.trials(trial).discounted += 1;
+            return;
+        }
+        report.trials(trial).fail(failure);
+        report.blame(&trial.version, &trial.target);
+    }
+
+    fn trials(&mut self, trial: &Trial) -> Option<&mut Trials> {
+        self.report(trial).map(|report| report.trials(trial))
+    }
+
+    /// Returns what a trial is evidence of, if its version is under rollout here.
+    ///
+    /// Only instances that send to both versions count either, so that a fault of one instance, or of
+    /// the network around it, is not laid on the version that it happens to send to.
+    fn counted(&mut self, trial: &Trial) -> Option<Subject> {
+        let origin = self.parts.get(&trial.model)?.origin;
+        let moves = &self.rollouts.get(&origin)?.moves;
+        let is_counted = moves.iter().any(|record| {
+            let change = &record.change;
+            let is_candidate = change.candidate.version == trial.version;
+            let is_party = is_candidate || change.base == trial.version;
+            let is_here = change.candidate.model == trial.model && self.share(origin, change) > 0;
+            is_party && is_here && self.is_running(origin, record)
+        });
+        let subject = subject(origin, &trial.model);
+        (is_counted && self.is_witness(&subject)).then_some(subject)
+    }
+
+    fn report(&mut self, trial: &Trial) -> Option<&mut Report> {
+        let subject = self.counted(trial)?;
+        // What was begun before the counting is no part of the trials counted as begun.
+        let since_ms = *self.since_ms.get(&subject)?;
+        if trial.begun_ms < since_ms {
+            return None;
+        }
+        let report = self.own.entry(subject.clone());
+        Some(report.or_insert_with(|| Report::new(subject, self.me.clone(), self.incarnation)))
+    }
+
+    fn is_witness(&mut self, subject: &Subject) -> bool {
+        if self.live.len() <= MAX_WITNESSES as usize {
+            return true;
+        }
+        let (live, me) = (&self.live, &self.me);
+        *self.witness.entry(subject.clone()).or_insert_with(|| {
+            let ranked = rank(&sender_role(subject.origin, &subject.model), live);
+            ranked
+                .iter()
+                .take(MAX_WITNESSES as usize)
+                .any(|name| name == me)
+        })
+    }
+}
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::tally::Tally;
+use crate::tally::{Tally, Trials};
 
 /// How close in time the breaks of one target count as one incident, in milliseconds.
 pub const INCIDENT_MS: u64 = 10_000;
@@ -19,6 +19,23 @@
 #[serde(transparent)]
 pub struct Route(pub SmolStr);
 
+/// One chunk of an answer, from the side of the instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// The model.
+    pub model: ModelName,
+    /// The version that was chosen.
+    pub version: VersionName,
+    /// The kind of request.
+    pub route: Route,
+    /// The target.
+    pub target: TargetName,
+    /// Whether it is the first of its answer.
+    pub is_first: bool,
+    /// When it began, as wall clock in milliseconds since 1970.
+    pub begun_ms: u64,
+}
+
 /// What evidence is about: a model since the revision at which its part of the bundle changed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Subject {
@@ -98,6 +115,16 @@
         &mut self.lines[at].tally
     }
 
+    /// Returns the sums that a trial belongs to.
+    pub fn trials(&mut self, trial: &Trial) -> &mut Trials {
+        let tally = self.tally(&trial.version, &trial.route);
+        if trial.is_first {
+            &mut tally.first
+        } else {
+            &mut tally.later
+        }
+    }
+
     /// Notes on which target a trial failed.
     pub fn blame(&mut self, version: &VersionName, target: &TargetName) {
         let is_it = |(v, t, _): &&mut (_, _, u32)| v == version && t == target;
@@ -148,11 +175,11 @@
 ///
 /// let subject = Subject { origin: Revision(2), model: "draft".into() };
 /// let mut report = Report::new(subject.clone(), "i1".into(), 1);
-/// report.tally(&"v2".into(), &Route("".into())).sent += 1;
+/// report.tally(&"v2".into(), &Route("".into())).first.sent += 1;
 /// let mut evidence = Evidence::default();
 /// assert!(evidence.merge(report.clone()));
 /// assert!(!evidence.merge(report));
-/// assert_eq!(evidence.total(&subject, &"v2".into(), None).sent, 1);
+/// assert_eq!(evidence.total(&subject, &"v2".into(), None).first.sent, 1);
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
@@ -162,19 +189,24 @@
 impl Evidence {
     /// Takes a report; returns whether it is newer than the one held.
     pub fn merge(&mut self, report: Report) -> bool {
-        let key = (
-            report.subject.clone(),
-            report.instance.clone(),
-            report.incarnation,
-        );
-        let held = self.reports.get(&key).map(|held| held.sequence);
-        let is_newer = held.is_none_or(|held| held < report.sequence);
+        let is_newer = self.is_newer(&report);
         if is_newer {
-            self.reports.insert(key, report);
+            self.reports.insert(key(&report), report);
         }
         is_newer
     }
 
+    /// Returns whether a report is newer than the one held.
+    pub fn is_newer(&self, report: &Report) -> bool {
+        let held = self.reports.get(&key(report));
+        held.is_none_or(|held| held.sequence < report.sequence)
+    }
+
+    /// Returns all reports.
+    pub fn all(&self) -> impl Iterator<Item = &Report> {
+        self.reports.values()
+    }
+
     /// Returns the reports about a subject.
     pub fn reports<'a>(&'a self, subject: &'a Subject) -> impl Iterator<Item = &'a Report> {
         self.reports
@@ -228,3 +260,11 @@
             .retain(|(subject, _, _), _| subjects.contains(subject));
     }
 }
+
+fn key(report: &Report) -> (Subject, InstanceName, u64) {
+    (
+        report.subject.clone(),
+        report.instance.clone(),
+        report.incarnation,
+    )
+}
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -8,18 +8,18 @@
 use crate::{
     evidence::{Evidence, Route, Subject},
     histogram::{Histogram, BUCKETS},
+    odds::{odds, odds_against, Seen, TOLERANCE},
+    plan::{Stage, StageStep, STEPS},
     splitter::WHOLE_PPM,
-    tally::Tally,
+    tally::Trials,
 };
 
 /// The odds that trip the brake for failures and incidents.
 const TRIP_ODDS: f64 = 1e4;
 /// The odds that trip it for slowness, whose samples depend on each other more.
 const SLOW_ODDS: f64 = 1e6;
-/// How much worse than its base a version may be.
-const TOLERANCE: f64 = 1.5;
 /// The failure rate that nobody minds.
-const FAILURE_FLOOR: f64 = 0.01;
+const FAILURE_FLOOR: f64 = 0.005;
 /// The part of slow samples that nobody minds; by choice of the bound the base has about half of it.
 const SLOW_FLOOR: f64 = 0.10;
 /// The part of the base's samples that count as not slow.
@@ -29,9 +29,7 @@
 /// How many samples of the base fix the bound.
 const MIN_BASE_SAMPLES: u64 = 40;
 /// The failure rate that is taken for the base's when no traffic is left on it.
-const UNPAIRED_FLOOR: f64 = 0.3;
-/// The rates that a bad version may have, all equally likely.
-const BAD_RATES: [f64; 6] = [0.9, 0.6, 0.3, 0.15, 0.06, 0.03];
+const UNPAIRED_RATE: f64 = 0.3;
 /// Incidents that an engine may have in a second, before any was seen: one in two hours.
 const INCIDENT_PRIOR_S: f64 = 7_200.0;
 const MS_PER_S: f64 = 1_000.0;
@@ -66,12 +64,16 @@
 }
 
 /// How the test is done; the default is what the measurements chose.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Method {
     /// Whether each route is tested on its own as well.
     pub routes: bool,
     /// Whether failures on one target only need twice the evidence.
     pub targets: bool,
+    /// Whether what the death of a target cuts off counts as one incident.
+    pub discount: bool,
+    /// The steps of the stages.
+    pub steps: &'static [StageStep],
 }
 
 impl Default for Method {
@@ -79,24 +81,51 @@
         Self {
             routes: true,
             targets: true,
+            discount: true,
+            steps: &STEPS,
         }
     }
 }
 
-/// The sums of both versions.
+/// What a window is open on.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scope {
+    cause: Cause,
+    is_first: bool,
+    route: Option<Route>,
+}
+
+/// The trials of both versions.
 #[derive(Clone, Debug, Default)]
 struct Pair {
-    new: Tally,
-    base: Tally,
+    new: Trials,
+    base: Trials,
 }
 
-/// The start of the current suspicion of one kind on one scope.
+/// The start of the current suspicion on one scope.
 #[derive(Clone, Debug, Default)]
 struct Window {
     start: Pair,
     blamed: BTreeMap<TargetName, u64>,
 }
 
+/// How many engines the bundle names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Engines {
+    /// Of the new version.
+    pub new: u32,
+    /// Of its base.
+    pub base: u32,
+}
+
+/// What all scopes are weighed with.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    is_paired: bool,
+    engines: u32,
+    scopes: f64,
+}
+
 /// Tests one version against its base on the merged evidence of all instances.
 ///
 /// For each scope and kind a window is open since the first sign of a fault. Within it the odds of a
@@ -110,7 +139,7 @@
     version: VersionName,
     base: VersionName,
     method: Method,
-    windows: BTreeMap<(Cause, Option<Route>), Window>,
+    windows: BTreeMap<Scope, Window>,
 }
 
 impl Judge {
@@ -125,131 +154,150 @@
         }
     }
 
-    /// Weighs the evidence so far; `share_ppm` is the share that the version has now and `engines` the
-    /// number of targets that serve it and its base.
+    /// Weighs the evidence so far at the present stage.
     pub fn weigh(
         &mut self,
         evidence: &Evidence,
-        share_ppm: u32,
-        engines: (u32, u32),
+        stage: &Stage,
+        engines: Engines,
         now_ms: u64,
     ) -> Option<Verdict> {
-        let scopes = self.scopes(evidence);
-        let bound = scopes.len() as f64;
+        let routes = self.routes(evidence);
+        let terms = Terms {
+            is_paired: stage.share_ppm < WHOLE_PPM,
+            engines: engines.new,
+            scopes: routes.len() as f64,
+        };
+        let blamed = evidence.blamed(&self.subject, &self.version);
         let mut verdicts = Vec::new();
-        for route in scopes {
-            let pair = Pair {
-                new: evidence.total(&self.subject, &self.version, route.as_ref()),
-                base: evidence.total(&self.subject, &self.base, route.as_ref()),
+        for route in routes {
+            let new = evidence.total(&self.subject, &self.version, route.as_ref());
+            let base = evidence.total(&self.subject, &self.base, route.as_ref());
+            let first = Pair {
+                new: new.first,
+                base: base.first,
             };
-            let is_paired = share_ppm < WHOLE_PPM;
-            verdicts.extend(self.failures(evidence, &pair, &route, is_paired, engines.0, bound));
-            if is_paired {
-                verdicts.extend(self.slowness(Cause::FirstToken, &pair, &route, bound));
-                verdicts.extend(self.slowness(Cause::TokenTime, &pair, &route, bound));
+            let later = Pair {
+                new: new.later,
+                base: base.later,
+            };
+            for (is_first, pair) in [(true, first), (false, later)] {
+                let scope = |cause| Scope {
+                    cause,
+                    is_first,
+                    route: route.clone(),
+                };
+                verdicts.extend(self.failures(scope(Cause::Failures), &pair, &blamed, terms));
+                let slow = if is_first {
+                    Cause::FirstToken
+                } else {
+                    Cause::TokenTime
+                };
+                verdicts.extend(self.slowness(scope(slow), &pair, terms));
             }
         }
-        verdicts.extend(self.incidents(evidence, engines, now_ms));
+        verdicts.extend(self.incidents(evidence, stage.engines, engines.base, now_ms));
         verdicts
             .into_iter()
             .max_by(|a, b| a.odds.total_cmp(&b.odds))
     }
 
-    fn scopes(&self, evidence: &Evidence) -> Vec<Option<Route>> {
-        let lines = evidence
-            .reports(&self.subject)
-            .flat_map(|report| &report.lines);
+    fn routes(&self, evidence: &Evidence) -> Vec<Option<Route>> {
+        let reports = evidence.reports(&self.subject);
+        let lines = reports.flat_map(|report| &report.lines);
         let of_version = lines.filter(|line| line.version == self.version);
         let routes: BTreeSet<_> = of_version.map(|line| line.route.clone()).collect();
-        let single = routes.len() < 2 || !self.method.routes;
-        let routes = routes.into_iter().filter(|_| !single).map(Some);
+        let is_single = routes.len() < 2 || !self.method.routes;
+        let routes = routes.into_iter().filter(|_| !is_single).map(Some);
         std::iter::once(None).chain(routes).collect()
     }
 
     fn failures(
         &mut self,
-        evidence: &Evidence,
+        scope: Scope,
         pair: &Pair,
-        route: &Option<Route>,
-        is_paired: bool,
-        engines: u32,
-        bound: f64,
+        blamed: &BTreeMap<TargetName, u64>,
+        terms: Terms,
     ) -> Option<Verdict> {
-        let window = self
-            .windows
-            .entry((Cause::Failures, route.clone()))
-            .or_default();
+        let window = self.windows.entry(scope.clone()).or_default();
         let new = pair.new.since(&window.start.new);
         let base = pair.base.since(&window.start.base);
         let failed = new.failures();
-        // Trials under way pass for good ones: failures are often known sooner than successes.
-        let tried = new.sent.saturating_sub(new.discounted).max(failed);
-        let base_tried = base.failures() + base.successes();
-        let expected = if is_paired {
-            expected_rate(base.failures(), base_tried, FAILURE_FLOOR)
+        // Failures are often known sooner than successes. So trials of the new version that are under
+        // way pass for good ones, and successes of the base that began before the window for none:
+        // else a fault that hits both would seem to hit the new version first.
+        let begun = new.sent + window.start.new.pending();
+        let tried = begun.saturating_sub(new.discounted).max(failed);
+        let old = window.start.base.pending();
+        let base_tried = base.failures() + base.times.count().saturating_sub(old);
+        let seen = Seen {
+            hits: failed,
+            tried,
+        };
+        let odds = if terms.is_paired {
+            let past = &window.start.base;
+            let past = Seen {
+                hits: past.failures(),
+                tried: past.failures() + past.times.count(),
+            };
+            let base = Seen {
+                hits: base.failures(),
+                tried: base_tried,
+            };
+            odds(seen, base, past, FAILURE_FLOOR)
         } else {
-            UNPAIRED_FLOOR
+            odds_against(seen, UNPAIRED_RATE)
         };
-        let odds = odds(failed, tried, expected);
-        let blamed = evidence.blamed(&self.subject, &self.version);
         if odds <= 1.0 {
             window.start = pair.clone();
-            window.blamed = blamed;
+            window.blamed = blamed.clone();
             return None;
         }
-        let of_target = |(target, count): (&TargetName, &u64)| {
-            count.saturating_sub(window.blamed.get(target).copied().unwrap_or(0))
+        let is_hit = |(target, count): &(&TargetName, &u64)| {
+            **count > window.blamed.get(*target).copied().unwrap_or(0)
         };
-        let hit = blamed
-            .iter()
-            .map(of_target)
-            .filter(|count| *count > 0)
-            .count();
         // One sick engine is no fault of the version; the router takes it out soon. With twice the
         // evidence on one target alone the version is blamed all the same.
-        let is_single = self.method.targets && hit < 2 && engines > 1;
-        let needed = if is_single {
-            TRIP_ODDS * TRIP_ODDS
-        } else {
-            TRIP_ODDS
-        };
-        verdict(Cause::Failures, route, odds, needed * bound)
+        let is_spread = blamed.iter().filter(is_hit).count() > 1;
+        let is_enough = is_spread || terms.engines < 2 || !self.method.targets;
+        let power = if is_enough { 1 } else { 2 };
+        verdict(scope, odds, TRIP_ODDS.powi(power) * terms.scopes)
     }
 
-    fn slowness(
-        &mut self,
-        cause: Cause,
-        pair: &Pair,
-        route: &Option<Route>,
-        bound: f64,
-    ) -> Option<Verdict> {
-        let times = |tally: &Tally| match cause {
-            Cause::FirstToken => tally.first.clone(),
-            _ => tally.gap.clone(),
-        };
-        let window = self.windows.entry((cause, route.clone())).or_default();
-        let history: Histogram = times(&pair.base);
-        if history.count() < MIN_BASE_SAMPLES {
+    fn slowness(&mut self, scope: Scope, pair: &Pair, terms: Terms) -> Option<Verdict> {
+        let window = self.windows.entry(scope.clone()).or_default();
+        let history = &pair.base.times;
+        // With no traffic left on the base nobody can tell a slow version from a busy hour.
+        if history.count() < MIN_BASE_SAMPLES || !terms.is_paired {
             window.start = pair.clone();
             return None;
         }
-        let normal = history.bucket_of(NORMAL_PART);
-        let slow = (normal + SLOW_BUCKETS).min(BUCKETS - 1);
-        let new = times(&pair.new).since(&times(&window.start.new));
-        let base = times(&pair.base).since(&times(&window.start.base));
-        let expected = expected_rate(base.above(slow), base.count(), SLOW_FLOOR);
-        let odds = odds(new.above(slow), new.count(), expected);
+        let slow = (history.bucket_of(NORMAL_PART) + SLOW_BUCKETS).min(BUCKETS - 1);
+        let new = pair.new.times.since(&window.start.new.times);
+        let base = pair.base.times.since(&window.start.base.times);
+        let seen = |times: &Histogram| Seen {
+            hits: times.above(slow),
+            tried: times.count(),
+        };
+        let past = seen(&window.start.base.times);
+        let odds = odds(seen(&new), seen(&base), past, SLOW_FLOOR);
         if odds <= 1.0 {
             window.start = pair.clone();
             return None;
         }
-        verdict(cause, route, odds, SLOW_ODDS * bound)
+        verdict(scope, odds, SLOW_ODDS * terms.scopes)
     }
 
     /// Compares how often targets die, as Poisson counts since each incident of the new version.
     ///
     /// The incident that opens a window is not counted in it: one death blames nobody.
-    fn incidents(&self, evidence: &Evidence, engines: (u32, u32), now_ms: u64) -> Option<Verdict> {
+    fn incidents(
+        &self,
+        evidence: &Evidence,
+        used: u32,
+        base_engines: u32,
+        now_ms: u64,
+    ) -> Option<Verdict> {
         let new = evidence.incidents(&self.subject, &self.version);
         let base = evidence.incidents(&self.subject, &self.base);
         let odds = new.iter().enumerate().map(|(at, first)| {
@@ -258,9 +306,9 @@
                 .iter()
                 .filter(|seen| seen.at_ms + 1_000 >= first.at_ms)
                 .count();
-            let exposed_s = f64::from(engines.1) * span_s + INCIDENT_PRIOR_S;
+            let exposed_s = f64::from(base_engines) * span_s + INCIDENT_PRIOR_S;
             let rate = TOLERANCE * (in_window as f64 + 1.0) / exposed_s;
-            let expected = (rate * f64::from(engines.0) * span_s).max(f64::MIN_POSITIVE);
+            let expected = (rate * f64::from(used) * span_s).max(f64::MIN_POSITIVE);
             let count = (new.len() - at - 1) as f64;
             let is_worse = count > expected;
             let log = count * (count / expected).ln() - (count - expected);
@@ -271,37 +319,19 @@
             }
         });
         let most = odds.fold(0.0, f64::max);
-        verdict(Cause::Incidents, &None, most, TRIP_ODDS)
+        let scope = Scope {
+            cause: Cause::Incidents,
+            is_first: false,
+            route: None,
+        };
+        verdict(scope, most, TRIP_ODDS)
     }
 }
 
-fn verdict(cause: Cause, route: &Option<Route>, odds: f64, needed: f64) -> Option<Verdict> {
-    (odds >= needed).then(|| Verdict {
-        cause,
-        route: route.clone(),
+fn verdict(scope: Scope, odds: f64, needed: f64) -> Option<Verdict> {
+    (odds >= needed).then_some(Verdict {
+        cause: scope.cause,
+        route: scope.route,
         odds,
     })
 }
-
-/// Returns the rate that a version as good as its base may show.
-fn expected_rate(hits: u64, tried: u64, floor: f64) -> f64 {
-    // Half a hit in one trial is added, so that few trials of the base leave much doubt.
-    let rate = (hits as f64 + 0.5) / (tried as f64 + 1.0);
-    (TOLERANCE * rate).clamp(floor, 1.0)
-}
-
-/// Returns how much likelier `hits` of `tried` are at one of the bad rates than at the expected one.
-fn odds(hits: u64, tried: u64, expected: f64) -> f64 {
-    if hits == 0 || tried == 0 {
-        return 0.0;
-    }
-    let misses = tried.saturating_sub(hits) as f64;
-    let hits = hits as f64;
-    let log =
-        |rate: f64| hits * (rate / expected).ln() + misses * ((1.0 - rate) / (1.0 - expected)).ln();
-    let worse = BAD_RATES
-        .iter()
-        .filter(|rate| **rate > TOLERANCE * expected);
-    let total: f64 = worse.map(|rate| log(*rate).exp()).sum();
-    total / BAD_RATES.len() as f64
-}
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -14,7 +14,8 @@
 pub const MAX_WITNESSES: u32 = 32;
 /// The answers that must have begun before a stage may end.
 const MIN_ANSWERS: u64 = 20;
-/// The least engines of the new version in use, so that one sick engine is told from the version.
+/// The least engines of the new version in the first stage, whose load is low anyway, so that one sick
+/// engine is told from the version.
 const MIN_ENGINES: u32 = 2;
 /// The part of the whole that stays with the base while the last stage soaks, to compare with.
 const CONTROL_PPM: u32 = 100_000;
@@ -152,7 +153,7 @@
         stages.push(Stage {
             share_ppm,
             instances: instances(share_ppm, demand.instances),
-            engines: engines(share_ppm, change),
+            engines: engines(at, share_ppm, change),
             until_ms: usable.mul_f64(until.min(1.0)).as_millis() as u64,
             answers: MIN_ANSWERS * (at as u64 + 1),
         });
@@ -182,8 +183,9 @@
     (count < live && share_ppm < LOCAL_PPM).then_some(count)
 }
 
-fn engines(share_ppm: u32, change: &Move) -> u32 {
+fn engines(stage: usize, share_ppm: u32, change: &Move) -> u32 {
     let part = u64::from(change.engines) * u64::from(share_ppm);
     let needed = part.div_ceil(u64::from(change.to_ppm.max(1))) as u32;
-    needed.max(MIN_ENGINES).min(change.engines)
+    let least = if stage == 0 { MIN_ENGINES } else { 1 };
+    needed.max(least).min(change.engines)
 }
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -19,26 +19,20 @@
     Cut,
 }
 
-/// Sums over the trials of one version on one route; they only grow.
-///
-/// A trial is one chunk of an answer, the first token being the first. Whole answers take minutes and
-/// failures come at once: counted by answer, a good version would seem to do nothing but fail for the
-/// first minutes. By chunk, failures and successes are known about equally soon.
+/// Sums over trials of one kind; they only grow.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tally {
+pub struct Trials {
     /// Trials begun.
     pub sent: u64,
     /// Trials that failed, by class in the order of [`Failure`].
     pub failed: [u64; 5],
     /// Trials cut off by the death of one target, which count neither way.
     pub discounted: u64,
-    /// Times to the first token.
-    pub first: Histogram,
-    /// Times per token of later chunks.
-    pub gap: Histogram,
+    /// Times of those that succeeded: to the first token, or per token.
+    pub times: Histogram,
 }
 
-impl Tally {
+impl Trials {
     /// Counts a failed trial.
     pub fn fail(&mut self, failure: Failure) {
         self.failed[failure as usize] += 1;
@@ -49,20 +43,20 @@
         self.failed.iter().sum()
     }
 
-    /// Returns how many trials succeeded.
-    pub fn successes(&self) -> u64 {
-        self.first.count() + self.gap.count()
+    /// Returns how many trials are under way.
+    pub fn pending(&self) -> u64 {
+        let known = self.failures() + self.times.count() + self.discounted;
+        self.sent.saturating_sub(known)
     }
 
-    /// Adds the sums of another tally.
+    /// Adds the sums of others.
     pub fn merge(&mut self, other: &Self) {
         self.sent += other.sent;
         self.discounted += other.discounted;
         for (count, more) in self.failed.iter_mut().zip(other.failed) {
             *count += more;
         }
-        self.first.merge(&other.first);
-        self.gap.merge(&other.gap);
+        self.times.merge(&other.times);
     }
 
     /// Returns what was added since `earlier`.
@@ -76,8 +70,29 @@
             sent: self.sent.saturating_sub(earlier.sent),
             failed,
             discounted: self.discounted.saturating_sub(earlier.discounted),
-            first: self.first.since(&earlier.first),
-            gap: self.gap.since(&earlier.gap),
+            times: self.times.since(&earlier.times),
         }
     }
 }
+
+/// Sums over the trials of one version on one route.
+///
+/// A trial is one chunk of an answer. Whole answers take minutes and failures come at once: counted by
+/// answer, a good version would seem to do nothing but fail for the first minutes. By chunk, failures
+/// and successes are known about equally soon. First chunks are counted apart, since most faults show
+/// there and the many later chunks would hide them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// First chunks: up to the first token.
+    pub first: Trials,
+    /// Later chunks.
+    pub later: Trials,
+}
+
+impl Tally {
+    /// Adds the sums of another tally.
+    pub fn merge(&mut self, other: &Self) {
+        self.first.merge(&other.first);
+        self.later.merge(&other.later);
+    }
+}
--- a/crates/rollout/tests/runner.rs
+++ b/crates/rollout/tests/runner.rs
@@ -1,6 +1,8 @@
 //! Runs all tests of the crate as one program.
 
+mod fake_fleet;
 mod fake_store;
 mod test_desk;
 mod test_in_force;
 mod test_moves;
+mod test_rollout;
--- /dev/null
+++ b/crates/rollout/tests/test_rollout.rs
@@ -0,0 +1,270 @@
+//! Rollouts over a fake fleet: bad versions are kept from traffic, and reports are true.
+
+use celerypond_rollout::{Cause, Method, Phase};
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use rstest::rstest;
+
+use crate::fake_fleet::{FakeFleet, Kind, Outcome, Setting, Trouble, Way};
+
+const END_MS: u64 = 400_000;
+/// How soon after the first brake the last request may go to a bad version.
+const BRAKE_BOUND_MS: u64 = 1_000;
+
+/// A rollout in two and a half minutes, with an ordinary crash somewhere every few minutes.
+fn quick(kind: Kind) -> Setting {
+    Setting {
+        within_s: 150,
+        ..Setting::holding(kind)
+    }
+}
+
+fn run(setting: Setting, seed: u64) -> Outcome {
+    FakeFleet::new(setting, seed).run(END_MS, 3_000).clone()
+}
+
+fn is_taken_back(outcome: &Outcome) -> bool {
+    matches!(outcome.phase, Some(Phase::TakenBack { .. }))
+}
+
+const STORE_LOST: [(u64, Trouble); 2] = [
+    (3_000, Trouble::StoreDown(true)),
+    (300_000, Trouble::StoreDown(false)),
+];
+
+#[rstest]
+fn a_bad_version_gets_no_request_soon_after_its_fault_shows(
+    #[values(
+        Kind::AtOnce,
+        Kind::AfterMinutes,
+        Kind::UnderLoad,
+        Kind::OneRoute,
+        Kind::Slow
+    )]
+    kind: Kind,
+    #[values(false, true)] is_store_lost: bool,
+) {
+    // Callers of the new version see failures, or slow tokens. The instances that send to it tell each
+    // other what they see; one of them trips the brake and all drop the share, with or without the
+    // store. Engines of both versions die meanwhile. The report waits until the store is back.
+    let troubles = if is_store_lost {
+        STORE_LOST.to_vec()
+    } else {
+        Vec::new()
+    };
+    // Without the store the first stage stays, at which only faults of the first stage can show.
+    let shows_early = matches!(kind, Kind::AtOnce | Kind::Slow);
+    for seed in 0..3 {
+        let setting = Setting {
+            troubles: troubles.clone(),
+            crash_mtbf_s: 1_200.0,
+            ..quick(kind)
+        };
+        let outcome = run(setting, seed);
+        assert!(is_taken_back(&outcome), "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.lie, None, "seed {seed}");
+        assert!(
+            outcome.overshoot <= 1.0,
+            "seed {seed}: {}",
+            outcome.overshoot
+        );
+        if let Some(braked_ms) = outcome.braked_ms {
+            let late_ms = outcome.last_sent_ms.saturating_sub(braked_ms);
+            assert!(late_ms <= BRAKE_BOUND_MS, "seed {seed}: {late_ms} ms");
+        }
+        assert!(
+            !is_store_lost || !shows_early || outcome.ended_ms > 300_000,
+            "seed {seed}"
+        );
+    }
+}
+
+#[rstest]
+#[case::engines_of_both_versions_die_often(200.0, Vec::new())]
+#[case::all_engines_fail_for_a_while(7_200.0, vec![
+    (30_000, Trouble::General(true)), (36_000, Trouble::General(false)),
+    (85_000, Trouble::General(true)), (91_000, Trouble::General(false)),
+])]
+fn a_good_version_is_not_blamed_for_what_hits_both(
+    #[case] crash_mtbf_s: f64,
+    #[case] troubles: Vec<(u64, Trouble)>,
+) {
+    // Callers of both versions see failures: one engine takes all its streams along, or all engines
+    // fail a third of all chunks for some seconds. The base shows the same in the same window.
+    for seed in 0..4 {
+        let setting = Setting {
+            crash_mtbf_s,
+            troubles: troubles.clone(),
+            ..quick(Kind::Good)
+        };
+        let outcome = run(setting, seed);
+        assert_eq!(outcome.phase, Some(Phase::Done), "seed {seed}: {outcome:?}");
+        assert!(
+            outcome.ended_ms <= 150_000,
+            "seed {seed}: {}",
+            outcome.ended_ms
+        );
+        assert_eq!(outcome.lie, None, "seed {seed}");
+    }
+}
+
+#[rstest]
+#[case::isolated(Trouble::Isolate(3, true), Trouble::Isolate(3, false))]
+#[case::paused(Trouble::Pause(3, true), Trouble::Pause(3, false))]
+fn an_instance_out_of_reach_holds_the_report_back(#[case] lost: Trouble, #[case] back: Trouble) {
+    // The operator sees "not yet known" while one instance can't be heard, past the deadline too. It
+    // still acts on an early stage; "done" would be false there. The report follows once it is back.
+    for seed in 0..2 {
+        let troubles = vec![(40_000, lost), (200_000, back)];
+        let outcome = run(
+            Setting {
+                troubles,
+                ..quick(Kind::Good)
+            },
+            seed,
+        );
+        assert_eq!(outcome.phase, Some(Phase::Done), "seed {seed}");
+        assert!(
+            outcome.ended_ms > 200_000,
+            "seed {seed}: {}",
+            outcome.ended_ms
+        );
+        assert_eq!(outcome.lie, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_isolated_instance_finds_the_fault_by_itself() {
+    // Callers of one instance that hears nobody still see the bad version at the share of its stage.
+    // The brake of the others does not reach it; its own evidence must do.
+    for seed in 0..3 {
+        let troubles = vec![
+            (45_000, Trouble::Isolate(3, true)),
+            (220_000, Trouble::Isolate(3, false)),
+        ];
+        let outcome = run(
+            Setting {
+                troubles,
+                ..quick(Kind::AfterMinutes)
+            },
+            seed,
+        );
+        assert!(
+            is_taken_back(&outcome) && outcome.lie.is_none(),
+            "seed {seed}: {outcome:?}"
+        );
+        assert!(
+            outcome.last_sent_ms < 200_000,
+            "seed {seed}: {}",
+            outcome.last_sent_ms
+        );
+    }
+}
+
+#[rstest]
+#[case::deadline_in_an_outage(12.0, vec![(60_000, Trouble::StoreDown(true)), (200_000, Trouble::StoreDown(false))], Cause::Deadline)]
+#[case::hardly_any_request(0.05, Vec::new(), Cause::TooLittleEvidence)]
+fn a_version_that_could_not_be_proved_in_time_is_taken_back(
+    #[case] rate: f64,
+    #[case] troubles: Vec<(u64, Trouble)>,
+    #[case] cause: Cause,
+) {
+    // The operator is told that the version was taken back, and why: the deadline came in the middle
+    // of the stages, since no step could be written or too few requests came to judge it by.
+    let outcome = run(
+        Setting {
+            rate,
+            troubles,
+            ..quick(Kind::Good)
+        },
+        1,
+    );
+    assert_eq!(outcome.phase, Some(Phase::TakenBack { cause }));
+    assert_eq!(outcome.lie, None);
+}
+
+#[test]
+fn a_later_bundle_ends_the_rollout_as_superseded() {
+    let troubles = vec![(30_000, Trouble::Supersede)];
+    let outcome = run(
+        Setting {
+            troubles,
+            ..quick(Kind::Good)
+        },
+        1,
+    );
+    assert_eq!(outcome.phase, Some(Phase::Superseded));
+}
+
+/// Outages, partitions, pauses and restarts at random until 200 s, then none.
+fn random_troubles(rng: &mut SmallRng) -> Vec<(u64, Trouble)> {
+    let mut troubles = Vec::new();
+    for _ in 0..6 {
+        let at = rng.random_range(0..7);
+        let start = rng.random_range(0..170_000);
+        let end = start + rng.random_range(500..30_000);
+        let on_off = match rng.random_range(0..4) {
+            0 => [Trouble::StoreDown(true), Trouble::StoreDown(false)],
+            1 => [Trouble::Isolate(at, true), Trouble::Isolate(at, false)],
+            2 => [Trouble::Pause(at, true), Trouble::Pause(at, false)],
+            _ => [Trouble::Restart(at), Trouble::Restart((at + 1) % 7)],
+        };
+        troubles.extend([(start, on_off[0]), (end, on_off[1])]);
+    }
+    for at in 0..7 {
+        troubles.extend([
+            (200_000, Trouble::Isolate(at, false)),
+            (200_000, Trouble::Pause(at, false)),
+        ]);
+    }
+    troubles.push((200_000, Trouble::StoreDown(false)));
+    troubles
+}
+
+#[rstest]
+#[case::good(Kind::Good)]
+#[case::bad(Kind::AfterMinutes)]
+#[case::bad_under_load(Kind::UnderLoad)]
+fn each_ending_is_true_everywhere_when_it_is_reported(#[case] kind: Kind) {
+    // The operator reads "done" or "taken back" and it holds at every instance that serves. Meanwhile
+    // writers die right after their writes, replies are lost, the store has outages, instances are
+    // cut off, paused and replaced, and all of them race for the next step.
+    for seed in 0..10 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let setting = Setting {
+            troubles: random_troubles(&mut rng),
+            lost: 0.3,
+            killed: 0.3,
+            ..quick(kind)
+        };
+        let outcome = run(setting, seed);
+        assert_eq!(outcome.lie, None, "seed {seed}");
+        assert!(
+            outcome.phase.is_some_and(|phase| phase.is_ended()),
+            "seed {seed}: no ending"
+        );
+        assert!(
+            kind == Kind::Good || is_taken_back(&outcome),
+            "seed {seed}: {:?}",
+            outcome.phase
+        );
+        assert!(outcome.overshoot <= 1.0, "seed {seed}");
+    }
+}
+
+#[test]
+fn without_the_discount_ordinary_crashes_would_blame_a_good_version() {
+    let method = Method {
+        targets: false,
+        discount: false,
+        ..Method::default()
+    };
+    let blamed = (0..4).filter(|seed| {
+        let setting = Setting {
+            crash_mtbf_s: 200.0,
+            way: Way::Judged(method),
+            ..quick(Kind::Good)
+        };
+        is_taken_back(&run(setting, *seed))
+    });
+    assert!(blamed.count() > 0);
+}
