--- a/crates/fleet/src/gossip/round.rs
+++ b/crates/fleet/src/gossip/round.rs
@@ -17,13 +17,14 @@
         self.round += 1;
         self.forget(now);
         let mut sends = self.pushes(now);
-        for key in self.contacts() {
-            let digest = self.fleet_digest();
-            self.request(&mut sends, key, digest, now);
-        }
-        if let Some(key) = self.partner() {
+        for key in self.partners() {
             let digest = self.group_digest();
-            self.request(&mut sends, key, digest, now);
+            self.request(&mut sends, key, Some(digest), now);
+        }
+        // One digest a round is enough for what pushes have missed; the others carry news only.
+        let mut digest = Some(self.fleet_digest());
+        for key in self.contacts() {
+            self.request(&mut sends, key, digest.take(), now);
         }
         if self.round.is_multiple_of(self.settings.revive_rounds) || self.live().next().is_none() {
             self.seek(&mut sends, now);
@@ -101,13 +102,14 @@
         chosen
     }
 
-    fn partner(&mut self) -> Option<InstanceKey> {
+    fn partners(&mut self) -> Vec<InstanceKey> {
         let group: Vec<InstanceKey> = self
             .live()
             .filter(|(_, member)| self.group.binary_search(&member.name).is_ok())
             .map(|(key, _)| key)
             .collect();
-        group.choose(&mut self.rng).copied()
+        let fan = self.settings.group_fan;
+        group.choose_multiple(&mut self.rng, fan).copied().collect()
     }
 
     /// Tries a seed that is not among the members.
@@ -141,14 +143,14 @@
         &mut self,
         sends: &mut Vec<Outgoing>,
         key: InstanceKey,
-        digest: Digest,
+        digest: Option<Digest>,
         now: Instant,
     ) {
         let room = self.budget.room(now).min(self.settings.message_bytes);
         let mut message = self.begin(key);
         message.summary = Some(self.facts.summary());
         if room >= message.bytes() + size(&digest) {
-            message.digest = Some(digest);
+            message.digest = digest;
         }
         if room < SMALLEST_BYTES {
             return;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -9,6 +9,8 @@
     pub round: Duration,
     /// Peers contacted in each round, over the whole fleet.
     pub fan_out: usize,
+    /// Peers contacted in each round within the group.
+    pub group_fan: usize,
     /// Peers to which an urgent entry is pushed at once.
     pub urgent_fan: usize,
     /// Times that a new entry is pushed without being asked for.
@@ -32,11 +34,12 @@
         Self {
             round: Duration::from_secs(1),
             fan_out: 2,
+            group_fan: 2,
             urgent_fan: 3,
             pushes: 3,
             message_bytes: 2_000,
             second_bytes: 5_000,
-            window: 48,
+            window: 32,
             revive_rounds: 5,
             forget: Duration::from_secs(600),
             seeds: Vec::new(),
--- a/crates/fleet/src/subset.rs
+++ b/crates/fleet/src/subset.rs
@@ -6,7 +6,7 @@
 use crate::{choose, Candidate};
 
 /// Instances a group may have before it is split into two.
-const GROUP_LIMIT: usize = 48;
+const GROUP_LIMIT: usize = 24;
 
 /// Watchers of each target.
 const WATCHERS: usize = 2;
