route: count room by own requests, and waits by what lines have met

Room is now the instance's own open requests, which it knows at once, against its even part of the slots or what others have left over some seconds.

Cause of late refusals: the wait was taken from what waits now, though others go on coming. It is now also that of the line's own pace and of the first that waits, and counts 1.5 times.

--- a/bench/src/route/overload/job.rs
+++ b/bench/src/route/overload/job.rs
@@ -26,6 +26,8 @@
     pub(crate) refused: Option<u64>,
     pub(crate) failed: bool,
     pub(crate) tries: u32,
+    /// How many tries wait or run.
+    pub(crate) live: u32,
     /// The engines that failed it.
     pub(crate) avoid: Vec<usize>,
 }
@@ -72,6 +74,7 @@
             refused: None,
             failed: false,
             tries: 0,
+            live: 0,
             avoid: Vec::new(),
         }
     }
--- a/bench/src/route/overload/model.rs
+++ b/bench/src/route/overload/model.rs
@@ -80,7 +80,7 @@
             let (view, route, keys) = fleet::view(ENGINES, SLOTS, start);
             let per_s = ENGINES as f64 * f64::from(SLOTS) / MEAN_MS * 1e3 / INSTANCES as f64;
             Instance {
-                view,
+                view: view.with_instances(INSTANCES),
                 route,
                 keys,
                 queue: Queue::new(QueueLimits::default(), per_s),
@@ -183,6 +183,13 @@
             .offer(waiting, self.now)
             .is_err()
         {
+            self.refuse(job);
+        }
+    }
+
+    /// Refuses a request, unless a try of it still waits or runs at an engine.
+    fn refuse(&mut self, job: usize) {
+        if self.jobs[job].live == 0 {
             self.jobs[job].refused = Some(self.now);
         }
     }
@@ -253,6 +260,7 @@
         let target = instance.view.target(instance.keys[at]);
         let open = target.and_then(|target| target.gauge.begin(self.now));
         let one = self.tries.len();
+        self.jobs[job].live += 1;
         self.tries.push(Try {
             job,
             at,
@@ -297,6 +305,7 @@
         target
             .into_iter()
             .for_each(|target| target.gauge.retries.succeeded());
+        self.jobs[job].live -= 1;
         self.engines[at].busy -= 1;
         self.next(at);
         if self.way.decides {
@@ -314,6 +323,8 @@
             let gone = job.started.is_some() || self.now > job.deadline;
             if self.way.cancels && gone {
                 self.tries[one].over = true;
+                let job = self.tries[one].job;
+                self.jobs[job].live -= 1;
                 let open = self.tries[one].open.take();
                 open.into_iter().for_each(|open| open.end(self.now));
                 continue;
@@ -375,7 +386,7 @@
             self.instances[at].view.survey(now);
             self.eject(at);
             for (late, _) in self.instances[at].queue.expire(self.now) {
-                self.jobs[late.item].refused = Some(self.now);
+                self.refuse(late.item);
             }
             self.drain(at);
         }
@@ -415,6 +426,7 @@
             let open = self.tries[one].open.take();
             open.into_iter().for_each(|open| open.end(self.now));
             let Try { job, at, .. } = self.tries[one];
+            self.jobs[job].live -= 1;
             // What had started must start anew.
             self.jobs[job].started = None;
             self.fail(job, at, Failure::Reset);
--- a/crates/route/src/gauge.rs
+++ b/crates/route/src/gauge.rs
@@ -5,8 +5,13 @@
     Arc,
 };
 
+use arc_swap::ArcSwap;
+
 use crate::RetryBudget;
 
+/// Counts of open requests, one for each pool.
+pub(crate) type Tallies = Vec<Arc<AtomicU32>>;
+
 /// How long one mark of the history of open requests covers.
 const MARK_MS: u64 = 250;
 /// How many marks are kept: reports may lag by 16 * 250 ms = 4 s.
@@ -66,6 +71,8 @@
     service: AtomicU32,
     /// When the target last said that it is live, in milliseconds; 0 when it never did.
     word: AtomicU64,
+    /// The counts of open requests of the pools that the target is in.
+    tallies: ArcSwap<Tallies>,
     /// The retries of calls that failed here.
     pub retries: RetryBudget,
     /// The open requests at the last change in each slice of time: the slice above the count.
@@ -81,6 +88,7 @@
             report: AtomicU64::new(0),
             service: AtomicU32::new(0),
             word: AtomicU64::new(0),
+            tallies: ArcSwap::default(),
             retries: RetryBudget::of_target(),
             marks: Default::default(),
         })
@@ -98,12 +106,22 @@
         }
         let open = self.open.fetch_add(1, Relaxed) + 1;
         self.mark(now_ms, open);
+        let tallies = self.tallies.load_full();
+        for tally in tallies.iter() {
+            tally.fetch_add(1, Relaxed);
+        }
         Some(InFlight {
             gauge: Arc::clone(self),
+            tallies,
             began: now_ms,
         })
     }
 
+    /// Sets the pools that the target is in; requests that are open stay with those they began in.
+    pub(crate) fn set_tallies(&self, tallies: Tallies) {
+        self.tallies.store(Arc::new(tallies));
+    }
+
     /// Takes a load report of the target, sampled at `sampled_ms`; an older one than the last is
     /// dropped.
     pub fn report(&self, sampled_ms: u64, load: u32) {
@@ -209,6 +227,7 @@
 #[derive(Debug)]
 pub struct InFlight {
     gauge: Arc<Gauge>,
+    tallies: Arc<Tallies>,
     began: u64,
 }
 
@@ -230,5 +249,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.gauge.open.fetch_sub(1, Relaxed);
+        for tally in self.tallies.iter() {
+            tally.fetch_sub(1, Relaxed);
+        }
     }
 }
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -44,21 +44,21 @@
     pub ask_first: bool,
     /// Why it was chosen.
     pub reason: Reason,
-    /// The load per slot that the request brings it to: above 1.0 the request would queue there.
-    pub pressure: f64,
+    /// The part of the allowance of this instance that it uses with the request.
+    pub fill: f64,
 }
 
-/// The part of its slots up to which a target takes drafts, so that long drafts leave room for
-/// callers who wait.
-const DRAFT_ROOM: f64 = 0.9;
+/// How far interactive requests may go past the allowance: callers who wait do not queue behind
+/// long drafts that have used it up.
+const URGENT_FILL: f64 = 1.1;
 
 impl Choice {
-    /// Returns whether the target has room; without it the request waits in the local queue, where
+    /// Returns whether the pool has room; without it the request waits in the local queue, where
     /// accounts are treated fairly, rather than in the target's.
     pub fn has_room(&self, priority: Priority) -> bool {
         match priority {
-            Priority::Interactive => self.pressure <= 1.0,
-            Priority::Draft => self.pressure <= DRAFT_ROOM,
+            Priority::Interactive => self.fill <= URGENT_FILL,
+            Priority::Draft => self.fill <= 1.0,
         }
     }
 }
@@ -142,7 +142,7 @@
             target: member.key,
             ask_first: member.gauge.is_stale(now_ms),
             reason,
-            pressure: picker.pressure(member) as f64 / SLOT_UNIT as f64,
+            fill: pool.fill(),
         })
     }
 }
@@ -219,16 +219,22 @@
         self.usable(member).then_some(member)
     }
 
-    /// Draws two targets at random and returns the less loaded that may be used.
+    /// Draws two targets at random and returns the less loaded that may be used; two more as long
+    /// as none has room.
     ///
     /// Reports lag, so all instances see the same target as the least loaded of all. Two random
     /// choices keep them from sending to it together.
     fn draw(&self, members: &'a [Member], rng: &mut impl Rng) -> Option<&'a Member> {
-        (0..DRAWS).find_map(|_| {
+        let mut best = None;
+        for _ in 0..DRAWS {
             let first = self.random(members, rng);
             let second = self.random(members, rng);
-            self.lesser(first, second)
-        })
+            best = self.lesser(best, self.lesser(first, second));
+            if best.is_some_and(|member| self.pressure(member) <= SLOT_UNIT) {
+                break;
+            }
+        }
+        best
     }
 
     fn random(&self, members: &'a [Member], rng: &mut impl Rng) -> Option<&'a Member> {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -3,7 +3,7 @@
 use std::{
     ops::Range,
     sync::{
-        atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
         Arc,
     },
 };
@@ -15,6 +15,13 @@
 /// The weight of a target that gets its whole part of the work; 0 is ejected.
 pub const FULL_WEIGHT: u32 = 1_024;
 
+/// How much more than its slots a pool may have open: engines with a request in their queue do not
+/// idle when one ends.
+const OVERCOMMIT: f64 = 1.1;
+/// How much a survey counts in the smoothed load of other instances: about 3 s of surveys each 100
+/// ms, longer than reports lag.
+const SMOOTH_PART: f64 = 0.03;
+
 /// The fixed-point unit of a load per slot: 1,024 is one request for each slot.
 pub(crate) const SLOT_UNIT: u64 = 1_024;
 
@@ -61,6 +68,12 @@
     pub(crate) others: AtomicU32,
     /// The mean time that requests take, in milliseconds; 0 when none has ended.
     pub(crate) turnover: AtomicU32,
+    /// How many requests of this instance are open at the pool's targets.
+    pub(crate) open: Arc<AtomicU32>,
+    /// How many requests of this instance may be open there, in thousandths.
+    allowance: AtomicU64,
+    /// The requests of other instances at all targets, smoothed, in thousandths.
+    smooth: AtomicU64,
     /// Whether so many targets seem bad that all are used.
     pub(crate) panic: AtomicBool,
 }
@@ -71,6 +84,9 @@
             mean: AtomicU32::new(self.mean.load(Relaxed)),
             others: AtomicU32::new(self.others.load(Relaxed)),
             turnover: AtomicU32::new(self.turnover.load(Relaxed)),
+            open: Arc::clone(&self.open),
+            allowance: AtomicU64::new(self.allowance.load(Relaxed)),
+            smooth: AtomicU64::new(self.smooth.load(Relaxed)),
             panic: AtomicBool::new(self.panic.load(Relaxed)),
         }
     }
@@ -111,17 +127,19 @@
     }
 
     /// Takes the means over the pool, against which single targets are compared until the next
-    /// survey.
-    pub fn survey(&self, now_ms: u64) {
+    /// survey, and the allowance of this instance, one of `instances`.
+    pub fn survey(&self, now_ms: u64, instances: usize) {
         let live = || self.members.iter().filter(|m| !m.gauge.is_closed());
         let services = live().filter_map(|m| m.gauge.service_ms());
         if let Some(turnover) = mean(services.map(u64::from)) {
             self.gauge.turnover.store(turnover as u32, Relaxed);
         }
         let last = self.typical();
-        let others = live().map(|m| u64::from(m.gauge.others(now_ms, last)));
-        let others = mean(others).unwrap_or(0) as u32;
-        self.gauge.others.store(others, Relaxed);
+        let others: u64 = live()
+            .map(|m| u64::from(m.gauge.others(now_ms, last)))
+            .sum();
+        let count = live().count().max(1) as u64;
+        self.gauge.others.store((others / count) as u32, Relaxed);
         let typical = self.typical();
         let (load, slots) = live().fold((0, 0), |(load, slots), m| {
             let of = u64::from(m.gauge.load(now_ms, typical));
@@ -129,6 +147,34 @@
         });
         let per_slot = load * SLOT_UNIT / u64::max(slots, 1);
         self.gauge.mean.store(per_slot as u32, Relaxed);
+        self.allow(slots, others, instances);
+    }
+
+    /// Reckons how many requests of this instance may be open at a time.
+    ///
+    /// The failure: reports lag, so all instances see free slots together, fill them together, see
+    /// full engines a second later and all stop until the engines have run empty. So an instance
+    /// counts its own requests, which it knows at once, against its even part of the slots, or
+    /// against what others have left of them over some seconds, if that is more.
+    fn allow(&self, slots: u64, others: u64, instances: usize) {
+        let last = self.gauge.smooth.load(Relaxed) as f64;
+        let smooth = last + (others as f64 * 1e3 - last) * SMOOTH_PART;
+        self.gauge.smooth.store(smooth as u64, Relaxed);
+        let usable = slots as f64 * OVERCOMMIT;
+        let allowed = (usable / instances.max(1) as f64).max(usable - smooth / 1e3);
+        // One request can always be open, or a small pool would serve nobody.
+        let allowed = allowed.max(1.0) * 1e3;
+        self.gauge.allowance.store(allowed as u64, Relaxed);
+    }
+
+    /// Returns what part of its allowance this instance uses with one more request; 0 before the
+    /// first survey.
+    pub(crate) fn fill(&self) -> f64 {
+        let next = f64::from(self.gauge.open.load(Relaxed)) + 1.0;
+        match self.gauge.allowance.load(Relaxed) {
+            0 => 0.0,
+            allowance => next * 1e3 / allowance as f64,
+        }
     }
 
     /// Returns what was typical of the targets at the last survey.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -5,11 +5,15 @@
 use celerypond_types::{AccountKey, NotRunReason, Priority};
 use slotmap::SecondaryMap;
 
-use crate::{lane::Lane, pace::Pace};
+use crate::lane::Lane;
 
 /// Of so many requests taken while both priorities wait, one is a draft.
 const DRAFT_TURN: u32 = 8;
 
+/// The expected wait counts so many times against the deadline: a request that is let in and then
+/// not served in time has cost its caller the time to go elsewhere.
+const MARGIN: f64 = 1.5;
+
 /// How many requests may wait.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueLimits {
@@ -92,7 +96,6 @@
     /// Requests taken from the interactive lane since a draft was.
     urgent: u32,
     counts: SecondaryMap<AccountKey, usize>,
-    pace: Pace,
 }
 
 impl<T> Queue<T> {
@@ -101,10 +104,9 @@
     pub fn new(limits: QueueLimits, per_s: f64) -> Self {
         Self {
             limits,
-            lanes: [Lane::new(), Lane::new()],
+            lanes: [Lane::new(per_s), Lane::new(per_s / f64::from(DRAFT_TURN))],
             urgent: 0,
             counts: SecondaryMap::new(),
-            pace: Pace::new(per_s),
         }
     }
 
@@ -117,14 +119,13 @@
         let wait_ms = self.expected_ms(&waiting, now_ms);
         let own = self.counts.get(waiting.account).copied().unwrap_or(0);
         let is_full = self.len() >= self.limits.total || own >= self.limits.per_account;
-        let is_late = now_ms as f64 + wait_ms > waiting.deadline as f64;
+        let is_late = now_ms as f64 + wait_ms * MARGIN > waiting.deadline as f64;
         if is_full || is_late {
             let patience = waiting.deadline.saturating_sub(now_ms);
-            return Err(self.refusal(wait_ms - patience as f64));
+            return Err(self.refusal(wait_ms * MARGIN - patience as f64));
         }
         self.counts.insert(waiting.account, own + 1);
-        self.lanes[lane(waiting.priority)].push(waiting);
-        self.pace = self.pace.offered(now_ms);
+        self.lanes[lane(waiting.priority)].push(waiting, now_ms);
         Ok(())
     }
 
@@ -134,9 +135,11 @@
         self.take(at, now_ms)
     }
 
-    /// Takes the next interactive request when there is only room for one of those.
+    /// Takes the next interactive request when there is only room for one of those, unless it is a
+    /// draft's turn: the room that is only for interactive requests must not starve drafts.
     pub fn pop_urgent(&mut self, now_ms: u64) -> Option<Waiting<T>> {
-        self.take(0, now_ms)
+        let at = self.next_lane()?;
+        (at == 0).then(|| self.take(at, now_ms))?
     }
 
     /// Takes out the requests whose deadline has passed; they are to be refused at once.
@@ -147,11 +150,11 @@
         for waiting in &late {
             self.counts[waiting.account] -= 1;
         }
-        if self.is_empty() {
-            self.pace = self.pace.idle();
-        }
-        let refusal = self.refusal(self.pace.wait_ms(self.len() as f64, now_ms));
-        late.into_iter().map(|waiting| (waiting, refusal)).collect()
+        let refused = late.into_iter().map(|waiting| {
+            let wait_ms = self.expected_ms(&waiting, now_ms);
+            (waiting, self.refusal(wait_ms))
+        });
+        refused.collect()
     }
 
     /// Returns the earliest deadline of all that wait, for a timer that calls [`Self::expire`].
@@ -171,24 +174,13 @@
 
     /// Estimates how long a request would wait until it starts, in milliseconds.
     pub fn expected_ms(&self, waiting: &Waiting<T>, now_ms: u64) -> f64 {
-        let [urgent, drafts] = &self.lanes;
-        let ahead = match waiting.priority {
-            Priority::Interactive => {
-                let own = urgent.ahead(waiting.account);
-                own + (own / f64::from(DRAFT_TURN - 1)).min(drafts.len() as f64)
-            }
-            Priority::Draft => {
-                let own = drafts.ahead(waiting.account);
-                own + (own * f64::from(DRAFT_TURN - 1)).min(urgent.len() as f64)
-            }
-        };
-        self.pace.wait_ms(ahead + 1.0, now_ms)
+        self.lanes[lane(waiting.priority)].wait_ms(waiting.account, now_ms)
     }
 
     /// Refuses a request that would start `over_ms` too late: that is when the queue will have
     /// become short enough.
     fn refusal(&self, over_ms: f64) -> Refusal {
-        let over_ms = over_ms.max(self.pace.wait_ms(1.0, 0));
+        let over_ms = over_ms.max(self.lanes[0].one_ms(0));
         Refusal {
             reason: NotRunReason::Overload,
             retry_after: Duration::from_millis(over_ms.ceil() as u64),
@@ -196,10 +188,9 @@
     }
 
     fn take(&mut self, at: usize, now_ms: u64) -> Option<Waiting<T>> {
-        let waiting = self.lanes[at].pop()?;
+        let waiting = self.lanes[at].pop(now_ms)?;
         self.urgent = if at == 0 { self.urgent + 1 } else { 0 };
         self.counts[waiting.account] -= 1;
-        self.pace = self.pace.taken(now_ms, self.is_empty());
         Some(waiting)
     }
 
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -6,10 +6,10 @@
 use celerypond_types::{
     AdapterName, ModelName, ServiceName, TargetKey, TargetName, VersionKey, VersionName,
 };
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 use tokio::time::Instant;
 
-use crate::{Accounts, CacheIndex, Clock, Pool, Target};
+use crate::{gauge::Tallies, Accounts, CacheIndex, Clock, Pool, Target};
 
 slotmap::new_key_type! {
     /// A plain service in the services arena.
@@ -50,6 +50,8 @@
     pub(crate) clock: Clock,
     layout: Arc<Layout>,
     accounts: Arc<Accounts>,
+    /// How many instances send to the same targets.
+    instances: usize,
     pub(crate) cache: Arc<CacheIndex>,
 }
 
@@ -60,6 +62,7 @@
             clock: Clock::new(base),
             layout: Arc::default(),
             accounts: Arc::default(),
+            instances: 1,
             cache: Arc::default(),
         }
     }
@@ -71,6 +74,7 @@
         let mut layout = self.layout.with_targets(bundle);
         layout.set_models(&self.layout, bundle);
         layout.set_services(&self.layout, bundle);
+        layout.set_tallies();
         Self {
             layout: Arc::new(layout),
             accounts: Arc::new(self.accounts.with_bundle(&bundle.accounts, now_ms)),
@@ -78,6 +82,15 @@
         }
     }
 
+    /// Returns the view of one of so many instances, which send to the same targets.
+    #[must_use]
+    pub fn with_instances(&self, instances: usize) -> Self {
+        Self {
+            instances,
+            ..self.clone()
+        }
+    }
+
     /// Returns the view with another index of cached prefixes.
     #[must_use]
     pub fn with_cache(&self, cache: Arc<CacheIndex>) -> Self {
@@ -145,7 +158,7 @@
     pub fn survey(&self, now: Instant) {
         let now_ms = self.clock.millis(now);
         for pool in self.pools() {
-            pool.survey(now_ms);
+            pool.survey(now_ms, self.instances);
         }
     }
 
@@ -239,6 +252,24 @@
         services.retain(|key, _| by_service.values().any(|kept| *kept == key));
     }
 
+    /// Tells each gauge the pools that count its requests.
+    fn set_tallies(&self) {
+        let mut tallies: SecondaryMap<TargetKey, Tallies> = SecondaryMap::new();
+        for pool in self.versions.values().chain(self.services.values()) {
+            for key in pool.keys() {
+                let tally = Arc::clone(&pool.gauge.open);
+                if let Some(entry) = tallies.entry(key) {
+                    entry.or_default().push(tally);
+                }
+            }
+        }
+        for (key, target) in &self.targets {
+            target
+                .gauge
+                .set_tallies(tallies.remove(key).unwrap_or_default());
+        }
+    }
+
     fn pool_of(&self, names: &[TargetName], last: Option<&Arc<Pool>>) -> Pool {
         let keys = names.iter().filter_map(|name| self.names.get(name));
         let targets = keys.map(|key| (*key, Arc::clone(&self.targets[*key])));
--- a/crates/route/tests/test_pick.rs
+++ b/crates/route/tests/test_pick.rs
@@ -1,11 +1,14 @@
 //! The choice of a target: constraints, load reports that lag, prefixes, snapshots.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use celerypond_route::{
     Ask, CacheEvent, Caches, InFlight, PickError, Reason, Route, Typical, View, FULL_WEIGHT,
 };
-use celerypond_types::TargetKey;
+use celerypond_types::{Priority, TargetKey};
 use rand::Rng;
 use rstest::rstest;
 use tokio::time::{Duration, Instant};
@@ -258,6 +261,86 @@
     assert!(least_reported > 2.0 * ours, "{least_reported} {ours}");
 }
 
+/// Lets 3 instances with more work than slots send as long as `room` says, with reports that are 1
+/// s old, and returns the mean share of slots in use and the mean queue of an engine.
+fn saturated(room: impl Fn(&View, &celerypond_route::Choice, u64) -> bool) -> (f64, f64) {
+    let start = Instant::now();
+    let views = (0..3).map(|_| view(ENGINES, start));
+    let views: Vec<_> = views
+        .map(|(view, route, keys)| (view.with_instances(3), route, keys))
+        .collect();
+    let mut rng = rng(5);
+    let mut running: Vec<(u64, usize, InFlight)> = Vec::new();
+    let mut queues: Vec<VecDeque<InFlight>> = (0..ENGINES).map(|_| VecDeque::new()).collect();
+    let mut history = Vec::new();
+    let (mut used, mut queued) = (0, 0);
+    for ms in (0..30_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, ..)| *end <= ms);
+        running = rest;
+        ended.into_iter().for_each(|(_, _, open)| open.end(ms));
+        for (view, route, keys) in &views {
+            if ms % 500 == 0 && ms >= 1_000 {
+                let seen: &Vec<u32> = &history[(ms as usize - 1_000) / 50];
+                for (key, load) in keys.iter().zip(seen) {
+                    view.target(*key).unwrap().gauge.report(ms - 1_000, *load);
+                }
+            }
+            view.survey(now);
+            for _ in 0..40 {
+                let choice = view.pick(*route, &Ask::default(), now, &mut rng).unwrap();
+                if !room(view, &choice, ms) {
+                    break;
+                }
+                let at = keys.iter().position(|key| *key == choice.target).unwrap();
+                queues[at].push_back(view.target(choice.target).unwrap().gauge.begin(ms).unwrap());
+            }
+        }
+        for (at, queue) in queues.iter_mut().enumerate() {
+            let busy = running
+                .iter()
+                .filter(|(_, engine, _)| *engine == at)
+                .count();
+            let free = queue.drain(..queue.len().min(SLOTS as usize - busy));
+            running.extend(free.map(|open| (ms + rng.random_range(200..1_100), at, open)));
+        }
+        let busy = |at| {
+            running
+                .iter()
+                .filter(|(_, engine, _)| *engine == at)
+                .count()
+        };
+        history.push(
+            (0..ENGINES)
+                .map(|at| (busy(at) + queues[at].len()) as u32)
+                .collect(),
+        );
+        if ms >= 10_000 {
+            used += running.len();
+            queued += queues.iter().map(VecDeque::len).sum::<usize>();
+        }
+    }
+    let samples = 400.0 * ENGINES as f64;
+    (
+        used as f64 / samples / f64::from(SLOTS),
+        queued as f64 / samples,
+    )
+}
+
+// All instances have more work than slots. If each sends while the last reports show free slots,
+// all fill the engines at once, see it a second later, and all stop until the engines have run
+// empty: callers wait while a quarter of the slots idles, and in between engines have long queues.
+#[test]
+fn instances_that_see_old_reports_do_not_stop_and_go() {
+    let (used, queued) = saturated(|_, choice, _| choice.has_room(Priority::Draft));
+    assert!(used > 0.93 && queued < 3.0, "{used} {queued}");
+    let (used, queued) = saturated(|view, choice, ms| {
+        let gauge = &view.target(choice.target).unwrap().gauge;
+        gauge.load(ms, Typical::default()) < SLOTS
+    });
+    assert!(used < 0.9, "{used} {queued}");
+}
+
 #[test]
 fn the_same_seed_is_the_same_run() {
     let now = Instant::now();
--- a/crates/route/tests/test_queue.rs
+++ b/crates/route/tests/test_queue.rs
@@ -6,6 +6,7 @@
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
+use rand::Rng;
 use rstest::rstest;
 use slotmap::SlotMap;
 
@@ -140,6 +141,56 @@
     assert!(queue.is_empty() && queue.pop(3_001).is_none());
 }
 
+// Ten times more comes than can be served. A request that is let in and refused when its deadline
+// comes has cost its caller the time to go elsewhere, so nearly all are refused when they come. One
+// account asks for most of it, the others get what they ask for, and drafts get their turns.
+#[rstest]
+fn under_overload_refusals_come_at_once(#[values(1, 2, 3)] seed: u64) {
+    let mut rng = crate::test_fixture::rng(seed);
+    let accounts = keys(5);
+    let mut queue = Queue::new(QueueLimits::default(), 200.0);
+    let (mut refused, mut late) = (0, 0);
+    let (mut starts, mut drafts, mut small) = (0, 0, 0);
+    for ms in 0..30_000 {
+        // About two requests a millisecond come, and one in 5 ms starts.
+        for item in 0..2 {
+            let account = if rng.random_bool(0.95) {
+                0
+            } else {
+                rng.random_range(1..5)
+            };
+            let draft = rng.random_bool(0.3);
+            let (priority, patience) = match draft {
+                true => (Priority::Draft, 8_000),
+                false => (Priority::Interactive, 2_000),
+            };
+            let one = waiting(accounts[account], 1, item);
+            let one = Waiting {
+                priority,
+                deadline: ms + patience,
+                ..one
+            };
+            refused += usize::from(queue.offer(one, ms).is_err());
+        }
+        late += queue.expire(ms).len();
+        if ms % 5 == 0 {
+            // Now and then there is only room for interactive requests.
+            let one = if rng.random_bool(0.8) {
+                queue.pop_urgent(ms)
+            } else {
+                queue.pop(ms)
+            };
+            starts += usize::from(one.is_some());
+            drafts += usize::from(one.is_some_and(|one| one.priority == Priority::Draft));
+            small += usize::from(one.is_some_and(|one| one.account != accounts[0]));
+        }
+    }
+    assert!(late * 100 < refused, "{late} of {refused} late");
+    // A draft's turn is one in eight.
+    assert!(drafts * 9 > starts, "{drafts} of {starts}");
+    assert!(small > 2_000, "{small}");
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Offer {
