--- a/bench/src/route.rs
+++ b/bench/src/route.rs
@@ -4,6 +4,7 @@
 //! choice and of a refusal is real time.
 
 mod affinity;
+mod classes;
 mod cost;
 mod fleet;
 mod herding;
@@ -17,6 +18,7 @@
     rows.extend(overload::run(seeds));
     rows.extend(herding::run(seeds));
     rows.extend(affinity::run(seeds));
+    rows.extend(classes::run(seeds));
     rows.extend(cost::run());
     rows
 }
--- a/crates/route/src/failure.rs
+++ b/crates/route/src/failure.rs
@@ -49,9 +49,10 @@
 impl Failure {
     /// Classifies the failure of a call that may be repeated.
     ///
-    /// The classes are those of "Retry Classification When the Failure Arrives as a Timeout",
-    /// with one difference: a refused connection goes to another target at once, where the paper
-    /// waits for the same peer. `docs/design/routing.md` has the measurement for each.
+    /// The classes are those of "Retry Classification When the Failure Arrives as a Timeout", but
+    /// for three. A refused connection goes to another target at once, where the paper waits for
+    /// the same peer. A 500 is tried once more, which the paper never does. A reset is tried once
+    /// more, which the paper does until a cap. `docs/design/routing.md` has the measurements.
     ///
     /// # Examples
     ///
@@ -69,13 +70,24 @@
             Self::Protocol => Verdict::Final,
             Self::Status { code, retry_after } => match code {
                 408 | 429 | 502 | 503 | 504 => Verdict::Later(retry_after.unwrap_or_default()),
-                // A 500 may come again wherever the call goes; a call that breaks one target
-                // must not be carried to the next.
+                500 => Verdict::Later(Duration::ZERO),
                 _ => Verdict::Final,
             },
         }
     }
 
+    /// Returns how many tries a call may have that ended in this failure, the first one included.
+    ///
+    /// A 500 or a reset is of the target or of the call, and one more try tells. More would carry a
+    /// call that ends targets from one to the next.
+    pub const fn most_tries(self) -> u32 {
+        match self {
+            Self::Reset | Self::Status { code: 500, .. } => 2,
+            Self::Refused | Self::Unreachable => 4,
+            Self::Timeout | Self::Protocol | Self::Status { .. } => 3,
+        }
+    }
+
     /// Returns whom the failure speaks against.
     ///
     /// `probe` is the outcome of a probe on a new connection, where one was made: when something
