--- a/bench/src/route.rs
+++ b/bench/src/route.rs
@@ -8,6 +8,7 @@
 mod cost;
 mod fleet;
 mod herding;
+mod limits;
 mod overload;
 
 use crate::table::Row;
@@ -19,6 +20,7 @@
     rows.extend(herding::run(seeds));
     rows.extend(affinity::run(seeds));
     rows.extend(classes::run(seeds));
+    rows.extend(limits::run(seeds));
     rows.extend(cost::run());
     rows
 }
