--- a/bench/src/route.rs
+++ b/bench/src/route.rs
@@ -4,9 +4,11 @@
 //! choice and of a refusal is real time.
 
 mod affinity;
+mod classes;
 mod cost;
 mod fleet;
 mod herding;
+mod limits;
 mod overload;
 
 use crate::table::Row;
@@ -17,6 +19,8 @@
     rows.extend(overload::run(seeds));
     rows.extend(herding::run(seeds));
     rows.extend(affinity::run(seeds));
+    rows.extend(classes::run(seeds));
+    rows.extend(limits::run(seeds));
     rows.extend(cost::run());
     rows
 }
