--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -103,7 +103,24 @@
     trial: Trial,
     began: Instant,
     /// The tokens so far; the first token of an attempt is a chunk of its own.
-    tokens: Option<u32>,
+    tokens: u32,
+}
+
+impl Chunk {
+    /// Notes that the tokens so far came well.
+    fn came(&self, node: &Node, now: Instant) {
+        let per_token = (now - self.began).as_micros() as u64 / u64::from(self.tokens.max(1));
+        node.rollouts
+            .note(|agent| agent.came(&self.trial, per_token));
+    }
+
+    /// Begins the next chunk; it counts from its first token on.
+    fn next(&mut self, now: Instant) {
+        self.began = now;
+        self.tokens = 0;
+        self.trial.is_first = false;
+        self.trial.begun_ms = node::wall_ms();
+    }
 }
 
 impl Drop for Drive {
@@ -211,7 +228,10 @@
                 self.node.metrics.add(Counter::Tokens, 1);
                 return self.send(Piece::Token(emit)).await;
             }
-            Effect::Finish(finish) => return self.send(Piece::End(finish)).await,
+            Effect::Finish(finish) => {
+                self.finish_chunk();
+                return self.send(Piece::End(finish)).await;
+            }
             Effect::Fail(error) => {
                 self.node.metrics.add(Counter::Failed, 1);
                 return self.send(Piece::Failed(error)).await;
@@ -289,27 +309,29 @@
         let Some(chunk) = self.chunk.as_mut().filter(|chunk| chunk.link == link) else {
             return;
         };
-        let took_us = (now - chunk.began).as_micros() as u64;
-        match chunk.tokens {
-            None => self
-                .node
+        if chunk.trial.is_first {
+            let took_us = (now - chunk.began).as_micros() as u64;
+            self.node
                 .rollouts
-                .note(|agent| agent.first(&chunk.trial, took_us)),
-            Some(tokens) if tokens + 1 < CHUNK => {
-                chunk.tokens = Some(tokens + 1);
-                return;
-            }
-            Some(_) => {
-                let per_token = took_us / u64::from(CHUNK);
-                self.node
-                    .rollouts
-                    .note(|agent| agent.later(&chunk.trial, per_token));
-            }
+                .note(|agent| agent.came(&chunk.trial, took_us));
+            chunk.next(now);
+            return;
+        }
+        if chunk.tokens == 0 {
+            self.node.rollouts.note(|agent| agent.sent(&chunk.trial));
+        }
+        chunk.tokens += 1;
+        if chunk.tokens == CHUNK {
+            chunk.came(&self.node, now);
+            chunk.next(now);
+        }
+    }
+
+    /// Ends the chunk under way with its answer.
+    fn finish_chunk(&mut self) {
+        if let Some(chunk) = self.chunk.take().filter(|chunk| chunk.tokens > 0) {
+            chunk.came(&self.node, Instant::now());
         }
-        chunk.began = now;
-        chunk.tokens = Some(0);
-        chunk.trial.begun_ms = node::wall_ms();
-        self.node.rollouts.note(|agent| agent.sent(&chunk.trial));
     }
 
     /// Ends the chunk under way as failed, if it came over this connection.
@@ -493,7 +515,7 @@
             link,
             trial,
             began: Instant::now(),
-            tokens: None,
+            tokens: 0,
         });
     }
 
--- a/daemon/src/rollouts.rs
+++ b/daemon/src/rollouts.rs
@@ -13,7 +13,7 @@
 use celerypond_platform::{PlatformError, Version};
 use celerypond_rollout::{
     rank, rollout_key, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News, Report,
-    Rollout, Route, Spread, Trial,
+    Rollout, Route, Spread, Subject, Trial,
 };
 use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, TargetName, VersionName};
 use rand::seq::IndexedRandom;
@@ -89,6 +89,33 @@
     pub acting: Spread,
     /// When it must be complete, in milliseconds since 1970.
     pub deadline_ms: u64,
+    /// What was seen of the version since the roll.
+    pub candidate: Seen,
+    /// What was seen of the version that it is compared with, in the same time.
+    pub base: Seen,
+}
+
+/// What was seen of a version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Seen {
+    /// Answers and further chunks of answers that were asked for.
+    pub asked: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// Those that were cut off by the death of an engine, which count neither way.
+    pub discounted: u64,
+}
+
+impl Seen {
+    fn of(agent: &Agent, subject: &Subject, version: &VersionName) -> Self {
+        let tally = agent.evidence().total(subject, version, None);
+        let parts = [&tally.first, &tally.later];
+        Self {
+            asked: parts.iter().map(|trials| trials.sent).sum(),
+            failed: parts.iter().map(|trials| trials.failures()).sum(),
+            discounted: parts.iter().map(|trials| trials.discounted).sum(),
+        }
+    }
 }
 
 impl Rollouts {
@@ -110,11 +137,15 @@
     ///
     /// The failure: a bundle names a version that engines have not loaded yet, and its first requests
     /// are refused. The symptom would be a good version that is taken back. Until an engine reports
-    /// it, the version that it is to replace serves on.
+    /// it, the version that it is to replace serves on. So it does while this instance has just
+    /// started and may not know of a brake.
     pub fn choose(&self, node: &Node, model: &Model) -> VersionName {
         *lock(&self.asked).entry(model.name.clone()).or_default() += 1;
-        let chosen = self.agent().choose(model);
-        if is_loaded(node, model, &chosen) {
+        let (chosen, is_synced) = {
+            let mut agent = self.agent();
+            (agent.choose(model), agent.is_synced())
+        };
+        if is_synced && is_loaded(node, model, &chosen) {
             return chosen;
         }
         let force = node.force.load();
@@ -225,7 +256,7 @@
                     .iter()
                     .map(move |record| (rollout.origin, record))
             })
-            .map(|(origin, record)| status(origin, record, agent.roster(), &live))
+            .map(|(origin, record)| status(origin, record, &agent, &live))
             .collect();
         (in_force, statuses)
     }
@@ -331,7 +362,7 @@
             let rollout = agent.rollout(part.origin);
             rollout.is_some_and(|rollout| rollout.moves.iter().any(|it| !it.phase.is_ended()))
         });
-        (tripped, acting, is_talking)
+        (tripped, acting, is_talking || !agent.is_synced())
     };
     let value = serde_json::to_vec(&acting).unwrap_or_default();
     gossip::set(node, EntryKind::Acting, "", value);
@@ -347,14 +378,13 @@
     let Ok(listing) = node.platform.list_all(PREFIX).await else {
         return;
     };
-    let mut news = News::default();
+    let mut is_new = false;
     for object in listing.objects {
         if let Some(rollout) = celerypond_rollout::parse::<Rollout>(&object.value) {
             versions.insert(rollout.origin, object.version);
-            news.rollouts.push(rollout);
+            is_new |= node.rollouts.agent().hear_store(rollout);
         }
     }
-    let is_new = node.rollouts.agent().hear(&news);
     if is_new {
         node.rollouts.spread(node);
     }
@@ -403,11 +433,7 @@
                 let (model, version) = (&candidate.model, &candidate.version);
                 log::info!("rollout of {model} {version}: {:?}", record.phase);
             }
-            let news = News {
-                rollouts: vec![rollout],
-                brakes: Brakes::default(),
-            };
-            node.rollouts.agent().hear(&news);
+            node.rollouts.agent().hear_store(rollout);
             node.rollouts.spread(node);
         }
         // Another instance made a step, or the reply was lost: the record tells.
@@ -421,11 +447,16 @@
 fn status(
     origin: Revision,
     record: &celerypond_rollout::MoveRecord,
-    roster: &celerypond_rollout::Roster,
+    agent: &Agent,
     live: &[InstanceName],
 ) -> RolloutStatus {
     use celerypond_rollout::Phase;
 
+    let change = &record.change;
+    let subject = Subject {
+        origin,
+        model: change.candidate.model.clone(),
+    };
     let (stage, ending, cause) = match record.phase {
         Phase::Stage { stage } => {
             let text = format!("stage {} of {}", stage + 1, record.stages.len());
@@ -438,13 +469,15 @@
         Phase::Superseded => ("superseded".to_owned(), None, None),
     };
     RolloutStatus {
-        model: record.change.candidate.model.clone(),
-        version: record.change.candidate.version.clone(),
+        model: change.candidate.model.clone(),
+        version: change.candidate.version.clone(),
         stage,
         ending,
         cause,
-        acting: record.spread(origin, roster, live),
+        acting: record.spread(origin, agent.roster(), live),
         deadline_ms: record.deadline_ms,
+        candidate: Seen::of(agent, &subject, &change.candidate.version),
+        base: Seen::of(agent, &subject, &change.base),
     }
 }
 
@@ -526,6 +559,7 @@
         version: version.clone(),
         route: route.clone(),
         target: target.clone(),
+        is_first: true,
         begun_ms: node::wall_ms(),
     }
 }
