ledger: show a reused key and the replies of the platform, measure processor time

Safeguard off, in a scratch copy, and what then failed: - a reused key joins a call that waits: a_key_with_another_body_is_refused_at_every_stage, cases waits_for_the_list and on_its_way_into_the_log.

--- a/bench/src/ledger.rs
+++ b/bench/src/ledger.rs
@@ -51,6 +51,7 @@
             }
         }
     }
+    rows.extend([1, 4].map(|shards| processor_row(shards, seeds)));
     rows.extend(RECOVERIES.into_iter().map(|n| recovery_row(n, seeds)));
     rows
 }
@@ -380,6 +381,19 @@
     (shard, start.elapsed().as_secs_f64() * 1e3)
 }
 
+/// Times the decisions for one call, together with those of the simulation.
+fn processor_row(shards: u16, seeds: u64) -> Row {
+    const LOAD: f64 = 5000.0;
+    let times = (0..seeds).map(|seed| {
+        let sim = Sim::new(shards, 1, Duration::from_millis(3), seed);
+        let start = std::time::Instant::now();
+        let calls = sim.run(LOAD).calls;
+        start.elapsed().as_secs_f64() * 1e6 / calls as f64
+    });
+    let way = format!("{LOAD} calls/s, {shards} shards, with simulation");
+    Row::of("ledger: processor time a call", way, "us", times.collect())
+}
+
 fn recovery_row(batches: usize, seeds: u64) -> Row {
     let objects = log(batches);
     let times = (0..seeds).map(|_| load(objects.clone()).1).collect();
--- a/crates/ledger/src/flight.rs
+++ b/crates/ledger/src/flight.rs
@@ -15,7 +15,7 @@
 ///
 /// A batch that may have taken effect is only ever written again as it is, under the same
 /// condition, until a read tells what is at its place. Another batch for the same place could lose
-/// to the first one and its intents would be taken for those of another writer.
+/// to the first one, whose calls nobody would then send.
 #[derive(Debug)]
 pub(crate) struct Flight {
     pub(crate) place: Place,
--- a/crates/ledger/tests/runner.rs
+++ b/crates/ledger/tests/runner.rs
@@ -4,6 +4,7 @@
 mod store;
 mod test_failure;
 mod test_history;
+mod test_replies;
 mod test_scripts;
 mod test_shard;
 mod test_trace;
--- a/crates/ledger/tests/test_shard.rs
+++ b/crates/ledger/tests/test_shard.rs
@@ -8,6 +8,7 @@
 };
 use celerypond_platform::Object;
 use celerypond_types::{NotRunReason, Outcome};
+use rstest::rstest;
 use tokio::time::Instant;
 
 use crate::store::Store;
@@ -260,6 +261,39 @@
     sequences.max().unwrap()
 }
 
+// A caller uses one key for two different calls. Whatever stage the first is at, the second must not
+// get its answer, which would be that of another request, nor be sent.
+#[rstest]
+#[case::waits_for_the_list(0)]
+#[case::on_its_way_into_the_log(1)]
+#[case::runs(2)]
+#[case::has_ended(3)]
+fn a_key_with_another_body_is_refused_at_every_stage(#[case] stage: usize) {
+    let (mut store, now) = (Store::new(), Instant::now());
+    let mut a = Node::new(1, now);
+    let mut effects = a.shard.call(call(1, "x", now), now);
+    if stage > 0 {
+        effects = a.shard.listed(ListReply::Listed(Vec::new()), now);
+    }
+    if stage > 1 {
+        a.go(&mut store, effects, now);
+    }
+    if stage > 2 {
+        let unsent = a.unsent().pop().unwrap();
+        a.answer(&mut store, unsent, Vec::new(), now);
+    }
+    let body = BodyTag::of("POST", "/holds", b"another");
+    let other = Call {
+        body,
+        ..call(2, "x", now)
+    };
+    let effects = a.shard.call(other, now);
+    let [Effect::Answer { id, answer }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!((*id, answer), (CallId(2), &Answer::KeyReused));
+}
+
 // While the store is down a caller waits no longer than it takes to say so, and hears when to come
 // back. A call that needs no new intent is answered as ever.
 #[test]
