ledger: take the outcome of a call whose callers were told unknown

A new check asks each key once more after all faults have ended: unless its call was sent and the outcome lost, it must run. Now the outcome still goes into the log: a retry gets the result, or a free key.

Outcomes carry the number of their intent, so that one this late can't end a later call of its key.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     batch::{Record, State},
-    callers::{Callers, Pending, Running},
+    call::Intent,
+    callers::{Callers, Late, Pending, Running},
     flight::Flight,
     health::Health,
     log::{Entry, Log},
@@ -35,6 +36,8 @@
     pub(crate) ends: Vec<Record>,
     /// When the first of them came.
     pub(crate) ended: Instant,
+    /// How many intents were handed out.
+    intents: u64,
 }
 
 impl Book {
@@ -47,6 +50,7 @@
             health: Health::default(),
             ends: Vec::new(),
             ended: now,
+            intents: 0,
         }
     }
 
@@ -129,8 +133,16 @@
         for (key, running) in lost.collect::<Vec<_>>() {
             self.callers.outcome(&running.callers, Outcome::Unknown);
             let (body, state) = (running.body, State::Unknown);
+            let since = now;
+            self.callers
+                .late
+                .insert(running.number, Late { body, since });
             self.end(Record { key, body, state }, now);
         }
+        let retention = self.settings.retention;
+        self.callers
+            .late
+            .retain(|_, late| now < late.since + retention);
     }
 
     /// Takes an end, which goes into the log with the next batch.
@@ -145,22 +157,36 @@
     }
 
     /// Takes the outcome of a call that was to be sent.
+    ///
+    /// An outcome that comes after its callers were told unknown still goes into the log: the process
+    /// was paused, and a retry gets the result, or a free key.
     pub(crate) fn finish(&mut self, flying: &mut [Pending], finished: Finished, now: Instant) {
-        let running = finished
-            .key()
-            .map(|key| (key, self.callers.running.remove(&key)));
-        if let Some((key, Some(running))) = running {
-            let outcome = finished.outcome();
-            let state = match &outcome {
-                Outcome::Ran(reply) => State::Ran(reply.kept()),
-                Outcome::NotRun { .. } => State::Released,
-                Outcome::Unknown => State::Unknown,
-            };
-            self.callers.outcome(&running.callers, outcome);
-            let body = running.body;
-            self.end(Record { key, body, state }, now);
-            self.admit_again(flying, now);
-        }
+        let Some(Intent { key, number }) = finished.intent() else {
+            return;
+        };
+        let late = self
+            .callers
+            .late
+            .remove(&number)
+            .map(|late| (late.body, Vec::new()));
+        let running = self.callers.running.get(&key);
+        let running = match running.filter(|running| running.number == number) {
+            Some(_) => self.callers.running.remove(&key),
+            None => None,
+        };
+        let running = running.map(|running| (running.body, running.callers));
+        let Some((body, callers)) = running.or(late) else {
+            return;
+        };
+        let outcome = finished.outcome();
+        let state = match &outcome {
+            Outcome::Ran(reply) => State::Ran(reply.kept()),
+            Outcome::NotRun { .. } => State::Released,
+            Outcome::Unknown => State::Unknown,
+        };
+        self.callers.outcome(&callers, outcome);
+        self.end(Record { key, body, state }, now);
+        self.admit_again(flying, now);
     }
 
     /// Lets a call be sent whose intent is in the log.
@@ -175,13 +201,16 @@
             let state = State::Released;
             return self.end(Record { key, body, state }, now);
         };
+        self.intents += 1;
+        let number = self.intents;
         let running = Running {
+            number,
             body,
             until: call.by + call.run + self.settings.margin,
             callers: call.callers,
         };
         self.callers.running.insert(key, running);
-        let unsent = Unsent::keyed(key, call.by);
+        let unsent = Unsent::keyed(Intent { key, number }, call.by);
         self.callers.effects.push(Effect::Dispatch { id, unsent });
     }
 
--- a/crates/ledger/src/call.rs
+++ b/crates/ledger/src/call.rs
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 #[must_use = "the caller waits for the outcome"]
 pub struct Unsent {
-    key: Option<CallKey>,
+    intent: Option<Intent>,
     by: Instant,
 }
 
@@ -60,30 +60,43 @@
 #[derive(Debug)]
 #[must_use = "the caller waits for the outcome"]
 pub struct Sent {
-    key: Option<CallKey>,
+    intent: Option<Intent>,
 }
 
 /// A call with its outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[must_use = "the caller waits for the outcome"]
 pub struct Finished {
-    key: Option<CallKey>,
+    intent: Option<Intent>,
     outcome: Outcome<Reply>,
 }
 
+/// An intent that this process has written, told from a later one of the same key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Intent {
+    pub(crate) key: CallKey,
+    pub(crate) number: u64,
+}
+
 impl Unsent {
     /// Makes a call without a key, which needs no record. It must be sent by `by`.
     pub const fn unkeyed(by: Instant) -> Self {
-        Self { key: None, by }
+        Self { intent: None, by }
     }
 
-    pub(crate) const fn keyed(key: CallKey, by: Instant) -> Self {
-        Self { key: Some(key), by }
+    pub(crate) const fn keyed(intent: Intent, by: Instant) -> Self {
+        Self {
+            intent: Some(intent),
+            by,
+        }
     }
 
     /// Returns the key, by which the outcome finds its shard.
     pub const fn key(&self) -> Option<CallKey> {
-        self.key
+        match self.intent {
+            Some(intent) => Some(intent.key),
+            None => None,
+        }
     }
 
     /// Makes the call one that may have been sent; to be called right before the first write.
@@ -97,7 +110,9 @@
         if now > self.by {
             return Err(self.not_run(NotRunReason::Overload, Duration::ZERO));
         }
-        Ok(Sent { key: self.key })
+        Ok(Sent {
+            intent: self.intent,
+        })
     }
 
     /// Ends the call as not run.
@@ -107,7 +122,7 @@
             retry_after,
         };
         Finished {
-            key: self.key,
+            intent: self.intent,
             outcome,
         }
     }
@@ -130,7 +145,7 @@
             Outcome::Ran(reply)
         };
         Finished {
-            key: self.key,
+            intent: self.intent,
             outcome,
         }
     }
@@ -138,7 +153,7 @@
     /// Ends the call without an answer: a reset, a timeout, an answer that broke off.
     pub const fn unanswered(self) -> Finished {
         Finished {
-            key: self.key,
+            intent: self.intent,
             outcome: Outcome::Unknown,
         }
     }
@@ -147,7 +162,14 @@
 impl Finished {
     /// Returns the key, by which the outcome finds its shard.
     pub const fn key(&self) -> Option<CallKey> {
-        self.key
+        match self.intent {
+            Some(intent) => Some(intent.key),
+            None => None,
+        }
+    }
+
+    pub(crate) const fn intent(&self) -> Option<Intent> {
+        self.intent
     }
 
     /// Returns the outcome.
--- a/crates/ledger/src/callers.rs
+++ b/crates/ledger/src/callers.rs
@@ -20,11 +20,21 @@
 /// A call that this instance has sent, or is about to.
 #[derive(Clone, Debug)]
 pub(crate) struct Running {
+    /// The number of its intent.
+    pub(crate) number: u64,
     pub(crate) body: BodyTag,
     pub(crate) until: Instant,
     pub(crate) callers: Vec<CallId>,
 }
 
+/// A call whose callers were told unknown while its outcome may still come.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Late {
+    pub(crate) body: BodyTag,
+    /// When they were told.
+    pub(crate) since: Instant,
+}
+
 /// Callers who wait, by what they wait for.
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
@@ -32,6 +42,8 @@
     pub(crate) queue: Vec<Pending>,
     /// For the result of a call of this instance.
     pub(crate) running: BTreeMap<CallKey, Running>,
+    /// Calls whose callers were told unknown, by the number of the intent.
+    pub(crate) late: BTreeMap<u64, Late>,
     /// For the result of a call of another instance.
     pub(crate) followers: Vec<Pending>,
     pub(crate) effects: Vec<Effect>,
--- a/crates/ledger/tests/history.rs
+++ b/crates/ledger/tests/history.rs
@@ -97,6 +97,21 @@
         faults
     }
 
+    /// Checks the calls that came after all faults had ended: each has a result, unless a call with
+    /// its key was sent before and its outcome is lost.
+    pub(crate) fn check_after(&self, healed: Instant, may_be_lost: bool) -> Vec<String> {
+        let late = self.attempts.iter().filter(|(_, a)| a.from >= healed);
+        let bad = late.filter(
+            |(_, attempt)| match attempt.answer.as_ref().map(|(_, a)| a) {
+                Some(Answer::Outcome(Outcome::Ran(_))) => false,
+                Some(Answer::Outcome(Outcome::Unknown)) => !may_be_lost,
+                Some(Answer::Outcome(Outcome::NotRun { .. }) | Answer::KeyReused) | None => true,
+            },
+        );
+        bad.map(|(id, attempt)| format!("{id:?} ended as {:?}", attempt.answer))
+            .collect()
+    }
+
     /// Whether the answers of one key have an order in which it is written once and then read.
     ///
     /// An attempt without a known outcome takes part if the service ran it, and then may take
--- a/crates/ledger/tests/test_history.rs
+++ b/crates/ledger/tests/test_history.rs
@@ -8,6 +8,8 @@
 
 const NODES: usize = 3;
 const FAULTY: Duration = Duration::from_secs(90);
+/// Longer than any fault lasts and callers try, within the time that keys are remembered.
+const REST: Duration = Duration::from_secs(20);
 const SEEDS: u64 = 40;
 
 const QUIET: Faults = Faults {
@@ -59,6 +61,11 @@
                 world.arrive(wait, (node + copy) % NODES, &format!("key-{second}"), 3);
             }
         }
+        for second in FAULTY.as_secs() - 20..FAULTY.as_secs() {
+            let node = second as usize % NODES;
+            world.arrive(FAULTY + REST, node, &format!("key-{second}"), 0);
+        }
+        let healed = world.now + FAULTY + REST;
         world.run();
         let found = world.history.check();
         assert_eq!(
@@ -67,6 +74,9 @@
             "seed {seed}: {}",
             world.summary()
         );
+        let may_be_lost = faults.service > 0.0 || faults.crashes;
+        let found = world.history.check_after(healed, may_be_lost);
+        assert_eq!(found, Vec::<String>::new(), "seed {seed}");
         assert!(
             world.history.executions.len() > 20,
             "seed {seed}: hardly a call ran"
