rollout: scripted scenarios of the last step, the brake and restarts

Five scripts of three instances over one store, read line by line after they were recorded. Each safeguard off, then on (tests/scripts): - promise not waited for, or all not waited for before "done": partition.txt "-store: Closing, step 7, by a" (it says Done instead) - closing without all on the final share and drained: promise.txt "-nothing due" - brake taken after a promise: promise.txt "-b: share 100 %, braked false, promised true" "+b: share 0 %, braked true, promised true" while a may still write "done" - synced without a peer's word: race.txt "+a: .. synced true", brake.txt - brake not told by gossip: synced.txt "-a: share 0 %, braked true" "+a: share 15 %, braked false"

--- a/crates/rollout/tests/runner.rs
+++ b/crates/rollout/tests/runner.rs
@@ -6,3 +6,4 @@
 mod test_in_force;
 mod test_moves;
 mod test_rollout;
+mod test_scripts;
--- /dev/null
+++ b/crates/rollout/tests/test_scripts.rs
@@ -0,0 +1,241 @@
+//! Scripted scenarios of a few instances; the scripts say what the operator sees and why.
+
+use std::{collections::BTreeMap, error::Error, fmt::Write as _};
+
+use celerypond_bundle::Model;
+use celerypond_rollout::{
+    moves, parse, rollout_key, Agent, Condition, Failure, Method, Part, Rollout, Route, StoreCall,
+    StoreReply, Trial,
+};
+use celerypond_types::{InstanceName, Revision};
+use goldenscript::Context;
+use rstest::rstest;
+
+use crate::{
+    fake_fleet::{candidate, ORIGIN},
+    fake_store::FakeStore,
+    test_moves::model,
+};
+
+#[derive(Default)]
+struct Script {
+    agents: BTreeMap<String, Agent>,
+    incarnation: u64,
+    versions: BTreeMap<String, u64>,
+    planned: BTreeMap<String, Vec<Rollout>>,
+    open: BTreeMap<String, u32>,
+    live: Vec<InstanceName>,
+    store: FakeStore,
+    now: u64,
+}
+
+impl Script {
+    fn models() -> [Model; 1] {
+        [Model {
+            complete_within_s: 100,
+            deadline_ms: 10_000,
+            ..model("v1", 100)
+        }]
+    }
+
+    fn start(&mut self, name: &str) {
+        self.incarnation += 1;
+        let mut agent = Agent::new(name.into(), self.incarnation, Method::default());
+        let next = &Self::models()[0];
+        let moves = moves(Some(&model("v1", 0)), next);
+        let part = Part {
+            origin: ORIGIN,
+            rolled_ms: 0,
+            moves,
+        };
+        agent.set_parts(BTreeMap::from([(next.name.clone(), part)]));
+        agent.set_live(&self.live);
+        self.agents.insert(name.to_owned(), agent);
+    }
+
+    fn read(&mut self, name: &str) -> &'static str {
+        match self.store.call(&StoreCall::read(rollout_key(ORIGIN))) {
+            StoreReply::Found { version, value } => {
+                self.versions.insert(name.to_owned(), version);
+                let rollout = parse(&value).unwrap();
+                self.agents.get_mut(name).unwrap().hear_store(rollout);
+                "read"
+            }
+            StoreReply::Missing => "missing",
+            _ => "store down",
+        }
+    }
+
+    fn plan(&mut self, name: &str) -> String {
+        let due = self.agents[name].due(&Self::models(), |_| 100.0, !self.store.down, self.now);
+        let phases: Vec<_> = due
+            .iter()
+            .map(|rollout| format!("{:?}", rollout.moves[0].phase))
+            .collect();
+        self.planned.insert(name.to_owned(), due);
+        if phases.is_empty() {
+            "nothing due".to_owned()
+        } else {
+            phases.join(" ")
+        }
+    }
+
+    fn write(&mut self, name: &str) -> String {
+        let mut out = String::new();
+        for rollout in self.planned.remove(name).unwrap_or_default() {
+            let condition = match (rollout.step, self.versions.get(name)) {
+                (1, _) | (_, None) => Condition::Absent,
+                (_, Some(version)) => Condition::Version(*version),
+            };
+            let reply =
+                self.store
+                    .call(&StoreCall::write(rollout_key(ORIGIN), condition, &rollout));
+            if let StoreReply::Written { version } = reply {
+                self.versions.insert(name.to_owned(), version);
+                self.agents.get_mut(name).unwrap().hear_store(rollout);
+            }
+            writeln!(out, "{reply:?}").unwrap();
+        }
+        out
+    }
+
+    fn act(&mut self, name: &str) {
+        let open = self.open.get(name).copied().unwrap_or(0);
+        self.agents
+            .get_mut(name)
+            .unwrap()
+            .acting(ORIGIN, |_, _| open);
+    }
+
+    fn gossip(&mut self, from: &str, to: &str) {
+        self.act(from);
+        let sender = self.agents[from].clone();
+        let receiver = self.agents.get_mut(to).unwrap();
+        receiver.hear(&sender.news());
+        for report in sender.evidence().all() {
+            receiver.hear_report(report.clone());
+        }
+        for acting in self
+            .live
+            .iter()
+            .filter_map(|name| sender.roster().get(name))
+        {
+            receiver.hear_acting(acting.clone());
+        }
+    }
+
+    /// Sends `count` requests to each version; those to the new one fail if it is bad.
+    fn requests(&mut self, name: &str, count: u64, is_bad: bool) -> String {
+        let agent = self.agents.get_mut(name).unwrap();
+        for at in 0..2 * count {
+            let version = if at % 2 == 0 { "v2" } else { "v1" };
+            let trial = Trial {
+                model: "draft".into(),
+                version: version.into(),
+                route: Route("draft".into()),
+                target: format!("{version}-{}", 1 + at / 2 % 2).as_str().into(),
+                is_first: true,
+                begun_ms: self.now,
+            };
+            agent.sent(&trial);
+            if is_bad && at % 2 == 0 {
+                agent.failed(&trial, Failure::Error, self.now);
+            } else {
+                agent.came(&trial, 400_000);
+            }
+        }
+        let is_tripped = agent.weigh(|_| 2, self.now);
+        if is_tripped {
+            "brake tripped".to_owned()
+        } else {
+            String::new()
+        }
+    }
+
+    fn status(&self) -> String {
+        let mut out = String::new();
+        let value = self
+            .store
+            .objects
+            .get(&rollout_key(ORIGIN))
+            .map(|(_, value)| value);
+        if let Some(rollout) = value.and_then(|value| parse::<Rollout>(value)) {
+            let record = &rollout.moves[0];
+            writeln!(
+                out,
+                "store: {:?}, step {}, by {}",
+                record.phase, rollout.step, rollout.by
+            )
+            .unwrap();
+        }
+        let change = moves(Some(&model("v1", 0)), &Self::models()[0]).remove(0);
+        for (name, agent) in &self.agents {
+            let share = agent.share(ORIGIN, &change) / 10_000;
+            let braked = agent.brakes().cause(ORIGIN, &candidate()).is_some();
+            let word = agent
+                .roster()
+                .get(&name.as_str().into())
+                .and_then(|acting| acting.find(ORIGIN, &candidate()));
+            let promised = word.is_some_and(|word| word.promised);
+            let synced = agent.is_synced();
+            writeln!(
+                out,
+                "{name}: share {share} %, braked {braked}, promised {promised}, synced {synced}"
+            )
+            .unwrap();
+        }
+        out
+    }
+}
+
+impl goldenscript::Runner for Script {
+    type Command = goldenscript::Command;
+
+    fn run(&mut self, command: &Self::Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let words: Vec<_> = std::iter::from_fn(|| args.next_pos().map(str::to_owned)).collect();
+        let first = words.first().cloned().unwrap_or_default();
+        match command.name.as_str() {
+            "start" => {
+                self.live = words.iter().map(InstanceName::new).collect();
+                for name in &words {
+                    self.start(name);
+                }
+            }
+            "restart" => self.start(&first),
+            "now" => self.now = first.parse::<u64>()? * 1_000,
+            "store" => self.store.down = first == "down",
+            "open" => {
+                self.open.insert(first, words[1].parse()?);
+            }
+            "read" => return Ok(self.read(&first).to_owned()),
+            "plan" => return Ok(self.plan(&first)),
+            "write" => return Ok(self.write(&first)),
+            "drive" => {
+                self.read(&first);
+                self.act(&first);
+                let planned = self.plan(&first);
+                let written = self.write(&first);
+                return Ok(format!("{planned}\n{written}"));
+            }
+            "act" => self.act(&first),
+            "gossip" => self.gossip(&first, &words[1]),
+            "good" => return Ok(self.requests(&first, words[1].parse()?, false)),
+            "bad" => return Ok(self.requests(&first, words[1].parse()?, true)),
+            "status" => return Ok(self.status()),
+            name => return Err(format!("no command {name}").into()),
+        }
+        Ok(String::new())
+    }
+}
+
+#[rstest]
+#[case("promise")]
+#[case("synced")]
+#[case("partition")]
+#[case("brake")]
+#[case("race")]
+fn scenario(#[case] name: &str) {
+    assert!(ORIGIN > Revision(0));
+    goldenscript::run(&mut Script::default(), format!("tests/scripts/{name}.txt")).unwrap();
+}
