--- a/bench/src/rollout.rs
+++ b/bench/src/rollout.rs
@@ -9,9 +9,10 @@
 #[path = "../../crates/rollout/tests/fake_store.rs"]
 mod fake_store;
 
-use std::thread;
+use std::{collections::BTreeMap, thread, time::Instant};
 
-use celerypond_rollout::{Method, Phase};
+use celerypond_rollout::{Agent, Method, Move, Part, Phase, Route, Trial, WHOLE_PPM};
+use celerypond_types::InstanceName;
 
 use self::fake_fleet::{FakeFleet, Kind, Outcome, Setting, Trouble, Way};
 use crate::table::Row;
@@ -93,6 +94,7 @@
             &outcomes,
         ));
     }
+    rows.extend([7, 50, 200, 900].into_iter().flat_map(evidence));
     rows
 }
 
@@ -202,3 +204,84 @@
     ));
     rows
 }
+
+/// What evidence takes in gossip and to weigh, at a number of instances that all send.
+fn evidence(instances: usize) -> Vec<Row> {
+    let names: Vec<_> = (0..instances)
+        .map(|at| InstanceName::new(format!("i{at}")))
+        .collect();
+    let setting = holding();
+    let models = [setting.model()];
+    let change = Move {
+        candidate: fake_fleet::candidate(),
+        base: "v1".into(),
+        from_ppm: 0,
+        to_ppm: WHOLE_PPM,
+        engines: 10,
+    };
+    let part = Part {
+        origin: fake_fleet::ORIGIN,
+        rolled_ms: 0,
+        moves: vec![change],
+    };
+    let agent = |name: &InstanceName| {
+        let mut agent = Agent::new(name.clone(), 1, Method::default());
+        agent.set_live(&names);
+        agent.set_parts(BTreeMap::from([(models[0].name.clone(), part.clone())]));
+        agent
+    };
+    let mut first = agent(&names[0]);
+    let mut rollout = first.due(&models, |_| 10.0, true, 0).remove(0);
+    rollout.moves[0].senders = None;
+    let reports: Vec<_> = names
+        .iter()
+        .flat_map(|name| {
+            let mut agent = agent(name);
+            agent.hear_store(rollout.clone());
+            observe(&mut agent);
+            agent.reports().cloned().collect::<Vec<_>>()
+        })
+        .collect();
+    let bytes: usize = reports
+        .iter()
+        .map(|report| serde_json::to_vec(report).map_or(0, |json| json.len()))
+        .sum();
+    first.hear_store(rollout);
+    for report in reports {
+        first.hear_report(report);
+    }
+    let weigh = |now_ms| {
+        let start = Instant::now();
+        first.weigh(|_| 10, now_ms);
+        start.elapsed().as_secs_f64() * 1e6
+    };
+    let times = (0..50).map(weigh).collect();
+    let way = format!("{instances} instances");
+    vec![
+        Row::of(
+            "rollout: evidence of a rollout",
+            way.clone(),
+            "bytes of JSON",
+            vec![bytes as f64],
+        ),
+        Row::of("rollout: weighing it once", way, "us", times),
+    ]
+}
+
+/// Feeds an instance a thousand trials of each version on three routes.
+fn observe(agent: &mut Agent) {
+    for at in 0..6_000_u64 {
+        let version = if at % 2 == 0 { "v1" } else { "v2" };
+        let route = ["draft", "letter", "drawing"][at as usize / 2 % 3];
+        let trial = Trial {
+            model: "draft".into(),
+            version: version.into(),
+            route: Route(route.into()),
+            target: version.into(),
+            is_first: at % 8 < 2,
+            begun_ms: at,
+        };
+        agent.sent(&trial);
+        agent.came(&trial, 20_000 + at * 37 % 60_000);
+    }
+}
--- a/crates/rollout/src/agent/judging.rs
+++ b/crates/rollout/src/agent/judging.rs
@@ -12,6 +12,7 @@
     moves::{Candidate, Move},
     plan::{plan, Demand},
     rollout::{MoveRecord, Phase, Rollout, View},
+    standing::Standing,
 };
 
 /// How many engines of the base an instance assumes when the bundle names none.
@@ -120,13 +121,7 @@
         is_listed: bool,
         now_ms: u64,
     ) -> Vec<Rollout> {
-        let view = View {
-            me: &self.me,
-            now_ms,
-            live: is_listed.then_some(self.live.as_slice()),
-            roster: &self.roster,
-            brakes: &self.brakes,
-        };
+        let view = self.view(is_listed, now_ms);
         let mut due = self.missing(models, rate, is_listed);
         due.extend(self.rollouts.values().filter_map(|rollout| {
             let origin = rollout.origin;
@@ -149,6 +144,28 @@
         due
     }
 
+    /// Tells how the rollout of a version stands; `is_fresh` tells whether the store answered lately.
+    pub fn standing(
+        &self,
+        origin: Revision,
+        candidate: &Candidate,
+        is_fresh: bool,
+        now_ms: u64,
+    ) -> Standing {
+        let view = self.view(is_fresh, now_ms);
+        Standing::of(origin, self.record(origin, candidate), &view, is_fresh)
+    }
+
+    fn view(&self, is_listed: bool, now_ms: u64) -> View<'_> {
+        View {
+            me: &self.me,
+            now_ms,
+            live: is_listed.then_some(self.live.as_slice()),
+            roster: &self.roster,
+            brakes: &self.brakes,
+        }
+    }
+
     fn missing(
         &self,
         models: &[Model],
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -17,6 +17,7 @@
 mod record;
 mod rollout;
 mod splitter;
+mod standing;
 mod store;
 mod tally;
 
@@ -37,5 +38,6 @@
 };
 pub use rollout::{rollout_key, MoveRecord, Phase, Rollout, View};
 pub use splitter::{Splitter, WHOLE_PPM};
+pub use standing::Standing;
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
 pub use tally::{Failure, Tally, Trials};
--- a/crates/rollout/tests/test_scripts.rs
+++ b/crates/rollout/tests/test_scripts.rs
@@ -222,6 +222,11 @@
             "gossip" => self.gossip(&first, &words[1]),
             "good" => return Ok(self.requests(&first, words[1].parse()?, false)),
             "bad" => return Ok(self.requests(&first, words[1].parse()?, true)),
+            "report" => {
+                let agent = &self.agents[&first];
+                let standing = agent.standing(ORIGIN, &candidate(), !self.store.down, self.now);
+                return Ok(serde_json::to_string(&standing)?);
+            }
             "status" => return Ok(self.status()),
             name => return Err(format!("no command {name}").into()),
         }
