--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -12,11 +12,13 @@
     acting::{Acting, Roster},
     brake::Brakes,
     evidence::{Evidence, Report, Subject},
-    judge::{Cause, Judge, Method},
+    judge::Judge,
+    move_record::MoveRecord,
     moves::{Candidate, Move},
     record::Part,
-    rollout::{MoveRecord, Phase, Rollout},
+    rollout::{Phase, Rollout},
     splitter::Splitter,
+    verdict::{Cause, Method},
 };
 
 /// What instances tell each other about rollouts, beside reports and their own actions.
--- a/crates/rollout/src/agent/judging.rs
+++ b/crates/rollout/src/agent/judging.rs
@@ -8,11 +8,13 @@
 use super::{subject, Agent};
 use crate::{
     acting::{Acting, ActingMove},
-    judge::{Engines, Judge},
+    judge::Judge,
+    move_record::MoveRecord,
     moves::{Candidate, Move},
     plan::{plan, Demand},
-    rollout::{MoveRecord, Phase, Rollout, View},
+    rollout::{Phase, Rollout, View},
     standing::Standing,
+    verdict::Engines,
 };
 
 /// How many engines of the base an instance assumes when the bundle names none.
--- a/crates/rollout/src/brake.rs
+++ b/crates/rollout/src/brake.rs
@@ -5,7 +5,7 @@
 use celerypond_types::{ModelName, Revision};
 use serde::{Deserialize, Serialize};
 
-use crate::{judge::Cause, moves::Candidate, record::Part};
+use crate::{moves::Candidate, record::Part, verdict::Cause};
 
 /// The versions braked so far; entries are only ever added, so merges need no order and no store.
 ///
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use celerypond_types::{TargetName, VersionName};
-use serde::{Deserialize, Serialize};
 
 use crate::{
     evidence::{Evidence, Route, Subject},
     histogram::{Histogram, BUCKETS},
     odds::{odds, odds_against, Seen, TOLERANCE},
-    plan::{Stage, StageStep, STEPS},
+    plan::Stage,
     splitter::WHOLE_PPM,
     tally::Trials,
+    verdict::{Cause, Engines, Method, Verdict},
 };
 
 /// The odds that trip the brake for failures and incidents.
@@ -34,59 +34,6 @@
 const INCIDENT_PRIOR_S: f64 = 7_200.0;
 const MS_PER_S: f64 = 1_000.0;
 
-/// What a version is blamed for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Cause {
-    /// It fails more often than its base.
-    Failures,
-    /// Its targets die or hang more often.
-    Incidents,
-    /// Its first tokens come later.
-    FirstToken,
-    /// Its later tokens come more slowly.
-    TokenTime,
-    /// The deadline came before the final share.
-    Deadline,
-    /// Too few requests came to judge it by.
-    TooLittleEvidence,
-}
-
-/// Why the brake is to be tripped.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Verdict {
-    /// What the version is blamed for.
-    pub cause: Cause,
-    /// On which route, if not overall.
-    pub route: Option<Route>,
-    /// How much likelier the evidence is of a bad version than of one as good as its base.
-    pub odds: f64,
-}
-
-/// How the test is done; the default is what the measurements chose.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Method {
-    /// Whether each route is tested on its own as well.
-    pub routes: bool,
-    /// Whether failures on one target only need twice the evidence.
-    pub targets: bool,
-    /// Whether what the death of a target cuts off counts as one incident.
-    pub discount: bool,
-    /// The steps of the stages.
-    pub steps: &'static [StageStep],
-}
-
-impl Default for Method {
-    fn default() -> Self {
-        Self {
-            routes: true,
-            targets: true,
-            discount: true,
-            steps: &STEPS,
-        }
-    }
-}
-
 /// What a window is open on.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Scope {
@@ -109,15 +56,6 @@
     blamed: BTreeMap<TargetName, u64>,
 }
 
-/// How many engines the bundle names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Engines {
-    /// Of the new version.
-    pub new: u32,
-    /// Of its base.
-    pub base: u32,
-}
-
 /// What all scopes are weighed with.
 #[derive(Clone, Copy, Debug)]
 struct Terms {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -10,6 +10,7 @@
 mod histogram;
 mod in_force;
 mod judge;
+mod move_record;
 mod moves;
 mod odds;
 mod plan;
@@ -20,6 +21,7 @@
 mod standing;
 mod store;
 mod tally;
+mod verdict;
 
 pub use acting::{Acting, ActingMove, Roster, Spread};
 pub use agent::{Agent, News};
@@ -28,7 +30,8 @@
 pub use evidence::{Evidence, Incident, Line, Report, Route, Subject, Trial, INCIDENT_MS};
 pub use histogram::{Histogram, BUCKETS};
 pub use in_force::{BodyError, InForce, Source, ASK_TIMEOUT, POLL_INTERVAL};
-pub use judge::{Cause, Engines, Judge, Method, Verdict};
+pub use judge::Judge;
+pub use move_record::MoveRecord;
 pub use moves::{moves, shares, Candidate, Move};
 pub use plan::{local_ppm, plan, Demand, Stage, StageStep, MAX_WITNESSES, STEPS};
 pub use rank::{is_watcher, rank, WATCHERS_PER_CENTRE};
@@ -36,8 +39,9 @@
     approval_key, bundle_key, Action, Approval, Audit, Current, Headline, Part, Signature,
     Submission, AUDIT_PREFIX, CURRENT_KEY,
 };
-pub use rollout::{rollout_key, MoveRecord, Phase, Rollout, View};
+pub use rollout::{rollout_key, Phase, Rollout, View};
 pub use splitter::{Splitter, WHOLE_PPM};
 pub use standing::Standing;
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
 pub use tally::{Failure, Tally, Trials};
+pub use verdict::{Cause, Engines, Method, Verdict};
--- a/crates/rollout/src/standing.rs
+++ b/crates/rollout/src/standing.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     acting::Spread,
-    judge::Cause,
-    rollout::{MoveRecord, Phase, View},
+    move_record::MoveRecord,
+    rollout::{Phase, View},
+    verdict::Cause,
 };
 
 /// What is known of a rollout; never more than the store has recorded.
