route: in a panic, let all targets share the work; count only usable slots

Two faults found by reading: with panic on, a target of weight 0 still counted as 1,024 times as loaded, so those that seemed well took everything; and slots of ejected targets counted towards the allowance.

--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -269,12 +269,14 @@
     }
 
     fn pressure(&self, member: &Member) -> u64 {
-        member.pressure(self.now_ms, self.typical)
+        // When most targets seem bad, what says so is not trusted, and all share the work.
+        match self.panic {
+            true => member.plain_pressure(self.now_ms, self.typical),
+            false => member.pressure(self.now_ms, self.typical),
+        }
     }
 
     fn usable(&self, member: &Member) -> bool {
-        !member.gauge.is_closed()
-            && (self.panic || !member.is_out())
-            && !self.ask.excluded.contains(&member.key)
+        self.pool.is_usable(member) && !self.ask.excluded.contains(&member.key)
     }
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -42,13 +42,19 @@
         self.weight.load(Relaxed) == 0
     }
 
-    /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`].
+    /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`], higher for a
+    /// target that gets less than its whole part.
     pub(crate) fn pressure(&self, now_ms: u64, typical: Typical) -> u64 {
-        let next = u64::from(self.gauge.load(now_ms, typical)) + 1;
         let weight = u64::from(self.weight.load(Relaxed).max(1));
-        let part = next * SLOT_UNIT / u64::from(self.slots.max(1));
+        let part = self.plain_pressure(now_ms, typical);
         part * u64::from(FULL_WEIGHT) / weight
     }
+
+    /// Returns the load per slot if one more request were sent, in [`SLOT_UNIT`].
+    pub(crate) fn plain_pressure(&self, now_ms: u64, typical: Typical) -> u64 {
+        let next = u64::from(self.gauge.load(now_ms, typical)) + 1;
+        next * SLOT_UNIT / u64::from(self.slots.max(1))
+    }
 }
 
 /// The members of a pool in one data centre.
@@ -129,7 +135,7 @@
     /// Takes the means over the pool, against which single targets are compared until the next
     /// survey, and the allowance of this instance, one of `instances`.
     pub fn survey(&self, now_ms: u64, instances: usize) {
-        let live = || self.members.iter().filter(|m| !m.gauge.is_closed());
+        let live = || self.members.iter().filter(|member| self.is_usable(member));
         let services = live().filter_map(|m| m.gauge.service_ms());
         if let Some(turnover) = mean(services.map(u64::from)) {
             self.gauge.turnover.store(turnover as u32, Relaxed);
@@ -190,6 +196,11 @@
         }
     }
 
+    /// Returns whether a target may be chosen.
+    pub(crate) fn is_usable(&self, member: &Member) -> bool {
+        !member.gauge.is_closed() && (!member.is_out() || self.is_panic())
+    }
+
     /// Sets the part of its work that a target gets in this pool: 0 is ejected, [`FULL_WEIGHT`]
     /// the whole.
     pub fn set_weight(&self, target: TargetKey, weight: u32) {
