--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -34,12 +34,9 @@
             Refusal::Failed => self.barren += 1,
             Refusal::Busy | Refusal::Gone | Refusal::Version => {}
         }
-        let target = reader.target().clone();
-        self.give_up(now, out);
-        if refusal == Refusal::Gone {
-            // It is alive, and may start an attempt.
-            self.avoid.retain(|avoided| *avoided != target);
-        }
+        // An engine that no longer has the stream is alive, and may start an attempt.
+        let shun = refusal != Refusal::Gone;
+        self.leave(now, shun, out);
     }
 
     pub(super) fn frame(&mut self, now: Instant, link: Link, frame: Frame, out: &mut Vec<Effect>) {
@@ -185,13 +182,19 @@
 
     /// Stops the stream and goes on elsewhere.
     pub(super) fn give_up(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.leave(now, true, out);
+    }
+
+    fn leave(&mut self, now: Instant, shun: bool, out: &mut Vec<Effect>) {
         let State::Reading(reader) = &self.state else {
             return;
         };
         if reader.is_barren() {
             self.barren += 1;
         }
-        self.avoid.push(reader.target().clone());
+        if shun {
+            self.avoid.push(reader.target().clone());
+        }
         ending::stop(reader, out);
         if self.outlet.proof().is_err() && self.turn_to_other(now, out) {
             return;
