--- a/crates/ledger/tests/runner.rs
+++ b/crates/ledger/tests/runner.rs
@@ -1,1 +1,10 @@
 //! The integration tests of the crate, in one binary.
+
+mod history;
+mod store;
+mod test_failure;
+mod test_history;
+mod test_scripts;
+mod test_shard;
+mod test_trace;
+mod world;
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -3,20 +3,33 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use celerypond_bundle::Settings;
+use celerypond_route::{Drain, DrainEffect, Stage};
 use celerypond_telemetry::{Metrics, Output, SpanSettings, Spans};
 use error_stack::{Report, ResultExt};
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    signal::unix::{signal, Signal, SignalKind},
+    signal::unix::{signal, SignalKind},
+    sync::mpsc,
     task::JoinSet,
     time,
 };
 
-use crate::{front, node::Node, roster, watch};
+use crate::{
+    admission::Admission,
+    front, gossip, limits,
+    node::Node,
+    orders, peer_server, rollouts, roster,
+    target_watch::{self, TargetEvent},
+    watch,
+};
 
 /// How often counters are sent to the collector.
 const PUBLISH: Duration = Duration::from_secs(10);
+/// How many events of targets may wait; more are dropped.
+const EVENTS: usize = 4096;
+/// How often a planned stop is looked at.
+const DRAIN_STEP: Duration = Duration::from_millis(100);
 /// How long background tasks may take to end.
 const JOIN: Duration = Duration::from_secs(5);
 
@@ -36,23 +49,26 @@
 
 /// Runs an instance until a planned stop is complete.
 ///
+/// Each value from `stops` asks for the planned stop; a second one hurries it.
+///
 /// # Errors
 ///
 /// A [`ServerError`] when the instance could not start.
-pub async fn run(settings: Settings) -> Result<(), Report<ServerError>> {
+pub async fn run(
+    settings: Settings,
+    mut stops: mpsc::Receiver<()>,
+) -> Result<(), Report<ServerError>> {
     let spans = spans(&settings)?;
     let metrics = metrics(&settings)?;
     let listener = bind(settings.address).await?;
-    let mut stop = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
-    let node = Node::new(settings, metrics);
-    let mut tasks = JoinSet::new();
-    tasks.spawn(watch::run(Arc::clone(&node)));
-    tasks.spawn(roster::run(Arc::clone(&node)));
-    tasks.spawn(publish(Arc::clone(&node)));
+    let peer_listener = bind(settings.peer_address).await?;
+    let (events, told) = mpsc::channel(EVENTS);
+    let node = Node::new(settings, metrics, events);
+    let tasks = spawn(&node, peer_listener, told);
     log::info!("serving callers at {}", node.address());
     tokio::select! {
         never = front::serve(Arc::clone(&node), listener) => match never {},
-        () = leave(&node, &mut stop) => {}
+        () = leave(&node, &mut stops) => {}
     }
     finish(&node, tasks).await;
     if let Some(spans) = spans {
@@ -62,22 +78,68 @@
     Ok(())
 }
 
-/// Waits for a planned stop, and then until callers no longer hold this instance's address.
+/// Returns a value for each signal that asks for the planned stop.
 ///
-/// The failure: callers keep an answer of `/v1/entries` a while, and connect to an instance that
-/// has gone. While their answers last, this instance serves on, but is no longer in new answers.
-async fn leave(node: &Node, stop: &mut Signal) {
-    stop.recv().await;
-    node.leaving.cancel();
-    let ttl = Duration::from_secs(node.settings.entries_ttl_s);
-    log::info!(
-        "leaving; new connections are refused in {} s",
-        ttl.as_secs()
-    );
-    tokio::select! {
-        () = time::sleep(ttl) => {}
-        _ = stop.recv() => log::info!("a second signal: new connections are refused now"),
+/// # Errors
+///
+/// [`ServerError::Signal`] when signals can't be received.
+pub fn signals() -> Result<mpsc::Receiver<()>, Report<ServerError>> {
+    let mut signals = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
+    let (sender, receiver) = mpsc::channel(1);
+    // The task ends with the runtime: a process listens to signals for as long as it lives.
+    tokio::spawn(async move {
+        while signals.recv().await.is_some() && sender.send(()).await.is_ok() {}
+    });
+    Ok(receiver)
+}
+
+fn spawn(node: &Arc<Node>, peers: TcpListener, told: mpsc::Receiver<TargetEvent>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(peer_server::run(Arc::clone(node), peers));
+    tasks.spawn(roster::run(Arc::clone(node)));
+    tasks.spawn(gossip::run(Arc::clone(node)));
+    tasks.spawn(watch::run(Arc::clone(node)));
+    tasks.spawn(watch::hold(Arc::clone(node)));
+    tasks.spawn(rollouts::run(Arc::clone(node)));
+    tasks.spawn(orders::run(Arc::clone(node)));
+    tasks.spawn(limits::run(Arc::clone(node)));
+    tasks.spawn(target_watch::run(Arc::clone(node), told));
+    tasks.spawn(Admission::run(Arc::clone(node)));
+    tasks.spawn(publish(Arc::clone(node)));
+    tasks
+}
+
+/// Waits for a planned stop, and then until callers no longer hold this instance's address.
+async fn leave(node: &Arc<Node>, stops: &mut mpsc::Receiver<()>) {
+    // Without anyone who could ask for a stop, the instance serves on.
+    if stops.recv().await.is_none() {
+        std::future::pending::<()>().await;
+    }
+    let mut drain = step(node, Drain::default().stop(node.now_ms()));
+    let mut tick = time::interval(DRAIN_STEP);
+    while drain.stage() != Stage::Refusing {
+        tokio::select! {
+            _ = tick.tick() => drain = step(node, drain.step(node.now_ms(), 1)),
+            Some(()) = stops.recv() => {
+                log::info!("asked to stop again: new connections are refused now");
+                return;
+            }
+        }
+    }
+}
+
+fn step(node: &Arc<Node>, (drain, effect): (Drain, Option<DrainEffect>)) -> Drain {
+    match effect {
+        Some(DrainEffect::Leave) => {
+            node.leaving.cancel();
+            gossip::leave(node);
+            log::info!("leaving: the address is given to nobody, callers who have it are served");
+        }
+        Some(DrainEffect::Refuse) => log::info!("leaving: new connections are refused"),
+        // The sockets end idle connections and wait for the others.
+        Some(DrainEffect::End) | None => {}
     }
+    drain
 }
 
 async fn finish(node: &Node, mut tasks: JoinSet<()>) {
@@ -88,6 +150,7 @@
     let joined = async {
         while tasks.join_next().await.is_some() {}
         node.work.wait().await;
+        node.peers.close().await;
     };
     if time::timeout(JOIN, joined).await.is_err() {
         let left = tasks.len() + node.work.len();
