ledger: show that an old outcome ends no later call

With the number of the intent not compared, in a scratch copy: an_outcome_of_an_old_intent_ends_no_later_call, "the new caller was answered".

--- a/crates/ledger/tests/test_shard.rs
+++ b/crates/ledger/tests/test_shard.rs
@@ -204,6 +204,35 @@
     assert_eq!(c.unsent().len(), 0, "the call would run twice");
 }
 
+// A task of A hangs with the permission to send "x" until the key is forgotten, and A runs a new call
+// of that name. The task then ends as not run. That is about the old intent: it must neither tell the
+// new caller "not run" nor free the key while the new call runs.
+#[test]
+fn an_outcome_of_an_old_intent_ends_no_later_call() {
+    let (mut store, mut now) = (Store::new(), Instant::now());
+    let mut a = Node::new(1, now);
+    a.call(&mut store, 1, "x", now);
+    let old = a.unsent().pop().unwrap();
+    for id in 10..24 {
+        now += RETENTION / 5;
+        a.call(&mut store, id, &format!("k{id}"), now);
+    }
+    a.unsent();
+    a.call(&mut store, 2, "x", now);
+    now += STEP;
+    a.tick(&mut store, now);
+    assert_eq!(a.unsent().len(), 1, "the key was not forgotten");
+    let finished = old.not_run(NotRunReason::NotConnected, Duration::ZERO);
+    let effects = a.shard.finish(finished, now);
+    a.go(&mut store, effects, now);
+    now += STEP;
+    a.tick(&mut store, now);
+    assert!(a.seen.is_empty(), "the new caller was answered");
+    let mut c = Node::new(3, now);
+    c.call(&mut store, 3, "x", now);
+    assert_eq!(c.unsent().len(), 0, "the call would run twice");
+}
+
 // B reads the list of the log page by page, while A writes and uses slots again, so the list mixes
 // an early and a late state. Whatever it shows, a batch that B writes must be the next of the log, and
 // must not be for a key that is remembered.
