fleet: drop what was heard of instances that left the group

After a change of group the loads of former members stayed for good: nothing renews them there, and they would be taken for present ones.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -37,12 +37,15 @@
 /// The time between two changes of configuration, in seconds: 10,000 a day.
 const CHANGE_SECONDS: u64 = 9;
 
-/// The time between two summaries of a group, in seconds.
-const SUMMARY_SECONDS: u64 = 15;
-
 /// Instances and targets of a run.
 const SIZES: [(usize, usize); 4] = [(7, 40), (50, 500), (200, 2_500), (900, 11_000)];
 
+/// What one instance watches, and how often it would sum up for its group.
+struct Part {
+    targets: usize,
+    period: u64,
+}
+
 /// The virtual time that one mesh is given for one piece of news.
 const SPREAD_LIMIT: Duration = Duration::from_secs(30);
 
@@ -57,11 +60,11 @@
 fn size(n: usize, targets: usize, seeds: u64) -> Vec<Row> {
     let way = format!("gossip n={n} targets={targets}");
     let before = resident_bytes();
-    let (mut mesh, watched) = start(n, targets, Settings::default());
-    let mut rows = steady(&mut mesh, &way, &watched);
+    let (mut mesh, parts) = start(n, targets, Settings::default());
+    let mut rows = steady(&mut mesh, &way, &parts);
     let memory = (resident_bytes().saturating_sub(before)) as f64 / n as f64 / 1e3;
     rows.push(Row::of("memory a daemon", &way, "kB", vec![memory]));
-    rows.extend(baselines(n, targets, &watched));
+    rows.extend(baselines(n, targets, &parts));
     rows.extend(spread(&mut mesh, &way, seeds));
     drop(mesh);
     let by_rounds = Settings {
@@ -75,16 +78,16 @@
     rows
 }
 
-/// Starts instances that know the platform's list, each with its group; returns how many targets
+/// Starts instances that know the platform's list, each with its group; returns what
 /// each one watches.
-fn start(n: usize, targets: usize, settings: Settings) -> (Mesh, Vec<usize>) {
+fn start(n: usize, targets: usize, settings: Settings) -> (Mesh, Vec<Part>) {
     let mut mesh = Mesh::new(n, settings, 1);
     mesh.list_all();
     let names: Vec<InstanceName> = (0..n).map(mesh::name).collect();
     let targets: Vec<TargetName> = (0..targets)
         .map(|at| format!("engine-{at}").as_str().into())
         .collect();
-    let mut watched = Vec::new();
+    let mut parts = Vec::new();
     for own in &names {
         let subset = Subset::of(own, &names, &targets);
         let centres: Vec<DataCentre> = (0..3).map(|at| mesh::listed(at).data_centre).collect();
@@ -92,25 +95,28 @@
         let peers: Vec<Candidate<'_>> = pairs
             .map(|(name, data_centre)| Candidate { name, data_centre })
             .collect();
-        watched.push(subset.watched(own, &peers).len());
-        let at = watched.len() - 1;
+        let at = parts.len();
+        parts.push(Part {
+            targets: subset.watched(own, &peers).len(),
+            period: subset.summary_period().as_secs(),
+        });
         mesh.node(at).set_group(subset.peers);
     }
-    (mesh, watched)
+    (mesh, parts)
 }
 
 /// Runs the usual work and measures bytes, processor time and the age of load reports.
-fn steady(mesh: &mut Mesh, way: &str, watched: &[usize]) -> Vec<Row> {
+fn steady(mesh: &mut Mesh, way: &str, parts: &[Part]) -> Vec<Row> {
     for second in 0..WARM_SECONDS {
-        work(mesh, watched, second);
+        work(mesh, parts, second);
     }
     let begun = processor_ns();
     let mut ages = Vec::new();
     for second in WARM_SECONDS..WARM_SECONDS + STEADY_SECONDS {
-        work(mesh, watched, second);
+        work(mesh, parts, second);
         ages.extend(load_ages(mesh, second));
     }
-    let n = watched.len() as f64;
+    let n = parts.len() as f64;
     let spent = (processor_ns() - begun) as f64 / n / STEADY_SECONDS as f64;
     let seconds = WARM_SECONDS..WARM_SECONDS + STEADY_SECONDS;
     let per_second: Vec<f64> = mesh
@@ -126,16 +132,16 @@
 }
 
 /// Runs one second in which every instance changes what it changes in daily work.
-fn work(mesh: &mut Mesh, watched: &[usize], second: u64) {
+fn work(mesh: &mut Mesh, parts: &[Part], second: u64) {
     if second.is_multiple_of(CHANGE_SECONDS) {
-        let at = second as usize % watched.len();
+        let at = second as usize % parts.len();
         mesh.node(at).raise(Revision(second + 1));
         mesh.push(at);
     }
-    for (at, watched) in watched.iter().enumerate() {
+    for (at, part) in parts.iter().enumerate() {
         let node = mesh.node(at);
         let is_due = |period: u64| (second + at as u64).is_multiple_of(period);
-        let mut load = vec![0; (8 + watched * LOAD_BYTES).min(1_000)];
+        let mut load = vec![0; (8 + part.targets * LOAD_BYTES).min(1_000)];
         load[..8].copy_from_slice(&second.to_le_bytes());
         let revision = node.facts().revision().0.to_le_bytes();
         let entries = [
@@ -149,7 +155,7 @@
                 set(node, kind, value);
             }
         }
-        if is_due(SUMMARY_SECONDS) && node.leads() {
+        if is_due(part.period) && node.leads() {
             set(node, EntryKind::LoadSummary, fill(60, second));
             set(
                 node,
@@ -218,11 +224,11 @@
 }
 
 /// Works out what other ways would send, from the sizes of the same entries.
-fn baselines(n: usize, targets: usize, watched: &[usize]) -> Vec<Row> {
+fn baselines(n: usize, targets: usize, parts: &[Part]) -> Vec<Row> {
     const HEAD: f64 = 160.0;
     const ENTRY: f64 = 16.0;
     let fan_out = Settings::default().fan_out as f64;
-    let watched = watched.iter().sum::<usize>() as f64 / n as f64;
+    let watched = parts.iter().map(|part| part.targets).sum::<usize>() as f64 / n as f64;
     let load = watched * LOAD_BYTES as f64 + ENTRY;
     let rest = (EVIDENCE_BYTES + DEMAND_BYTES) as f64 + 3.0 * ENTRY + 8.0;
     let identity = 60.0;
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -164,10 +164,19 @@
     }
 
     /// Sets the instances that share evidence, demand and load with this one.
+    ///
+    /// What was heard of instances that are no longer among them is dropped: nothing would ever
+    /// change it again, and old loads would be taken for present ones.
     pub fn set_group(&mut self, peers: Vec<InstanceName>) {
         self.group = peers;
         self.group.retain(|name| *name != self.identity.name);
         self.group.sort();
+        let runs = self.group.iter().filter_map(|name| {
+            let member = self.roster.named(name)?;
+            member.origin
+        });
+        let group: BTreeSet<Origin> = runs.chain([self.origin]).collect();
+        self.state.keep_group(&group);
     }
 
     /// Returns whether this instance sums up for its group, by the view of this instance.
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,6 +1,6 @@
 //! The entries of all origins.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{stream::Stream, Class, Delta, EntryError, EntryKind, Item, Origin};
 
@@ -74,6 +74,18 @@
         self.origins.remove(&origin);
     }
 
+    /// Drops the group's classes of all origins but these.
+    pub(crate) fn keep_group(&mut self, group: &BTreeSet<Origin>) {
+        for (origin, streams) in &mut self.origins {
+            if group.contains(origin) {
+                continue;
+            }
+            for class in Class::GROUP {
+                streams[class as usize] = Stream::default();
+            }
+        }
+    }
+
     pub(crate) fn rename(&mut self, from: Origin, to: Origin) {
         if let Some(streams) = self.origins.remove(&from) {
             self.origins.insert(to, streams);
--- a/crates/fleet/src/subset.rs
+++ b/crates/fleet/src/subset.rs
@@ -1,5 +1,7 @@
 //! Which instances share loads, and which targets they use.
 
+use std::time::Duration;
+
 use celerypond_types::{InstanceName, TargetName};
 use rapidhash::v3::rapidhash_v3;
 
@@ -8,6 +10,12 @@
 /// Instances a group may have before it is split into two.
 const GROUP_LIMIT: usize = 24;
 
+/// The shortest time between two sums of a group.
+const SUMMARY_LEAST: Duration = Duration::from_secs(4);
+
+/// What each group adds to the time between two sums.
+const SUMMARY_STEP: Duration = Duration::from_secs(1);
+
 /// Watchers of each target.
 const WATCHERS: usize = 2;
 
@@ -62,6 +70,14 @@
         }
     }
 
+    /// Returns how often the leader of a group publishes its sums.
+    ///
+    /// Sums go to the whole fleet, so what an instance receives of them is the number of groups
+    /// over this time; making the time grow with the groups keeps it the same at any size.
+    pub fn summary_period(&self) -> Duration {
+        SUMMARY_LEAST.max(SUMMARY_STEP * self.groups as u32)
+    }
+
     /// Returns the targets whose load this instance reads and shares.
     pub fn watched(&self, own: &InstanceName, peers: &[Candidate<'_>]) -> Vec<TargetName> {
         let mine = |target: &&TargetName| {
--- a/crates/fleet/tests/test_gossip.rs
+++ b/crates/fleet/tests/test_gossip.rs
@@ -165,6 +165,11 @@
     let count = |gossip: &Gossip, kind| gossip.state().items(kind).count();
     assert!(mesh.all(|gossip| count(gossip, EntryKind::TargetLoad) == 6));
     assert!(mesh.all(|gossip| count(gossip, EntryKind::LoadSummary) == 2));
+    // An instance that changes its group must not go on with loads that nobody renews there.
+    mesh.node(0).set_group((6..12).map(name).collect());
+    assert_eq!(count(mesh.node(0), EntryKind::TargetLoad), 1);
+    mesh.run(10 * SECOND);
+    assert_eq!(count(mesh.node(0), EntryKind::TargetLoad), 7);
 }
 
 // A whole fleet starts at once while the platform's list is out of reach, so all come to the same
