--- a/crates/answer/src/generation/reading.rs
+++ b/crates/answer/src/generation/reading.rs
@@ -1,9 +1,13 @@
 //! The reading of a stream, and what to do when it fails.
 
+use celerypond_types::Position;
 use tokio::time::Instant;
 
 use super::{ending, Generation, State};
-use crate::{reader::Loss, Done, Effect, Frame, Incomplete, Link, Refusal, Splice, Verdict};
+use crate::{
+    reader::Loss, Done, Driver, Effect, Frame, Incomplete, KeeperCopy, Link, Refusal, Splice,
+    Verdict,
+};
 
 impl Generation {
     pub(super) fn opened(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
@@ -30,7 +34,12 @@
             Refusal::Failed => self.barren += 1,
             Refusal::Busy | Refusal::Gone | Refusal::Version => {}
         }
+        let target = reader.target().clone();
         self.give_up(now, out);
+        if refusal == Refusal::Gone {
+            // It is alive, and may start an attempt.
+            self.avoid.retain(|avoided| *avoided != target);
+        }
     }
 
     pub(super) fn frame(&mut self, now: Instant, link: Link, frame: Frame, out: &mut Vec<Effect>) {
@@ -45,13 +54,33 @@
                 self.last = now;
                 match self.outlet.take(frame, splice) {
                     Ok(effect) => out.extend(effect),
-                    Err(error) => self.diverged(now, error, out),
+                    Err(error) => return self.diverged(now, error, out),
                 }
+                self.copy(out);
             }
             verdict => self.judge(now, link, verdict, out),
         }
     }
 
+    /// Copies the tokens of a long answer to its keepers, some at a time.
+    fn copy(&mut self, out: &mut Vec<Effect>) {
+        let Some(splice) = &self.splice else { return };
+        let (length, copies) = (splice.next().0, self.limits.copies);
+        let (tokens, bytes) = self.copied;
+        if self.held.is_some() || length < copies.after || length < tokens + copies.each {
+            return;
+        }
+        let text = self.outlet.text().unwrap_or_default();
+        out.push(Effect::Copy(KeeperCopy {
+            key: self.request.key.clone(),
+            attempt: self.attempt,
+            from: Position(tokens),
+            tokens: splice.tokens()[tokens as usize..].to_vec(),
+            text: text[bytes..].to_owned(),
+        }));
+        self.copied = (length, text.len());
+    }
+
     pub(super) fn done(&mut self, now: Instant, link: Link, done: &Done, out: &mut Vec<Effect>) {
         let (State::Reading(_), Some(splice)) = (&self.state, &self.splice) else {
             return;
@@ -83,14 +112,8 @@
 
     /// Reads on over another connection: this one mixes up its answers or drops some.
     pub(super) fn broken(&mut self, now: Instant, link: Link, out: &mut Vec<Effect>) {
-        let held = match &self.state {
-            State::Reading(reader) => reader.holds(link),
-            _ => false,
-        };
-        if held {
-            out.push(Effect::Close(link));
-            self.closed(now, link, out);
-        }
+        out.push(Effect::Close(link));
+        self.closed(now, link, out);
     }
 
     /// Reads on from another engine: this one contradicts itself.
@@ -129,8 +152,8 @@
         });
     }
 
-    /// Looks for the caller's tokens where they came from: what was read is another driver's, whose
-    /// stream is left alone.
+    /// Looks for the caller's tokens elsewhere: what was read is another driver's, whose stream is
+    /// left alone.
     pub(super) fn diverged(&mut self, now: Instant, error: Incomplete, out: &mut Vec<Effect>) {
         if self.other.is_none() {
             return self.fail(error, out);
@@ -138,15 +161,21 @@
         if let State::Reading(reader) = &self.state {
             out.extend(reader.links().map(Effect::Close));
         }
-        self.turn_back(now, out);
+        self.turn_to_other(now, out);
     }
 
-    /// Reads the stream that the caller's tokens came from, if it is not the one tried already.
-    pub(super) fn turn_back(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
+    /// Reads the other stream that may have the caller's tokens, once.
+    pub(super) fn turn_to_other(&mut self, now: Instant, out: &mut Vec<Effect>) -> bool {
         let (State::Reading(reader), Some(other)) = (&self.state, self.other.take()) else {
             return false;
         };
         let patience = reader.patience();
+        // A higher number, so that the keepers drop what was copied of the other sequence.
+        let Some(number) = self.fresh else {
+            return false;
+        };
+        self.attempt = number;
+        self.fresh = Driver::retry(number);
         let (key, limit) = (self.request.key.clone(), self.request.limit);
         let attempt = other.stream.attempt;
         self.splice = Some(Splice::new(key, other.version, attempt, limit));
@@ -164,7 +193,7 @@
         }
         self.avoid.push(reader.target().clone());
         ending::stop(reader, out);
-        if self.outlet.proof().is_err() && self.turn_back(now, out) {
+        if self.outlet.proof().is_err() && self.turn_to_other(now, out) {
             return;
         }
         if self.barren > self.limits.barren {
--- a/crates/answer/tests/test_scripts.rs
+++ b/crates/answer/tests/test_scripts.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, fmt::Write as _, time::Duration};
 
-use celerypond_answer::Mode;
+use celerypond_answer::{Copies, Mode};
 use goldenscript::{Argument, Command, Context};
 use rstest::rstest;
 
@@ -26,6 +26,11 @@
                 world.deadline = ms(args.take_key("deadline").unwrap_or("5000"))?;
                 world.drifts = args.take_key("drifts").is_some();
                 world.brings = args.take_key("brings").is_some();
+                world.settle = ms(args.take_key("settle").unwrap_or("0"))?;
+                if let Some(after) = args.take_key("copies") {
+                    let after = after.parse()?;
+                    world.copies = Copies { after, each: 4 };
+                }
                 if args.take_key("mode") == Some("buffered") {
                     world.mode = Mode::Buffered;
                 }
@@ -66,6 +71,7 @@
         ["kill", at] => Fault::Kill(index(at)?),
         ["pause", at, time] => Fault::Pause(index(at)?, ms(time)?),
         ["silence", at] => Fault::Silence(index(at)?),
+        ["slow", at, time] => Fault::Slow(index(at)?, ms(time)?),
         ["load", at, version] => Fault::Load(index(at)?, version.into()),
         ["unload", at] => Fault::Unload(index(at)?),
         ["kill-router", at] => Fault::KillRouter(index(at)?),
