--- a/bench/src/route/overload/model.rs
+++ b/bench/src/route/overload/model.rs
@@ -342,7 +342,9 @@
             ..
         } = self.tries[one];
         let settled = self.jobs[job].started.is_some() || self.now > self.jobs[job].deadline;
-        if !started && !over && !settled {
+        // A probe tells that the engine lives and the request only waits there.
+        let lives = self.way.decides && !self.engines[at].dead;
+        if !started && !over && !settled && !lives {
             self.fail(job, at, Failure::Timeout);
         }
     }
--- a/crates/route/src/ejector.rs
+++ b/crates/route/src/ejector.rs
@@ -25,7 +25,7 @@
     pub least_ms: f64,
     /// At most this share of a pool may be out at a time.
     pub out_share: f64,
-    /// Above this share of bad targets none is treated as bad.
+    /// Above this share of failing targets none is treated as bad.
     pub panic_share: f64,
     /// The first stay outside, in milliseconds; it doubles with each failed probe.
     pub base_ms: u64,
@@ -41,7 +41,7 @@
             failures: 5,
             slowness: 3.0,
             samples: 20,
-            least_ms: 50.0,
+            least_ms: 200.0,
             out_share: 1.0 / 3.0,
             panic_share: 0.5,
             base_ms: 5_000,
@@ -99,7 +99,7 @@
             if alive {
                 health.ramping(now_ms)
             } else {
-                health.out(now_ms, &limits)
+                health.out(now_ms, false, &limits)
             }
         });
     }
@@ -109,17 +109,27 @@
         self.health.retain(|key, _| pool.member(key).is_some());
         let known: Vec<TargetKey> = self.health.keys().collect();
         let median = self.median_ms();
-        let bad = known.iter().copied();
-        let bad: Vec<TargetKey> = bad.filter(|key| self.is_bad(*key, median)).collect();
+        let takes_work = |key: &&TargetKey| self.health[**key].takes_work();
+        let taking: Vec<TargetKey> = known.iter().filter(takes_work).copied().collect();
+        let is_failing = |key: &TargetKey| self.health[*key].failures >= self.limits.failures;
+        let is_slow = |key: &TargetKey| self.is_slow(&self.health[*key], median);
+        let (failing, rest): (Vec<_>, Vec<_>) = taking.into_iter().partition(is_failing);
+        let slow: Vec<TargetKey> = rest.into_iter().filter(is_slow).collect();
         let out = self.health.values().filter(|h| !h.takes_work()).count();
         let mut effects = Vec::new();
         let base = known.len().max(pool.members.len().min(LEAST_KNOWN));
-        let share = (bad.len() + out) as f64 / base.max(1) as f64;
+        // Slow ones do not count: they are compared with the median, so they cannot be most.
+        let failed = self.health.values().filter(|h| !h.takes_work() && !h.slow);
+        let share = (failing.len() + failed.count()) as f64 / base.max(1) as f64;
         self.set_panic(share > self.limits.panic_share, &mut effects);
         if !self.panic {
             let most = (pool.members.len() as f64 * self.limits.out_share).floor() as usize;
-            let room = most.saturating_sub(out);
-            self.eject(&bad[..room.min(bad.len())], now_ms, &mut effects);
+            let lacking = (out + failing.len()).saturating_sub(most);
+            let room = most.saturating_sub(out) + self.return_slow(lacking, now_ms);
+            let failing = &failing[..room.min(failing.len())];
+            let slow = &slow[..(room - failing.len()).min(slow.len())];
+            self.eject(failing, false, now_ms, &mut effects);
+            self.eject(slow, true, now_ms, &mut effects);
         }
         for key in known {
             effects.extend(self.advance(key, now_ms));
@@ -134,14 +144,36 @@
         }
     }
 
-    fn eject(&mut self, bad: &[TargetKey], now_ms: u64, effects: &mut Vec<EjectEffect>) {
+    fn eject(
+        &mut self,
+        bad: &[TargetKey],
+        slow: bool,
+        now_ms: u64,
+        effects: &mut Vec<EjectEffect>,
+    ) {
         let limits = self.limits;
         for key in bad {
-            self.change(*key, |health| health.out(now_ms, &limits));
+            self.change(*key, |health| health.out(now_ms, slow, &limits));
             effects.push(EjectEffect::Weight(*key, 0));
         }
     }
 
+    /// Lets up to `count` slow targets back, so that failing ones can be ejected in their place.
+    ///
+    /// The failure: slow targets use up what may be out, and dead ones, which look idle, draw work
+    /// that fails at once.
+    fn return_slow(&mut self, count: usize, now_ms: u64) -> usize {
+        let out = self
+            .health
+            .iter()
+            .filter(|(_, h)| !h.takes_work() && h.slow);
+        let slow: Vec<TargetKey> = out.map(|(key, _)| key).take(count).collect();
+        for key in &slow {
+            self.change(*key, |health| health.ramping(now_ms));
+        }
+        slow.len()
+    }
+
     /// Moves a target that is out or returning on.
     fn advance(&mut self, key: TargetKey, now_ms: u64) -> Option<EjectEffect> {
         let health = self.health.get(key).copied()?;
@@ -168,13 +200,6 @@
         }
     }
 
-    fn is_bad(&self, key: TargetKey, median: Option<f64>) -> bool {
-        self.health.get(key).is_some_and(|health| {
-            health.takes_work()
-                && (health.failures >= self.limits.failures || self.is_slow(health, median))
-        })
-    }
-
     fn is_slow(&self, health: &Health, median: Option<f64>) -> bool {
         let limit = median.map(|median| (median * self.limits.slowness).max(self.limits.least_ms));
         health.samples >= self.limits.samples && limit.is_some_and(|limit| health.mean_ms > limit)
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -30,6 +30,8 @@
     pub(crate) mean_ms: f64,
     /// The ejections since it last took its whole part.
     times: u32,
+    /// Whether it is out for its latency and not for failures.
+    pub(crate) slow: bool,
 }
 
 impl Health {
@@ -54,13 +56,14 @@
         }
     }
 
-    pub(crate) fn out(self, now_ms: u64, limits: &EjectLimits) -> Self {
+    pub(crate) fn out(self, now_ms: u64, slow: bool, limits: &EjectLimits) -> Self {
         let doubled = limits.base_ms.saturating_mul(1 << self.times.min(16));
         Self {
             state: State::Out {
                 until: now_ms + doubled.min(limits.cap_ms),
             },
             times: self.times + 1,
+            slow,
             ..self
         }
     }
