--- a/daemon/src/engine.rs
+++ b/daemon/src/engine.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use celerypond_telemetry::TraceContext;
 use celerypond_types::{
     AdapterName, Attempt, ModelName, Position, Priority, RequestKey, TokenId, VersionName,
 };
@@ -74,6 +75,32 @@
     pub age_ms: u64,
 }
 
+/// An event of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct CacheChange {
+    /// Its place among the engine's events; numbers that are missing were lost.
+    pub sequence: u64,
+    /// What happened.
+    pub kind: CacheKind,
+    /// The hash of the prefix.
+    pub prefix: u64,
+}
+
+/// What happened to a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheKind {
+    /// The engine holds it from now on.
+    Stored,
+    /// The engine no longer holds it.
+    Evicted,
+}
+
+#[derive(Deserialize)]
+struct CacheChanges {
+    events: Vec<CacheChange>,
+}
+
 /// A stream that an engine has accepted.
 pub struct Open {
     answer: Answer,
@@ -170,6 +197,18 @@
     Ok(serde_json::from_slice(&value).ok())
 }
 
+/// Asks an engine for the events of its cache after a sequence number.
+///
+/// # Errors
+///
+/// A [`CallError`].
+pub async fn cache(address: SocketAddr, since: u64) -> Result<Vec<CacheChange>, Report<CallError>> {
+    let path = format!("/v1/cache?since={since}");
+    let (_, value) = small(address, Method::GET, &path, Vec::new()).await?;
+    let changes: Option<CacheChanges> = serde_json::from_slice(&value).ok();
+    Ok(changes.map_or_else(Vec::new, |changes| changes.events))
+}
+
 async fn open(
     address: SocketAddr,
     method: Method,
@@ -250,11 +289,15 @@
     path: &str,
     value: Vec<u8>,
 ) -> Result<Request<Full<Bytes>>, Report<CallError>> {
-    Request::builder()
+    let mut request = Request::builder()
         .method(method)
         .uri(path)
         .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(context) = TraceContext::of_span(&tracing::Span::current()) {
+        request = request.header("traceparent", context.to_string());
+    }
+    request
         .body(Full::new(value.into()))
         .map_err(|error| Report::new(error).change_context(CallError::Connect))
 }
--- a/daemon/src/front.rs
+++ b/daemon/src/front.rs
@@ -4,6 +4,7 @@
     convert::Infallible, future::Future, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
 };
 
+use celerypond_telemetry::hop;
 use gotham::{
     handler::HandlerResult,
     helpers::http::Body,
@@ -16,6 +17,7 @@
 };
 use http::{header, HeaderValue};
 use tokio::net::TcpListener;
+use tracing::Instrument;
 
 use crate::node::Node;
 
@@ -131,7 +133,10 @@
         headers: HeaderMap::take_from(&mut state),
         body: Body::take_from(&mut state),
     };
-    let mut reply = handler(Arc::clone(&node), call).await;
+    let parent = call.headers.get("traceparent");
+    let parent = parent.and_then(|value| value.to_str().ok()?.parse().ok());
+    let hop = handler(Arc::clone(&node), call).instrument(hop("front", parent));
+    let mut reply = hop.await;
     if node.leaving.is_cancelled() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -20,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::{sync::mpsc, time::Instant};
+use tracing::Instrument;
 
 use crate::{
     admission::Permit,
@@ -223,7 +224,8 @@
         let ask = self.ask(request.key, priority);
         let (pieces, received) = mpsc::channel(PIECES);
         let drive = Drive::new(Arc::clone(node), ask, admitted, pieces);
-        node.work.spawn(drive.run(answer, effects));
+        let drive = drive.run(answer, effects).in_current_span();
+        node.work.spawn(drive);
         Ok(received)
     }
 
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -9,7 +9,7 @@
 use celerypond_platform::Presence;
 use celerypond_rollout::{Failure, Trial};
 use celerypond_route::{InFlight, Route, Target};
-use celerypond_telemetry::Counter;
+use celerypond_telemetry::{hop, Counter};
 use celerypond_types::{RequestKey, TargetKey, TargetName, VersionKey, VersionName};
 use rand::rngs::SmallRng;
 use tokio::{
@@ -18,6 +18,8 @@
     time::{self, Instant},
 };
 
+use tracing::Instrument;
+
 use crate::{
     admission::Permit,
     engine, keeping,
@@ -526,6 +528,7 @@
         task: impl Future<Output = ()> + Send + 'static,
         load: Option<InFlight>,
     ) {
+        let task = task.instrument(hop("target", None));
         let task = self.node.work.spawn(task).abort_handle();
         let open = Open {
             task,
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -65,6 +65,7 @@
         Event::Revision(_) => node.look.notify_one(),
         Event::Brake(brake) => node.rollouts.braked(node, &brake),
         Event::Changed(EntryKind::Acting) => node.rollouts.hear_acting(node),
+        Event::Changed(EntryKind::TargetLeaving) => node.relayed.notify_one(),
         Event::Changed(_) => {}
         Event::Joined(name) => log::info!("instance {name} is known"),
         Event::Suspected(name) => {
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -7,7 +7,10 @@
 use celerypond_types::{AccountName, InstanceName};
 use tokio::time;
 
-use crate::{gossip, node::Node};
+use crate::{
+    gossip,
+    node::{self, Node},
+};
 
 /// How often demand is measured and shares are reckoned.
 const STEP: Duration = Duration::from_secs(1);
@@ -84,7 +87,8 @@
         let changed = (requests, tokens) != (self.demand.requests, self.demand.tokens);
         if changed {
             self.demand = Demand {
-                sequence: self.demand.sequence + 1,
+                // The wall clock rises over a restart, which a count would not.
+                sequence: node::wall_ms().max(self.demand.sequence + 1),
                 requests,
                 tokens,
             };
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -88,6 +88,8 @@
     pub peers: Peers,
     /// This instance's side in rollouts.
     pub rollouts: Rollouts,
+    /// Wakes the watch of targets when peers say that one leaves.
+    pub relayed: Notify,
     /// Wakes the task that brings bundles into force.
     pub look: Notify,
     gossip: Mutex<Gossip>,
@@ -142,6 +144,7 @@
             seal_key,
             peers: Peers::default(),
             rollouts,
+            relayed: Notify::new(),
             look: Notify::new(),
             gossip: Mutex::new(gossip),
             in_force: Mutex::default(),
--- a/daemon/src/service_call.rs
+++ b/daemon/src/service_call.rs
@@ -6,13 +6,14 @@
 use celerypond_bundle::Service;
 use celerypond_ledger::{BodyTag, Finished, Proof, Reply, Unsent};
 use celerypond_route::{Ask, Failure, InFlight, Route, Verdict};
-use celerypond_telemetry::{Counter, TraceContext};
+use celerypond_telemetry::{hop, Counter, TraceContext};
 use celerypond_types::{NotRunReason, Outcome, TargetKey};
 use gotham::hyper::{HeaderMap, Method};
 use http::{header, HeaderName, HeaderValue, Request};
 use http_body_util::Full;
 use smol_str::SmolStr;
 use tokio::time::{self, Instant};
+use tracing::Instrument;
 
 use crate::{
     body,
@@ -240,7 +241,11 @@
         };
         let left = self.deadline.saturating_duration_since(Instant::now());
         let exchange = async {
-            let answer = connected.fresh.send(request, left).await?;
+            let answer = connected
+                .fresh
+                .send(request, left)
+                .instrument(hop("target", None))
+                .await?;
             let (head, body) = answer.response.into_parts();
             // The connection is closed with its answer, so no later call can meet a late one.
             let value = body::read(body, ANSWER).await;
--- a/daemon/src/target_watch.rs
+++ b/daemon/src/target_watch.rs
@@ -3,10 +3,14 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use celerypond_bundle::TargetKind;
+use celerypond_fleet::EntryKind;
 use celerypond_platform::Presence;
-use celerypond_route::{Departure, EjectEffect, EjectLimits, Ejector, Route, Target, View, Word};
+use celerypond_route::{
+    CacheEvent, Caches, Departure, EjectEffect, EjectLimits, Ejector, Relay, Route, Target, View,
+    Word,
+};
 use celerypond_telemetry::{Counter, Gauge};
-use celerypond_types::{TargetKey, VersionName};
+use celerypond_types::{TargetKey, TargetName, VersionName};
 use rand::{rngs::SmallRng, Rng};
 use slotmap::SecondaryMap;
 use tokio::{
@@ -15,7 +19,11 @@
     time::{self, Instant},
 };
 
-use crate::{engine, node::Node};
+use crate::{
+    engine::{self, CacheChange, CacheKind},
+    gossip,
+    node::Node,
+};
 
 /// How often pools are surveyed and ejections are decided.
 const STEP: Duration = Duration::from_millis(100);
@@ -52,6 +60,7 @@
     word: Option<Word>,
     versions: Option<Vec<VersionName>>,
     load: Option<engine::Load>,
+    cache: Vec<CacheChange>,
 }
 
 struct Watch {
@@ -63,6 +72,10 @@
     /// Pools in which a target was asked for its health on behalf of their ejectors.
     probed: SecondaryMap<TargetKey, Vec<Route>>,
     polls: JoinSet<Polled>,
+    caches: Caches,
+    /// The last cache event of each engine.
+    events: SecondaryMap<TargetKey, u64>,
+    is_cache_new: bool,
 }
 
 /// Watches targets until the instance ends.
@@ -74,6 +87,9 @@
         ejectors: HashMap::new(),
         probed: SecondaryMap::new(),
         polls: JoinSet::new(),
+        caches: Caches::default(),
+        events: SecondaryMap::new(),
+        is_cache_new: false,
         node: Arc::clone(&node),
     };
     let mut step = time::interval(STEP);
@@ -82,6 +98,7 @@
             () = node.ending.cancelled() => break,
             _ = step.tick() => watch.step(),
             Some(event) = events.recv() => watch.event(event),
+            () = node.relayed.notified() => watch.hear_peers(),
             Some(Ok(polled)) = watch.polls.join_next() => watch.polled(&polled),
         }
     }
@@ -94,6 +111,7 @@
         let view = self.node.view.load_full();
         let now_ms = view.clock().millis(now);
         self.read_list(&view, now_ms);
+        self.index_caches();
         self.retain(&view);
         view.survey(now);
         self.eject(&view, now_ms);
@@ -138,12 +156,56 @@
             let sampled_ms = polled.sent_ms.saturating_sub(load.age_ms);
             target.gauge.report(sampled_ms, load.running + load.queued);
         }
+        for change in &polled.cache {
+            self.events.insert(polled.target, change.sequence);
+            let event = match change.kind {
+                CacheKind::Stored => CacheEvent::Stored(change.prefix),
+                CacheKind::Evicted => CacheEvent::Evicted(change.prefix),
+            };
+            self.caches.take(polled.target, change.sequence, event);
+            self.is_cache_new = true;
+        }
         for route in self.probed.remove(polled.target).unwrap_or_default() {
             let alive = polled.word.is_some();
             self.ejector(route).probed(polled.target, alive, now_ms);
         }
     }
 
+    fn index_caches(&mut self) {
+        if std::mem::take(&mut self.is_cache_new) {
+            let index = Arc::new(self.caches.index());
+            let cached = |view: &Arc<View>| view.with_cache(Arc::clone(&index));
+            self.node.view.rcu(cached);
+        }
+    }
+
+    /// Takes the words of leaving that other instances pass on.
+    fn hear_peers(&mut self) {
+        let view = self.node.view.load_full();
+        let now_ms = view.clock().millis(Instant::now());
+        let words: Vec<(TargetName, Vec<Relay>)> = {
+            let gossip = self.node.gossip();
+            let items = gossip.state().items(EntryKind::TargetLeaving);
+            items
+                .filter_map(|(_, item)| {
+                    let relays = serde_json::from_slice(&item.value).ok()?;
+                    Some((TargetName::new(&item.key), relays))
+                })
+                .collect()
+        };
+        for (name, relays) in words {
+            let Some((key, target)) = view
+                .key(&name)
+                .and_then(|key| Some((key, view.target(key)?)))
+            else {
+                continue;
+            };
+            for relay in relays {
+                self.say(key, target, |departure| departure.peer_says(relay, now_ms));
+            }
+        }
+    }
+
     fn read_list(&mut self, view: &View, now_ms: u64) {
         let list = self.node.list.load_full();
         for listed in &list.targets {
@@ -169,9 +231,22 @@
                 "back"
             };
             log::info!("target {} is {state}", target.name);
+            self.pass_on(target, after);
         }
     }
 
+    /// Tells the other instances that a target leaves; they may be cut off from it and the list.
+    fn pass_on(&self, target: &Target, departure: Departure) {
+        let name = target.name.as_str();
+        let relays: Vec<Relay> = departure.relays(self.node.now_ms()).collect();
+        if relays.is_empty() {
+            self.node.gossip().clear(EntryKind::TargetLeaving, name);
+            return;
+        }
+        let value = serde_json::to_vec(&relays).unwrap_or_default();
+        gossip::set(&self.node, EntryKind::TargetLeaving, name, value);
+    }
+
     fn retain(&mut self, view: &View) {
         self.departures.retain(|key, _| view.target(key).is_some());
         self.due.retain(|key, _| view.target(key).is_some());
@@ -212,7 +287,9 @@
             // Jitter keeps instances from asking a target in step.
             let next = now_ms + self.rng.random_range(POLL_MS / 2..POLL_MS * 3 / 2);
             self.due.insert(key, next);
-            self.polls.spawn(poll(key, Arc::clone(target), now_ms));
+            let since = self.events.get(key).copied().unwrap_or(0);
+            self.polls
+                .spawn(poll(key, Arc::clone(target), now_ms, since));
         }
     }
 
@@ -242,16 +319,21 @@
     }
 }
 
-async fn poll(key: TargetKey, target: Arc<Target>, sent_ms: u64) -> Polled {
-    let (health, load) = match target.kind {
+async fn poll(key: TargetKey, target: Arc<Target>, sent_ms: u64, since: u64) -> Polled {
+    let address = target.address;
+    let (health, load, cache) = match target.kind {
         TargetKind::Engine => tokio::join!(
-            engine::health(target.address, "/v1/health"),
-            engine::load(target.address, "/v1/load"),
-        ),
-        TargetKind::Service => tokio::join!(
-            engine::health(target.address, "/health"),
-            engine::load(target.address, "/health"),
+            engine::health(address, "/v1/health"),
+            engine::load(address, "/v1/load"),
+            engine::cache(address, since),
         ),
+        TargetKind::Service => {
+            let (health, load) = tokio::join!(
+                engine::health(address, "/health"),
+                engine::load(address, "/health"),
+            );
+            (health, load, Ok(Vec::new()))
+        }
     };
     let health = health.ok().flatten();
     Polled {
@@ -260,6 +342,7 @@
         word: health.as_ref().map(|health| word(health.state)),
         versions: health.map(|health| health.versions),
         load: load.ok().flatten(),
+        cache: cache.unwrap_or_default(),
     }
 }
 
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -1,7 +1,7 @@
 //! The stand-in engine.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -14,6 +14,7 @@
 };
 use futures::stream;
 use http::{Method, Request, StatusCode};
+use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::{sync::watch, time};
@@ -26,6 +27,9 @@
     stream::{Next, Stream},
 };
 
+/// The lengths of the prompt beginnings that the cache tells of, in bytes.
+const PREFIXES: [usize; 3] = [512, 2048, 8192];
+
 /// What an engine is and how fast.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -66,6 +70,38 @@
     orders: Vec<OrderRequest>,
     starts: Vec<SmolStr>,
     failures: u32,
+    cached: Vec<CacheEvent>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct CacheEvent {
+    sequence: u64,
+    kind: &'static str,
+    prefix: u64,
+}
+
+#[derive(Serialize)]
+struct CacheEvents {
+    events: Vec<CacheEvent>,
+}
+
+impl Inner {
+    /// Remembers the beginnings of a prompt, as an engine's prefix cache does.
+    fn remember(&mut self, prompt: &str) {
+        for length in PREFIXES {
+            let Some(prefix) = prompt.as_bytes().get(..length) else {
+                continue;
+            };
+            let prefix = rapidhash_v3(prefix);
+            if self.cached.iter().all(|event| event.prefix != prefix) {
+                self.cached.push(CacheEvent {
+                    sequence: self.cached.len() as u64 + 1,
+                    kind: "stored",
+                    prefix,
+                });
+            }
+        }
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -255,7 +291,7 @@
             "/_log" => reply::json(StatusCode::OK, &self.log()),
             "/v1/health" => reply::json(StatusCode::OK, &self.health()),
             "/v1/load" => reply::json(StatusCode::OK, &self.load()),
-            "/v1/cache" => reply::json(StatusCode::OK, &BTreeMap::from([("events", [(); 0])])),
+            "/v1/cache" => reply::json(StatusCode::OK, &self.cache(request.uri().query())),
             "/v1/orders" => self.order(request.body()),
             "/v1/generate" => self.generate(request.body()),
             _ => match path.strip_prefix("/v1/streams/") {
@@ -287,6 +323,16 @@
         }
     }
 
+    fn cache(&self, query: Option<&str>) -> CacheEvents {
+        let since = query.and_then(|query| query.strip_prefix("since="));
+        let since: u64 = since.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let inner = self.lock();
+        let news = inner.cached.iter().filter(|event| event.sequence > since);
+        CacheEvents {
+            events: news.cloned().collect(),
+        }
+    }
+
     fn order(&self, body: &[u8]) -> Reply {
         let Ok(order) = serde_json::from_slice::<OrderRequest>(body) else {
             return reply::empty(StatusCode::BAD_REQUEST);
@@ -323,6 +369,7 @@
         if running_streams(&inner) >= self.shared.settings.slots {
             return reply::unavailable(1);
         }
+        inner.remember(&call.prompt);
         let stream = Arc::new(Stream::new(call.version.clone(), call.prefix.len() as u32));
         let key = (call.request.clone(), call.attempt);
         inner.streams.insert(key, stream.clone());
