--- a/crates/answer/tests/runner.rs
+++ b/crates/answer/tests/runner.rs
@@ -7,4 +7,5 @@
 mod test_scripts;
 mod test_splice;
 mod test_stall;
+mod test_takeover;
 mod world;
--- /dev/null
+++ b/crates/answer/tests/test_takeover.rs
@@ -0,0 +1,133 @@
+//! What an instance goes on from when it takes an answer over.
+
+use std::time::Duration;
+
+use celerypond_answer::{
+    ChainDigest, Driver, Effect, Generation, GenerationLimits, Input, KeeperRecord, Link, Mode,
+    Origin, Patience, Request, ResumeToken, SealKey, Stream, TakeOver, TakeOverError,
+};
+use celerypond_types::{Attempt, Digest, Position, TokenId};
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// The caller has the tokens 0 to 4, the last of them from engine 1, attempt 1.
+fn token() -> ResumeToken {
+    ResumeToken {
+        origin: origin(1, "v1"),
+        position: Position(5),
+        digest: ChainDigest::of(&tokens(5)),
+    }
+}
+
+fn tokens(count: u32) -> Vec<TokenId> {
+    (0..count).map(TokenId).collect()
+}
+
+fn origin(number: u32, version: &str) -> Origin {
+    Origin {
+        attempt: Attempt(number),
+        stream: Stream {
+            target: format!("e{number}").as_str().into(),
+            attempt: Attempt(number),
+        },
+        version: version.into(),
+        seed: 1,
+    }
+}
+
+fn record(number: u32, version: &str, prefix: Vec<TokenId>) -> KeeperRecord {
+    KeeperRecord {
+        key: "r".into(),
+        origin: origin(number, version),
+        instance: "a".into(),
+        digest: ChainDigest::of(&prefix),
+        prefix,
+        text: String::new(),
+        remaining: 1000,
+    }
+}
+
+fn plan(record: Option<KeeperRecord>, brought: &[TokenId]) -> Result<TakeOver, TakeOverError> {
+    let plan = TakeOver::plan(Driver::new(1), Some(&token()), record.as_ref(), brought);
+    plan.map(Option::unwrap)
+}
+
+// The caller comes to another instance with its resume token. Which stream is read first, and from
+// which place, decides whether the answer goes on at once, is generated again, or can't be proved.
+#[rstest]
+#[case::keepers_lost(None, 1, None, 0)]
+#[case::same_stream(Some(record(1, "v1", tokens(3))), 1, None, 3)]
+#[case::driver_moved_on(Some(record(2, "v1", tokens(4))), 2, Some(1), 4)]
+#[case::driver_was_ahead_of_the_caller(Some(record(2, "v1", tokens(9))), 2, Some(1), 5)]
+#[case::record_of_another_sequence(Some(record(2, "v1", vec![TokenId(7); 9])), 1, None, 0)]
+#[case::record_of_another_version(Some(record(2, "v2", tokens(4))), 1, None, 0)]
+#[case::record_older_than_the_token(Some(record(0, "v1", tokens(4))), 1, None, 0)]
+fn stream_and_place_to_read_from(
+    #[case] record: Option<KeeperRecord>,
+    #[case] engine: u32,
+    #[case] other: Option<u32>,
+    #[case] known: u32,
+) {
+    let attempt = record.as_ref().map_or(Attempt(1), KeeperRecord::attempt);
+    let plan = plan(record, &[]).unwrap();
+    assert_eq!(plan.origin, origin(engine, "v1"));
+    assert_eq!(plan.other, other.map(|other| origin(other, "v1")));
+    assert_eq!(plan.tokens, tokens(known));
+    assert!(plan.attempt > attempt.max(Attempt(1)));
+}
+
+#[rstest]
+#[case::all(tokens(5), Ok(5))]
+#[case::more_than_the_token_names(tokens(7), Ok(5))]
+#[case::fewer(tokens(4), Err(TakeOverError::Tokens))]
+#[case::others(vec![TokenId(9); 5], Err(TakeOverError::Tokens))]
+fn tokens_that_the_caller_brings_must_be_its_own(
+    #[case] brought: Vec<TokenId>,
+    #[case] expected: Result<u32, TakeOverError>,
+) {
+    let found = plan(None, &brought).map(|plan| plan.tokens);
+    assert_eq!(found, expected.map(tokens));
+}
+
+// The engine of the later attempt is dead, but the one that the caller's last token came from
+// lives: the connection is refused, and the caller's own stream is read before anything is started.
+#[test]
+fn callers_own_stream_is_read_if_the_later_one_is_gone() {
+    let now = Instant::now();
+    let plan = plan(Some(record(2, "v1", tokens(4))), &[]).unwrap();
+    let request = Request {
+        key: "r".into(),
+        body: Digest::of(b"body"),
+        seed: 1,
+        limit: 100,
+        mode: Mode::Streamed,
+        deadline: now + Duration::from_secs(60),
+        instance: "b".into(),
+    };
+    let patience = Patience {
+        first: Duration::from_secs(1),
+        gap: Duration::from_secs(1),
+        probe: Duration::from_secs(1),
+        stuck: Duration::from_secs(1),
+    };
+    let seal = request.seal(&SealKey::new([7; 32]));
+    let limits = GenerationLimits::default();
+    let mut out = Vec::new();
+    let mut answer = Generation::take_over(request, limits, seal, plan, patience, now, &mut out);
+    assert_eq!(resumed(&out), [("e2", 4)]);
+    assert!(out
+        .iter()
+        .any(|effect| matches!(effect, Effect::Tell(former, _) if former.as_str() == "a")));
+    out.clear();
+    answer.step(now, Input::Closed(Link(1)), &mut out);
+    assert_eq!(resumed(&out), [("e1", 0)]);
+    assert!(!out.iter().any(|effect| matches!(effect, Effect::Choose(_))));
+}
+
+fn resumed(out: &[Effect]) -> Vec<(&str, u32)> {
+    let resumes = out.iter().filter_map(|effect| match effect {
+        Effect::Resume { stream, from, .. } => Some((stream.target.as_str(), from.0)),
+        _ => None,
+    });
+    resumes.collect()
+}
--- a/crates/answer/tests/world/instances.rs
+++ b/crates/answer/tests/world/instances.rs
@@ -66,10 +66,14 @@
                 self.after(WIRE, Act::Call(index(&stream.target), call));
             }
             Effect::Keep(record) => self.keep(drive, &record),
-            Effect::Copy(copy) => self
-                .keepers
-                .iter_mut()
-                .for_each(|keeper| keeper.extend(&copy)),
+            Effect::Copy(copy) => {
+                self.note(
+                    drive,
+                    format!("copy {} from {}", copy.tokens.len(), copy.from),
+                );
+                let keepers = self.keepers.iter_mut();
+                keepers.for_each(|keeper| keeper.extend(&copy));
+            }
             Effect::Forget(key, attempt) => self
                 .keepers
                 .iter_mut()
