fleet: end an exchange with its follow-up

The daemon sends a follow-up as it sends a request and gives its answer back to answered(), which returned a further one whenever the answer said hello. Two instances that refuse each other's identity would have gone on without end. Only the answer to a request that asked for differences is followed up now.

An identity is encoded in the short form, as all else on the wire.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 
+use bincode::Options as _;
 use celerypond_types::{InstanceKey, InstanceName, Revision};
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
@@ -239,7 +240,9 @@
     }
 
     fn introduce(&mut self) {
-        let value = bincode::serialize(&self.identity).unwrap_or_default();
+        let value = bincode::options()
+            .serialize(&self.identity)
+            .unwrap_or_default();
         // A name and an address are far below the bound, and the slot is the first one.
         let _ = self.set(EntryKind::Identity, "", value.into());
     }
--- a/crates/fleet/src/gossip/exchange.rs
+++ b/crates/fleet/src/gossip/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bincode::Options as _;
 use celerypond_types::InstanceKey;
 use tokio::time::Instant;
 
@@ -65,11 +66,14 @@
             self.judge(key, from, now);
         }
         self.note(false);
+        // Only a request that asked for differences is followed up, and a follow-up does not ask.
+        // Two instances that cannot come to know each other would otherwise go on without end.
+        let summary = summary?;
         let mut more = Message::new(self.origin, Some(from));
         if hello {
             more.deltas.extend(self.control(self.origin));
         }
-        if summary.is_some_and(|summary| summary != self.facts.summary()) {
+        if summary != self.facts.summary() {
             more.facts = self.facts.clone();
         }
         if more.facts.is_empty() && more.deltas.is_empty() {
@@ -227,7 +231,7 @@
             let item = entry.item.as_ref()?;
             (item.kind == EntryKind::Identity).then_some(item)
         })?;
-        let identity: Identity = bincode::deserialize(&item.value).ok()?;
+        let identity: Identity = bincode::options().deserialize(&item.value).ok()?;
         if identity.origin() != delta.origin {
             return None;
         }
--- a/crates/fleet/tests/test_gossip.rs
+++ b/crates/fleet/tests/test_gossip.rs
@@ -179,3 +179,23 @@
     let mut mesh = Mesh::new(150, Settings::default(), 1);
     assert!(mesh.run_until(60 * SECOND, all_live));
 }
+
+// Two instances answer each other, and one says every time that it does not know the other, as it
+// refuses what the other says of itself. Each exchange must end; before, one led to the next at once
+// and without end, and both spent their whole budget on it.
+#[test]
+fn an_exchange_ends_with_its_follow_up() {
+    let mut mesh = Mesh::new(2, Settings::default(), 1);
+    mesh.node(1).raise(Revision(3));
+    let now = mesh.now;
+    let request = mesh.node(0).tick(now).remove(0);
+    let mut answer = mesh.node(1).receive(request.message, now);
+    answer.hello = true;
+    answer.facts = Facts::default();
+    mesh.node(0).raise(Revision(5));
+    let more = mesh.node(0).answered(None, answer, now).unwrap();
+    let mut last = mesh.node(1).receive(more, now);
+    assert_eq!(mesh.node(1).facts().revision(), Revision(5));
+    last.hello = true;
+    assert_eq!(mesh.node(0).answered(None, last, now), None);
+}
