ledger: look at the queue once when the log changes

Each change of the log compared every waiting call with every other, and each outcome did so too though nobody can wait for it.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -69,9 +69,12 @@
         let mut queue = std::mem::take(&mut callers.queue);
         let joined = callers.join(&mut queue, &pending);
         callers.queue = queue;
-        if joined {
-            return;
+        if !joined {
+            self.sort(pending, now);
         }
+    }
+
+    fn sort(&mut self, pending: Pending, now: Instant) {
         match self.log.as_ref().and_then(|log| log.entry(pending.key)) {
             None => self.enqueue(pending, now),
             Some(entry) => self.meet(&entry.clone(), pending, now),
@@ -110,10 +113,14 @@
 
     /// Looks again at all who wait, after the log or its ends changed.
     pub(crate) fn admit_again(&mut self, flying: &mut [Pending], now: Instant) {
-        let callers = &mut self.callers;
-        let mut waiting = std::mem::take(&mut callers.queue);
-        waiting.append(&mut callers.followers);
-        for pending in waiting {
+        let queue = std::mem::take(&mut self.callers.queue);
+        let followers = std::mem::take(&mut self.callers.followers);
+        // No two calls of the queue have the same key, so they need no look at each other, which
+        // would take long when many wait.
+        for pending in queue {
+            self.sort(pending, now);
+        }
+        for pending in followers {
             self.admit(flying, pending, now);
         }
     }
@@ -160,7 +167,7 @@
     ///
     /// An outcome that comes after its callers were told unknown still goes into the log: the process
     /// was paused, and a retry gets the result, or a free key.
-    pub(crate) fn finish(&mut self, flying: &mut [Pending], finished: Finished, now: Instant) {
+    pub(crate) fn finish(&mut self, finished: Finished, now: Instant) {
         let Some(Intent { key, number }) = finished.intent() else {
             return;
         };
@@ -184,9 +191,9 @@
             Outcome::NotRun { .. } => State::Released,
             Outcome::Unknown => State::Unknown,
         };
+        // Nobody else waits for this key: who asked meanwhile joined the call.
         self.callers.outcome(&callers, outcome);
         self.end(Record { key, body, state }, now);
-        self.admit_again(flying, now);
     }
 
     /// Lets a call be sent whose intent is in the log.
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -81,7 +81,7 @@
 
     /// Takes the outcome of a call that was to be sent.
     pub fn finish(&mut self, finished: Finished, now: Instant) -> Vec<Effect> {
-        self.book.finish(self.step.calls(), finished, now);
+        self.book.finish(finished, now);
         self.advance(now)
     }
 
