rollout: keep to the share of all traffic when callers prefer one instance

Cause: the local share of the few senders assumed equal traffic. With half of all requests at one of them, the version got more than the stage allows. A sender that gets more than the mean lowers its share by that factor. The daemon tells it how much it gets (Agent::set_traffic).

--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -54,6 +54,7 @@
     splitters: BTreeMap<Candidate, Splitter>,
     last: BTreeMap<Candidate, u32>,
     witness: BTreeMap<Subject, bool>,
+    traffic: BTreeMap<ModelName, f64>,
     is_synced: bool,
 }
 
@@ -79,6 +80,7 @@
             splitters: BTreeMap::new(),
             last: BTreeMap::new(),
             witness: BTreeMap::new(),
+            traffic: BTreeMap::new(),
             is_synced: false,
         }
     }
@@ -108,6 +110,11 @@
         self.parts = parts;
     }
 
+    /// Takes how much traffic for a model this instance gets, relative to the mean over all instances.
+    pub fn set_traffic(&mut self, model: ModelName, relative: f64) {
+        self.traffic.insert(model, relative);
+    }
+
     /// Takes the list of live instances.
     pub fn set_live(&mut self, live: &[InstanceName]) {
         self.live = live.to_vec();
--- a/crates/rollout/src/agent/traffic.rs
+++ b/crates/rollout/src/agent/traffic.rs
@@ -57,6 +57,9 @@
             .as_ref()
             .is_none_or(|all| all.contains(&self.me));
         match record.phase {
+            Phase::Stage { .. } if is_sender && record.senders.is_some() => {
+                self.local_share(candidate, record.local_ppm)
+            }
             Phase::Stage { .. } if is_sender => record.local_ppm,
             Phase::Stage { .. } | Phase::Superseded => record.change.from_ppm,
             Phase::Closing | Phase::Done => record.change.to_ppm,
@@ -64,6 +67,15 @@
         }
     }
 
+    /// Lowers the local share of one of few senders that gets more traffic than others.
+    ///
+    /// The share of a stage is of all traffic. Callers choose instances as they like; if one of the few
+    /// senders gets three times its part, so would the version.
+    fn local_share(&self, candidate: &Candidate, local_ppm: u32) -> u32 {
+        let relative = self.traffic.get(&candidate.model).copied().unwrap_or(1.0);
+        (f64::from(local_ppm) / relative.max(1.0)) as u32
+    }
+
     /// Returns how many engines serve a version now, out of those that the bundle names.
     pub fn engines(&self, origin: Revision, candidate: &Candidate) -> Option<u32> {
         let record = self.rollouts.get(&origin)?.find(candidate)?;
--- a/crates/rollout/tests/fake_fleet.rs
+++ b/crates/rollout/tests/fake_fleet.rs
@@ -80,6 +80,8 @@
     pub(crate) killed: f64,
     /// Whether to note when the evidence in all instances together first suffices, which costs time.
     pub(crate) proves: bool,
+    /// An instance that half of all requests go to.
+    pub(crate) favourite: Option<usize>,
 }
 
 impl Setting {
@@ -98,6 +100,7 @@
             lost: 0.0,
             killed: 0.0,
             proves: false,
+            favourite: None,
         }
     }
 
@@ -174,6 +177,7 @@
     is_cut: bool,
     incarnation: u64,
     base_open: u32,
+    served: u64,
     counts: (Option<(u8, u32)>, u64, u64),
 }
 
@@ -308,6 +312,7 @@
             is_cut: false,
             incarnation,
             base_open: 0,
+            served: 0,
             counts: (None, 0, 0),
         }
     }
@@ -433,6 +438,10 @@
         let wait_s = self.exponential(1.0 / self.setting.rate);
         self.at(self.now + (wait_s * 1_000.0) as u64, Event::Arrive);
         let node = self.rng.random_range(0..self.nodes.len());
+        let node = match self.setting.favourite {
+            Some(favourite) if self.rng.random_bool(0.5) => favourite,
+            _ => node,
+        };
         if !self.serves(node) {
             return;
         }
@@ -496,6 +505,7 @@
         let entry = outcome.stages.entry(stage).or_default();
         *entry = (entry.0 + 1, entry.1 + u64::from(is_new));
         outcome.sent += 1;
+        self.nodes[node].served += 1;
         let counts = &mut self.nodes[node].counts;
         if counts.0 != Some((stage, share)) {
             *counts = (Some((stage, share)), 0, 0);
@@ -661,6 +671,11 @@
         let base_open = self.nodes[at].base_open;
         let revision = ORIGIN;
         self.nodes[at].agent.acting(revision, |_, _| base_open);
+        if self.setting.favourite.is_some() {
+            let mean = self.outcome.sent as f64 / self.nodes.len() as f64;
+            let relative = self.nodes[at].served as f64 / mean.max(1.0);
+            self.nodes[at].agent.set_traffic("draft".into(), relative);
+        }
         self.weigh(at);
         self.gossip(at);
         self.drive(at);
