--- a/crates/rollout/tests/test_rollout.rs
+++ b/crates/rollout/tests/test_rollout.rs
@@ -107,6 +107,25 @@
     }
 }
 
+#[rstest]
+fn no_stage_sends_more_of_all_traffic_to_the_version_than_it_may(
+    #[values(None, Some(0), Some(1), Some(2), Some(3), Some(4), Some(5), Some(6))]
+    favourite: Option<usize>,
+) {
+    // Callers of all instances together. Half of them may prefer one instance, which may be one of the
+    // few that send to the version. Only chance may carry the share of a stage above its cap.
+    let caps = [0.1, 0.1, 0.3, 0.6, 0.9, 1.0];
+    let setting = Setting {
+        favourite,
+        ..quick(Kind::Good)
+    };
+    for (stage, (all, new)) in run(setting, 0).stages {
+        let mean = all as f64 * caps[usize::from(stage)];
+        let most = mean + 4.0 * mean.sqrt() + 1.0;
+        assert!(new as f64 <= most, "stage {stage}: {new} of {all}");
+    }
+}
+
 #[rstest]
 #[case::isolated(Trouble::Isolate(3, true), Trouble::Isolate(3, false))]
 #[case::paused(Trouble::Pause(3, true), Trouble::Pause(3, false))]
