fleet: choose without putting all candidates in order

The key is hashed once, and each choice is one pass over the candidates. The tests of the choice stand as they are.

--- a/crates/fleet/src/rendezvous.rs
+++ b/crates/fleet/src/rendezvous.rs
@@ -35,27 +35,41 @@
 /// assert_ne!(keepers[0].data_centre, keepers[1].data_centre);
 /// ```
 pub fn choose<'a>(key: &[u8], candidates: &[Candidate<'a>], count: usize) -> Vec<Candidate<'a>> {
+    let key = rapidhash_v3(key);
     let mut ranked: Vec<(u64, Candidate<'a>)> = candidates
         .iter()
         .map(|candidate| (weight(key, candidate.name), *candidate))
         .collect();
-    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.name.cmp(b.1.name)));
     let mut chosen: Vec<Candidate<'a>> = Vec::with_capacity(count);
     for apart in [true, false] {
-        for (_, candidate) in &ranked {
-            let near = |c: &Candidate<'a>| c.data_centre == candidate.data_centre;
-            let taken = chosen.contains(candidate) || apart && chosen.iter().any(near);
-            if chosen.len() < count && !taken {
-                chosen.push(*candidate);
-            }
+        while chosen.len() < count {
+            let Some(at) = first(&ranked, &chosen, apart) else {
+                break;
+            };
+            chosen.push(ranked.swap_remove(at).1);
         }
     }
     chosen
 }
 
-/// Returns the weight of an instance for a key.
-pub(crate) fn weight(key: &[u8], name: &InstanceName) -> u64 {
-    let mut bytes = rapidhash_v3(key).to_le_bytes().to_vec();
-    bytes.extend_from_slice(name.as_str().as_bytes());
+/// Returns the place of the heaviest candidate, if `apart` outside the data centres of the chosen.
+///
+/// A pass for each choice costs less than to put all in order, as few are chosen of many.
+fn first(ranked: &[(u64, Candidate<'_>)], chosen: &[Candidate<'_>], apart: bool) -> Option<usize> {
+    let near = |candidate: &Candidate<'_>| {
+        let mut centres = chosen.iter().map(|c| c.data_centre);
+        apart && centres.any(|centre| centre == candidate.data_centre)
+    };
+    let open = ranked.iter().enumerate().filter(|(_, (_, c))| !near(c));
+    open.max_by_key(|(_, (weight, candidate))| (*weight, candidate.name))
+        .map(|(at, _)| at)
+}
+
+/// Returns the weight of an instance for the hash of a key.
+fn weight(key: u64, name: &InstanceName) -> u64 {
+    let name = rapidhash_v3(name.as_str().as_bytes());
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&name.to_le_bytes());
     rapidhash_v3(&bytes)
 }
