daemon: test whole instances under failure

Found and mended: a fresh instance refused the first request of every account ('the account is over its limit') until demand was first measured; new accounts now begin with an even part. One test binary a crate.

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -16,7 +16,7 @@
 use celerypond_fleet::{Gossip, Identity, Incarnation, Keepers};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
-use celerypond_route::{Backoff, RetryBudget, View};
+use celerypond_route::{Backoff, Part, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use celerypond_types::{RequestKey, TargetName, VersionName};
 use rand::{rngs::SmallRng, SeedableRng};
@@ -172,8 +172,10 @@
             return false;
         }
         self.rollouts.set_force(&force);
-        self.view
+        let before = self
+            .view
             .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
+        self.share_evenly(&before);
         self.metrics.add(Counter::Bundles, 1);
         self.metrics.set(Gauge::Revision, force.revision().0);
         log::info!(
@@ -184,6 +186,25 @@
         true
     }
 
+    /// Gives accounts that are new here an even part of their limits.
+    ///
+    /// The failure: until demand was measured, a second later, each of their requests would be refused.
+    fn share_evenly(&self, before: &View) {
+        let view = self.view.load();
+        let instances = self.list.load().instances.len().max(1) as f64;
+        let part = Part {
+            requests: 1.0 / instances,
+            tokens: 1.0 / instances,
+        };
+        let now_ms = self.now_ms();
+        let is_new = |name| before.accounts().key(name).is_none();
+        for (_, entry) in view.accounts().iter() {
+            if is_new(&entry.account.name) {
+                entry.meter.set_account(&entry.account, part, now_ms);
+            }
+        }
+    }
+
     /// Passes on what a request tells of a target; under a flood some of it is dropped.
     pub fn tell(&self, event: TargetEvent) {
         // A full channel means that plenty is known already.
--- /dev/null
+++ b/daemon/tests/runner.rs
@@ -0,0 +1,9 @@
+//! Whole instances on loopback, under failure.
+
+mod fleet;
+mod test_answers;
+mod test_bundles;
+mod test_calls;
+mod test_front;
+mod test_rollouts;
+mod test_targets;
--- /dev/null
+++ b/daemon/tests/test_front.rs
@@ -0,0 +1,148 @@
+//! What callers are told about bad requests.
+
+use std::time::Duration;
+
+use celerypond_cli::{Called, Client};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use rstest::rstest;
+use serde_json::{json, Value};
+
+use crate::fleet::{get, Fleet, ACCOUNT_KEY};
+
+const GAP: Duration = Duration::from_millis(1);
+
+async fn post(fleet: &Fleet, path: &str, headers: &[(&str, &str)], body: Vec<u8>) -> (u16, Value) {
+    let address = fleet.instances[0].address;
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header("host", "x");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into())).unwrap();
+    let fresh = celerypond_daemon::http_call::Fresh::connect(address)
+        .await
+        .unwrap();
+    let answer = fresh.send(request, Duration::from_secs(5)).await.unwrap();
+    let status = answer.response.status().as_u16();
+    let body = answer
+        .response
+        .into_body()
+        .collect()
+        .await
+        .unwrap()
+        .to_bytes();
+    (status, serde_json::from_slice(&body).unwrap_or_default())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_their_errors() {
+    let fleet = Fleet::start(GAP).await;
+    let key = ("authorization", "Bearer showroom-key");
+    let wrong = ("authorization", "Bearer nobody");
+    let good = json!({"model": "drafts", "prompt": "x", "max_tokens": 2});
+    let cases = [
+        ("no key", vec![], good.clone(), 401, "unauthorized"),
+        ("wrong key", vec![wrong], good.clone(), 401, "unauthorized"),
+        (
+            "no model",
+            vec![key],
+            json!({"model": "x", "prompt": "x"}),
+            404,
+            "not_found",
+        ),
+        (
+            "field",
+            vec![key],
+            json!({"model": "drafts", "colour": 1}),
+            400,
+            "bad_request",
+        ),
+        (
+            "tokens",
+            vec![key],
+            json!({"model": "drafts", "prompt": "x", "max_tokens": 0}),
+            400,
+            "bad_request",
+        ),
+        (
+            "request key",
+            vec![key, ("idempotency-key", "a/b")],
+            good.clone(),
+            400,
+            "bad_request",
+        ),
+        (
+            "deadline",
+            vec![key, ("celerypond-deadline-ms", "soon")],
+            good.clone(),
+            400,
+            "bad_request",
+        ),
+        (
+            "priority",
+            vec![key, ("celerypond-priority", "high")],
+            good.clone(),
+            400,
+            "bad_request",
+        ),
+        (
+            "token",
+            vec![key, ("last-event-id", "abc")],
+            good.clone(),
+            400,
+            "bad_request",
+        ),
+    ];
+    for (name, headers, body, status, kind) in cases {
+        let (found, answer) =
+            post(&fleet, "/v1/completions", &headers, body.to_string().into()).await;
+        assert_eq!(
+            (found, answer["error"]["kind"].as_str()),
+            (status, Some(kind)),
+            "{name}: {answer}"
+        );
+    }
+    let (status, answer) = post(&fleet, "/v1/completions", &[key], vec![b' '; 5 << 20]).await;
+    assert_eq!(
+        (status, answer["error"]["kind"].as_str()),
+        (413, Some("too_large"))
+    );
+    let (status, answer) = post(&fleet, "/v1/completions", &[key], good.to_string().into()).await;
+    assert_eq!(
+        (status, &answer["usage"]["completion_tokens"]),
+        (200, &json!(2)),
+        "{answer}"
+    );
+}
+
+#[rstest]
+#[case::health("/v1/health", 200)]
+#[case::ready("/v1/ready", 200)]
+#[case::entries("/v1/entries", 200)]
+#[case::metrics("/v1/metrics", 200)]
+#[case::nothing("/v1/nothing", 404)]
+#[case::history_without_key("/v1/operator/history", 401)]
+#[tokio::test(flavor = "multi_thread")]
+async fn paths_answer_with_their_status(#[case] path: &str, #[case] status: u16) {
+    let fleet = Fleet::start(GAP).await;
+    let (found, _) = get(fleet.instances[0].address, path).await.unwrap();
+    assert_eq!(found, status);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_passes_through() {
+    let fleet = Fleet::start(GAP).await;
+    let client = Client::new(vec![fleet.instances[0].address], ACCOUNT_KEY).unwrap();
+    let called = Called {
+        service: "desk".into(),
+        method: "GET".into(),
+        path: "/stock?item=4".into(),
+        body: "".into(),
+        key: None,
+    };
+    let response = client.call(&called, Duration::from_secs(2)).await.unwrap();
+    assert_eq!(response.status, 200);
+}
