answer, fleet, daemon: one store of keeper records, with copies of long answers

Two crates held records by the same rule, one of them without a bound and one without copies; the daemon dropped copies. The one that knows attempts is kept and bounded, with the bound's test moved along; between instances records and copies are opaque bytes.

--- a/crates/answer/src/keeper.rs
+++ b/crates/answer/src/keeper.rs
@@ -1,13 +1,31 @@
-//! The records that an instance keeps for others.
+//! Holds the records that an instance keeps for others.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use celerypond_types::{Attempt, RequestKey};
+use thiserror::Error;
 use tokio::time::Instant;
 
 use crate::{KeeperCopy, KeeperRecord};
 
-/// The records that an instance keeps for others.
+/// The memory of a keeper that is made without a limit, in bytes.
+const DEFAULT_LIMIT: usize = 32 << 20;
+/// What a record takes beside its key, tokens and text, in bytes.
+const RECORD_BYTES: usize = 320;
+const TOKEN_BYTES: usize = size_of::<u32>();
+
+/// Why a record is not kept.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Unkept {
+    /// A record of a higher attempt is here; the sender is to give the answer up.
+    #[error("a later record is held")]
+    Fenced(Box<KeeperRecord>),
+    /// All memory is in use by records that expire later; the sender goes on without.
+    #[error("no room is left")]
+    Full,
+}
+
+/// The records that an instance keeps for others, up to a limit of memory.
 ///
 /// # Examples
 ///
@@ -16,14 +34,17 @@
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
-/// let mut keeper = Keeper::default();
+/// let mut keeper = Keeper::new(1 << 20);
 /// assert!(keeper.get(now, &"r".into()).is_none());
 /// keeper.expire(now);
 /// assert!(keeper.is_empty());
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Keeper {
+    limit: usize,
+    used: usize,
     records: HashMap<RequestKey, Kept>,
+    expiry: BTreeSet<(Instant, RequestKey)>,
 }
 
 #[derive(Clone, Debug)]
@@ -32,39 +53,70 @@
     expires: Instant,
 }
 
+impl Default for Keeper {
+    fn default() -> Self {
+        Self::new(DEFAULT_LIMIT)
+    }
+}
+
 impl Keeper {
-    /// Takes a record, unless a higher one is here; that one is returned to fence the sender.
+    /// Makes a keeper that uses at most about `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            used: 0,
+            records: HashMap::new(),
+            expiry: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a record in place of one that is not higher.
     ///
     /// The failure: an instance is paused or cut off, another takes its request over, and the
     /// first comes back. The symptom would be two drivers that start attempts against each other
     /// and stop each other's streams. The lower one gets the higher one's record back and gives up.
-    pub fn put(&mut self, now: Instant, record: KeeperRecord) -> Option<KeeperRecord> {
+    ///
+    /// # Errors
+    ///
+    /// [`Unkept::Fenced`] with the higher record, or [`Unkept::Full`].
+    pub fn put(&mut self, now: Instant, record: KeeperRecord) -> Result<(), Unkept> {
+        self.expire(now);
         let attempt = record.attempt();
         let merged = match self.get(now, &record.key) {
             Some(held) => held.clone().merge(record),
             None => record,
         };
-        let higher = (merged.attempt() > attempt).then(|| merged.clone());
-        let expires = now + merged.time_left();
         // A record that stays keeps its own time to live.
-        if higher.is_none() {
-            let kept = Kept {
-                record: merged,
-                expires,
-            };
-            self.records.insert(kept.record.key.clone(), kept);
+        if merged.attempt() > attempt {
+            return Err(Unkept::Fenced(Box::new(merged)));
         }
-        higher
+        let freed = self
+            .records
+            .get(&merged.key)
+            .map_or(0, |held| cost(&held.record));
+        if self.used - freed + cost(&merged) > self.limit {
+            return Err(Unkept::Full);
+        }
+        self.remove(&merged.key.clone());
+        let expires = now + merged.time_left();
+        self.insert(Kept {
+            record: merged,
+            expires,
+        });
+        Ok(())
     }
 
-    /// Adds tokens to a record, if they follow its last one.
+    /// Adds tokens to a record, if they follow its last one and there is room.
     pub fn extend(&mut self, copy: &KeeperCopy) {
-        if let Some(kept) = self.records.remove(&copy.key) {
-            let kept = Kept {
+        let more = copy.tokens.len() * TOKEN_BYTES + copy.text.len();
+        if self.used + more > self.limit {
+            return;
+        }
+        if let Some(kept) = self.remove(&copy.key) {
+            self.insert(Kept {
                 record: kept.record.extend(copy),
                 ..kept
-            };
-            self.records.insert(copy.key.clone(), kept);
+            });
         }
     }
 
@@ -78,18 +130,21 @@
 
     /// Removes the record of a request, if it is not of a later attempt than `attempt`.
     pub fn forget(&mut self, key: &RequestKey, attempt: Attempt) {
-        if self
-            .records
-            .get(key)
-            .is_some_and(|kept| kept.record.attempt() <= attempt)
-        {
-            self.records.remove(key);
+        let held = self.records.get(key);
+        if held.is_some_and(|kept| kept.record.attempt() <= attempt) {
+            self.remove(key);
         }
     }
 
     /// Removes the records whose deadline has passed.
     pub fn expire(&mut self, now: Instant) {
-        self.records.retain(|_, kept| now < kept.expires);
+        while let Some((expires, key)) = self.expiry.first() {
+            if *expires > now {
+                break;
+            }
+            let key = key.clone();
+            self.remove(&key);
+        }
     }
 
     /// Returns how many records are held.
@@ -101,4 +156,23 @@
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
+
+    fn insert(&mut self, kept: Kept) {
+        let key = kept.record.key.clone();
+        self.used += cost(&kept.record);
+        self.expiry.insert((kept.expires, key.clone()));
+        self.records.insert(key, kept);
+    }
+
+    fn remove(&mut self, key: &RequestKey) -> Option<Kept> {
+        let kept = self.records.remove(key)?;
+        self.used -= cost(&kept.record);
+        self.expiry.remove(&(kept.expires, key.clone()));
+        Some(kept)
+    }
+}
+
+fn cost(record: &KeeperRecord) -> usize {
+    let names = 2 * record.key.as_str().len();
+    RECORD_BYTES + names + record.prefix.len() * TOKEN_BYTES + record.text.len()
 }
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -31,7 +31,7 @@
 pub use generation::Generation;
 pub use incomplete::Incomplete;
 pub use input::{Chosen, Input, Link, Refusal};
-pub use keeper::Keeper;
+pub use keeper::{Keeper, Unkept};
 pub use pace::{Grant, Pace, PaceLimits, WaiterKey};
 pub use record::{KeeperCopy, KeeperRecord, RecordError};
 pub use request::{Copies, GenerationLimits, Mode, Request};
--- a/crates/answer/src/record.rs
+++ b/crates/answer/src/record.rs
@@ -57,6 +57,23 @@
     Digest,
 }
 
+impl KeeperCopy {
+    /// Encodes the copy.
+    pub fn encode(&self) -> Vec<u8> {
+        // Writing plain fields to memory can't fail.
+        bincode::serialize(self).unwrap_or_default()
+    }
+
+    /// Decodes a copy.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::Malformed`] when the bytes are cut short.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        Ok(bincode::deserialize(bytes)?)
+    }
+}
+
 impl KeeperRecord {
     /// Returns the driver's latest attempt number.
     pub const fn attempt(&self) -> Attempt {
--- a/crates/answer/tests/test_keeper.rs
+++ b/crates/answer/tests/test_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerypond_answer::{ChainDigest, Keeper, KeeperRecord, Origin, RecordError, Stream};
+use celerypond_answer::{ChainDigest, Keeper, KeeperRecord, Origin, RecordError, Stream, Unkept};
 use celerypond_types::{Attempt, TokenId};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -42,9 +42,10 @@
 ) {
     let now = Instant::now();
     let mut keeper = Keeper::default();
-    assert_eq!(keeper.put(now, record(first, length)), None);
+    assert_eq!(keeper.put(now, record(first, length)), Ok(()));
     let answer = keeper.put(now, record(second, longer));
-    assert_eq!(answer.is_some(), fenced);
+    assert_eq!(matches!(answer, Err(Unkept::Fenced(_))), fenced);
+    assert_eq!(answer.is_ok(), !fenced);
     assert_eq!(
         keeper.get(now, &"r".into()).unwrap().attempt(),
         Attempt(held)
@@ -60,11 +61,11 @@
     let now = Instant::now();
     let late = now + Duration::from_millis(1000);
     let mut keeper = Keeper::default();
-    keeper.put(now, record(9, 0));
+    assert_eq!(keeper.put(now, record(9, 0)), Ok(()));
     assert!(keeper.get(late, &"r".into()).is_none());
     assert_eq!(
         keeper.put(late, record(1, 0)),
-        None,
+        Ok(()),
         "fenced by an expired record"
     );
     keeper.expire(late);
@@ -91,3 +92,22 @@
     let error = KeeperRecord::decode(&changed.encode());
     assert!(matches!(error, Err(RecordError::Digest)));
 }
+
+// A keeper that grew without bound would end its own instance, and with it all answers there.
+#[test]
+fn memory_is_bounded_and_free_again_after_expiry() {
+    let now = Instant::now();
+    let mut keeper = Keeper::new(10_000);
+    let of = |at: usize| KeeperRecord {
+        key: format!("r{at}").as_str().into(),
+        ..record(1, 0)
+    };
+    let kept = (0..1_000)
+        .filter(|at| keeper.put(now, of(*at)).is_ok())
+        .count();
+    assert!((20..40).contains(&kept), "{kept}");
+    assert_eq!(keeper.put(now, of(1_000)), Err(Unkept::Full));
+    let later = now + Duration::from_millis(1000);
+    assert_eq!(keeper.put(later, of(1_000)), Ok(()));
+    assert_eq!(keeper.len(), 1);
+}
--- a/crates/answer/tests/world.rs
+++ b/crates/answer/tests/world.rs
@@ -15,7 +15,7 @@
 use celerypond_answer::{
     Choice, Chosen, Copies, Driver, Effect, Emit, Finish, Frame, Generation, GenerationLimits,
     Incomplete, Input, Keeper, KeeperRecord, Link, Mode, Patience, Request, Seal, SealKey, Start,
-    TakeOver,
+    TakeOver, Unkept,
 };
 use celerypond_types::{Attempt, Digest, Position, RequestKey, TargetName, TokenId, VersionName};
 use rand::{rngs::StdRng, seq::IndexedRandom, Rng, SeedableRng};
--- a/crates/answer/tests/world/instances.rs
+++ b/crates/answer/tests/world/instances.rs
@@ -165,8 +165,8 @@
         let now = self.instant();
         for at in 0..self.keepers.len() {
             let copy = KeeperRecord::decode(&record.encode()).unwrap();
-            if let Some(higher) = self.keepers[at].put(now, copy) {
-                self.after(WIRE * 2, Act::Input(drive, Input::Fenced(higher)));
+            if let Err(Unkept::Fenced(higher)) = self.keepers[at].put(now, copy) {
+                self.after(WIRE * 2, Act::Input(drive, Input::Fenced(*higher)));
             }
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,7 @@
 //! Membership, gossip and the service between instances.
 //!
 //! [`Gossip`] is a pure state machine: it is fed the time, messages and failures, and returns the
-//! messages to be sent. [`Keepers`] holds records for peers, [`choose`] says which instances do a
+//! messages to be sent. [`choose`] says which instances do a
 //! job, [`Subset`] which targets an instance uses, and [`Peer`] is the service that carries it all.
 
 mod budget;
@@ -10,7 +10,6 @@
 mod entry;
 mod facts;
 mod gossip;
-mod keepers;
 mod member;
 mod message;
 mod origin;
@@ -29,7 +28,6 @@
 pub use entry::{Class, Entry, EntryError, EntryKind, Item};
 pub use facts::{Brake, Facts};
 pub use gossip::{Event, Gossip, Outgoing};
-pub use keepers::{Keepers, KeepersError, Progress, Record};
 pub use member::{Member, MemberState};
 pub use message::{Claim, Message};
 pub use origin::{Identity, Incarnation, Origin};
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bincode::DefaultOptions;
-use celerypond_types::{RequestKey, Revision};
+use celerypond_types::{Attempt, RequestKey, Revision};
 use error_stack::{Report, ResultExt as _};
 use tarpc::{
     client,
@@ -15,7 +15,7 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, time::Instant};
 
-use crate::{KeepersError, Message, Record};
+use crate::Message;
 
 /// The longest frame, in bytes: a bundle of a megabyte and its frame.
 const FRAME_BYTES: usize = (1 << 20) + (1 << 12);
@@ -32,14 +32,18 @@
     /// Exchanges gossip.
     async fn exchange(message: Message) -> Message;
 
-    /// Keeps records of requests that the caller serves, and says of each whether it is kept.
-    async fn keep(records: Vec<Record>) -> Vec<Result<(), KeepersError>>;
+    /// Keeps a record of a request that the caller drives; returns a higher one that is held
+    /// instead. Records are opaque here.
+    async fn keep(record: Vec<u8>) -> Option<Vec<u8>>;
 
-    /// Drops the records of requests whose answers have ended.
-    async fn drop_records(requests: Vec<RequestKey>);
+    /// Adds tokens to a record. Copies are opaque here.
+    async fn extend(copy: Vec<u8>);
+
+    /// Drops the record of a request whose answer has ended, unless it is of a later attempt.
+    async fn forget(request: RequestKey, attempt: Attempt);
 
     /// Returns the record of a request.
-    async fn kept(request: RequestKey) -> Option<Record>;
+    async fn kept(request: RequestKey) -> Option<Vec<u8>>;
 
     /// Returns the bundle in force at the callee, if its revision is at least `revision`.
     async fn bundle(revision: Revision) -> Option<Vec<u8>>;
--- a/crates/fleet/tests/runner.rs
+++ b/crates/fleet/tests/runner.rs
@@ -4,7 +4,6 @@
 mod test_budget;
 mod test_choice;
 mod test_gossip;
-mod test_keepers;
 mod test_membership;
 mod test_peer;
 mod test_scripts;
--- a/crates/fleet/tests/test_peer.rs
+++ b/crates/fleet/tests/test_peer.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use celerypond_fleet::{accept, connect, context, KeepersError, Message, Peer, Record};
-use celerypond_types::{RequestKey, Revision};
+use celerypond_fleet::{accept, connect, context, Message, Peer};
+use celerypond_types::{Attempt, RequestKey, Revision};
 use tarpc::{client::RpcError, context::Context};
 use tokio::{net::TcpListener, time::Instant};
 
@@ -15,13 +15,15 @@
         message
     }
 
-    async fn keep(self, _: Context, records: Vec<Record>) -> Vec<Result<(), KeepersError>> {
-        vec![Ok(()); records.len()]
+    async fn keep(self, _: Context, _: Vec<u8>) -> Option<Vec<u8>> {
+        None
     }
 
-    async fn drop_records(self, _: Context, _: Vec<RequestKey>) {}
+    async fn extend(self, _: Context, _: Vec<u8>) {}
 
-    async fn kept(self, _: Context, _: RequestKey) -> Option<Record> {
+    async fn forget(self, _: Context, _: RequestKey, _: Attempt) {}
+
+    async fn kept(self, _: Context, _: RequestKey) -> Option<Vec<u8>> {
         std::future::pending().await
     }
 
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -222,7 +222,7 @@
             }
             Effect::Cancel(stream) => self.cancel(stream),
             Effect::Review(request) => self.review(request),
-            Effect::Copy(_) => {}
+            Effect::Copy(copy) => keeping::extend(&self.node, &copy),
             Effect::Keep(record) => keeping::keep(&self.node, &record, &self.inputs),
             Effect::Forget(request, attempt) => keeping::forget(&self.node, &request, attempt),
             Effect::Tell(instance, record) => keeping::tell(&self.node, &instance, &record),
--- a/daemon/src/keeping.rs
+++ b/daemon/src/keeping.rs
@@ -2,29 +2,24 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerypond_answer::{Input, KeeperRecord};
-use celerypond_fleet::{KeepersError, Progress, Record};
+use celerypond_answer::{Input, KeeperCopy, KeeperRecord};
 use celerypond_types::{Attempt, InstanceName, RequestKey};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{gossip, node::Node};
 
-/// The longest time that a record is kept, in milliseconds.
-const LONGEST_MS: u32 = 60 * 60 * 1000;
-
 /// Puts a record at the keepers of its request, and fences this driver if they hold a higher one.
 pub fn keep(node: &Arc<Node>, record: &KeeperRecord, inputs: &mpsc::Sender<Input>) {
     for keeper in gossip::keepers(node, &record.key) {
         let node = Arc::clone(node);
-        let record = record.clone();
+        let value = record.encode();
         let inputs = inputs.clone();
         let work = node.work.clone();
         work.spawn(async move {
-            let sent = node.peers.keep(keeper, wire(&record)).await;
-            if matches!(sent, Ok(Err(KeepersError::Late)))
-                && let Some(higher) = ask(&node, keeper, &record.key).await
-                && higher.attempt() > record.attempt()
-            {
+            let sent = node.peers.keep(keeper, value).await;
+            let higher = sent.ok().flatten();
+            let higher = higher.and_then(|value| KeeperRecord::decode(&value).ok());
+            if let Some(higher) = higher {
                 // An answer that is over needs no fence.
                 let _ = inputs.send(Input::Fenced(higher)).await;
             }
@@ -32,6 +27,20 @@
     }
 }
 
+/// Adds tokens to the record at the keepers.
+pub fn extend(node: &Arc<Node>, copy: &KeeperCopy) {
+    let value = copy.encode();
+    for keeper in gossip::keepers(node, &copy.key) {
+        let node = Arc::clone(node);
+        let value = value.clone();
+        let work = node.work.clone();
+        work.spawn(async move {
+            // A keeper that misses a copy takes none of the later ones either.
+            let _ = node.peers.extend(keeper, value).await;
+        });
+    }
+}
+
 /// Removes a record from the keepers, unless it is of a later driver.
 pub fn forget(node: &Arc<Node>, request: &RequestKey, attempt: Attempt) {
     for keeper in gossip::keepers(node, request) {
@@ -39,11 +48,8 @@
         let request = request.clone();
         let work = node.work.clone();
         work.spawn(async move {
-            let held = ask(&node, keeper, &request).await;
-            if held.is_some_and(|held| held.attempt() <= attempt) {
-                // A record that stays expires.
-                let _ = node.peers.forget(keeper, request).await;
-            }
+            // A record that stays expires.
+            let _ = node.peers.forget(keeper, request, attempt).await;
         });
     }
 }
@@ -56,7 +62,7 @@
         return;
     };
     let node = Arc::clone(node);
-    let record = wire(record);
+    let record = record.encode();
     let work = node.work.clone();
     work.spawn(async move {
         // An instance that can't be told meets the higher record at the keepers.
@@ -70,40 +76,25 @@
     let asks = keepers.into_iter().map(|keeper| ask(node, keeper, request));
     let found = futures::future::join_all(asks).await;
     // This instance may be a keeper itself.
-    let own = node.keepers().kept(request, Instant::now()).cloned();
-    let own = own.and_then(|record| KeeperRecord::decode(&record.bytes).ok());
+    let own = node.keeper().get(Instant::now(), request).cloned();
     let all = found.into_iter().chain([own]).flatten();
     all.reduce(KeeperRecord::merge)
 }
 
 /// Passes a record of another driver on to this instance's driver of the same request.
-pub fn tell_driver(node: &Node, record: &Record) {
-    let Some(driver) = node.drivers().get(&record.request).cloned() else {
+pub fn tell_driver(node: &Node, record: &KeeperRecord) {
+    let Some(driver) = node.drivers().get(&record.key).cloned() else {
         return;
     };
-    if let Ok(record) = KeeperRecord::decode(&record.bytes)
-        && record.instance != node.settings.instance
-    {
+    if record.instance != node.settings.instance {
         // A driver that can't take it now meets the higher record at the keepers.
-        let _ = driver.try_send(Input::Fenced(record));
+        let _ = driver.try_send(Input::Fenced(record.clone()));
     }
 }
 
 async fn ask(node: &Node, keeper: SocketAddr, request: &RequestKey) -> Option<KeeperRecord> {
     let record = node.peers.kept(keeper, request.clone()).await.ok()??;
-    KeeperRecord::decode(&record.bytes).ok()
-}
-
-fn wire(record: &KeeperRecord) -> Record {
-    Record {
-        request: record.key.clone(),
-        progress: Progress {
-            attempt: record.attempt(),
-            position: record.position(),
-        },
-        keep_ms: record.remaining.min(LONGEST_MS),
-        bytes: record.encode().into(),
-    }
+    KeeperRecord::decode(&record).ok()
 }
 
 /// Returns a driver's place in the table of drivers, given back when dropped.
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -11,9 +11,9 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use celerypond_answer::{Input, SealKey};
+use celerypond_answer::{Input, Keeper, SealKey};
 use celerypond_bundle::Settings;
-use celerypond_fleet::{Gossip, Identity, Incarnation, Keepers};
+use celerypond_fleet::{Gossip, Identity, Incarnation};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
 use celerypond_route::{Backoff, Part, RetryBudget, View};
@@ -94,7 +94,7 @@
     pub look: Notify,
     gossip: Mutex<Gossip>,
     in_force: Mutex<InForce>,
-    keepers: Mutex<Keepers>,
+    keeper: Mutex<Keeper>,
     drivers: Mutex<HashMap<RequestKey, mpsc::Sender<Input>>>,
     listed: Mutex<Option<Instant>>,
     reports: Mutex<Reports>,
@@ -148,7 +148,7 @@
             look: Notify::new(),
             gossip: Mutex::new(gossip),
             in_force: Mutex::default(),
-            keepers: Mutex::new(Keepers::new(KEEPER_BYTES)),
+            keeper: Mutex::new(Keeper::new(KEEPER_BYTES)),
             drivers: Mutex::default(),
             listed: Mutex::default(),
             reports: Mutex::default(),
@@ -238,8 +238,8 @@
     }
 
     /// Returns the records that are kept for others; hold it for a moment only.
-    pub fn keepers(&self) -> MutexGuard<'_, Keepers> {
-        lock(&self.keepers)
+    pub fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        lock(&self.keeper)
     }
 
     /// Returns the drivers of answers by request; hold it for a moment only.
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use celerypond_fleet::{accept, KeepersError, Message, Peer, Record};
+use celerypond_answer::{KeeperCopy, KeeperRecord, Unkept};
+use celerypond_fleet::{accept, Message, Peer};
 use celerypond_telemetry::{Counter, Gauge};
-use celerypond_types::{RequestKey, Revision};
+use celerypond_types::{Attempt, RequestKey, Revision};
 use futures::FutureExt;
 use tarpc::context::Context;
 use tokio::{net::TcpListener, task::JoinSet, time::Instant};
@@ -42,31 +43,38 @@
         answer
     }
 
-    async fn keep(self, _: Context, records: Vec<Record>) -> Vec<Result<(), KeepersError>> {
-        records
-            .into_iter()
-            .map(|record| {
-                keeping::tell_driver(&self.0, &record);
-                let kept = self.0.keepers().keep(record, Instant::now());
-                let counter = match kept {
-                    Ok(()) => Counter::KeeperRecords,
-                    Err(_) => Counter::KeeperDropped,
-                };
-                self.0.metrics.add(counter, 1);
-                let held = self.0.keepers().len() as u64;
-                self.0.metrics.set(Gauge::KeeperHeld, held);
-                kept
-            })
-            .collect()
+    async fn keep(self, _: Context, record: Vec<u8>) -> Option<Vec<u8>> {
+        let record = KeeperRecord::decode(&record).ok()?;
+        keeping::tell_driver(&self.0, &record);
+        let kept = self.0.keeper().put(Instant::now(), record);
+        let counter = match kept {
+            Err(Unkept::Full) => Counter::KeeperDropped,
+            Ok(()) | Err(Unkept::Fenced(_)) => Counter::KeeperRecords,
+        };
+        self.0.metrics.add(counter, 1);
+        let held = self.0.keeper().len() as u64;
+        self.0.metrics.set(Gauge::KeeperHeld, held);
+        match kept {
+            Err(Unkept::Fenced(higher)) => Some(higher.encode()),
+            Ok(()) | Err(Unkept::Full) => None,
+        }
+    }
+
+    async fn extend(self, _: Context, copy: Vec<u8>) {
+        if let Ok(copy) = KeeperCopy::decode(&copy) {
+            self.0.keeper().extend(&copy);
+        }
     }
 
-    async fn drop_records(self, _: Context, requests: Vec<RequestKey>) {
-        let mut keepers = self.0.keepers();
-        requests.iter().for_each(|request| keepers.remove(request));
+    async fn forget(self, _: Context, request: RequestKey, attempt: Attempt) {
+        self.0.keeper().forget(&request, attempt);
     }
 
-    async fn kept(self, _: Context, request: RequestKey) -> Option<Record> {
-        self.0.keepers().kept(&request, Instant::now()).cloned()
+    async fn kept(self, _: Context, request: RequestKey) -> Option<Vec<u8>> {
+        let keeper = self.0.keeper();
+        keeper
+            .get(Instant::now(), &request)
+            .map(KeeperRecord::encode)
     }
 
     async fn bundle(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -7,8 +7,8 @@
     time::Duration,
 };
 
-use celerypond_fleet::{connect, context, KeepersError, Message, PeerClient, Record};
-use celerypond_types::{RequestKey, Revision};
+use celerypond_fleet::{connect, context, Message, PeerClient};
+use celerypond_types::{Attempt, RequestKey, Revision};
 use error_stack::{Report, ResultExt};
 use thiserror::Error;
 use tokio::time::Instant;
@@ -52,19 +52,24 @@
         self.judge(to, client.exchange(within(SMALL), message).await)
     }
 
-    /// Puts a record at a keeper.
+    /// Puts a record at a keeper; returns a higher one that it holds instead.
     ///
     /// # Errors
     ///
     /// A [`PeerCallError`].
-    pub async fn keep(&self, to: SocketAddr, record: Record) -> Answer<Result<(), KeepersError>> {
+    pub async fn keep(&self, to: SocketAddr, record: Vec<u8>) -> Answer<Option<Vec<u8>>> {
         let client = self.client(to).await?;
-        let answers = self.judge(to, client.keep(within(SMALL), vec![record]).await)?;
-        // A keeper that answers for no record keeps none.
-        Ok(answers
-            .into_iter()
-            .next()
-            .unwrap_or(Err(KeepersError::Full)))
+        self.judge(to, client.keep(within(SMALL), record).await)
+    }
+
+    /// Adds tokens to a record at a keeper.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn extend(&self, to: SocketAddr, copy: Vec<u8>) -> Answer<()> {
+        let client = self.client(to).await?;
+        self.judge(to, client.extend(within(SMALL), copy).await)
     }
 
     /// Asks a keeper for a record.
@@ -72,19 +77,24 @@
     /// # Errors
     ///
     /// A [`PeerCallError`].
-    pub async fn kept(&self, to: SocketAddr, request: RequestKey) -> Answer<Option<Record>> {
+    pub async fn kept(&self, to: SocketAddr, request: RequestKey) -> Answer<Option<Vec<u8>>> {
         let client = self.client(to).await?;
         self.judge(to, client.kept(within(SMALL), request).await)
     }
 
-    /// Removes a record from a keeper.
+    /// Removes a record from a keeper, unless it is of a later attempt.
     ///
     /// # Errors
     ///
     /// A [`PeerCallError`].
-    pub async fn forget(&self, to: SocketAddr, request: RequestKey) -> Answer<()> {
+    pub async fn forget(
+        &self,
+        to: SocketAddr,
+        request: RequestKey,
+        attempt: Attempt,
+    ) -> Answer<()> {
         let client = self.client(to).await?;
-        self.judge(to, client.drop_records(within(SMALL), vec![request]).await)
+        self.judge(to, client.forget(within(SMALL), request, attempt).await)
     }
 
     /// Asks for the bundle in force at a peer, if its revision is at least `revision`.
