--- a/bench/src/ledger.rs
+++ b/bench/src/ledger.rs
@@ -175,6 +175,7 @@
         let settings = Settings {
             pace: Duration::from_secs_f64(f64::from(shards) * instances as f64 / WRITES),
             retention: RETENTION,
+            keys: usize::MAX,
             ..Settings::default()
         };
         let node = |index| {
--- a/crates/ledger/src/settings.rs
+++ b/crates/ledger/src/settings.rs
@@ -24,7 +24,7 @@
     pub poll_most: Duration,
     /// How many calls may wait for their intent.
     pub queue: usize,
-    /// How many keys are remembered; more are refused.
+    /// How many keys are remembered; more are refused. A key takes about 300 bytes and its result.
     pub keys: usize,
 }
 
@@ -40,7 +40,7 @@
             poll: Duration::from_millis(20),
             poll_most: Duration::from_millis(500),
             queue: 4096,
-            keys: 200_000,
+            keys: 25_000,
         }
     }
 }
