--- a/crates/ledger/tests/runner.rs
+++ b/crates/ledger/tests/runner.rs
@@ -7,5 +7,6 @@
 mod test_replies;
 mod test_scripts;
 mod test_shard;
+mod test_sockets;
 mod test_trace;
 mod world;
--- /dev/null
+++ b/crates/ledger/tests/test_sockets.rs
@@ -0,0 +1,120 @@
+//! Shards over the client and a platform on a socket.
+
+use std::{
+    collections::VecDeque,
+    sync::atomic::{AtomicUsize, Ordering::Relaxed},
+    time::Duration,
+};
+
+use celerypond_ledger::{
+    Answer, BodyTag, Call, CallId, CallKey, Effect, ListReply, Proof, Reply, Settings, Shard,
+    ShardNumber,
+};
+use celerypond_platform::{Client, Rates, Settings as ClientSettings};
+use celerypond_testutils::{fault::PlatformFault, platform::Platform, roster::Listing};
+use celerypond_types::Outcome;
+use tokio::time::Instant;
+
+const TIMEOUT: Duration = Duration::from_millis(100);
+const RATES: Rates = Rates {
+    reads: 1000.0,
+    writes: 1000.0,
+    burst: Duration::from_secs(1),
+};
+
+// Three instances get the same key at once, and the replies to the next two writes are lost after
+// they took effect. Each write without a reply is read back; the call runs once, and all three
+// callers get its result.
+#[tokio::test]
+async fn a_key_runs_once_though_replies_are_lost() {
+    let platform = Platform::new(Listing::default(), Duration::ZERO);
+    let server = platform
+        .serve("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    platform.fault(PlatformFault {
+        lose_replies: Some(2),
+        ..PlatformFault::default()
+    });
+    let runs = AtomicUsize::new(0);
+    let calls = (1..4).map(|seed| {
+        let client = Client::new(&ClientSettings {
+            address: server.address,
+            connect: TIMEOUT,
+            timeout: TIMEOUT,
+            rates: RATES,
+        });
+        call(seed, client, &runs)
+    });
+    let answers = futures::future::join_all(calls).await;
+    let reply = Reply::new(200, "text/plain", "held");
+    for answer in answers {
+        assert_eq!(answer, Answer::Outcome(Outcome::Ran(reply.clone())));
+    }
+    assert_eq!(runs.load(Relaxed), 1);
+}
+
+/// Runs a shard until its one call is answered and nothing is left to write.
+async fn call(seed: u64, client: Client, runs: &AtomicUsize) -> Answer {
+    let now = Instant::now();
+    let mut shard = Shard::new(ShardNumber(0), Settings::default(), seed, now);
+    let call = Call {
+        id: CallId(seed),
+        key: CallKey::of(&"account".into(), &"key".into()),
+        body: BodyTag::of("POST", "/holds", b""),
+        by: now + Duration::from_secs(3),
+        run: Duration::from_secs(1),
+    };
+    let mut effects = VecDeque::from(shard.call(call, now));
+    let mut told = None;
+    loop {
+        let Some(effect) = effects.pop_front() else {
+            match told {
+                Some(answer) if shard.is_idle() => return answer,
+                _ => tokio::time::sleep_until(shard.wake_at().unwrap()).await,
+            }
+            effects.extend(shard.tick(Instant::now()));
+            continue;
+        };
+        let next = match effect {
+            Effect::List { prefix } => {
+                let list = client.list_all(&prefix).await;
+                let reply = list.map_or(ListReply::Failed, |all| ListReply::Listed(all.objects));
+                shard.listed(reply, Instant::now())
+            }
+            Effect::Get { key } => {
+                let found = client.get(&key).await.map_err(|e| *e.current_context());
+                shard.read(found.into(), Instant::now())
+            }
+            Effect::Create { key, value } => {
+                let done = client
+                    .create(&key, value)
+                    .await
+                    .map_err(|e| *e.current_context());
+                shard.written(done.into(), Instant::now())
+            }
+            Effect::Update { key, before, value } => {
+                let done = client.update(&key, before, value).await;
+                shard.written(
+                    done.map_err(|e| *e.current_context()).into(),
+                    Instant::now(),
+                )
+            }
+            Effect::Dispatch { unsent, .. } => {
+                let sent = unsent.send(Instant::now()).unwrap();
+                runs.fetch_add(1, Relaxed);
+                let reply = Reply::new(200, "text/plain", "held");
+                shard.finish(
+                    sent.answered(reply, TIMEOUT, &Proof::default()),
+                    Instant::now(),
+                )
+            }
+            Effect::Answer { answer, .. } => {
+                told = Some(answer);
+                Vec::new()
+            }
+            Effect::Broken { error } => panic!("{error}"),
+        };
+        effects.extend(next);
+    }
+}
