daemon: pass keyed calls on to the owner of their shard

An owner that was sent a call and does not answer may still run it, so a later 'not run' of this instance becomes 'unknown'. Owners of shards get the writes of the store's budget. Groups are formed from the list and from those heard of; bundles can say that an engine closes idle connections.

--- a/crates/bundle/src/target.rs
+++ b/crates/bundle/src/target.rs
@@ -43,6 +43,8 @@
 pub enum Fencing {
     /// It refuses them.
     Checked,
+    /// It obeys any order, and closes connections that are idle for 15 s.
+    ClosesIdle,
     /// It obeys any order.
     #[default]
     Ignored,
--- a/daemon/src/front/services.rs
+++ b/daemon/src/front/services.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    body,
+    body, forward,
     front::{
         auth, headers,
         problem::{Kind, Problem},
@@ -69,13 +69,12 @@
             .outcome(),
         Some(key) => {
             let key = CallKey::of(&account.name, &key);
-            match node.ledger.call(node, key, send).await {
-                Some(Answer::Outcome(outcome)) => outcome,
-                Some(Answer::KeyReused) => {
+            match forward::call(node, key, send).await {
+                Answer::Outcome(outcome) => outcome,
+                Answer::KeyReused => {
                     let message = "the key was used for another call";
                     return Err(Problem::new(Kind::Conflict, message));
                 }
-                None => Outcome::Unknown,
             }
         }
     };
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -110,7 +110,12 @@
 
 /// Returns the instances that share evidence, demand and load with this one.
 fn group(node: &Node, list: &[Listed]) -> Vec<InstanceName> {
-    let names: Vec<InstanceName> = list.iter().map(|listed| listed.name.clone()).collect();
+    // After a restart in an outage there is no list, only those that were heard of.
+    let mut names: Vec<InstanceName> = list.iter().map(|listed| listed.name.clone()).collect();
+    let heard = node.gossip();
+    names.extend(heard.roster().iter().map(|(_, member)| member.name.clone()));
+    names.sort();
+    names.dedup();
     Subset::of(&node.settings.instance, &names, &[]).peers
 }
 
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -7,6 +7,7 @@
         atomic::{AtomicU64, Ordering::Relaxed},
         Arc, Mutex, PoisonError,
     },
+    time::Duration,
 };
 
 use celerypond_ledger::{
@@ -25,7 +26,11 @@
 use crate::{node::Node, service_call::ServiceCall};
 
 /// How many shards the key space has; the same at every instance for all time.
-const SHARDS: u16 = 16;
+///
+/// Few shards make large batches; `docs/design/ledger.md` has the measurement.
+pub const SHARDS: u16 = 4;
+/// The least time between two writes of a shard, so that all shards keep to the store's write rate.
+const PACE: Duration = Duration::from_millis(14);
 /// How many commands may wait for a shard.
 const COMMANDS: usize = 1024;
 /// The part of a call's deadline that is left for the service after the intent is recorded.
@@ -116,9 +121,13 @@
     ) -> Self {
         let seed = node.rng().random();
         let number = ShardNumber(number);
+        let settings = Settings {
+            pace: PACE,
+            ..Settings::default()
+        };
         Self {
             node: Arc::clone(node),
-            shard: Shard::new(number, Settings::default(), seed, Instant::now()),
+            shard: Shard::new(number, settings, seed, Instant::now()),
             commands,
             finished,
             waiting: HashMap::new(),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod engine;
 pub mod force;
+pub mod forward;
 pub mod front;
 pub mod generation;
 pub mod gossip;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -28,8 +28,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, orders::Reports,
-    peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
+    admission::Admission, force::Force, forward, front::socket::Sockets, ledger::Ledger,
+    orders::Reports, peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
     target_watch::TargetEvent,
 };
 
@@ -39,6 +39,10 @@
     writes: 300.0,
     burst: Duration::from_secs(2),
 };
+/// The part of the writes that is for all but the shards of keyed calls.
+const OTHER_WRITES: f64 = 0.3;
+/// The writes a second of one shard, a little above its pace.
+const SHARD_WRITES: f64 = 75.0;
 const PLATFORM_CONNECT: Duration = Duration::from_millis(500);
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// The memory for records that are kept for others, in bytes.
@@ -222,9 +226,18 @@
         self.view.load().clock().millis(Instant::now())
     }
 
-    /// Returns the share of the platform's rates of one of `count` instances.
-    pub fn share_rates(&self, count: usize) {
-        self.platform.set_rates(PLATFORM_RATES.share(count));
+    /// Takes this instance's part of the platform's rates.
+    ///
+    /// Nearly all writes are those of shards, so the owners of shards get them, and each instance a
+    /// little for operators' steps, leases and rollouts.
+    pub fn share_rates(&self, instances: usize) {
+        let owned = forward::owned(self) as f64;
+        let even = PLATFORM_RATES.share(instances);
+        let rates = Rates {
+            writes: even.writes * OTHER_WRITES + owned * SHARD_WRITES,
+            ..even
+        };
+        self.platform.set_rates(rates);
     }
 
     /// Returns the gossip; hold it for a moment only.
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -181,6 +181,7 @@
             if target.kind == TargetKind::Engine && Shard::of(&target.name, SHARDS) == shard {
                 let guard = match target.fencing {
                     Fencing::Checked => Guard::Fencing,
+                    Fencing::ClosesIdle => Guard::IdleClose,
                     Fencing::Ignored => Guard::Repair,
                 };
                 wanted.insert(target.name.clone(), (guard, Desired::default()));
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -10,7 +10,7 @@
 use tarpc::context::Context;
 use tokio::{net::TcpListener, task::JoinSet, time::Instant};
 
-use crate::{gossip, keeping, node::Node, watch::Told};
+use crate::{forward, gossip, keeping, node::Node, watch::Told};
 
 /// Answers the calls of other instances.
 #[derive(Clone)]
@@ -90,8 +90,7 @@
         self.0.rollouts.answer(&self.0, &news)
     }
 
-    async fn forward(self, _: Context, _call: Vec<u8>) -> Vec<u8> {
-        // Shards are written by whichever instance has the call; see docs/design/ledger.md.
-        Vec::new()
+    async fn forward(self, _: Context, call: Vec<u8>) -> Vec<u8> {
+        forward::answer(&self.0, &call).await
     }
 }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -107,6 +107,16 @@
         self.judge(to, client.bundle(within(LARGE), revision).await)
     }
 
+    /// Passes a keyed call on to the owner of its shard.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`]; after `Unreachable` nothing was sent.
+    pub async fn forward(&self, to: SocketAddr, call: Vec<u8>, limit: Duration) -> Answer<Vec<u8>> {
+        let client = self.client(to).await?;
+        self.judge(to, client.forward(within(limit), call).await)
+    }
+
     /// Exchanges what is known of rollouts.
     ///
     /// # Errors
