rollout: tell a fault of one route from a sick engine

Cause: with one engine in use, all failures lie on one target and needed the odds squared. A sick engine fails on all routes; if the version does well on the others, at least three successes a failure, the route is bad and the plain odds are enough.

The price: an engine that fails less than a quarter of what it gets is now taken for a fault of the version a little sooner.

--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -30,6 +30,8 @@
 const MIN_BASE_SAMPLES: u64 = 40;
 /// The failure rate that is taken for the base's when no traffic is left on it.
 const UNPAIRED_RATE: f64 = 0.3;
+/// How many successes a failure on other routes needs for the version to do well there.
+const WELL_RATIO: u64 = 3;
 /// Incidents that an engine may have in a second, before any was seen: one in two hours.
 const INCIDENT_PRIOR_S: f64 = 7_200.0;
 const MS_PER_S: f64 = 1_000.0;
@@ -54,6 +56,7 @@
 struct Window {
     start: Pair,
     blamed: BTreeMap<TargetName, u64>,
+    elsewhere: Trials,
 }
 
 /// What all scopes are weighed with.
@@ -113,7 +116,9 @@
         let blamed = evidence.blamed(&self.subject, &self.version);
         let mut verdicts = Vec::new();
         for route in routes {
+            let all = on_route(&new, None);
             let new = on_route(&new, route);
+            let elsewhere = all.first.since(&new.first);
             let base = on_route(&base, route);
             let first = Pair {
                 new: new.first,
@@ -129,7 +134,13 @@
                     is_first,
                     route: route.cloned(),
                 };
-                verdicts.extend(self.failures(scope(Cause::Failures), &pair, &blamed, terms));
+                verdicts.extend(self.failures(
+                    scope(Cause::Failures),
+                    &pair,
+                    &blamed,
+                    &elsewhere,
+                    terms,
+                ));
                 let slow = if is_first {
                     Cause::FirstToken
                 } else {
@@ -149,6 +160,7 @@
         scope: Scope,
         pair: &Pair,
         blamed: &BTreeMap<TargetName, u64>,
+        elsewhere: &Trials,
         terms: Terms,
     ) -> Option<Verdict> {
         let window = self.windows.entry(scope.clone()).or_default();
@@ -183,6 +195,7 @@
         if odds <= 1.0 {
             window.start = pair.clone();
             window.blamed = blamed.clone();
+            window.elsewhere = elsewhere.clone();
             return None;
         }
         let is_hit = |(target, count): &(&TargetName, &u64)| {
@@ -191,7 +204,11 @@
         // One sick engine is no fault of the version; the router takes it out soon. With twice the
         // evidence on one target alone the version is blamed all the same.
         let is_spread = blamed.iter().filter(is_hit).count() > 1;
-        let is_enough = is_spread || terms.engines < 2 || !self.method.targets;
+        // A sick engine fails on all routes: if the version does well on the others, the route is bad.
+        let others = elsewhere.since(&window.elsewhere);
+        let well = others.times.count();
+        let is_route = scope.route.is_some() && well >= WELL_RATIO * others.failures().max(1);
+        let is_enough = is_spread || is_route || terms.engines < 2 || !self.method.targets;
         let power = if is_enough { 1 } else { 2 };
         verdict(scope, odds, TRIP_ODDS.powi(power) * terms.scopes)
     }
