daemon: calls of the platform and of rollouts that do not grow with the fleet

Each instance read the whole list every second and all records every two: 900 and 450 calls a second at 900 instances, of 2,000. Now all together read the list 50 times a second, seven instances read records for all, evidence goes to those who weigh it, and what an instance acts on is said when it changes.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -34,7 +34,7 @@
 pub use move_record::MoveRecord;
 pub use moves::{moves, shares, Candidate, Move};
 pub use plan::{local_ppm, plan, Demand, Stage, StageStep, MAX_WITNESSES, STEPS};
-pub use rank::{is_watcher, rank, WATCHERS_PER_CENTRE};
+pub use rank::{is_watcher, rank, witnesses, WATCHERS_PER_CENTRE};
 pub use record::{
     approval_key, bundle_key, Action, Approval, Audit, Current, Headline, Part, Signature,
     Submission, AUDIT_PREFIX, CURRENT_KEY,
--- a/crates/rollout/src/rank.rs
+++ b/crates/rollout/src/rank.rs
@@ -1,6 +1,8 @@
 //! Rendezvous choice of instances for a role.
 
-use celerypond_types::{DataCentre, Digest, InstanceName};
+use celerypond_types::{DataCentre, Digest, InstanceName, ModelName, Revision};
+
+use crate::{plan::MAX_WITNESSES, rollout::sender_role};
 
 /// How many instances of each data centre hold a watch on the store.
 pub const WATCHERS_PER_CENTRE: usize = 2;
@@ -24,6 +26,17 @@
     ranked
 }
 
+/// Returns the instances whose reports count as evidence of a rollout, senders first.
+pub fn witnesses(
+    origin: Revision,
+    model: &ModelName,
+    instances: &[InstanceName],
+) -> Vec<InstanceName> {
+    let mut ranked = rank(&sender_role(origin, model), instances);
+    ranked.truncate(MAX_WITNESSES as usize);
+    ranked
+}
+
 /// Returns whether an instance holds a watch: it is among the first of its data centre.
 ///
 /// Instances that differ about who lives may choose more watchers than needed, or none for a while.
--- a/daemon/src/rollouts.rs
+++ b/daemon/src/rollouts.rs
@@ -12,8 +12,8 @@
 use celerypond_fleet::{Brake, EntryKind};
 use celerypond_platform::{PlatformError, Version};
 use celerypond_rollout::{
-    rank, rollout_key, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News, Report,
-    Rollout, Route, Spread, Subject, Trial,
+    rank, rollout_key, witnesses, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News,
+    Report, Rollout, Route, Spread, Subject, Trial,
 };
 use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, TargetName, VersionName};
 use rand::seq::IndexedRandom;
@@ -28,14 +28,20 @@
 
 /// How often evidence is weighed and passed on.
 const STEP: Duration = Duration::from_millis(250);
+/// How often an instance says again what it acts on.
+const SAY_AGAIN: Duration = Duration::from_secs(10);
 /// How many peers hear of news at once.
 const FAN_OUT: usize = 3;
 /// How long a step may be due before the next instance in line makes it.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The prefix of the records in the store.
 const PREFIX: &str = "rollout/";
-/// How often the records in the store are read.
+/// How often the records in the store are read by the instances that do so for all.
 const READ_STEPS: u32 = 8;
+/// How often each other instance reads them, for what news may have missed.
+const SLOW_STEPS: u32 = 240;
+/// How many instances read the records for all; the others hear of them from peers.
+const READERS: usize = 7;
 /// How old the list of instances may be for a decision that counts them.
 const LIST_AGE: Duration = Duration::from_secs(10);
 /// What separates a model from its version in the name of a brake.
@@ -53,6 +59,8 @@
     agent: Mutex<Agent>,
     open: Mutex<BTreeMap<(ModelName, VersionName), u32>>,
     asked: Mutex<HashMap<ModelName, u64>>,
+    /// What was last said that this instance acts on, and when.
+    said: Mutex<Option<(Acting, Instant)>>,
 }
 
 /// An answer that is open at a version; dropping it counts the answer out.
@@ -125,6 +133,7 @@
             agent: Mutex::new(Agent::new(name, incarnation, Method::default())),
             open: Mutex::default(),
             asked: Mutex::default(),
+            said: Mutex::default(),
         }
     }
 
@@ -293,12 +302,26 @@
             node.gossip().trip(brake);
         }
         gossip::after(node);
-        self.push(node, FAN_OUT);
+        self.push(node, FAN_OUT, |_| true);
     }
 
-    fn push(&self, node: &Arc<Node>, count: usize) {
+    /// Exchanges evidence with one of those who weigh it.
+    fn exchange(&self, node: &Arc<Node>) {
+        let live = listed(node);
+        let Some(force) = node.force.load_full() else {
+            return;
+        };
+        let parts = force.headline.parts.iter();
+        let all: Vec<InstanceName> = parts
+            .flat_map(|(model, part)| witnesses(part.origin, model, &live))
+            .collect();
+        self.push(node, 1, |name| all.is_empty() || all.contains(name));
+    }
+
+    fn push(&self, node: &Arc<Node>, count: usize, fits: impl Fn(&InstanceName) -> bool) {
         let addresses: Vec<_> = gossip::live(node)
             .into_iter()
+            .filter(|near| fits(&near.name))
             .filter_map(|near| near.address)
             .collect();
         let talk = self.talk();
@@ -318,6 +341,19 @@
         }
     }
 
+    /// Returns whether others must hear what this instance acts on: it changed, or was long not said.
+    fn is_news(&self, acting: &Acting) -> bool {
+        let mut said = lock(&self.said);
+        let is_old = said.as_ref().is_none_or(|(last, at)| {
+            let is_same = (last.revision, &last.moves) == (acting.revision, &acting.moves);
+            !is_same || at.elapsed() >= SAY_AGAIN
+        });
+        if is_old {
+            *said = Some((acting.clone(), Instant::now()));
+        }
+        is_old
+    }
+
     fn agent(&self) -> MutexGuard<'_, Agent> {
         lock(&self.agent)
     }
@@ -336,7 +372,8 @@
         }
         steps += 1;
         step(&node);
-        if steps % READ_STEPS == 0 && node.force.load().is_some() {
+        let is_due = steps % READ_STEPS == 0 && is_reader(&node) || steps % SLOW_STEPS == 0;
+        if is_due && node.force.load().is_some() {
             read_records(&node, &mut versions).await;
         }
         write_due(&node, &mut due_since, &mut versions).await;
@@ -364,15 +401,24 @@
         });
         (tripped, acting, is_talking || !agent.is_synced())
     };
-    let value = serde_json::to_vec(&acting).unwrap_or_default();
-    gossip::set(node, EntryKind::Acting, "", value);
+    if node.rollouts.is_news(&acting) {
+        let value = serde_json::to_vec(&acting).unwrap_or_default();
+        gossip::set(node, EntryKind::Acting, "", value);
+    }
     if tripped {
         node.rollouts.spread(node);
     } else if is_talking {
-        node.rollouts.push(node, 1);
+        node.rollouts.exchange(node);
     }
 }
 
+/// Returns whether this instance is one of those that read the records for all.
+fn is_reader(node: &Node) -> bool {
+    let ranked = rank("rollout reader", &listed(node));
+    let mut readers = ranked.iter().take(READERS);
+    readers.any(|name| *name == node.settings.instance)
+}
+
 /// Reads the records in the store.
 async fn read_records(node: &Arc<Node>, versions: &mut HashMap<Revision, Version>) {
     let Ok(listing) = node.platform.list_all(PREFIX).await else {
--- a/daemon/src/roster.rs
+++ b/daemon/src/roster.rs
@@ -7,8 +7,10 @@
 
 use crate::node::Node;
 
-/// The time between two reads.
+/// The least mean time between two reads of an instance.
 const EVERY_MS: u64 = 1_000;
+/// The reads a second of all instances together; a fleet that grows must not outgrow the platform.
+const FLEET_READS: u64 = 50;
 
 /// Reads the list until the instance ends.
 pub async fn run(node: Arc<Node>) {
@@ -18,7 +20,9 @@
             node.take_list(list);
         }
         // Jitter keeps the instances from asking in step.
-        let pause = Duration::from_millis(rng.random_range(EVERY_MS / 2..EVERY_MS * 3 / 2));
+        let instances = node.list.load().instances.len() as u64;
+        let mean = EVERY_MS.max(instances * 1_000 / FLEET_READS);
+        let pause = Duration::from_millis(rng.random_range(mean / 2..mean * 3 / 2));
         tokio::select! {
             () = node.ending.cancelled() => return,
             () = time::sleep(pause) => {}
