--- a/crates/ledger/tests/test_sockets.rs
+++ b/crates/ledger/tests/test_sockets.rs
@@ -39,7 +39,7 @@
     let runs = AtomicUsize::new(0);
     let calls = (1..4).map(|seed| {
         let client = Client::new(&ClientSettings {
-            address: server.address,
+            addresses: vec![server.address],
             connect: TIMEOUT,
             timeout: TIMEOUT,
             rates: RATES,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicUsize, Ordering::Relaxed},
+        Arc, Mutex, PoisonError,
+    },
     time::Duration,
 };
 
@@ -39,8 +42,8 @@
 /// Where the platform is and how much of it may be used.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// The address of the platform.
-    pub address: SocketAddr,
+    /// The addresses of the platform, the first one to be used until it fails.
+    pub addresses: Vec<SocketAddr>,
     /// How long a connection may take.
     pub connect: Duration,
     /// How long a call may take, its connection included; a watch has its wait on top.
@@ -55,7 +58,9 @@
 /// and never used again, see [`Settings::timeout`].
 #[derive(Clone, Debug)]
 pub struct Client {
-    address: SocketAddr,
+    addresses: Arc<[SocketAddr]>,
+    /// Counts the changes of address.
+    turn: Arc<AtomicUsize>,
     timeout: Duration,
     pool: Pool,
     budget: Arc<Mutex<Budget>>,
@@ -72,7 +77,8 @@
     pub fn new(settings: &Settings) -> Self {
         let budget = Budget::new(settings.rates, Instant::now());
         Self {
-            address: settings.address,
+            addresses: settings.addresses.as_slice().into(),
+            turn: Arc::default(),
             timeout: settings.timeout,
             pool: Pool::new(settings.connect),
             budget: Arc::new(Mutex::new(budget)),
@@ -216,10 +222,27 @@
     }
 
     fn request(&self, method: Method, path: &str) -> Builder {
-        let uri = format!("http://{}{path}", self.address);
+        // Without an address no URI is made, and the call ends as malformed.
+        let address = self.address().map(|address| address.to_string());
+        let uri = format!("http://{}{path}", address.unwrap_or_default());
         Request::builder().method(method).uri(uri)
     }
 
+    fn address(&self) -> Option<SocketAddr> {
+        let turn = self.turn.load(Relaxed);
+        let at = turn.checked_rem(self.addresses.len())?;
+        self.addresses.get(at).copied()
+    }
+
+    /// Goes on to the next address after a call to this one failed.
+    ///
+    /// A call is never repeated here: what a write without an answer did is for its caller to find
+    /// out. Only the next call goes elsewhere.
+    fn turn_from(&self, turn: usize) {
+        // Of many calls that fail together one turns, or they would turn past a good address.
+        let _ = self.turn.compare_exchange(turn, turn + 1, Relaxed, Relaxed);
+    }
+
     async fn write(&self, request: Builder, value: Bytes) -> Result<Version> {
         if value.len() > VALUE_BYTES {
             return Err(Report::new(PlatformError::TooLarge));
@@ -251,7 +274,12 @@
         let request = request
             .body(Full::new(body))
             .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))?;
+        let turn = self.turn.load(Relaxed);
         let answer = self.pool.call(request, limit, collect).await;
+        let is_down = |answer: &std::result::Result<Answer, PlatformError>| matches!(answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE);
+        if answer.as_ref().map_or(true, is_down) {
+            self.turn_from(turn);
+        }
         answer
             .map_err(|lost| no_answer(kind, lost))
             .and_then(|answer| answer.map_err(|error| cut_off(kind, error)))
--- a/crates/platform/tests/server.rs
+++ b/crates/platform/tests/server.rs
@@ -56,8 +56,12 @@
 }
 
 pub(crate) fn client(address: SocketAddr, rates: Rates) -> Client {
+    client_of(vec![address], rates)
+}
+
+pub(crate) fn client_of(addresses: Vec<SocketAddr>, rates: Rates) -> Client {
     Client::new(&Settings {
-        address,
+        addresses,
         connect: TIMEOUT,
         timeout: TIMEOUT,
         rates,
--- a/crates/platform/tests/test_connections.rs
+++ b/crates/platform/tests/test_connections.rs
@@ -4,7 +4,7 @@
 
 use celerypond_platform::{PlatformError, Version};
 
-use crate::server::{client, reply, text, Reply, Server, PLENTY, TIMEOUT};
+use crate::server::{client, client_of, reply, text, Reply, Server, PLENTY, TIMEOUT};
 
 // Four calls at once leave four idle connections. Something on the way then loses track of all of
 // them: they take requests and never answer, while new connections work. The first call after
@@ -53,3 +53,17 @@
         (Version(2), &b"own"[..])
     );
 }
+
+// The first address of the platform is down. One call learns that; the next goes to the second
+// address, and all later ones stay there.
+#[tokio::test]
+async fn calls_go_on_at_another_address() {
+    let server = Server::start(|_, _, _| reply("200 OK", "etag: \"5\"\r\n", "")).await;
+    let nobody = "127.0.0.1:1".parse().unwrap();
+    let platform = client_of(vec![nobody, server.address], PLENTY);
+    let error = platform.get("k").await.unwrap_err();
+    assert_eq!(*error.current_context(), PlatformError::Down);
+    for _ in 0..3 {
+        assert_eq!(platform.get("k").await.unwrap().version, Version(5));
+    }
+}
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -116,7 +116,7 @@
     ) -> Arc<Self> {
         let now = Instant::now();
         let platform = celerypond_platform::Settings {
-            address: settings.platform[0],
+            addresses: settings.platform.clone(),
             connect: PLATFORM_CONNECT,
             timeout: PLATFORM_TIMEOUT,
             rates: PLATFORM_RATES.share(FIRST_COUNT),
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -78,17 +78,26 @@
     Ok(())
 }
 
-/// Returns a value for each signal that asks for the planned stop.
+/// Returns a value for each signal that asks for the planned stop: SIGTERM, or SIGINT from a terminal.
 ///
 /// # Errors
 ///
 /// [`ServerError::Signal`] when signals can't be received.
 pub fn signals() -> Result<mpsc::Receiver<()>, Report<ServerError>> {
-    let mut signals = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(ServerError::Signal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(ServerError::Signal)?;
     let (sender, receiver) = mpsc::channel(1);
     // The task ends with the runtime: a process listens to signals for as long as it lives.
     tokio::spawn(async move {
-        while signals.recv().await.is_some() && sender.send(()).await.is_ok() {}
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            if sender.send(()).await.is_err() {
+                return;
+            }
+        }
     });
     Ok(receiver)
 }
