rollout: publish shares for request threads, split by a shared counter

The request path takes no lock: Agent::weights gives the shares here and now, and takes(number, share) is the error diffusion of Splitter without state.

--- a/crates/rollout/src/agent/traffic.rs
+++ b/crates/rollout/src/agent/traffic.rs
@@ -1,5 +1,7 @@
 //! How an instance splits requests and counts what comes of them.
 
+use std::collections::BTreeMap;
+
 use celerypond_bundle::Model;
 use celerypond_types::{Revision, VersionName};
 
@@ -16,19 +18,7 @@
 impl Agent {
     /// Chooses the version that takes the next request for a model.
     pub fn choose(&mut self, model: &Model) -> VersionName {
-        let part = self.parts.get(&model.name);
-        let changes = part.map_or_else(Vec::new, |part| part.moves.clone());
-        let origin = part.map_or_else(Revision::default, |part| part.origin);
-        let base = changes
-            .first()
-            .map_or(&model.base, |change| &change.base)
-            .clone();
-        let mut wanted = shares(model);
-        for change in &changes {
-            let share = self.share(origin, change);
-            wanted.insert(change.candidate.version.clone(), share);
-        }
-        wanted.remove(&base);
+        let (base, wanted) = self.weights(model);
         for (version, share_ppm) in wanted {
             let candidate = Candidate {
                 model: model.name.clone(),
@@ -41,6 +31,23 @@
         base
     }
 
+    /// Returns the version that takes what is left, and the shares of the others here and now.
+    ///
+    /// This is what the daemon publishes for its request threads, which split by [`crate::takes`].
+    pub fn weights(&self, model: &Model) -> (VersionName, BTreeMap<VersionName, u32>) {
+        let part = self.parts.get(&model.name);
+        let changes = part.map_or(&[][..], |part| part.moves.as_slice());
+        let origin = part.map_or_else(Revision::default, |part| part.origin);
+        let base = changes.first().map_or(&model.base, |change| &change.base);
+        let mut wanted = shares(model);
+        for change in changes {
+            let share = self.share(origin, change);
+            wanted.insert(change.candidate.version.clone(), share);
+        }
+        wanted.remove(base);
+        (base.clone(), wanted)
+    }
+
     /// Returns the part of its requests that this instance sends to a version under rollout.
     pub fn share(&self, origin: Revision, change: &Move) -> u32 {
         let candidate = &change.candidate;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -40,7 +40,7 @@
     Submission, AUDIT_PREFIX, CURRENT_KEY,
 };
 pub use rollout::{rollout_key, Phase, Rollout, View};
-pub use splitter::{Splitter, WHOLE_PPM};
+pub use splitter::{takes, Splitter, WHOLE_PPM};
 pub use standing::Standing;
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
 pub use tally::{Failure, Tally, Trials};
--- a/crates/rollout/src/splitter.rs
+++ b/crates/rollout/src/splitter.rs
@@ -38,3 +38,23 @@
         is_chosen
     }
 }
+
+/// Returns whether the request with this number goes to a version, for counters that threads share.
+///
+/// It is the same error diffusion without state: of the first n requests, the whole part of the share of
+/// n are chosen.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_rollout::takes;
+///
+/// assert_eq!((0..1_000).filter(|number| takes(*number, 10_000)).count(), 10);
+/// ```
+pub const fn takes(number: u64, share_ppm: u32) -> bool {
+    let share = share_ppm as u128;
+    let number = number as u128;
+    let before = number * share / WHOLE_PPM as u128;
+    let after = (number + 1) * share / WHOLE_PPM as u128;
+    after > before
+}
