--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -5,7 +5,7 @@
 use celerypond_fleet::{Candidate, EntryKind, Event, Listed, MemberState, Outgoing, Subset};
 use celerypond_platform::Presence;
 use celerypond_telemetry::{Counter, Gauge};
-use celerypond_types::{DataCentre, InstanceName, RequestKey};
+use celerypond_types::{DataCentre, InstanceName, RequestKey, TargetName};
 use tokio::time::{self, Instant};
 
 use crate::node::Node;
@@ -116,7 +116,13 @@
     names.extend(heard.roster().iter().map(|(_, member)| member.name.clone()));
     names.sort();
     names.dedup();
-    Subset::of(&node.settings.instance, &names, &[]).peers
+    drop(heard);
+    let force = node.force.load_full();
+    let targets = force.iter().flat_map(|force| &force.bundle.targets);
+    let targets: Vec<TargetName> = targets.map(|target| target.name.clone()).collect();
+    let subset = Subset::of(&node.settings.instance, &names, &targets);
+    node.take_group(subset.targets);
+    subset.peers
 }
 
 fn listed(node: &Node) -> Vec<Listed> {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod link;
 pub mod node;
 pub mod orders;
+pub mod part;
 pub mod peer_server;
 pub mod peers;
 pub mod rollouts;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_answer::{Input, Keeper, SealKey};
-use celerypond_bundle::Settings;
+use celerypond_bundle::{Bundle, Settings};
 use celerypond_fleet::{Gossip, Identity, Incarnation};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
@@ -29,8 +29,8 @@
 
 use crate::{
     admission::Admission, force::Force, forward, front::socket::Sockets, ledger::Ledger,
-    orders::Reports, peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
-    target_watch::TargetEvent,
+    orders::Reports, part::part_of, peers::Peers, rollouts::Rollouts, stalls::Stalls,
+    suspects::Suspects, target_watch::TargetEvent,
 };
 
 /// The platform's rates for all instances together, of which each uses its share.
@@ -62,6 +62,8 @@
     pub view: ArcSwap<View>,
     /// The bundle in force; none before the first roll.
     pub force: ArcSwapOption<Force>,
+    /// The targets of this instance's group; none until the fleet is known.
+    group: ArcSwap<Vec<TargetName>>,
     /// The last list of instances that the platform gave.
     pub list: ArcSwap<InstanceList>,
     /// Connections from callers.
@@ -133,6 +135,7 @@
             platform: Client::new(&platform),
             view: ArcSwap::from_pointee(View::new(now)),
             force: ArcSwapOption::empty(),
+            group: ArcSwap::default(),
             list: ArcSwap::default(),
             sockets: Sockets::default(),
             leaving: CancellationToken::new(),
@@ -178,7 +181,7 @@
         self.rollouts.set_force(&force);
         let before = self
             .view
-            .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
+            .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
         self.share_evenly(&before);
         self.metrics.add(Counter::Bundles, 1);
         self.metrics.set(Gauge::Revision, force.revision().0);
@@ -190,6 +193,21 @@
         true
     }
 
+    /// Takes the targets of this instance's group, and uses them from now on.
+    pub fn take_group(&self, targets: Vec<TargetName>) {
+        let is_same = *self.group.load_full() == targets;
+        self.group.store(Arc::new(targets));
+        if let Some(force) = self.force.load_full().filter(|_| !is_same) {
+            self.view
+                .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
+        }
+    }
+
+    /// Returns the bundle with the targets that this instance uses.
+    fn part(&self, force: &Force) -> Bundle {
+        part_of(&force.bundle, &self.group.load())
+    }
+
     /// Gives accounts that are new here an even part of their limits.
     ///
     /// The failure: until demand was measured, a second later, each of their requests would be refused.
--- a/daemon/src/rollouts.rs
+++ b/daemon/src/rollouts.rs
@@ -529,9 +529,16 @@
 
 /// Returns whether any engine of a version reports to have loaded it.
 fn is_loaded(node: &Node, model: &Model, version: &VersionName) -> bool {
+    let left_out = node.rollouts.excluded(node, model, version);
+    let view = node.view.load();
     let found = model.versions.iter().find(|found| found.name == *version);
-    let mut targets = found.into_iter().flat_map(|found| &found.targets);
-    targets.any(|target| has_loaded(node, target, version))
+    let targets = found.into_iter().flat_map(|found| &found.targets);
+    // An instance uses the engines of its group only, and a stage may use none of those.
+    let mut used = targets.filter(|target| {
+        let key = view.key(target);
+        key.is_some_and(|key| !left_out.contains(&key))
+    });
+    used.any(|target| has_loaded(node, target, version))
 }
 
 /// Returns whether an engine may have a version loaded; one that was never asked may.
--- /dev/null
+++ b/daemon/tests/test_part.rs
@@ -0,0 +1,64 @@
+//! The part of a bundle that one instance uses.
+
+use celerypond_bundle::Bundle;
+use celerypond_daemon::part::part_of;
+use celerypond_fleet::Subset;
+use celerypond_types::{InstanceName, TargetName};
+use rstest::rstest;
+
+fn bundle(engines: usize) -> Bundle {
+    let mut bundle = Bundle::parse(include_str!("../../examples/demo.json")).unwrap();
+    let template = bundle.targets[0].clone();
+    let name = |at: usize| TargetName::new(format!("engine-{at}"));
+    bundle
+        .targets
+        .retain(|target| target.name.as_str() == "desk-1");
+    bundle
+        .targets
+        .extend((0..engines).map(|at| celerypond_bundle::Target {
+            name: name(at),
+            ..template.clone()
+        }));
+    bundle.models[0].versions[0].targets = (0..engines).map(name).collect();
+    bundle
+}
+
+fn instances(count: usize) -> Vec<InstanceName> {
+    (0..count)
+        .map(|at| InstanceName::new(format!("i{at}")))
+        .collect()
+}
+
+/// All instances together still use every engine, none uses much more than its part, and a service of
+/// one target keeps it everywhere.
+#[rstest]
+#[case::today(7, 40, 40)]
+#[case::more(200, 2_500, 400)]
+#[case::full(900, 11_000, 500)]
+fn groups_cover_all_engines(#[case] count: usize, #[case] engines: usize, #[case] most: usize) {
+    let bundle = bundle(engines);
+    let names: Vec<TargetName> = bundle
+        .targets
+        .iter()
+        .map(|target| target.name.clone())
+        .collect();
+    let all = instances(count);
+    let mut covered = std::collections::HashSet::new();
+    for own in &all {
+        let subset = Subset::of(own, &all, &names);
+        let part = part_of(&bundle, &subset.targets);
+        let used = &part.models[0].versions[0].targets;
+        assert!(
+            used.len() >= 8 && used.len() <= most,
+            "{own} uses {}",
+            used.len()
+        );
+        assert_eq!(part.services[0].targets, bundle.services[0].targets);
+        assert!(part.target(&"desk-1".into()).is_some());
+        covered.extend(used.iter().cloned());
+        if covered.len() == engines {
+            break;
+        }
+    }
+    assert_eq!(covered.len(), engines);
+}
