daemon: ask a target whose word is old before work is sent

Cause: calls to services, retries of answers and answers that go on elsewhere did not look at the age of a target's last word; only the first start of an answer did. A gauge without any word counted as fresh for the first 2 s of the process. An instance that is cut off from the others went on sending work to a target that had left.

What the caller sees: work goes only to targets that say that they are live. Services prefer targets that are not suspect and take a suspect one only when there is no other. A place among the resumes at a silent target is given back, and the answer asks again.

Calls that are sent without the permit of admission are covered by the test for services and for retries of answers; the resume path uses the same function and has no test of its own.

--- a/crates/route/src/gauge.rs
+++ b/crates/route/src/gauge.rs
@@ -132,12 +132,18 @@
 
     /// Takes the target's own word that it is live, from a probe that was sent at `sent_ms`.
     pub fn confirm(&self, sent_ms: u64) {
-        self.word.fetch_max(sent_ms, Relaxed);
+        self.word.fetch_max(sent_ms.max(1), Relaxed);
     }
 
     /// Returns whether the target's last word is too old to send work without asking first.
+    ///
+    /// No word at all is stale at any time: an instance that has just started knows of no target
+    /// whether it left meanwhile.
     pub fn is_stale(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.word.load(Relaxed)) > FRESH_MS
+        match self.word.load(Relaxed) {
+            0 => true,
+            word => now_ms.saturating_sub(word) > FRESH_MS,
+        }
     }
 
     /// Closes the target to new work, or opens it again. See [`crate::Departure`].
--- a/daemon/src/admission.rs
+++ b/daemon/src/admission.rs
@@ -30,8 +30,6 @@
 pub struct Permit {
     /// The target.
     pub target: TargetKey,
-    /// Whether the target must be asked for its health first.
-    pub ask_first: bool,
     /// Counts the request at the target until dropped.
     pub load: InFlight,
 }
@@ -269,7 +267,6 @@
     let gauge = &view.target(choice.target)?.gauge;
     Some(Permit {
         target: choice.target,
-        ask_first: choice.ask_first,
         load: gauge.begin(view.clock().millis(now))?,
     })
 }
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -6,9 +6,8 @@
     Choice, Chosen, Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
     Start, Stream,
 };
-use celerypond_platform::Presence;
 use celerypond_rollout::{Failure, Trial};
-use celerypond_route::{InFlight, Route, Target};
+use celerypond_route::{InFlight, Route, View};
 use celerypond_telemetry::{hop, Counter};
 use celerypond_types::{RequestKey, TargetKey, TargetName, VersionKey, VersionName};
 use rand::rngs::SmallRng;
@@ -26,7 +25,7 @@
     link::{self, Ask},
     node::{self, Node},
     rollouts::{self, OpenAnswer},
-    target_watch::TargetEvent,
+    target_watch::{is_live, TargetEvent},
 };
 
 /// How many events of engines may wait for their answer.
@@ -293,6 +292,7 @@
             Input::Chosen(chosen) if std::mem::take(&mut self.resuming) => {
                 self.granted = self.find(&chosen.target).map(|(target, _)| target);
             }
+            Input::NoTarget => self.resuming = false,
             _ => {}
         }
     }
@@ -391,21 +391,37 @@
             .iter()
             .filter_map(|name| view.key(name))
             .collect();
-        let now = Instant::now();
-        let excluded = self.node.suspects.with(avoid, now);
-        let ask = celerypond_route::Ask {
-            excluded: &excluded,
-            near: Some(&self.node.settings.data_centre),
-            ..celerypond_route::Ask::default()
-        };
-        let picked = view.pick(Route::Version(key), &ask, now, &mut self.rng);
-        let target = picked.ok().and_then(|picked| view.target(picked.target));
-        Some(match target {
-            Some(target) => Input::Chosen(self.chosen(target.name.clone(), version)),
+        let name = self.pick_live(&view, Route::Version(key), avoid).await;
+        Some(match name {
+            Some(name) => Input::Chosen(self.chosen(name, version)),
             None => Input::NoTarget,
         })
     }
 
+    /// Chooses a target that takes new work by a word that is not old.
+    async fn pick_live(
+        &mut self,
+        view: &View,
+        route: Route,
+        avoid: Vec<TargetKey>,
+    ) -> Option<TargetName> {
+        let now = Instant::now();
+        let mut excluded = self.node.suspects.with(avoid, now);
+        loop {
+            let ask = celerypond_route::Ask {
+                excluded: &excluded,
+                near: Some(&self.node.settings.data_centre),
+                ..celerypond_route::Ask::default()
+            };
+            let picked = view.pick(route, &ask, now, &mut self.rng).ok()?;
+            let target = view.target(picked.target)?;
+            if is_live(&self.node, picked.target, target).await {
+                return Some(target.name.clone());
+            }
+            excluded.push(picked.target);
+        }
+    }
+
     /// Begins at the place that was given when the answer was admitted.
     async fn use_permit(&mut self, permit: Permit) -> Input {
         let view = self.node.view.load_full();
@@ -413,7 +429,7 @@
         else {
             return Input::NoTarget;
         };
-        if permit.ask_first && !is_live(&self.node, target).await {
+        if !is_live(&self.node, permit.target, target).await {
             return Input::NoTarget;
         }
         let chosen = self.chosen(target.name.clone(), version);
@@ -431,19 +447,23 @@
         self.node.work.spawn(async move {
             let Ok(key) = granted.await else { return };
             let view = node.view.load_full();
-            let input = match view.target(key) {
-                Some(target) => {
-                    let target = target.name.clone();
-                    let patience = node.stalls.patience(&target, tokens);
-                    Input::Chosen(Chosen {
-                        target,
-                        version,
-                        patience,
-                    })
-                }
-                None => Input::NoTarget,
+            let live = match view.target(key) {
+                Some(target) if is_live(&node, key, target).await => Some(target.name.clone()),
+                _ => None,
+            };
+            let Some(target) = live else {
+                node.admission.settled(key);
+                // An answer that is over needs no target.
+                let _ = inputs.send(Input::NoTarget).await;
+                return;
             };
-            if inputs.send(input).await.is_err() {
+            let patience = node.stalls.patience(&target, tokens);
+            let chosen = Chosen {
+                target,
+                version,
+                patience,
+            };
+            if inputs.send(Input::Chosen(chosen)).await.is_err() {
                 node.admission.settled(key);
             }
         });
@@ -574,14 +594,3 @@
         Some((key, view.target(key)?.address))
     }
 }
-
-/// Asks a target whose last word is old whether it takes new work.
-async fn is_live(node: &Node, target: &Target) -> bool {
-    let sent_ms = node.now_ms();
-    let health = engine::health(target.address, "/v1/health").await;
-    let live = matches!(health, Ok(Some(health)) if health.state == Presence::Live);
-    if live {
-        target.gauge.confirm(sent_ms);
-    }
-    live
-}
--- a/daemon/src/service_call.rs
+++ b/daemon/src/service_call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerypond_bundle::Service;
 use celerypond_ledger::{BodyTag, Finished, Proof, Reply, Unsent};
-use celerypond_route::{Ask, Failure, InFlight, Route, Verdict};
+use celerypond_route::{Ask, Failure, InFlight, Route, Verdict, View};
 use celerypond_telemetry::{hop, Counter, TraceContext};
 use celerypond_types::{NotRunReason, Outcome, TargetKey};
 use gotham::hyper::{HeaderMap, Method};
@@ -19,6 +19,7 @@
     body,
     http_call::{CallError, Fresh},
     node::Node,
+    target_watch::is_live,
 };
 
 /// The largest answer of a service, in bytes.
@@ -201,23 +202,18 @@
     ) -> Result<Connected, NotRunReason> {
         let mut reason = NotRunReason::NoTarget;
         loop {
-            let view = node.view.load();
+            let view = node.view.load_full();
             let service = view.service(&self.service.name).ok_or(reason)?;
-            let ask = Ask {
-                excluded,
-                near: Some(&node.settings.data_centre),
-                ..Ask::default()
-            };
-            let now = Instant::now();
-            let picked = view.pick(Route::Service(service), &ask, now, &mut node.rng());
-            let key = picked.map_err(|_| reason)?.target;
+            let route = Route::Service(service);
+            let key = pick(node, &view, route, excluded).ok_or(reason)?;
             let target = view.target(key).ok_or(reason)?;
-            let Some(load) = target.gauge.begin(view.clock().millis(now)) else {
+            let is_live = is_live(node, key, target).await;
+            let begun = is_live.then(|| target.gauge.begin(node.now_ms()));
+            let Some(load) = begun.flatten() else {
                 excluded.push(key);
                 continue;
             };
             let address = target.address;
-            drop(view);
             match Fresh::connect(address).await {
                 Ok(fresh) => {
                     return Ok(Connected {
@@ -288,6 +284,22 @@
     }
 }
 
+/// Chooses a target; one that failed a moment ago only when there is no other.
+fn pick(node: &Node, view: &View, route: Route, excluded: &[TargetKey]) -> Option<TargetKey> {
+    let now = Instant::now();
+    let suspects = node.suspects.with(excluded.to_vec(), now);
+    let choose = |excluded| {
+        let ask = Ask {
+            excluded,
+            near: Some(&node.settings.data_centre),
+            ..Ask::default()
+        };
+        view.pick(route, &ask, now, &mut node.rng())
+    };
+    let picked = choose(&suspects).or_else(|_| choose(excluded));
+    Some(picked.ok()?.target)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
     let value = headers.get(name).map(HeaderValue::to_str);
     value.and_then(Result::ok).unwrap_or_default()
--- a/daemon/src/target_watch.rs
+++ b/daemon/src/target_watch.rs
@@ -319,17 +319,44 @@
     }
 }
 
+/// Asks a target whose last word is old whether it takes new work; call it just before work is sent.
+///
+/// The failure: an instance that is cut off from the others and the platform hears neither that a
+/// target leaves nor that it left. Work would be sent there until the list says so. Only a target
+/// that says itself that it is live gets any; one that does not is missed for a moment by all.
+pub async fn is_live(node: &Node, key: TargetKey, target: &Target) -> bool {
+    let sent_ms = node.now_ms();
+    if !target.gauge.is_stale(sent_ms) {
+        return true;
+    }
+    let health = engine::health(target.address, health_path(target.kind)).await;
+    let is_live = matches!(health, Ok(Some(health)) if health.state == Presence::Live);
+    match is_live {
+        true => target.gauge.confirm(sent_ms),
+        false => node.suspects.add(key, Instant::now()),
+    }
+    is_live
+}
+
+fn health_path(kind: TargetKind) -> &'static str {
+    match kind {
+        TargetKind::Engine => "/v1/health",
+        TargetKind::Service => "/health",
+    }
+}
+
 async fn poll(key: TargetKey, target: Arc<Target>, sent_ms: u64, since: u64) -> Polled {
     let address = target.address;
+    let path = health_path(target.kind);
     let (health, load, cache) = match target.kind {
         TargetKind::Engine => tokio::join!(
-            engine::health(address, "/v1/health"),
+            engine::health(address, path),
             engine::load(address, "/v1/load"),
             engine::cache(address, since),
         ),
         TargetKind::Service => {
             let (health, load) = tokio::join!(
-                engine::health(address, "/health"),
+                engine::health(address, path),
                 engine::load(address, "/health"),
             );
             (health, load, Ok(Vec::new()))
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -1,8 +1,17 @@
 //! Targets and instances that leave.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering::Relaxed},
+        Arc,
+    },
+    time::Duration,
+};
 
-use celerypond_testutils::fault::EngineFault;
+use celerypond_cli::Called;
+use celerypond_testutils::{fault::EngineFault, reply, server::Server};
+use http::StatusCode;
+use serde_json::json;
 
 use crate::fleet::{get, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
 
@@ -59,3 +68,65 @@
         .expect("an idle connection must not hold up the stop");
     drop(idle);
 }
+
+/// Callers get all answers, within the time that one question for health takes. A target is in the
+/// bundle whose word no instance hears, as when an instance is cut off: it answers calls but never
+/// says that it is live. It gets no work: neither a call, nor an answer that failed at its first
+/// engine, since the target may have left and nothing would tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_never_says_that_it_is_live_gets_no_work() {
+    let fleet = Fleet::start(GAP).await;
+    let work = Arc::new(AtomicUsize::new(0));
+    let mutes = [mute(Arc::clone(&work)).await, mute(Arc::clone(&work)).await];
+    let mut bundle = fleet.bundle();
+    let list = bundle["targets"].as_array_mut().unwrap();
+    for (at, name, kind) in [(0, "desk-1", "service"), (1, "engine-3", "engine")] {
+        list.push(
+            json!({"name": name, "kind": kind, "address": mutes[at].address,
+                         "data_centre": "east", "slots": 256}),
+        );
+    }
+    bundle["services"][0]["targets"] = json!(["desk-0", "desk-1"]);
+    bundle["models"][0]["versions"][0]["targets"] =
+        json!(["engine-0", "engine-1", "engine-2", "engine-3"]);
+    let digest = fleet.sign(&bundle).await;
+    fleet.roll(digest).await;
+    fleet.await_revision(2).await;
+    fleet.engines[0].stand_in.fault(EngineFault {
+        fail: Some(true),
+        ..EngineFault::default()
+    });
+    let client = fleet.client(ACCOUNT_KEY);
+    for seed in 0..20 {
+        let called = Called {
+            service: "desk".into(),
+            method: "GET".into(),
+            path: "/stock".into(),
+            body: bytes::Bytes::new(),
+            key: None,
+        };
+        client.call(&called, Duration::from_secs(2)).await.unwrap();
+        let tokens = receive(&client, prompt("p", seed, 3), |_| {}).await;
+        assert_eq!(tokens.unwrap(), reference("v1", "p", seed, 3));
+    }
+    assert_eq!(work.load(Relaxed), 0);
+}
+
+/// Starts a target that counts its work and is silent about itself.
+async fn mute(work: Arc<AtomicUsize>) -> Server {
+    let handle = move |request: http::Request<bytes::Bytes>| {
+        let work = Arc::clone(&work);
+        async move {
+            match request.uri().path() {
+                "/stock" | "/v1/generate" => {
+                    work.fetch_add(1, Relaxed);
+                }
+                _ => std::future::pending().await,
+            }
+            reply::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    };
+    Server::start("127.0.0.1:0".parse().unwrap(), handle)
+        .await
+        .unwrap()
+}
