daemon: count the listed instances in limits and in the view

Cause: two counts of instances were wrong, and both come from one place now. An instance that knew nobody took itself for the only one and gave itself the whole limit of each account, by a shortcut past the split; a listed instance that was never heard of counted as answering. The view was never told of any other instance, so each took all slots of a pool for its own part.

What the caller sees: an account no longer gets more than its limit while instances start, and its requests wait in the local queues rather than in those of the engines. The price: until the list was read and every listed instance was heard of, a new instance admits 1/11 of the limit divided by the number of instances, and the demand of all instances in touch with a dead one that is still listed does not rise.

A silent instance that is not listed counts no longer. That each was heard of within TOUCH_MS can't be told: the roster notes only direct news of a member, which with many instances comes more rarely. It counts as heard of while it is known and not suspected.

--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Returns how many instances send to the same targets.
+    pub const fn instances(&self) -> usize {
+        self.instances
+    }
+
     /// Returns the view with another index of cached prefixes.
     #[must_use]
     pub fn with_cache(&self, cache: Arc<CacheIndex>) -> Self {
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use celerypond_fleet::{EntryKind, MemberState};
-use celerypond_route::{published, Demand, Demands, Knowledge, Part, Split};
+use celerypond_route::{published, Demand, Demands, Knowledge, Part, Split, FLOOR_PART};
 use celerypond_types::{AccountName, InstanceName};
 use tokio::time;
 
@@ -31,16 +31,31 @@
     loop {
         tokio::select! {
             () = node.ending.cancelled() => return,
-            _ = tick.tick() => step(&node, &mut own),
+            _ = tick.tick() => {
+                count(&node);
+                step(&node, &mut own);
+            }
         }
     }
 }
 
+/// Tells the view how many instances send to the same targets.
+///
+/// The failure: each instance takes itself for the only one, all fill all slots of the engines, and
+/// requests queue there, where accounts are not treated fairly. An instance that is silent counts:
+/// the other side of a partition still sends, and what a dead one leaves free shows in the reports.
+pub fn count(node: &Node) {
+    let instances = touch(node).instances;
+    if node.view.load().instances() != instances {
+        node.view.rcu(|view| view.with_instances(instances));
+    }
+}
+
 fn step(node: &Arc<Node>, own: &mut HashMap<AccountName, Own>) {
     let view = node.view.load_full();
     let now_ms = node.now_ms();
     let demands = demands(node);
-    let (instances, in_touch) = touch(node);
+    let touch = touch(node);
     own.retain(|name, _| view.accounts().key(name).is_some());
     for (_, entry) in view.accounts().iter() {
         let name = &entry.account.name;
@@ -54,25 +69,18 @@
         let known = Knowledge {
             instance: &node.settings.instance,
             demands: demands.get(name).unwrap_or(&none),
-            instances,
-            expected: instances,
-            in_touch,
+            instances: touch.instances,
+            expected: node.expected(),
+            in_touch: touch.is_whole,
             requests_per_s: entry.account.requests_per_s,
             tokens_per_s: entry.account.tokens_per_s,
         };
         let (split, part) = held.split.step(held.demand, &known, now_ms);
         held.split = split;
-        let part = if instances == 1 { WHOLE } else { part };
         entry.meter.set_account(&entry.account, part, now_ms);
     }
 }
 
-/// The part of an instance that is alone.
-const WHOLE: Part = Part {
-    requests: 1.0,
-    tokens: 1.0,
-};
-
 impl Own {
     /// Takes what was asked for in the last step; returns whether others must hear of it.
     fn measure(&mut self, asked: (u64, u64)) -> bool {
@@ -98,12 +106,21 @@
 }
 
 fn demands(node: &Node) -> HashMap<AccountName, Demands> {
+    let list = node.list.load();
     let gossip = node.gossip();
     let mut all: HashMap<AccountName, Demands> = HashMap::new();
     for (origin, item) in gossip.state().items(EntryKind::Demand) {
         let Some(member) = gossip.roster().run(origin) else {
             continue;
         };
+        // One that is silent may be on the other side of a partition, but not if it is not listed.
+        let is_listed = list
+            .instances
+            .iter()
+            .any(|listed| listed.name == member.name);
+        if member.state() == MemberState::Suspected && !is_listed {
+            continue;
+        }
         let Ok(demand) = serde_json::from_slice::<Demand>(&item.value) else {
             continue;
         };
@@ -113,16 +130,45 @@
     all
 }
 
-/// Returns how many instances there are, and whether all listed ones answer.
-fn touch(node: &Node) -> (usize, bool) {
+/// What this instance knows of the others that share the limits.
+struct Touch {
+    /// How many instances are listed or heard of, this one among them.
+    instances: usize,
+    /// Whether every listed instance answers.
+    is_whole: bool,
+}
+
+/// Returns what this instance knows of the others.
+///
+/// The failure: an instance has just started and knows of nobody, takes itself for the only one and
+/// admits the whole limit of each account next to what the others admit. Until the list was read
+/// and each instance in it was heard of, an instance counts as out of touch.
+fn touch(node: &Node) -> Touch {
+    let list = node.list.load();
     let gossip = node.gossip();
-    let states: Vec<(InstanceName, MemberState)> = gossip
-        .roster()
-        .iter()
-        .map(|(_, member)| (member.name.clone(), member.state()))
-        .collect();
-    let in_touch = states
-        .iter()
-        .all(|(_, state)| *state != MemberState::Suspected);
-    (states.len() + 1, in_touch)
+    let roster = gossip.roster();
+    let is_heard = |name: &InstanceName| {
+        let member = roster.named(name);
+        member.is_some_and(|it| it.origin.is_some() && it.state() != MemberState::Suspected)
+    };
+    let mut others = list.instances.iter().map(|listed| &listed.name);
+    let own = &node.settings.instance;
+    Touch {
+        instances: node.expected().max(roster.iter().count() + 1),
+        is_whole: node.listed_at().is_some() && others.all(|name| name == own || is_heard(name)),
+    }
+}
+
+/// Returns the part of a limit for an account that nobody has asked for yet.
+///
+/// Out of touch it is a part of what idle instances have: others may use all the rest unheard.
+pub fn first_part(node: &Node) -> Part {
+    let touch = touch(node);
+    let idle = FLOOR_PART / (1.0 + FLOOR_PART);
+    let whole = if touch.is_whole { 1.0 } else { idle };
+    let part = whole / touch.instances as f64;
+    Part {
+        requests: part,
+        tokens: part,
+    }
 }
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -16,7 +16,7 @@
 use celerypond_fleet::{Gossip, Identity, Incarnation, Keepers};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
-use celerypond_route::{Backoff, Part, RetryBudget, View};
+use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use celerypond_types::{RequestKey, TargetName, VersionName};
 use rand::{rngs::SmallRng, SeedableRng};
@@ -28,8 +28,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, orders::Reports,
-    peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
+    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, limits,
+    orders::Reports, peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
     target_watch::TargetEvent,
 };
 
@@ -186,16 +186,12 @@
         true
     }
 
-    /// Gives accounts that are new here an even part of their limits.
+    /// Gives accounts that are new here a part of their limits.
     ///
     /// The failure: until demand was measured, a second later, each of their requests would be refused.
     fn share_evenly(&self, before: &View) {
         let view = self.view.load();
-        let instances = self.list.load().instances.len().max(1) as f64;
-        let part = Part {
-            requests: 1.0 / instances,
-            tokens: 1.0 / instances,
-        };
+        let part = limits::first_part(self);
         let now_ms = self.now_ms();
         let is_new = |name| before.accounts().key(name).is_none();
         for (_, entry) in view.accounts().iter() {
@@ -269,6 +265,18 @@
         *lock(&self.listed)
     }
 
+    /// Returns how many instances there are by the platform's list, this one among them; a guess
+    /// until it was read.
+    pub fn expected(&self) -> usize {
+        if self.listed_at().is_none() {
+            return FIRST_COUNT;
+        }
+        let list = self.list.load();
+        let others = list.instances.iter();
+        let others = others.filter(|listed| listed.name != self.settings.instance);
+        others.count() + 1
+    }
+
     /// Returns a new generator of random numbers.
     pub fn rng(&self) -> SmallRng {
         SmallRng::from_rng(&mut *lock(&self.seed))
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -351,7 +351,7 @@
     }
 }
 
-fn settings(i: usize, port: u16, peer_port: u16, platform: SocketAddr) -> Settings {
+pub(crate) fn settings(i: usize, port: u16, peer_port: u16, platform: SocketAddr) -> Settings {
     let settings = json!({
         "instance": format!("entry-{i}"), "data_centre": CENTRES[i],
         "address": format!("127.0.0.1:{port}"), "peer_address": format!("127.0.0.1:{peer_port}"),
