daemon: learn how long answers take at an engine

Cause: an attempt's place at its engine was dropped and never ended, so the gauge learnt no time and took 4 s for every request. A report of load was then trusted for too long before short requests and for too short before long ones.

What the caller sees: nothing; work goes to engines by better reports. An attempt that brought no token is counted out without its time.

the_time_of_an_answer_is_learnt failed with the place dropped: panicked at daemon/tests/test_targets.rs:157:5: None and passes. It drives one instance's state in the test's process, so that the gauge can be looked at.

--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -87,14 +87,22 @@
 
 /// A connection of the answer; dropping it closes it.
 struct Open {
+    node: Arc<Node>,
     task: AbortHandle,
     target: TargetKey,
-    _load: Option<InFlight>,
+    load: Option<InFlight>,
+    /// Whether a token came over it.
+    came: bool,
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
         self.task.abort();
+        // An attempt ends with its connection, however that comes. One that brought nothing tells
+        // nothing of the time that requests take: a dead engine would seem the quickest.
+        if let Some(load) = self.load.take().filter(|_| self.came) {
+            load.end(self.node.now_ms());
+        }
     }
 }
 
@@ -255,6 +263,9 @@
         match input {
             Input::Event(link, Event::Frame(_)) => {
                 self.last_token = now;
+                if let Some(open) = self.links.get_mut(link) {
+                    open.came = true;
+                }
                 self.count_token(*link, now);
                 if let Some(trying) = self.take_trying(*link) {
                     let latency_ms = (now - trying.began).as_secs_f64() * 1e3;
@@ -551,9 +562,11 @@
         let task = task.instrument(hop("target", None));
         let task = self.node.work.spawn(task).abort_handle();
         let open = Open {
+            node: Arc::clone(&self.node),
             task,
             target,
-            _load: load,
+            load,
+            came: false,
         };
         self.links.insert(link, open);
     }
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -2,14 +2,20 @@
 //! killed as a process is.
 
 use std::{
+    collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    sync::atomic::{AtomicU16, Ordering::Relaxed},
+    sync::{
+        atomic::{AtomicU16, Ordering::Relaxed},
+        Arc,
+    },
     time::Duration,
 };
 
 use celerypond_bundle::{Bundle, Settings};
 use celerypond_cli::{Client, Prompt, Token};
-use celerypond_daemon::server;
+use celerypond_daemon::{force::Force, node::Node, server, target_watch::TargetEvent};
+use celerypond_rollout::Headline;
+use celerypond_telemetry::Metrics;
 use celerypond_testutils::{
     engine::{Engine, EngineSettings},
     generator::{Generator, Source},
@@ -18,7 +24,7 @@
     server::Server,
     service::Service,
 };
-use celerypond_types::Digest;
+use celerypond_types::{Digest, Revision};
 use http::Method;
 use serde_json::{json, Value};
 use tokio::{
@@ -246,6 +252,22 @@
     }
 }
 
+/// Returns the state of an instance that nobody else knows, with a bundle in force, and what it is
+/// told of targets. Its tasks are not started.
+pub(crate) fn lone(bundle: &Value) -> (Arc<Node>, mpsc::Receiver<TargetEvent>) {
+    let (events, told) = mpsc::channel(1024);
+    let settings = settings(0, 20_001, 20_002, "127.0.0.1:1".parse().unwrap());
+    let node = Node::new(settings, Metrics::local(), events);
+    let bundle = Bundle::parse(&bundle.to_string()).unwrap();
+    let headline = Headline {
+        revision: Revision(1),
+        digest: bundle.digest(),
+        parts: BTreeMap::new(),
+    };
+    node.bring(Force::new(headline, Arc::new(bundle)));
+    (node, told)
+}
+
 /// Waits until something holds, and fails the test if it does not in time.
 pub(crate) async fn wait_for(mut holds: impl AsyncFnMut() -> bool) {
     let until = Instant::now() + PATIENCE;
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -8,12 +8,13 @@
     time::Duration,
 };
 
-use celerypond_cli::Called;
+use celerypond_cli::{Called, Client};
+use celerypond_daemon::{admission::Admission, front};
 use celerypond_testutils::{fault::EngineFault, reply, server::Server};
 use http::StatusCode;
 use serde_json::json;
 
-use crate::fleet::{get, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
+use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
 
 const GAP: Duration = Duration::from_millis(2);
 
@@ -130,3 +131,28 @@
         .await
         .unwrap()
 }
+
+/// Callers see nothing of it. An instance learns how long requests take at an engine from those that
+/// end there; from that follows for how long it trusts a report of load.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_of_an_answer_is_learnt() {
+    let fleet = Fleet::start(GAP).await;
+    let mut bundle = fleet.bundle();
+    bundle["models"][0]["versions"][0]["targets"] = json!(["engine-0"]);
+    let (node, _told) = lone(&bundle);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(front::serve(Arc::clone(&node), listener));
+    tokio::spawn(Admission::run(Arc::clone(&node)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let client = Client::new(vec![address], ACCOUNT_KEY).unwrap();
+    let tokens = receive(&client, prompt("p", 1, 50), |_| {}).await;
+    assert_eq!(tokens.unwrap(), reference("v1", "p", 1, 50));
+    let view = node.view.load_full();
+    let gauge = &view
+        .target(view.key(&"engine-0".into()).unwrap())
+        .unwrap()
+        .gauge;
+    wait_for(async || gauge.open() == 0).await;
+    assert!(gauge.service_ms() >= Some(50), "{:?}", gauge.service_ms());
+}
