--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_bundles;
 mod test_calls;
 mod test_front;
+mod test_limits;
 mod test_part;
 mod test_rollouts;
 mod test_targets;
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -1,10 +1,24 @@
 //! Targets and instances that leave.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering::Relaxed},
+        Arc,
+    },
+    time::Duration,
+};
 
-use celerypond_testutils::fault::EngineFault;
+use celerypond_cli::{Called, Client};
+use celerypond_daemon::{
+    admission::Admission, front, service_call::ServiceCall, target_watch::TargetEvent,
+};
+use celerypond_testutils::{fault::EngineFault, reply, server::Server};
+use celerypond_types::Outcome;
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::json;
 
-use crate::fleet::{get, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
+use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
 
 const GAP: Duration = Duration::from_millis(2);
 
@@ -59,3 +73,158 @@
         .expect("an idle connection must not hold up the stop");
     drop(idle);
 }
+
+/// Callers get all answers, within the time that one question for health takes. A target is in the
+/// bundle whose word no instance hears, as when an instance is cut off: it answers calls but never
+/// says that it is live. It gets no work: neither a call, nor an answer that failed at its first
+/// engine, since the target may have left and nothing would tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_never_says_that_it_is_live_gets_no_work() {
+    let fleet = Fleet::start(GAP).await;
+    let work = Arc::new(AtomicUsize::new(0));
+    let mutes = [mute(Arc::clone(&work)).await, mute(Arc::clone(&work)).await];
+    let mut bundle = fleet.bundle();
+    let list = bundle["targets"].as_array_mut().unwrap();
+    for (at, name, kind) in [(0, "desk-1", "service"), (1, "engine-3", "engine")] {
+        list.push(
+            json!({"name": name, "kind": kind, "address": mutes[at].address,
+                         "data_centre": "east", "slots": 256}),
+        );
+    }
+    bundle["services"][0]["targets"] = json!(["desk-0", "desk-1"]);
+    bundle["models"][0]["versions"][0]["targets"] =
+        json!(["engine-0", "engine-1", "engine-2", "engine-3"]);
+    let digest = fleet.sign(&bundle).await;
+    fleet.roll(digest).await;
+    fleet.await_revision(2).await;
+    fleet.engines[0].stand_in.fault(EngineFault {
+        fail: Some(true),
+        ..EngineFault::default()
+    });
+    let client = fleet.client(ACCOUNT_KEY);
+    for seed in 0..20 {
+        let called = Called {
+            service: "desk".into(),
+            method: "GET".into(),
+            path: "/stock".into(),
+            body: bytes::Bytes::new(),
+            key: None,
+        };
+        client.call(&called, Duration::from_secs(2)).await.unwrap();
+        let tokens = receive(&client, prompt("p", seed, 3), |_| {}).await;
+        assert_eq!(tokens.unwrap(), reference("v1", "p", seed, 3));
+    }
+    assert_eq!(work.load(Relaxed), 0);
+}
+
+/// Starts a target that counts its work and is silent about itself.
+async fn mute(work: Arc<AtomicUsize>) -> Server {
+    let handle = move |request: http::Request<bytes::Bytes>| {
+        let work = Arc::clone(&work);
+        async move {
+            match request.uri().path() {
+                "/stock" | "/v1/generate" => {
+                    work.fetch_add(1, Relaxed);
+                }
+                _ => std::future::pending().await,
+            }
+            reply::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    };
+    Server::start("127.0.0.1:0".parse().unwrap(), handle)
+        .await
+        .unwrap()
+}
+
+/// Callers see nothing of it. An instance learns how long requests take at an engine from those that
+/// end there; from that follows for how long it trusts a report of load.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_of_an_answer_is_learnt() {
+    let fleet = Fleet::start(GAP).await;
+    let mut bundle = fleet.bundle();
+    bundle["models"][0]["versions"][0]["targets"] = json!(["engine-0"]);
+    let (node, _told) = lone(&bundle);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(front::serve(Arc::clone(&node), listener));
+    tokio::spawn(Admission::run(Arc::clone(&node)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let client = Client::new(vec![address], ACCOUNT_KEY).unwrap();
+    let tokens = receive(&client, prompt("p", 1, 50), |_| {}).await;
+    assert_eq!(tokens.unwrap(), reference("v1", "p", 1, 50));
+    let view = node.view.load_full();
+    let gauge = &view
+        .target(view.key(&"engine-0".into()).unwrap())
+        .unwrap()
+        .gauge;
+    wait_for(async || gauge.open() == 0).await;
+    assert!(gauge.service_ms() >= Some(50), "{:?}", gauge.service_ms());
+}
+
+/// Callers get the failure of their own call, and others go on getting answers. Calls that may be
+/// repeated fail at each of three services: one that ends services must not be carried to all of
+/// them, and the retries of calls that fail at a service end with that service's own budget. Each
+/// failure is told to those who eject targets.
+#[rstest]
+#[case::a_failed_call_is_tried_once_more(false, 2)]
+#[case::the_services_have_used_up_their_retries(true, 1)]
+#[tokio::test]
+async fn retries_of_calls_to_services_are_bounded(#[case] used_up: bool, #[case] tries: usize) {
+    let work = Arc::new(AtomicUsize::new(0));
+    let mut servers = Vec::new();
+    let mut targets = Vec::new();
+    for i in 0..3 {
+        let server = failing(Arc::clone(&work)).await;
+        targets.push(json!({"name": format!("desk-{i}"), "kind": "service",
+                            "address": server.address, "data_centre": "east"}));
+        servers.push(server);
+    }
+    let (node, mut told) = lone(&json!({
+        "format": 1, "title": "test", "targets": targets, "accounts": [],
+        "services": [{"name": "desk", "targets": ["desk-0", "desk-1", "desk-2"],
+                      "deadline_ms": 2_000}],
+    }));
+    let view = node.view.load_full();
+    for (_, target) in view.targets().filter(|_| used_up) {
+        while target.gauge.retries.take() {}
+    }
+    let force = node.force.load_full().unwrap();
+    let service = Arc::new(force.service(&"desk".into()).unwrap().clone());
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(2);
+    let (headers, body) = (http::HeaderMap::new(), bytes::Bytes::new());
+    let call = ServiceCall::new(
+        service,
+        http::Method::GET,
+        "/stock",
+        &headers,
+        body,
+        deadline,
+    );
+    let outcome = call.send_idempotent(&node).await;
+    assert!(
+        matches!(&outcome, Outcome::Ran(reply) if reply.status == 500),
+        "{outcome:?}"
+    );
+    assert_eq!(work.load(Relaxed), tries);
+    for _ in 0..tries {
+        let event = told.try_recv();
+        assert!(matches!(event, Ok(TargetEvent::Failed { .. })), "{event:?}");
+    }
+}
+
+/// Starts a service that is well and fails each call.
+async fn failing(work: Arc<AtomicUsize>) -> Server {
+    let handle = move |request: http::Request<bytes::Bytes>| {
+        let is_probe = request.uri().path() == "/health";
+        work.fetch_add(usize::from(!is_probe), Relaxed);
+        async move {
+            match is_probe {
+                true => reply::json(StatusCode::OK, &json!({"state": "live", "running": 0})),
+                false => reply::empty(StatusCode::INTERNAL_SERVER_ERROR),
+            }
+        }
+    };
+    Server::start("127.0.0.1:0".parse().unwrap(), handle)
+        .await
+        .unwrap()
+}
