bench: measure the whole path over real sockets

One process holds the stand-ins, one instance and the callers, each in a runtime of its own; the same client makes the direct calls and those over the instance. CPU time is read by the names of threads, memory as a difference of differences.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod host;
 mod ledger;
 mod orders;
+mod path;
 mod rollout;
 mod route;
 mod table;
@@ -19,7 +20,7 @@
 /// A measure: its name and the function that takes it with a number of seeds.
 type Measure = (&'static str, fn(u64) -> Vec<Row>);
 
-const MEASURES: [Measure; 7] = [
+const MEASURES: [Measure; 8] = [
     ("host", host::run),
     ("answer", answer::run),
     ("ledger", ledger::run),
@@ -27,6 +28,7 @@
     ("rollout", rollout::run),
     ("fleet", fleet::run),
     ("orders", orders::run),
+    ("path", path::run),
 ];
 
 const DEFAULT_SEEDS: u64 = 20;
