cli: report only the end of the roll that is waited for

Now only the rolled revision counts, all its rollouts must have ended, one that is taken back decides, and without moves the end is that the bundle is in force everywhere. An end by time was ruled out: the rollout has its own deadline.

--- a/cli/src/operator.rs
+++ b/cli/src/operator.rs
@@ -67,13 +67,27 @@
         println!("revision {} is accepted", value["revision"])
     });
     match (roll.wait, value["revision"].as_u64()) {
-        (true, Some(revision)) => wait(context, &client, revision).await,
+        (true, Some(revision)) => wait(context, &client, revision, moves(&value)).await,
         _ => Ok(()),
     }
 }
 
+/// Returns how many moves of traffic the rolled bundle asks for.
+fn moves(rolled: &Value) -> usize {
+    let parts = rolled["parts"].as_object().into_iter().flatten();
+    parts
+        .filter_map(|(_, part)| part["moves"].as_array())
+        .map(Vec::len)
+        .sum()
+}
+
 /// Follows a rollout to its end and shows each change on the standard error.
-async fn wait(context: &Context, client: &Client, revision: u64) -> Result<(), Failure> {
+async fn wait(
+    context: &Context,
+    client: &Client,
+    revision: u64,
+    moves: usize,
+) -> Result<(), Failure> {
     let mut shown = String::new();
     loop {
         // A question that fails is asked again: the rollout goes on without it.
@@ -83,7 +97,7 @@
                 eprintln!("{line}");
                 shown = line;
             }
-            if let Some(ending) = ending(&status, revision) {
+            if let Some(ending) = ending(&status, revision, moves) {
                 show(context, &status, || println!("{}", ending.text()));
                 return ending.result();
             }
@@ -118,15 +132,34 @@
     }
 }
 
-fn ending(status: &Value, revision: u64) -> Option<Ending> {
-    if status["revision"].as_u64()? > revision {
+/// Returns how the rollout of a revision ended, once it has.
+///
+/// The failure: another instance answers, which still has the bundle before, and its rollout is
+/// reported as the end of this one. So only the revision that was rolled counts.
+fn ending(status: &Value, revision: u64, moves: usize) -> Option<Ending> {
+    let seen = status["revision"].as_u64()?;
+    if seen > revision {
         return Some(Ending::Superseded);
     }
-    match status["rollout"]["ending"].as_str()? {
-        "done" => Some(Ending::Done),
-        "taken_back" => Some(Ending::TakenBack),
-        _ => None,
+    if seen < revision {
+        return None;
+    }
+    if moves == 0 {
+        return is_everywhere(status).then_some(Ending::Done);
     }
+    // One version that was taken back makes the whole bundle one that was not carried out.
+    let rollouts = status["rollouts"].as_array()?;
+    let endings: Option<Vec<&str>> = rollouts.iter().map(|it| it["ending"].as_str()).collect();
+    let endings = endings.filter(|endings| endings.len() >= moves)?;
+    match endings.contains(&"taken_back") {
+        true => Some(Ending::TakenBack),
+        false => Some(Ending::Done),
+    }
+}
+
+fn is_everywhere(status: &Value) -> bool {
+    let on = status["in_force"]["on"].as_u64();
+    on.is_some_and(|on| on > 0) && on == status["in_force"]["of"].as_u64()
 }
 
 fn status_line(status: &Value) -> String {
