daemon: close idle connections by their idle time, not for a stop

Cause: a planned stop ended every idle connection at once, and replies did not tell callers for how long a connection may be used again. A caller whose last reply came before the stop sent its next request on a connection that was closing. A connection also counted as busy for good after a reply that no handler gave, such as 404 for an unknown path, or after half a request, and could hold up a stop for ever.

What the caller sees: each reply says 'Keep-Alive: timeout=10', or 'Connection: close' once the instance leaves. A connection is closed when it has been idle for 11 s, at any time, and a request that comes before is answered, also during the stop. A second stop no longer cuts idle connections off; it waits 11 s for them at most.

Replies that the router gives itself (404, 405) have neither header.

--- a/daemon/src/front.rs
+++ b/daemon/src/front.rs
@@ -4,6 +4,7 @@
     convert::Infallible, future::Future, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
 };
 
+use celerypond_route::KEEP_ALIVE_MS;
 use celerypond_telemetry::hop;
 use gotham::{
     handler::HandlerResult,
@@ -41,6 +42,10 @@
     Method::DELETE,
 ];
 
+/// How long a caller may use a connection again that is idle.
+const KEEP_ALIVE: &str = "timeout=10";
+const _: () = assert!(KEEP_ALIVE_MS == 10_000);
+
 /// A request as handlers see it.
 pub struct Call {
     /// The method.
@@ -137,9 +142,10 @@
     let parent = parent.and_then(|value| value.to_str().ok()?.parse().ok());
     let hop = handler(Arc::clone(&node), call).instrument(hop("front", parent));
     let mut reply = hop.await;
-    if node.leaving.is_cancelled() {
-        let close = HeaderValue::from_static("close");
-        reply.headers_mut().insert(header::CONNECTION, close);
-    }
+    let headers = reply.headers_mut();
+    match node.leaving.is_cancelled() {
+        true => headers.insert(header::CONNECTION, HeaderValue::from_static("close")),
+        false => headers.insert("keep-alive", HeaderValue::from_static(KEEP_ALIVE)),
+    };
     Ok((state, reply.map(|body| socket::hold(body, busy))))
 }
--- a/daemon/src/front/socket.rs
+++ b/daemon/src/front/socket.rs
@@ -9,24 +9,27 @@
     net::SocketAddr,
     pin::Pin,
     sync::{
-        atomic::{AtomicBool, Ordering::SeqCst},
+        atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst},
         Arc, Mutex, MutexGuard, PoisonError,
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
+use celerypond_route::IDLE_CLOSE_MS;
 use gotham::helpers::http::Body;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{self, Instant, Sleep},
 };
-use tokio_util::{
-    sync::{CancellationToken, WaitForCancellationFutureOwned},
-    task::{task_tracker::TaskTrackerToken, TaskTracker},
-};
+use tokio_util::task::{task_tracker::TaskTrackerToken, TaskTracker};
+
+/// After how long an idle connection is closed.
+const IDLE_CLOSE: Duration = Duration::from_millis(IDLE_CLOSE_MS);
 
 /// All connections from callers.
 #[derive(Clone, Default)]
@@ -36,27 +39,52 @@
 
 #[derive(Default)]
 struct Shared {
-    open: Mutex<HashMap<SocketAddr, Arc<AtomicBool>>>,
+    open: Mutex<HashMap<SocketAddr, Arc<Use>>>,
     tracker: TaskTracker,
-    closing: CancellationToken,
+}
+
+/// The use of one connection.
+struct Use {
+    born: Instant,
+    /// When bytes last moved or a reply was last complete, in milliseconds after `born`.
+    last_ms: AtomicU64,
+    /// How many requests are not fully answered.
+    requests: AtomicUsize,
+}
+
+impl Use {
+    fn touch(&self) {
+        let now_ms = self.born.elapsed().as_millis() as u64;
+        self.last_ms.fetch_max(now_ms, SeqCst);
+    }
+
+    /// Returns when the connection has been idle for long enough, if nothing happens until then.
+    fn closes_at(&self) -> Instant {
+        let last = self.born + Duration::from_millis(self.last_ms.load(SeqCst));
+        match self.requests.load(SeqCst) {
+            0 => last + IDLE_CLOSE,
+            _ => Instant::now() + IDLE_CLOSE,
+        }
+    }
 }
 
 /// A connection from a caller.
 pub struct Socket {
     stream: TcpStream,
     address: SocketAddr,
-    busy: Arc<AtomicBool>,
-    closing: Pin<Box<WaitForCancellationFutureOwned>>,
+    usage: Arc<Use>,
+    closing: Pin<Box<Sleep>>,
     sockets: Sockets,
     _token: TaskTrackerToken,
 }
 
 /// Marks a connection as having a request that is not fully answered.
-pub struct Busy(Arc<AtomicBool>);
+pub struct Busy(Arc<Use>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.store(false, SeqCst);
+        self.0.touch();
+        self.0.requests.fetch_sub(1, SeqCst);
     }
 }
 
@@ -74,13 +102,17 @@
         let address = stream.peer_addr().map_err(drop)?;
         // Without this, the second small write of a reply waits for an acknowledgement.
         stream.set_nodelay(true).map_err(drop)?;
-        let busy = Arc::new(AtomicBool::new(false));
-        self.lock().insert(address, Arc::clone(&busy));
+        let usage = Arc::new(Use {
+            born: Instant::now(),
+            last_ms: AtomicU64::new(0),
+            requests: AtomicUsize::new(0),
+        });
+        self.lock().insert(address, Arc::clone(&usage));
         Ok(Socket {
             stream,
             address,
-            busy,
-            closing: Box::pin(self.shared.closing.clone().cancelled_owned()),
+            closing: Box::pin(time::sleep_until(usage.closes_at())),
+            usage,
             sockets: self.clone(),
             _token: self.shared.tracker.token(),
         })
@@ -88,9 +120,9 @@
 
     /// Returns the mark of a connection's request, to be dropped with the end of its reply.
     pub fn busy(&self, address: SocketAddr) -> Option<Busy> {
-        let busy = Arc::clone(self.lock().get(&address)?);
-        busy.store(true, SeqCst);
-        Some(Busy(busy))
+        let usage = Arc::clone(self.lock().get(&address)?);
+        usage.requests.fetch_add(1, SeqCst);
+        Some(Busy(usage))
     }
 
     /// Returns how many connections are open.
@@ -103,14 +135,13 @@
         self.len() == 0
     }
 
-    /// Ends idle connections at once and the others after their replies, and waits for all.
+    /// Waits until all connections have ended, after a last reply or for being idle.
     pub async fn drain(&self) {
-        self.shared.closing.cancel();
         self.shared.tracker.close();
         self.shared.tracker.wait().await;
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<AtomicBool>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Use>>> {
         let open = self.shared.open.lock();
         open.unwrap_or_else(PoisonError::into_inner)
     }
@@ -129,16 +160,21 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // The failure: an idle connection is kept open by its caller, and the stop never ends. An
-        // end of input closes it. While a request is read or answered the connection is busy and
-        // gets no such end, since the server would take it for a caller that has gone.
-        let is_closing = self.closing.as_mut().poll(context).is_ready();
-        if is_closing && !self.busy.load(SeqCst) {
-            return Poll::Ready(Ok(()));
+        // end of input closes it, at any time and not for the stop: a caller whose last reply came
+        // before the stop was not told that the connection closes, and uses it again. While a
+        // request is answered there is no such end, since the server would take it for a caller
+        // that has gone.
+        while self.closing.as_mut().poll(context).is_ready() {
+            let closes_at = self.usage.closes_at();
+            if closes_at <= Instant::now() {
+                return Poll::Ready(Ok(()));
+            }
+            self.closing.as_mut().reset(closes_at);
         }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.busy.store(true, SeqCst);
+            self.usage.touch();
         }
         polled
     }
@@ -150,6 +186,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.usage.touch();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -166,6 +203,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.usage.touch();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -17,6 +17,10 @@
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
 
@@ -74,6 +78,42 @@
     drop(idle);
 }
 
+/// A caller gets an answer on a connection that is open, whenever it comes. The last reply came before
+/// a planned stop, so it said for how long the connection may be used again and not that it closes;
+/// the instance is then asked twice to stop, and the caller sends its next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_leaves_a_connection_that_callers_may_use_again() {
+    let fleet = Fleet::start(GAP).await;
+    let mut caller = TcpStream::connect(fleet.instances[0].address)
+        .await
+        .unwrap();
+    let first = ask(&mut caller).await;
+    assert!(first.contains("keep-alive: timeout=10"), "{first}");
+    assert!(!first.contains("connection: close"), "{first}");
+    fleet.instances[0].stop().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.instances[0].stop().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let second = ask(&mut caller).await;
+    assert!(second.starts_with("http/1.1 200"), "{second}");
+    assert!(second.contains("connection: close"), "{second}");
+    assert_eq!(caller.read(&mut [0; 1]).await.unwrap(), 0);
+}
+
+/// Sends a request and returns the reply in lower case.
+async fn ask(caller: &mut TcpStream) -> String {
+    let request = b"GET /v1/health HTTP/1.1\r\nhost: entry\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    let mut reply = String::new();
+    while !reply.contains('}') {
+        let mut bytes = [0; 4096];
+        let count = caller.read(&mut bytes).await.unwrap();
+        assert!(count > 0, "the connection ended after {reply:?}");
+        reply += &String::from_utf8_lossy(&bytes[..count]).to_lowercase();
+    }
+    reply
+}
+
 /// Callers get all answers, within the time that one question for health takes. A target is in the
 /// bundle whose word no instance hears, as when an instance is cut off: it answers calls but never
 /// says that it is live. It gets no work: neither a call, nor an answer that failed at its first
