daemon: count stalls and resumes as their names say

Cause: each resume of a stream counted as a stall, also after an engine had closed its connections, and an answer that went on at the same engine was counted nowhere.

What the operator sees: answers.stalls counts streams that were silent for longer than the progress timeout, answers.resumed_same those that went on at their engine, from the first token over the new connection.

stalls_and_resumes_are_counted failed with the old counting (stalls, resumed_same, resumed_elsewhere): the_engine_dies left: [1, 0, 1] right: [0, 0, 1] connections_fall_silent left: [1, 0, 0] right: [1, 1, 0] and passes.

--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -73,6 +73,8 @@
     /// The target at which a place among the resumes was given for the next start.
     granted: Option<TargetKey>,
     starts: u32,
+    /// Whether the effects under way come of a wait that was longer than the progress timeout.
+    overdue: bool,
     gone: bool,
 }
 
@@ -93,6 +95,8 @@
     load: Option<InFlight>,
     /// Whether a token came over it.
     came: bool,
+    /// Whether it reads a stream that was begun over another connection.
+    resumed: bool,
 }
 
 impl Drop for Open {
@@ -166,6 +170,7 @@
             resuming: false,
             granted: None,
             starts: 0,
+            overdue: false,
             gone: false,
         }
     }
@@ -183,11 +188,13 @@
                     }
                 }
                 effects = next;
+                self.overdue = false;
             }
             let Some(due) = answer.due() else {
                 return self.settle();
             };
             let input = self.next(due).await;
+            self.overdue = input == Input::Tick;
             self.notice(&input);
             answer.step(Instant::now(), input, &mut effects);
         }
@@ -215,12 +222,17 @@
                 let Some((target, address)) = self.find(&stream.target) else {
                     return Some(Input::Closed(link));
                 };
-                self.node.metrics.add(Counter::Stalls, 1);
+                if self.overdue {
+                    self.node.metrics.add(Counter::Stalls, 1);
+                }
                 let stall = self.node.stalls.of(&stream.target);
                 let request = self.ask.request.clone();
                 let inputs = self.inputs.clone();
                 let task = link::resume(request, address, link, stream, from, stall, inputs);
                 self.open(link, target, task, None);
+                if let Some(open) = self.links.get_mut(&link) {
+                    open.resumed = true;
+                }
             }
             Effect::Close(link) => {
                 // A connection that is closed before its answer is whole was given up as silent.
@@ -265,6 +277,10 @@
                 self.last_token = now;
                 if let Some(open) = self.links.get_mut(link) {
                     open.came = true;
+                    // Only a token shows that the stream goes on.
+                    if std::mem::take(&mut open.resumed) {
+                        self.node.metrics.add(Counter::ResumedSame, 1);
+                    }
                 }
                 self.count_token(*link, now);
                 if let Some(trying) = self.take_trying(*link) {
@@ -567,6 +583,7 @@
             target,
             load,
             came: false,
+            resumed: false,
         };
         self.links.insert(link, open);
     }
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -10,19 +10,20 @@
 
 use celerypond_cli::{Called, Client};
 use celerypond_daemon::{
-    admission::Admission, front, service_call::ServiceCall, target_watch::TargetEvent,
+    admission::Admission, front, node::Node, service_call::ServiceCall, target_watch::TargetEvent,
 };
-use celerypond_testutils::{fault::EngineFault, reply, server::Server};
+use celerypond_telemetry::Counter;
+use celerypond_testutils::{engine::Engine, fault::EngineFault, reply, server::Server};
 use celerypond_types::Outcome;
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
 };
 
-use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, ACCOUNT_KEY};
+use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, Target, ACCOUNT_KEY};
 
 const GAP: Duration = Duration::from_millis(2);
 
@@ -184,12 +185,7 @@
     let mut bundle = fleet.bundle();
     bundle["models"][0]["versions"][0]["targets"] = json!(["engine-0"]);
     let (node, _told) = lone(&bundle);
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(front::serve(Arc::clone(&node), listener));
-    tokio::spawn(Admission::run(Arc::clone(&node)));
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let client = Client::new(vec![address], ACCOUNT_KEY).unwrap();
+    let client = serve(&node).await;
     let tokens = receive(&client, prompt("p", 1, 50), |_| {}).await;
     assert_eq!(tokens.unwrap(), reference("v1", "p", 1, 50));
     let view = node.view.load_full();
@@ -201,6 +197,49 @@
     assert!(gauge.service_ms() >= Some(50), "{:?}", gauge.service_ms());
 }
 
+/// Serves callers for an instance without its other tasks.
+async fn serve(node: &Arc<Node>) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(front::serve(Arc::clone(node), listener));
+    tokio::spawn(Admission::run(Arc::clone(node)));
+    // The account's part of its limit is saved up from nothing.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    Client::new(vec![address], ACCOUNT_KEY).unwrap()
+}
+
+/// Callers see all tokens, and operators what happened: connections that fall silent are stalls, and
+/// the same engine goes on; an engine that dies closes its connections, which is no stall, and
+/// another goes on.
+#[rstest]
+#[case::connections_fall_silent(true, [1, 1, 0])]
+#[case::the_engine_dies(false, [0, 0, 1])]
+#[tokio::test(flavor = "multi_thread")]
+async fn stalls_and_resumes_are_counted(#[case] is_silent: bool, #[case] counts: [u64; 3]) {
+    let mut fleet = Fleet::start(GAP).await;
+    let (node, _told) = lone(&fleet.bundle());
+    let client = serve(&node).await;
+    let tokens = receive(&client, prompt("p", 2, 100), |count| {
+        let busy = |engine: &&mut Target<Engine>| !engine.stand_in.log().starts.is_empty();
+        let engine = fleet.engines.iter_mut().find(busy).unwrap();
+        match is_silent {
+            true if count == 40 => engine.stand_in.fault(EngineFault {
+                silent: Some(true),
+                ..EngineFault::default()
+            }),
+            false if count == 40 => engine.server = None,
+            _ => {}
+        }
+    });
+    assert_eq!(tokens.await.unwrap(), reference("v1", "p", 2, 100));
+    let counters = [
+        Counter::Stalls,
+        Counter::ResumedSame,
+        Counter::ResumedElsewhere,
+    ];
+    assert_eq!(counters.map(|counter| node.metrics.count(counter)), counts);
+}
+
 /// Callers get the failure of their own call, and others go on getting answers. Calls that may be
 /// repeated fail at each of three services: one that ends services must not be carried to all of
 /// them, and the retries of calls that fail at a service end with that service's own budget. Each
