--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -100,6 +100,8 @@
     pub(crate) fn restart(&mut self) {
         self.kill();
         let settings = self.settings.clone();
+        await_free(settings.address);
+        await_free(settings.peer_address);
         *self = Self::start(settings);
     }
 
@@ -359,6 +361,15 @@
     ports
 }
 
+/// Waits until the runtime of a killed instance has closed a listener, which it does a little later.
+fn await_free(address: SocketAddr) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while TcpListener::bind(address).is_err() {
+        assert!(std::time::Instant::now() < until, "{address} stays in use");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn any() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_calls;
 mod test_front;
 mod test_limits;
+mod test_links;
 mod test_part;
 mod test_rollouts;
 mod test_targets;
