--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -34,13 +34,13 @@
 pub use move_record::MoveRecord;
 pub use moves::{moves, shares, Candidate, Move};
 pub use plan::{local_ppm, plan, Demand, Stage, StageStep, MAX_WITNESSES, STEPS};
-pub use rank::{is_watcher, rank, WATCHERS_PER_CENTRE};
+pub use rank::{is_watcher, rank, witnesses, WATCHERS_PER_CENTRE};
 pub use record::{
     approval_key, bundle_key, Action, Approval, Audit, Current, Headline, Part, Signature,
     Submission, AUDIT_PREFIX, CURRENT_KEY,
 };
 pub use rollout::{rollout_key, Phase, Rollout, View};
-pub use splitter::{Splitter, WHOLE_PPM};
+pub use splitter::{takes, Splitter, WHOLE_PPM};
 pub use standing::Standing;
 pub use store::{parse, Condition, StoreCall, StoreReply, MAX_VALUE_BYTES};
 pub use tally::{Failure, Tally, Trials};
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -6,9 +6,8 @@
     Choice, Chosen, Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
     Start, Stream,
 };
-use celerypond_platform::Presence;
 use celerypond_rollout::{Failure, Trial};
-use celerypond_route::{InFlight, Route, Target};
+use celerypond_route::{InFlight, Route, View};
 use celerypond_telemetry::{hop, Counter};
 use celerypond_types::{RequestKey, TargetKey, TargetName, VersionKey, VersionName};
 use rand::rngs::SmallRng;
@@ -26,7 +25,7 @@
     link::{self, Ask},
     node::{self, Node},
     rollouts::{self, OpenAnswer},
-    target_watch::TargetEvent,
+    target_watch::{is_live, TargetEvent},
 };
 
 /// How many events of engines may wait for their answer.
@@ -88,14 +87,22 @@
 
 /// A connection of the answer; dropping it closes it.
 struct Open {
+    node: Arc<Node>,
     task: AbortHandle,
     target: TargetKey,
-    _load: Option<InFlight>,
+    load: Option<InFlight>,
+    /// Whether a token came over it.
+    came: bool,
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
         self.task.abort();
+        // An attempt ends with its connection, however that comes. One that brought nothing tells
+        // nothing of the time that requests take: a dead engine would seem the quickest.
+        if let Some(load) = self.load.take().filter(|_| self.came) {
+            load.end(self.node.now_ms());
+        }
     }
 }
 
@@ -256,6 +263,9 @@
         match input {
             Input::Event(link, Event::Frame(_)) => {
                 self.last_token = now;
+                if let Some(open) = self.links.get_mut(link) {
+                    open.came = true;
+                }
                 self.count_token(*link, now);
                 if let Some(trying) = self.take_trying(*link) {
                     let latency_ms = (now - trying.began).as_secs_f64() * 1e3;
@@ -293,6 +303,7 @@
             Input::Chosen(chosen) if std::mem::take(&mut self.resuming) => {
                 self.granted = self.find(&chosen.target).map(|(target, _)| target);
             }
+            Input::NoTarget => self.resuming = false,
             _ => {}
         }
     }
@@ -391,21 +402,37 @@
             .iter()
             .filter_map(|name| view.key(name))
             .collect();
-        let now = Instant::now();
-        let excluded = self.node.suspects.with(avoid, now);
-        let ask = celerypond_route::Ask {
-            excluded: &excluded,
-            near: Some(&self.node.settings.data_centre),
-            ..celerypond_route::Ask::default()
-        };
-        let picked = view.pick(Route::Version(key), &ask, now, &mut self.rng);
-        let target = picked.ok().and_then(|picked| view.target(picked.target));
-        Some(match target {
-            Some(target) => Input::Chosen(self.chosen(target.name.clone(), version)),
+        let name = self.pick_live(&view, Route::Version(key), avoid).await;
+        Some(match name {
+            Some(name) => Input::Chosen(self.chosen(name, version)),
             None => Input::NoTarget,
         })
     }
 
+    /// Chooses a target that takes new work by a word that is not old.
+    async fn pick_live(
+        &mut self,
+        view: &View,
+        route: Route,
+        avoid: Vec<TargetKey>,
+    ) -> Option<TargetName> {
+        let now = Instant::now();
+        let mut excluded = self.node.suspects.with(avoid, now);
+        loop {
+            let ask = celerypond_route::Ask {
+                excluded: &excluded,
+                near: Some(&self.node.settings.data_centre),
+                ..celerypond_route::Ask::default()
+            };
+            let picked = view.pick(route, &ask, now, &mut self.rng).ok()?;
+            let target = view.target(picked.target)?;
+            if is_live(&self.node, picked.target, target).await {
+                return Some(target.name.clone());
+            }
+            excluded.push(picked.target);
+        }
+    }
+
     /// Begins at the place that was given when the answer was admitted.
     async fn use_permit(&mut self, permit: Permit) -> Input {
         let view = self.node.view.load_full();
@@ -413,7 +440,7 @@
         else {
             return Input::NoTarget;
         };
-        if permit.ask_first && !is_live(&self.node, target).await {
+        if !is_live(&self.node, permit.target, target).await {
             return Input::NoTarget;
         }
         let chosen = self.chosen(target.name.clone(), version);
@@ -431,19 +458,23 @@
         self.node.work.spawn(async move {
             let Ok(key) = granted.await else { return };
             let view = node.view.load_full();
-            let input = match view.target(key) {
-                Some(target) => {
-                    let target = target.name.clone();
-                    let patience = node.stalls.patience(&target, tokens);
-                    Input::Chosen(Chosen {
-                        target,
-                        version,
-                        patience,
-                    })
-                }
-                None => Input::NoTarget,
+            let live = match view.target(key) {
+                Some(target) if is_live(&node, key, target).await => Some(target.name.clone()),
+                _ => None,
+            };
+            let Some(target) = live else {
+                node.admission.settled(key);
+                // An answer that is over needs no target.
+                let _ = inputs.send(Input::NoTarget).await;
+                return;
+            };
+            let patience = node.stalls.patience(&target, tokens);
+            let chosen = Chosen {
+                target,
+                version,
+                patience,
             };
-            if inputs.send(input).await.is_err() {
+            if inputs.send(Input::Chosen(chosen)).await.is_err() {
                 node.admission.settled(key);
             }
         });
@@ -531,9 +562,11 @@
         let task = task.instrument(hop("target", None));
         let task = self.node.work.spawn(task).abort_handle();
         let open = Open {
+            node: Arc::clone(&self.node),
             task,
             target,
-            _load: load,
+            load,
+            came: false,
         };
         self.links.insert(link, open);
     }
@@ -574,14 +607,3 @@
         Some((key, view.target(key)?.address))
     }
 }
-
-/// Asks a target whose last word is old whether it takes new work.
-async fn is_live(node: &Node, target: &Target) -> bool {
-    let sent_ms = node.now_ms();
-    let health = engine::health(target.address, "/v1/health").await;
-    let live = matches!(health, Ok(Some(health)) if health.state == Presence::Live);
-    if live {
-        target.gauge.confirm(sent_ms);
-    }
-    live
-}
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -12,11 +12,11 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_answer::{Input, Keeper, SealKey};
-use celerypond_bundle::Settings;
+use celerypond_bundle::{Bundle, Settings};
 use celerypond_fleet::{Gossip, Identity, Incarnation};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
-use celerypond_route::{Backoff, Part, RetryBudget, View};
+use celerypond_route::{Backoff, RetryBudget, View};
 use celerypond_telemetry::{Counter, Gauge, Metrics};
 use celerypond_types::{RequestKey, TargetName, VersionName};
 use rand::{rngs::SmallRng, SeedableRng};
@@ -28,9 +28,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, forward, front::socket::Sockets, ledger::Ledger,
-    orders::Reports, peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
-    target_watch::TargetEvent,
+    admission::Admission, force::Force, forward, front::socket::Sockets, ledger::Ledger, limits,
+    orders::Reports, part::part_of, peers::Peers, rollouts::Rollouts, stalls::Stalls,
+    suspects::Suspects, target_watch::TargetEvent,
 };
 
 /// The platform's rates for all instances together, of which each uses its share.
@@ -62,6 +62,8 @@
     pub view: ArcSwap<View>,
     /// The bundle in force; none before the first roll.
     pub force: ArcSwapOption<Force>,
+    /// The targets of this instance's group; none until the fleet is known.
+    group: ArcSwap<Vec<TargetName>>,
     /// The last list of instances that the platform gave.
     pub list: ArcSwap<InstanceList>,
     /// Connections from callers.
@@ -116,7 +118,7 @@
     ) -> Arc<Self> {
         let now = Instant::now();
         let platform = celerypond_platform::Settings {
-            address: settings.platform[0],
+            addresses: settings.platform.clone(),
             connect: PLATFORM_CONNECT,
             timeout: PLATFORM_TIMEOUT,
             rates: PLATFORM_RATES.share(FIRST_COUNT),
@@ -133,6 +135,7 @@
             platform: Client::new(&platform),
             view: ArcSwap::from_pointee(View::new(now)),
             force: ArcSwapOption::empty(),
+            group: ArcSwap::default(),
             list: ArcSwap::default(),
             sockets: Sockets::default(),
             leaving: CancellationToken::new(),
@@ -178,7 +181,7 @@
         self.rollouts.set_force(&force);
         let before = self
             .view
-            .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
+            .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
         self.share_evenly(&before);
         self.metrics.add(Counter::Bundles, 1);
         self.metrics.set(Gauge::Revision, force.revision().0);
@@ -190,16 +193,27 @@
         true
     }
 
-    /// Gives accounts that are new here an even part of their limits.
+    /// Takes the targets of this instance's group, and uses them from now on.
+    pub fn take_group(&self, targets: Vec<TargetName>) {
+        let is_same = *self.group.load_full() == targets;
+        self.group.store(Arc::new(targets));
+        if let Some(force) = self.force.load_full().filter(|_| !is_same) {
+            self.view
+                .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
+        }
+    }
+
+    /// Returns the bundle with the targets that this instance uses.
+    fn part(&self, force: &Force) -> Bundle {
+        part_of(&force.bundle, &self.group.load())
+    }
+
+    /// Gives accounts that are new here a part of their limits.
     ///
     /// The failure: until demand was measured, a second later, each of their requests would be refused.
     fn share_evenly(&self, before: &View) {
         let view = self.view.load();
-        let instances = self.list.load().instances.len().max(1) as f64;
-        let part = Part {
-            requests: 1.0 / instances,
-            tokens: 1.0 / instances,
-        };
+        let part = limits::first_part(self);
         let now_ms = self.now_ms();
         let is_new = |name| before.accounts().key(name).is_none();
         for (_, entry) in view.accounts().iter() {
@@ -282,6 +296,18 @@
         *lock(&self.listed)
     }
 
+    /// Returns how many instances there are by the platform's list, this one among them; a guess
+    /// until it was read.
+    pub fn expected(&self) -> usize {
+        if self.listed_at().is_none() {
+            return FIRST_COUNT;
+        }
+        let list = self.list.load();
+        let others = list.instances.iter();
+        let others = others.filter(|listed| listed.name != self.settings.instance);
+        others.count() + 1
+    }
+
     /// Returns a new generator of random numbers.
     pub fn rng(&self) -> SmallRng {
         SmallRng::from_rng(&mut *lock(&self.seed))
