daemon: forget the cache of an engine that started anew

Cause: an instance asked an engine for the cache events after the last it had heard. An engine that started anew counts from 1, so it had none, and its old prefixes stayed in the index until it had counted past them. A retry of an answer was also placed without regard to prefix or adapter.

What the caller sees: requests no longer go to an engine for a prefix that it lost with a restart, and a retry goes to an engine that holds the prompt's beginning if there is one.

The last event that was heard is asked for once more; when it is not there again, all of the engine is forgotten and read from its first event on. An engine that has left the bundle is forgotten too. An answer that did not come changes nothing.

The affinity of retries has no test of its own.

--- a/crates/route/src/cache.rs
+++ b/crates/route/src/cache.rs
@@ -52,6 +52,8 @@
 struct Engine {
     /// The sequence number of the last event.
     last: u64,
+    /// The last event.
+    event: Option<CacheEvent>,
     /// The last event before which one is missing.
     gap: u64,
     /// The sequence number at which each prefix was stored.
@@ -97,6 +99,41 @@
         self.engines.insert(target, engine);
     }
 
+    /// Returns the sequence number after which to ask an engine for its events: the last event is
+    /// asked for once more, so that [`Self::hear`] knows whether the engine still counts on from it.
+    pub fn since(&self, target: TargetKey) -> u64 {
+        let engine = self.engines.get(target);
+        engine.map_or(0, |engine| engine.last.saturating_sub(1))
+    }
+
+    /// Takes an engine's events after [`Self::since`]; returns whether anything changed.
+    ///
+    /// The failure: an engine starts anew with an empty cache and counts from 1. It has no events
+    /// after the last that was heard, so its old prefixes stay in the index, and requests go there
+    /// for what it no longer holds. When the last event is not there again, the engine is forgotten
+    /// and read from its first event on with the next answer.
+    pub fn hear(&mut self, target: TargetKey, events: &[(u64, CacheEvent)]) -> bool {
+        let known = self
+            .engines
+            .get(target)
+            .map(|engine| (engine.last, engine.event));
+        if let Some((last, Some(event))) = known
+            && events.first() != Some(&(last, event))
+        {
+            self.forget(target);
+            return true;
+        }
+        let news = events
+            .iter()
+            .filter(|(sequence, _)| known.is_none_or(|(last, _)| *sequence > last));
+        let mut is_new = false;
+        for (sequence, event) in news {
+            self.take(target, *sequence, *event);
+            is_new = true;
+        }
+        is_new
+    }
+
     /// Forgets an engine, when it has left or started anew.
     pub fn forget(&mut self, target: TargetKey) {
         let engine = self.engines.remove(target);
@@ -140,6 +177,7 @@
             self.gap = sequence;
         }
         self.last = sequence;
+        self.event = Some(event);
         match event {
             CacheEvent::Stored(prefix) => {
                 self.prefixes.insert(prefix, sequence);
--- a/crates/route/tests/runner.rs
+++ b/crates/route/tests/runner.rs
@@ -1,5 +1,6 @@
 //! The integration tests of the crate, in one binary.
 
+mod test_cache;
 mod test_drain;
 mod test_ejection;
 mod test_fixture;
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -344,7 +344,7 @@
 }
 
 /// Returns the hashes of the prompt's beginnings, the longest first.
-fn prefixes(prompt: &str) -> Vec<u64> {
+pub fn prefixes(prompt: &str) -> Vec<u64> {
     const LENGTHS: [usize; 3] = [8192, 2048, 512];
     let bytes = prompt.as_bytes();
     LENGTHS
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -21,7 +21,9 @@
 
 use crate::{
     admission::Permit,
-    engine, keeping,
+    engine,
+    front::completions,
+    keeping,
     link::{self, Ask},
     node::{self, Node},
     rollouts::{self, OpenAnswer},
@@ -434,11 +436,15 @@
     ) -> Option<TargetName> {
         let now = Instant::now();
         let mut excluded = self.node.suspects.with(avoid, now);
+        let prefixes = completions::prefixes(&self.ask.prompt);
+        let adapter = self.ask.adapter.as_ref();
+        let adapter = adapter.map_or(0, |name| celerypond_route::hash(name.as_str().as_bytes()));
         loop {
             let ask = celerypond_route::Ask {
+                prefixes: &prefixes,
+                adapter,
                 excluded: &excluded,
                 near: Some(&self.node.settings.data_centre),
-                ..celerypond_route::Ask::default()
             };
             let picked = view.pick(route, &ask, now, &mut self.rng).ok()?;
             let target = view.target(picked.target)?;
--- a/daemon/src/target_watch.rs
+++ b/daemon/src/target_watch.rs
@@ -60,7 +60,8 @@
     word: Option<Word>,
     versions: Option<Vec<VersionName>>,
     load: Option<engine::Load>,
-    cache: Vec<CacheChange>,
+    /// What its cache tells; `None` when it was not heard.
+    cache: Option<Vec<CacheChange>>,
 }
 
 struct Watch {
@@ -73,8 +74,6 @@
     probed: SecondaryMap<TargetKey, Vec<Route>>,
     polls: JoinSet<Polled>,
     caches: Caches,
-    /// The last cache event of each engine.
-    events: SecondaryMap<TargetKey, u64>,
     is_cache_new: bool,
 }
 
@@ -88,7 +87,6 @@
         probed: SecondaryMap::new(),
         polls: JoinSet::new(),
         caches: Caches::default(),
-        events: SecondaryMap::new(),
         is_cache_new: false,
         node: Arc::clone(&node),
     };
@@ -156,14 +154,9 @@
             let sampled_ms = polled.sent_ms.saturating_sub(load.age_ms);
             target.gauge.report(sampled_ms, load.running + load.queued);
         }
-        for change in &polled.cache {
-            self.events.insert(polled.target, change.sequence);
-            let event = match change.kind {
-                CacheKind::Stored => CacheEvent::Stored(change.prefix),
-                CacheKind::Evicted => CacheEvent::Evicted(change.prefix),
-            };
-            self.caches.take(polled.target, change.sequence, event);
-            self.is_cache_new = true;
+        if let Some(changes) = &polled.cache {
+            let events: Vec<(u64, CacheEvent)> = changes.iter().map(cache_event).collect();
+            self.is_cache_new |= self.caches.hear(polled.target, &events);
         }
         for route in self.probed.remove(polled.target).unwrap_or_default() {
             let alive = polled.word.is_some();
@@ -248,7 +241,16 @@
     }
 
     fn retain(&mut self, view: &View) {
-        self.departures.retain(|key, _| view.target(key).is_some());
+        let Self {
+            departures, caches, ..
+        } = self;
+        departures.retain(|key, _| {
+            let is_kept = view.target(key).is_some();
+            if !is_kept {
+                caches.forget(key);
+            }
+            is_kept
+        });
         self.due.retain(|key, _| view.target(key).is_some());
         self.ejectors.retain(|route, _| view.pool(*route).is_some());
     }
@@ -287,7 +289,7 @@
             // Jitter keeps instances from asking a target in step.
             let next = now_ms + self.rng.random_range(POLL_MS / 2..POLL_MS * 3 / 2);
             self.due.insert(key, next);
-            let since = self.events.get(key).copied().unwrap_or(0);
+            let since = self.caches.since(key);
             self.polls
                 .spawn(poll(key, Arc::clone(target), now_ms, since));
         }
@@ -370,10 +372,18 @@
         word: health.as_ref().map(|health| word(health.state)),
         versions: health.map(|health| health.versions),
         load: load.ok().flatten(),
-        cache: cache.unwrap_or_default(),
+        cache: cache.ok(),
     }
 }
 
+fn cache_event(change: &CacheChange) -> (u64, CacheEvent) {
+    let event = match change.kind {
+        CacheKind::Stored => CacheEvent::Stored(change.prefix),
+        CacheKind::Evicted => CacheEvent::Evicted(change.prefix),
+    };
+    (change.sequence, event)
+}
+
 /// Returns what a target's state means for new work.
 pub fn word(state: Presence) -> Word {
     match state {
