--- a/daemon/src/rollouts.rs
+++ b/daemon/src/rollouts.rs
@@ -1,24 +1,20 @@
-//! This instance's side in rollouts: which version takes a request, what is seen of it, and the
-//! next step of the record in the store.
+//! This instance's side in rollouts: which version takes a request and what is seen of it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bytes::Bytes;
 use celerypond_bundle::Model;
 use celerypond_fleet::{Brake, EntryKind};
-use celerypond_platform::{PlatformError, Version};
 use celerypond_rollout::{
-    rank, rollout_key, witnesses, Acting, Agent, Brakes, Candidate, Cause, Method, Move, News,
-    Report, Rollout, Route, Spread, Subject, Trial,
+    witnesses, Acting, Agent, Brakes, Candidate, Cause, Method, News, Report, Route, Trial,
 };
-use celerypond_types::{InstanceName, ModelName, Revision, TargetKey, TargetName, VersionName};
+use celerypond_types::{InstanceName, ModelName, TargetKey, TargetName, VersionName};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::{
     force::Force,
@@ -26,24 +22,19 @@
     node::{self, Node},
 };
 
-/// How often evidence is weighed and passed on.
-const STEP: Duration = Duration::from_millis(250);
+mod driver;
+mod shares;
+mod status;
+
+pub use driver::run;
+pub use status::{RolloutStatus, Seen};
+
+use shares::Shares;
+
 /// How often an instance says again what it acts on.
 const SAY_AGAIN: Duration = Duration::from_secs(10);
 /// How many peers hear of news at once.
 const FAN_OUT: usize = 3;
-/// How long a step may be due before the next instance in line makes it.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// The prefix of the records in the store.
-const PREFIX: &str = "rollout/";
-/// How often the records in the store are read by the instances that do so for all.
-const READ_STEPS: u32 = 8;
-/// How often each other instance reads them, for what news may have missed.
-const SLOW_STEPS: u32 = 240;
-/// How many instances read the records for all; the others hear of them from peers.
-const READERS: usize = 7;
-/// How old the list of instances may be for a decision that counts them.
-const LIST_AGE: Duration = Duration::from_secs(10);
 /// What separates a model from its version in the name of a brake.
 const SEPARATOR: char = '/';
 
@@ -58,9 +49,11 @@
 pub struct Rollouts {
     agent: Mutex<Agent>,
     open: Mutex<BTreeMap<(ModelName, VersionName), u32>>,
-    asked: Mutex<HashMap<ModelName, u64>>,
+    shares: Shares,
     /// What was last said that this instance acts on, and when.
     said: Mutex<Option<(Acting, Instant)>>,
+    /// When the records in the store were last read.
+    read: Mutex<Option<Instant>>,
 }
 
 /// An answer that is open at a version; dropping it counts the answer out.
@@ -78,68 +71,30 @@
     }
 }
 
-/// How a rollout stands, as operators are told.
-#[derive(Clone, Debug, Serialize)]
-pub struct RolloutStatus {
-    /// The model.
-    pub model: ModelName,
-    /// The version.
-    pub version: VersionName,
-    /// How far it has come.
-    pub stage: String,
-    /// How it ended: `done` or `taken_back`.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub ending: Option<&'static str>,
-    /// Why it is taken back.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub cause: Option<Cause>,
-    /// On how many instances the stage acts.
-    pub acting: Spread,
-    /// When it must be complete, in milliseconds since 1970.
-    pub deadline_ms: u64,
-    /// What was seen of the version since the roll.
-    pub candidate: Seen,
-    /// What was seen of the version that it is compared with, in the same time.
-    pub base: Seen,
-}
-
-/// What was seen of a version.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Seen {
-    /// Answers and further chunks of answers that were asked for.
-    pub asked: u64,
-    /// Those that failed.
-    pub failed: u64,
-    /// Those that were cut off by the death of an engine, which count neither way.
-    pub discounted: u64,
-}
-
-impl Seen {
-    fn of(agent: &Agent, subject: &Subject, version: &VersionName) -> Self {
-        let tally = agent.evidence().total(subject, version, None);
-        let parts = [&tally.first, &tally.later];
-        Self {
-            asked: parts.iter().map(|trials| trials.sent).sum(),
-            failed: parts.iter().map(|trials| trials.failures()).sum(),
-            discounted: parts.iter().map(|trials| trials.discounted).sum(),
-        }
-    }
-}
-
 impl Rollouts {
     /// Makes the side of an instance; `incarnation` must rise with each restart.
     pub fn new(name: InstanceName, incarnation: u64) -> Self {
         Self {
             agent: Mutex::new(Agent::new(name, incarnation, Method::default())),
             open: Mutex::default(),
-            asked: Mutex::default(),
+            shares: Shares::default(),
             said: Mutex::default(),
+            read: Mutex::default(),
         }
     }
 
     /// Takes the bundle that has come into force.
     pub fn set_force(&self, force: &Force) {
-        self.agent().set_parts(force.headline.parts.clone());
+        let mut agent = self.agent();
+        agent.set_parts(force.headline.parts.clone());
+        self.shares.publish(&agent, &force.bundle);
+    }
+
+    /// Lets requests see the shares as they are now, which a brake has just changed, for example.
+    fn publish(&self, node: &Node) {
+        if let Some(force) = node.force.load_full() {
+            self.shares.publish(&self.agent(), &force.bundle);
+        }
     }
 
     /// Chooses the version that takes the next request for a model.
@@ -149,12 +104,8 @@
     /// it, the version that it is to replace serves on. So it does while this instance has just
     /// started and may not know of a brake.
     pub fn choose(&self, node: &Node, model: &Model) -> VersionName {
-        *lock(&self.asked).entry(model.name.clone()).or_default() += 1;
-        let (chosen, is_synced) = {
-            let mut agent = self.agent();
-            (agent.choose(model), agent.is_synced())
-        };
-        if is_synced && is_loaded(node, model, &chosen) {
+        let chosen = self.shares.choose(model);
+        if self.shares.is_synced() && is_loaded(node, model, &chosen) {
             return chosen;
         }
         let force = node.force.load();
@@ -217,7 +168,9 @@
             rollouts: Vec::new(),
             brakes,
         };
-        if self.agent().hear(&news) {
+        let is_new = self.agent().hear(&news);
+        self.publish(node);
+        if is_new {
             node.metrics.add(celerypond_telemetry::Counter::Brakes, 1);
             log::warn!(
                 "the brake is on for {} of revision {}",
@@ -248,28 +201,6 @@
         self.talk()
     }
 
-    /// Returns how the rollouts of the bundle in force stand, and on how many instances it acts.
-    pub fn status(&self, node: &Node) -> (Spread, Vec<RolloutStatus>) {
-        let live = listed(node);
-        let agent = self.agent();
-        let Some(force) = node.force.load_full() else {
-            return (agent.roster().in_force(Revision(1), &live), Vec::new());
-        };
-        let in_force = agent.roster().in_force(force.revision(), &live);
-        let parts = force.headline.parts.values();
-        let rollouts = parts.filter_map(|part| agent.rollout(part.origin));
-        let statuses = rollouts
-            .flat_map(|rollout| {
-                rollout
-                    .moves
-                    .iter()
-                    .map(move |record| (rollout.origin, record))
-            })
-            .map(|(origin, record)| status(origin, record, &agent, &live))
-            .collect();
-        (in_force, statuses)
-    }
-
     fn hear(&self, node: &Arc<Node>, talk: &[u8]) {
         let Ok(talk) = serde_json::from_slice::<Talk>(talk) else {
             return;
@@ -281,6 +212,7 @@
             }
             agent.hear(&talk.news)
         };
+        self.publish(node);
         if is_new {
             self.spread(node);
         }
@@ -359,174 +291,6 @@
     }
 }
 
-/// Weighs evidence and steps rollouts until the instance ends.
-pub async fn run(node: Arc<Node>) {
-    let mut tick = time::interval(STEP);
-    let mut due_since: HashMap<Revision, Instant> = HashMap::new();
-    let mut versions: HashMap<Revision, Version> = HashMap::new();
-    let mut steps = 0;
-    loop {
-        tokio::select! {
-            () = node.ending.cancelled() => return,
-            _ = tick.tick() => {}
-        }
-        steps += 1;
-        step(&node);
-        let is_due = steps % READ_STEPS == 0 && is_reader(&node) || steps % SLOW_STEPS == 0;
-        if is_due && node.force.load().is_some() {
-            read_records(&node, &mut versions).await;
-        }
-        write_due(&node, &mut due_since, &mut versions).await;
-    }
-}
-
-fn step(node: &Arc<Node>) {
-    let Some(force) = node.force.load_full() else {
-        return;
-    };
-    let live = listed(node);
-    let (tripped, acting, is_talking) = {
-        let mut agent = node.rollouts.agent();
-        agent.set_live(&live);
-        let engines = |change: &Move| base_engines(&force, change);
-        let tripped = agent.weigh(engines, node::wall_ms());
-        let open = lock(&node.rollouts.open);
-        let acting = agent.acting(force.revision(), |model, version| {
-            let key = (model.clone(), version.clone());
-            open.get(&key).copied().unwrap_or(0)
-        });
-        let is_talking = force.headline.parts.values().any(|part| {
-            let rollout = agent.rollout(part.origin);
-            rollout.is_some_and(|rollout| rollout.moves.iter().any(|it| !it.phase.is_ended()))
-        });
-        (tripped, acting, is_talking || !agent.is_synced())
-    };
-    if node.rollouts.is_news(&acting) {
-        let value = serde_json::to_vec(&acting).unwrap_or_default();
-        gossip::set(node, EntryKind::Acting, "", value);
-    }
-    if tripped {
-        node.rollouts.spread(node);
-    } else if is_talking {
-        node.rollouts.exchange(node);
-    }
-}
-
-/// Returns whether this instance is one of those that read the records for all.
-fn is_reader(node: &Node) -> bool {
-    let ranked = rank("rollout reader", &listed(node));
-    let mut readers = ranked.iter().take(READERS);
-    readers.any(|name| *name == node.settings.instance)
-}
-
-/// Reads the records in the store.
-async fn read_records(node: &Arc<Node>, versions: &mut HashMap<Revision, Version>) {
-    let Ok(listing) = node.platform.list_all(PREFIX).await else {
-        return;
-    };
-    let mut is_new = false;
-    for object in listing.objects {
-        if let Some(rollout) = celerypond_rollout::parse::<Rollout>(&object.value) {
-            versions.insert(rollout.origin, object.version);
-            is_new |= node.rollouts.agent().hear_store(rollout);
-        }
-    }
-    if is_new {
-        node.rollouts.spread(node);
-    }
-}
-
-/// Writes the steps that are due, if this instance is the one whose turn it is.
-async fn write_due(
-    node: &Arc<Node>,
-    since: &mut HashMap<Revision, Instant>,
-    versions: &mut HashMap<Revision, Version>,
-) {
-    let Some(force) = node.force.load_full() else {
-        return;
-    };
-    let due = {
-        let agent = node.rollouts.agent();
-        let rates = |model: &ModelName| rate(node, model);
-        let is_listed = node.listed_at().is_some_and(|at| at.elapsed() < LIST_AGE);
-        agent.due(&force.bundle.models, rates, is_listed, node::wall_ms())
-    };
-    since.retain(|origin, _| due.iter().any(|rollout| rollout.origin == *origin));
-    for rollout in due {
-        let first = *since.entry(rollout.origin).or_insert_with(Instant::now);
-        let live = listed(node);
-        let turn = rank(&format!("driver {}", rollout.origin), &live);
-        let place = turn.iter().position(|name| *name == node.settings.instance);
-        let place = place.unwrap_or(turn.len()) as u32;
-        if first.elapsed() >= PATIENCE * place {
-            write(node, rollout, versions).await;
-        }
-    }
-}
-
-async fn write(node: &Arc<Node>, rollout: Rollout, versions: &mut HashMap<Revision, Version>) {
-    let key = rollout_key(rollout.origin);
-    let value: Bytes = serde_json::to_vec(&rollout).unwrap_or_default().into();
-    let result = match versions.get(&rollout.origin) {
-        None => node.platform.create(&key, value).await,
-        Some(version) => node.platform.update(&key, *version, value).await,
-    };
-    match result {
-        Ok(version) => {
-            versions.insert(rollout.origin, version);
-            for record in &rollout.moves {
-                let candidate = &record.change.candidate;
-                let (model, version) = (&candidate.model, &candidate.version);
-                log::info!("rollout of {model} {version}: {:?}", record.phase);
-            }
-            node.rollouts.agent().hear_store(rollout);
-            node.rollouts.spread(node);
-        }
-        // Another instance made a step, or the reply was lost: the record tells.
-        Err(report) if *report.current_context() != PlatformError::Down => {
-            read_records(node, versions).await;
-        }
-        Err(_) => {}
-    }
-}
-
-fn status(
-    origin: Revision,
-    record: &celerypond_rollout::MoveRecord,
-    agent: &Agent,
-    live: &[InstanceName],
-) -> RolloutStatus {
-    use celerypond_rollout::Phase;
-
-    let change = &record.change;
-    let subject = Subject {
-        origin,
-        model: change.candidate.model.clone(),
-    };
-    let (stage, ending, cause) = match record.phase {
-        Phase::Stage { stage } => {
-            let text = format!("stage {} of {}", stage + 1, record.stages.len());
-            (text, None, None)
-        }
-        Phase::Closing => ("closing".to_owned(), None, None),
-        Phase::Done => ("done".to_owned(), Some("done"), None),
-        Phase::Braking { cause } => ("braking".to_owned(), None, Some(cause)),
-        Phase::TakenBack { cause } => ("taken back".to_owned(), Some("taken_back"), Some(cause)),
-        Phase::Superseded => ("superseded".to_owned(), None, None),
-    };
-    RolloutStatus {
-        model: change.candidate.model.clone(),
-        version: change.candidate.version.clone(),
-        stage,
-        ending,
-        cause,
-        acting: record.spread(origin, agent.roster(), live),
-        deadline_ms: record.deadline_ms,
-        candidate: Seen::of(agent, &subject, &change.candidate.version),
-        base: Seen::of(agent, &subject, &change.base),
-    }
-}
-
 /// Returns whether any engine of a version reports to have loaded it.
 fn is_loaded(node: &Node, model: &Model, version: &VersionName) -> bool {
     let left_out = node.rollouts.excluded(node, model, version);
@@ -568,15 +332,6 @@
         .collect()
 }
 
-fn base_engines(force: &Force, change: &Move) -> u32 {
-    let model = force.model(&change.candidate.model);
-    let versions = model.into_iter().flat_map(|model| &model.versions);
-    let base = versions
-        .filter(|version| version.name == change.base)
-        .map(|version| version.targets.len() as u32);
-    base.sum()
-}
-
 /// Returns the live instances by the platform's list.
 fn listed(node: &Node) -> Vec<InstanceName> {
     let list = node.list.load();
@@ -587,14 +342,6 @@
     live.map(|instance| instance.name.clone()).collect()
 }
 
-/// Estimates the requests a second for a model over all instances from those of this one.
-fn rate(node: &Node, model: &ModelName) -> f64 {
-    let asked = lock(&node.rollouts.asked).get(model).copied().unwrap_or(0);
-    let seconds = (node.now_ms() as f64 / 1e3).max(1.0);
-    let instances = listed(node).len().max(1);
-    asked as f64 / seconds * instances as f64
-}
-
 /// Returns the kind of request that a version's faults may differ by.
 pub fn route(adapter: Option<&celerypond_types::AdapterName>) -> Route {
     Route(adapter.map_or("", |adapter| adapter.as_str()).into())
