rollout, daemon: compare with the version that has the traffic; mend what the docs found

Cause: the base of a rise was the earlier bundle's base, not the version that had the traffic. The new test gives v1 for v2 without the change. Also: a shard and resumes that wait keep no stop from its end, spans are no log lines, an engine that fails at once is suspect like one that refuses, 429 for an account's own limit, Retry-After for operators, errors at the start on one line, demos refuse ports in use.

--- a/crates/rollout/src/moves.rs
+++ b/crates/rollout/src/moves.rs
@@ -63,7 +63,7 @@
         .filter(|(version, ppm)| *version != previous.base && *ppm > share_before(version));
     rises
         .map(|(version, to_ppm)| Move {
-            base: previous.base.clone(),
+            base: leader(previous, &before, next, &version),
             from_ppm: share_before(&version),
             to_ppm,
             engines: engines(next, &version),
@@ -75,6 +75,24 @@
         .collect()
 }
 
+/// Returns the version that had most of the traffic, and so is compared with and takes it back.
+///
+/// The failure: a model was moved from v1 to v2 by a share, and the next bundle, which no longer has v1,
+/// moves it to v3. With v1 as the base, all requests but the first stage's would have no engine.
+fn leader(
+    previous: &Model,
+    before: &BTreeMap<VersionName, u32>,
+    next: &Model,
+    candidate: &VersionName,
+) -> VersionName {
+    let is_listed = |version: &VersionName| next.versions.iter().any(|it| it.name == *version);
+    let rank = |version: &VersionName, ppm: u32| (ppm, *version == previous.base);
+    let others = before.iter().filter(|(version, _)| *version != candidate);
+    let listed = others.filter(|(version, _)| is_listed(version));
+    let most = listed.max_by_key(|(version, ppm)| rank(version, **ppm));
+    most.map_or_else(|| next.base.clone(), |(version, _)| version.clone())
+}
+
 fn engines(model: &Model, version: &VersionName) -> u32 {
     let found = model.versions.iter().find(|found| found.name == *version);
     found.map_or(0, |version| version.targets.len() as u32)
--- a/crates/rollout/tests/test_moves.rs
+++ b/crates/rollout/tests/test_moves.rs
@@ -63,3 +63,23 @@
     }
     assert!(moves(None, &model("v1", 50)).is_empty());
 }
+
+// v1 was moved to v2 by a share, and the next bundle, which no longer has v1, moves v2 to v3. With v1
+// as the base, what v3 does not take would have no engine: callers would be refused, and the rollout
+// would compare with a version that gets nothing.
+#[test]
+fn the_base_of_a_rise_is_the_version_that_has_the_traffic() {
+    let moved = model("v1", 100);
+    let next = Model {
+        versions: vec![version("v2"), version("v3")],
+        shares: vec![Share {
+            version: "v3".into(),
+            percent: 100,
+        }],
+        ..model("v2", 0)
+    };
+    assert_eq!(moves(Some(&moved), &next)[0].base, "v2".into());
+    // A version that has most of the traffic is not its own base.
+    let most = model("v1", 60);
+    assert_eq!(moves(Some(&most), &model("v1", 100))[0].base, "v1".into());
+}
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -14,6 +14,13 @@
 /// The prefix of our modules.
 const OWN_MODULES: &str = "celerypond";
 
+/// The module that opens spans. Without a recorder of spans, each would be a line in the log.
+const SPANS: &str = "celerypond_telemetry::spans";
+
+fn is_own(target: &str) -> bool {
+    target.starts_with(OWN_MODULES) && target != SPANS
+}
+
 /// The form of a log line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -86,7 +93,7 @@
         let writer = self.output.open().change_context(LogError::Output)?;
         Ok(fern::Dispatch::new()
             .level(self.level)
-            .filter(|line| line.target().starts_with(OWN_MODULES) || line.level() <= LIBRARIES)
+            .filter(|line| line.level() <= LIBRARIES || is_own(line.target()))
             .format(move |out, message, record| match format {
                 LogFormat::Text => out.finish(format_args!("{}", text(message, record))),
                 LogFormat::Json => out.finish(format_args!("{}", json(message, record))),
--- a/daemon/src/admission.rs
+++ b/daemon/src/admission.rs
@@ -127,7 +127,9 @@
             let _ = time::timeout(STEP, node.admission.ended.notified()).await;
             node.admission.step(&node, &mut rng);
         }
-        node.admission.lock().queues.clear();
+        let mut inner = node.admission.lock();
+        inner.queues.clear();
+        inner.resumes.clear();
     }
 
     fn step(&self, node: &Node, rng: &mut SmallRng) {
--- a/daemon/src/front/operator.rs
+++ b/daemon/src/front/operator.rs
@@ -22,6 +22,9 @@
     store, watch,
 };
 
+/// When operators may try again while the store is down, in milliseconds.
+const COME_BACK_MS: u64 = 1_000;
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Approve {
@@ -131,7 +134,7 @@
             let steps = objects.filter_map(|object| parse(&object.value)).collect();
             problem::json(StatusCode::OK, &History { steps })
         }
-        Err(report) => Problem::new(Kind::NotRun, report.current_context()).reply(),
+        Err(report) => come_back(Problem::new(Kind::NotRun, report.current_context())).reply(),
     }
 }
 
@@ -161,7 +164,7 @@
             .map(|submission| submission.bundle)
             .ok_or_else(|| Problem::new(Kind::Incomplete, DeskError::Malformed)),
         StoreReply::Missing => Err(Problem::new(Kind::NotFound, DeskError::NoBundle(digest))),
-        _ => Err(Problem::new(Kind::NotRun, DeskError::Down)),
+        _ => Err(come_back(Problem::new(Kind::NotRun, DeskError::Down))),
     }
 }
 
@@ -229,7 +232,16 @@
         DeskError::TooLarge(_) => Kind::TooLarge,
         DeskError::Malformed => Kind::Incomplete,
     };
-    Problem::new(kind, error)
+    come_back(Problem::new(kind, error))
+}
+
+/// Says when to come back if nothing was run.
+fn come_back(problem: Problem) -> Problem {
+    let is_not_run = problem.kind == Kind::NotRun;
+    Problem {
+        retry_after_ms: is_not_run.then_some(COME_BACK_MS),
+        ..problem
+    }
 }
 
 fn read_json<T: DeserializeOwned>(text: &[u8]) -> Result<T, Problem> {
--- a/daemon/src/front/problem.rs
+++ b/daemon/src/front/problem.rs
@@ -20,6 +20,9 @@
     /// When to come back, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Whether it is the account's own limit that refuses.
+    #[serde(skip)]
+    pub over_limit: bool,
 }
 
 /// What kind of failure it is, and so what the caller may do.
@@ -71,6 +74,7 @@
             kind,
             message: smol_str::format_smolstr!("{message}"),
             retry_after_ms: None,
+            over_limit: false,
         }
     }
 
@@ -78,6 +82,7 @@
     pub fn not_run(reason: NotRunReason, retry_after: Duration) -> Self {
         Self {
             retry_after_ms: Some(retry_after.as_millis() as u64),
+            over_limit: reason == NotRunReason::AccountLimit,
             ..Self::new(Kind::NotRun, reason)
         }
     }
@@ -89,7 +94,15 @@
 
     /// Returns the failure as a reply.
     pub fn reply(&self) -> Reply {
-        let mut reply = json_text(self.kind.status(), self.text());
+        let status = match self.over_limit {
+            true => StatusCode::TOO_MANY_REQUESTS,
+            false => self.kind.status(),
+        };
+        let mut reply = json_text(status, self.text());
+        if self.kind == Kind::Unauthorized {
+            let scheme = HeaderValue::from_static("Bearer");
+            reply.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(after) = self.retry_after_ms {
             // The header counts whole seconds; rounding down would bring callers back too early.
             let seconds = after.div_ceil(1000).max(1);
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -306,6 +306,10 @@
                 self.end_chunk(*link, Failure::Wrong);
             }
             Input::Refused(link, Refusal::Failed) => {
+                // An engine that fails at once looks idle, and would be chosen again and again.
+                if let Some(open) = self.links.get(link) {
+                    self.node.suspects.add(open.target, now);
+                }
                 self.failed(*link);
                 self.end_chunk(*link, Failure::Error);
             }
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -146,6 +146,8 @@
     /// Waits for the next input; `None` when the ledger was closed and all calls have ended.
     async fn next(&mut self) -> Option<Vec<Effect>> {
         let wake = self.shard.wake_at();
+        // A branch that is never ready would keep the shard from its end.
+        let has_store = self.store.is_some();
         let store = async {
             match &mut self.store {
                 Some(store) => store.await,
@@ -160,7 +162,7 @@
         };
         let is_idle = self.shard.is_idle() && self.waiting.is_empty();
         tokio::select! {
-            stored = store => {
+            stored = store, if has_store => {
                 self.store = None;
                 Some(self.stored(stored))
             }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -22,7 +22,7 @@
         return ExitCode::SUCCESS;
     }
     if let Err(report) = log_settings(&settings).install() {
-        eprintln!("{report:?}");
+        eprintln!("{report:#}");
         return ExitCode::FAILURE;
     }
     run(settings)
@@ -59,7 +59,7 @@
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            log::error!("{report:?}");
+            log::error!("{report:#}");
             ExitCode::FAILURE
         }
     }
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -30,6 +30,10 @@
 pond() { "$bin/celerypond" --at 127.0.0.1:7001,127.0.0.1:7002,127.0.0.1:7003 "$@"; }
 in_force() { curl -sf "http://127.0.0.1:700$1/v1/ready"; }
 
+for port in 7001 7002 7003 7011 7012 7013 7100 7201 7202 7203 7301; do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then fail "port $port is in use"; fi
+done
+
 step "start a stand-in platform, three engines, a plain service and three instances"
 centres=(east west north)
 {
