daemon: test that a service that fails is ejected

Whole instances; one of three services fails each call and answers its probes. Callers get failures for a while, then none.

--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -13,7 +13,9 @@
     admission::Admission, front, node::Node, service_call::ServiceCall, target_watch::TargetEvent,
 };
 use celerypond_telemetry::Counter;
-use celerypond_testutils::{engine::Engine, fault::EngineFault, reply, server::Server};
+use celerypond_testutils::{
+    engine::Engine, fault::EngineFault, reply, server::Server, service::Service,
+};
 use celerypond_types::Outcome;
 use http::StatusCode;
 use rstest::rstest;
@@ -291,6 +293,43 @@
     }
 }
 
+/// Callers get failures of a bad service for a while, then none. One of three services fails each call
+/// and says that it is live; all instances eject it, and at most a probe comes to it after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_fails_is_ejected() {
+    let fleet = Fleet::start(GAP).await;
+    let work = Arc::new(AtomicUsize::new(0));
+    let bad = failing(Arc::clone(&work)).await;
+    let other = Service::default();
+    let good = other.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let mut bundle = fleet.bundle();
+    let list = bundle["targets"].as_array_mut().unwrap();
+    for (name, address) in [("desk-1", good.address), ("desk-2", bad.address)] {
+        list.push(json!({"name": name, "kind": "service", "address": address,
+                         "data_centre": "west"}));
+    }
+    bundle["services"][0]["targets"] = json!(["desk-0", "desk-1", "desk-2"]);
+    let digest = fleet.sign(&bundle).await;
+    fleet.roll(digest).await;
+    fleet.await_revision(2).await;
+    let client = Client::new(vec![fleet.instances[2].address], ACCOUNT_KEY).unwrap();
+    wait_for(async || {
+        let before = work.load(Relaxed);
+        for _ in 0..40 {
+            let called = Called {
+                service: "desk".into(),
+                method: "GET".into(),
+                path: "/stock".into(),
+                body: bytes::Bytes::new(),
+                key: None,
+            };
+            client.call(&called, Duration::from_secs(2)).await.unwrap();
+        }
+        before > 0 && work.load(Relaxed) == before
+    })
+    .await;
+}
+
 /// Starts a service that is well and fails each call.
 async fn failing(work: Arc<AtomicUsize>) -> Server {
     let handle = move |request: http::Request<bytes::Bytes>| {
