--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -11,9 +11,9 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use celerypond_answer::{Input, SealKey};
-use celerypond_bundle::Settings;
-use celerypond_fleet::{Gossip, Identity, Incarnation, Keepers};
+use celerypond_answer::{Input, Keeper, SealKey};
+use celerypond_bundle::{Bundle, Settings};
+use celerypond_fleet::{Gossip, Identity, Incarnation};
 use celerypond_platform::{Client, InstanceList, Rates};
 use celerypond_rollout::InForce;
 use celerypond_route::{Backoff, RetryBudget, View};
@@ -28,9 +28,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    admission::Admission, force::Force, front::socket::Sockets, ledger::Ledger, limits,
-    orders::Reports, peers::Peers, rollouts::Rollouts, stalls::Stalls, suspects::Suspects,
-    target_watch::TargetEvent,
+    admission::Admission, force::Force, forward, front::socket::Sockets, ledger::Ledger, limits,
+    orders::Reports, part::part_of, peers::Peers, rollouts::Rollouts, stalls::Stalls,
+    suspects::Suspects, target_watch::TargetEvent,
 };
 
 /// The platform's rates for all instances together, of which each uses its share.
@@ -39,6 +39,10 @@
     writes: 300.0,
     burst: Duration::from_secs(2),
 };
+/// The part of the writes that is for all but the shards of keyed calls.
+const OTHER_WRITES: f64 = 0.3;
+/// The writes a second of one shard, a little above its pace.
+const SHARD_WRITES: f64 = 75.0;
 const PLATFORM_CONNECT: Duration = Duration::from_millis(500);
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// The memory for records that are kept for others, in bytes.
@@ -58,6 +62,8 @@
     pub view: ArcSwap<View>,
     /// The bundle in force; none before the first roll.
     pub force: ArcSwapOption<Force>,
+    /// The targets of this instance's group; none until the fleet is known.
+    group: ArcSwap<Vec<TargetName>>,
     /// The last list of instances that the platform gave.
     pub list: ArcSwap<InstanceList>,
     /// Connections from callers.
@@ -94,7 +100,7 @@
     pub look: Notify,
     gossip: Mutex<Gossip>,
     in_force: Mutex<InForce>,
-    keepers: Mutex<Keepers>,
+    keeper: Mutex<Keeper>,
     drivers: Mutex<HashMap<RequestKey, mpsc::Sender<Input>>>,
     listed: Mutex<Option<Instant>>,
     reports: Mutex<Reports>,
@@ -112,7 +118,7 @@
     ) -> Arc<Self> {
         let now = Instant::now();
         let platform = celerypond_platform::Settings {
-            address: settings.platform[0],
+            addresses: settings.platform.clone(),
             connect: PLATFORM_CONNECT,
             timeout: PLATFORM_TIMEOUT,
             rates: PLATFORM_RATES.share(FIRST_COUNT),
@@ -129,6 +135,7 @@
             platform: Client::new(&platform),
             view: ArcSwap::from_pointee(View::new(now)),
             force: ArcSwapOption::empty(),
+            group: ArcSwap::default(),
             list: ArcSwap::default(),
             sockets: Sockets::default(),
             leaving: CancellationToken::new(),
@@ -148,7 +155,7 @@
             look: Notify::new(),
             gossip: Mutex::new(gossip),
             in_force: Mutex::default(),
-            keepers: Mutex::new(Keepers::new(KEEPER_BYTES)),
+            keeper: Mutex::new(Keeper::new(KEEPER_BYTES)),
             drivers: Mutex::default(),
             listed: Mutex::default(),
             reports: Mutex::default(),
@@ -174,7 +181,7 @@
         self.rollouts.set_force(&force);
         let before = self
             .view
-            .rcu(|view| view.with_bundle(&force.bundle, Instant::now()));
+            .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
         self.share_evenly(&before);
         self.metrics.add(Counter::Bundles, 1);
         self.metrics.set(Gauge::Revision, force.revision().0);
@@ -186,6 +193,21 @@
         true
     }
 
+    /// Takes the targets of this instance's group, and uses them from now on.
+    pub fn take_group(&self, targets: Vec<TargetName>) {
+        let is_same = *self.group.load_full() == targets;
+        self.group.store(Arc::new(targets));
+        if let Some(force) = self.force.load_full().filter(|_| !is_same) {
+            self.view
+                .rcu(|view| view.with_bundle(&self.part(&force), Instant::now()));
+        }
+    }
+
+    /// Returns the bundle with the targets that this instance uses.
+    fn part(&self, force: &Force) -> Bundle {
+        part_of(&force.bundle, &self.group.load())
+    }
+
     /// Gives accounts that are new here a part of their limits.
     ///
     /// The failure: until demand was measured, a second later, each of their requests would be refused.
@@ -218,9 +240,18 @@
         self.view.load().clock().millis(Instant::now())
     }
 
-    /// Returns the share of the platform's rates of one of `count` instances.
-    pub fn share_rates(&self, count: usize) {
-        self.platform.set_rates(PLATFORM_RATES.share(count));
+    /// Takes this instance's part of the platform's rates.
+    ///
+    /// Nearly all writes are those of shards, so the owners of shards get them, and each instance a
+    /// little for operators' steps, leases and rollouts.
+    pub fn share_rates(&self, instances: usize) {
+        let owned = forward::owned(self) as f64;
+        let even = PLATFORM_RATES.share(instances);
+        let rates = Rates {
+            writes: even.writes * OTHER_WRITES + owned * SHARD_WRITES,
+            ..even
+        };
+        self.platform.set_rates(rates);
     }
 
     /// Returns the gossip; hold it for a moment only.
@@ -234,8 +265,8 @@
     }
 
     /// Returns the records that are kept for others; hold it for a moment only.
-    pub fn keepers(&self) -> MutexGuard<'_, Keepers> {
-        lock(&self.keepers)
+    pub fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        lock(&self.keeper)
     }
 
     /// Returns the drivers of answers by request; hold it for a moment only.
--- a/testutils/src/flags.rs
+++ b/testutils/src/flags.rs
@@ -27,6 +27,21 @@
             /// Refuse orders with an old fencing number.
             optional --checks-fencing
         }
+        /// Callers that ask again and again; prints what became of their requests as JSON.
+        cmd load {
+            /// Addresses of the system, separated by commas.
+            required at: String
+            /// The account's key.
+            required key: String
+            /// The model.
+            required model: String
+            /// How many callers ask at once.
+            optional --callers callers: u64
+            /// For how many seconds.
+            optional --seconds seconds: u64
+            /// How many tokens each asks for.
+            optional --tokens tokens: u32
+        }
         /// A plain service.
         cmd service {
             /// Where to listen.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod fault;
 pub mod generator;
+pub mod load;
 pub mod objects;
 pub mod platform;
 pub mod reply;
--- a/testutils/src/main.rs
+++ b/testutils/src/main.rs
@@ -4,6 +4,7 @@
 
 use celerypond_testutils::{
     engine::{Engine, EngineSettings},
+    load::Plan,
     platform::Platform,
     server::Server,
     service::Service,
@@ -16,12 +17,19 @@
 
 const DEFAULT_GAP_MS: u64 = 20;
 const DEFAULT_SLOTS: usize = 64;
+const DEFAULT_CALLERS: u64 = 12;
+const DEFAULT_SECONDS: u64 = 10;
+const DEFAULT_TOKENS: u32 = 8;
 const PREFILL: Duration = Duration::from_micros(50);
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let flags = CelerypondStandin::from_env_or_exit();
-    match serve(flags.subcommand).await {
+    let command = match flags.subcommand {
+        CelerypondStandinCmd::Load(flags) => return load(&flags).await,
+        command => command,
+    };
+    match serve(command).await {
         Ok(mut server) => {
             eprintln!("listening on {}", server.address);
             server.wait().await;
@@ -51,6 +59,29 @@
             };
             Engine::new(settings).serve(flags.listen).await
         }
+        CelerypondStandinCmd::Load(_) => Err(io::ErrorKind::Unsupported.into()),
         CelerypondStandinCmd::Service(flags) => Service::default().serve(flags.listen).await,
     }
 }
+
+async fn load(flags: &flags::Load) -> ExitCode {
+    let addresses: Result<Vec<_>, _> = flags.at.split(',').map(str::parse).collect();
+    let Ok(addresses) = addresses else {
+        eprintln!("the addresses must be IP numbers with ports, separated by commas");
+        return ExitCode::FAILURE;
+    };
+    let plan = Plan {
+        addresses,
+        key: flags.key.clone(),
+        model: flags.model.clone(),
+        callers: flags.callers.unwrap_or(DEFAULT_CALLERS),
+        time: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+        tokens: flags.tokens.unwrap_or(DEFAULT_TOKENS),
+    };
+    let outcome = plan.run().await;
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&outcome).unwrap_or_default()
+    );
+    ExitCode::SUCCESS
+}
