--- a/bench/src/flags.rs
+++ b/bench/src/flags.rs
@@ -11,5 +11,7 @@
         optional --seeds seeds: u64
         /// Writes the rows to this file as JSON.
         optional --json json: PathBuf
+        /// Draws the rows to this file as an SVG chart.
+        optional --plot plot: PathBuf
     }
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,4 +1,5 @@
-//! Takes one measure, or all, and prints a table; `--json FILE` writes the rows as well.
+//! Takes one measure, or all, and prints a table; `--json FILE` writes the rows as well, and
+//! `--plot FILE` draws them.
 //!
 //! Every measure compares with a baseline in the same run. Nothing here asserts a time.
 
@@ -11,6 +12,7 @@
 mod ledger;
 mod orders;
 mod path;
+mod plot;
 mod rollout;
 mod route;
 mod table;
@@ -47,11 +49,13 @@
         .flat_map(|(_, run)| run(seeds))
         .collect();
     table::print(&rows);
-    match flags.json.map(|path| fs::write(path, table::json(&rows))) {
-        Some(Err(error)) => {
-            eprintln!("the rows could not be written: {error}");
-            ExitCode::FAILURE
-        }
-        _ => ExitCode::SUCCESS,
+    if let Some(Err(error)) = flags.json.map(|path| fs::write(path, table::json(&rows))) {
+        eprintln!("the rows could not be written: {error}");
+        return ExitCode::FAILURE;
     }
+    if let Some(Err(report)) = flags.plot.map(|path| plot::write(&path, &rows)) {
+        eprintln!("{report:#}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
 }
--- a/bench/src/table.rs
+++ b/bench/src/table.rs
@@ -49,12 +49,12 @@
 /// Prints rows as an aligned table.
 pub(crate) fn print(rows: &[Row]) {
     println!(
-        "{:<34} {:<34} {:>12} {:>12} {:>8}  unit",
+        "{:<36} {:<34} {:>12} {:>12} {:>8}  unit",
         "measure", "way", "median", "p99", "samples"
     );
     for row in rows {
         println!(
-            "{:<34} {:<34} {:>12.4} {:>12.4} {:>8}  {}",
+            "{:<36} {:<34} {:>12.4} {:>12.4} {:>8}  {}",
             row.measure, row.way, row.median, row.p99, row.samples, row.unit
         );
     }
