daemon: split the driver of answers and its replies, one way to say whom a job falls to

Shards of the ledger and of orders chose their instance by the same lines twice. The limit of resumes at a target is now shared by the instances, and tokens that an answer was charged and did not use go back to its account.

--- a/crates/answer/src/pace.rs
+++ b/crates/answer/src/pace.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Changes the bounds, as instances come or go; resumes that run already go on.
+    pub fn set_limits(&mut self, limits: PaceLimits) {
+        self.limits = limits;
+    }
+
     /// Lets an answer of `version` wait whose caller had its last token at `since`.
     pub fn wait(&mut self, version: VersionKey, since: Instant) -> WaiterKey {
         self.joined += 1;
--- a/daemon/src/admission.rs
+++ b/daemon/src/admission.rs
@@ -146,6 +146,8 @@
         let now = Instant::now();
         let now_ms = view.clock().millis(now);
         let mut inner = self.lock();
+        let instances = node.expected() as u32;
+        inner.pace.set_limits(PaceLimits::shared(instances));
         let suspects = node.suspects.with(Vec::new(), now);
         inner.grant_resumes(&view, &suspects, now, rng);
         inner.grant_new(&view, &suspects, now_ms, rng);
--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -6,7 +6,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use celerypond_fleet::{choose, Candidate};
 use celerypond_ledger::{Answer, CallKey, Reply};
 use celerypond_types::{NotRunReason, Outcome, ServiceName};
 use gotham::hyper::{HeaderMap, Method};
@@ -165,17 +164,7 @@
 
 /// Returns where the owner of a shard is, or nothing when it is this instance.
 fn owner_of(node: &Node, shard: u16) -> Option<SocketAddr> {
-    let live = gossip::live(node);
-    let candidates: Vec<Candidate<'_>> = live
-        .iter()
-        .map(|near| Candidate {
-            name: &near.name,
-            data_centre: &near.data_centre,
-        })
-        .collect();
-    let name = format!("ledger shard {shard}");
-    let chosen = choose(name.as_bytes(), &candidates, 1).first()?.name;
-    live.iter().find(|near| near.name == *chosen)?.address
+    gossip::falls_to(node, &format!("ledger shard {shard}"))?.address
 }
 
 fn texts(headers: &HeaderMap) -> Vec<(SmolStr, SmolStr)> {
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -2,41 +2,39 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use celerypond_answer::{
-    Driver, Emit, Finish, Generation, GenerationLimits, Mode, Request, ResumeToken, Seal, TakeOver,
+    Driver, Generation, GenerationLimits, Mode, Request, ResumeToken, Seal, TakeOver,
 };
 use celerypond_bundle::{Account, Model};
 use celerypond_route::{Route, Waiting};
 use celerypond_telemetry::Counter;
 use celerypond_types::{
-    AdapterName, Digest, ModelName, NotRunReason, Position, Priority, RequestKey, TokenId,
-    VersionName,
+    AdapterName, Digest, ModelName, NotRunReason, Priority, RequestKey, TokenId,
 };
-use futures::{stream, Stream};
-use gotham::hyper::{HeaderMap, Response, StatusCode};
-use http::{header, HeaderValue};
+use gotham::hyper::HeaderMap;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use smol_str::SmolStr;
 use tokio::{sync::mpsc, time::Instant};
 use tracing::Instrument;
 
 use crate::{
-    admission::Permit,
-    body,
     force::Force,
     front::{
         auth, headers,
-        problem::{self, Kind, Problem},
+        problem::{Kind, Problem},
         Call, Reply,
     },
-    generation::{Drive, Piece, PIECES},
+    generation::{Admitted, Charge, Drive, Piece, PIECES},
     keeping,
     link::Ask,
     node::Node,
 };
 
+mod reply;
+
+use reply::{streamed_reply, whole_reply, Named};
+
 const DEFAULT_TOKENS: u32 = 1024;
 const MOST_TOKENS: u32 = 1 << 20;
 /// When to come back if no bundle is in force yet.
@@ -59,50 +57,6 @@
     prefix: Vec<TokenId>,
 }
 
-#[derive(Serialize)]
-struct Chunk<'a> {
-    id: &'a str,
-    object: &'static str,
-    model: &'a str,
-    choices: [ChunkChoice<'a>; 1],
-}
-
-#[derive(Serialize)]
-struct ChunkChoice<'a> {
-    index: u32,
-    position: Position,
-    token: TokenId,
-    text: &'a str,
-}
-
-#[derive(Serialize)]
-struct Whole<'a> {
-    id: &'a str,
-    object: &'static str,
-    model: &'a str,
-    version: &'a str,
-    choices: [WholeChoice<'a>; 1],
-    usage: Usage,
-}
-
-#[derive(Serialize)]
-struct WholeChoice<'a> {
-    index: u32,
-    text: &'a str,
-    finish_reason: celerypond_answer::Reason,
-}
-
-#[derive(Serialize)]
-struct Usage {
-    completion_tokens: Position,
-}
-
-/// What a reply is written from.
-struct Named {
-    id: SmolStr,
-    model: ModelName,
-}
-
 fn default_tokens() -> u32 {
     DEFAULT_TOKENS
 }
@@ -235,7 +189,7 @@
         node: &Node,
         priority: Priority,
         deadline: Instant,
-    ) -> Result<(VersionName, Permit), Problem> {
+    ) -> Result<Admitted, Problem> {
         let view = node.view.load_full();
         let accounts = view.accounts();
         let found = accounts.key(&self.account.name);
@@ -273,7 +227,14 @@
             item: (),
         };
         match node.admission.admit(node, route, &ask, waiting).await {
-            Ok(permit) => Ok((version, permit)),
+            Ok(permit) => Ok(Admitted {
+                version,
+                permit,
+                charge: Charge {
+                    meter: Arc::clone(&entry.meter),
+                    tokens,
+                },
+            }),
             Err(refusal) => {
                 entry.meter.settle(tokens, 0);
                 Err(Problem::not_run(refusal.reason, refusal.retry_after))
@@ -353,76 +314,3 @@
         .map(celerypond_route::hash)
         .collect()
 }
-
-fn streamed_reply(named: Named, received: mpsc::Receiver<Piece>) -> Reply {
-    let mut reply = Response::new(body::streamed(events(named, received)));
-    let headers = reply.headers_mut();
-    let kind = HeaderValue::from_static("text/event-stream");
-    headers.insert(header::CONTENT_TYPE, kind);
-    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    reply
-}
-
-fn events(named: Named, received: mpsc::Receiver<Piece>) -> impl Stream<Item = Bytes> {
-    stream::unfold((named, received), |(named, mut received)| async {
-        let piece = received.recv().await?;
-        let text = match &piece {
-            Piece::Token(emit) => token_event(&named, emit),
-            Piece::End(finish) => end_event(&named, finish),
-            Piece::Failed(error) => {
-                let problem = Problem::new(Kind::Incomplete, error);
-                format!("event: error\ndata: {}\n\n", problem.text())
-            }
-        };
-        Some((Bytes::from(text), (named, received)))
-    })
-}
-
-fn token_event(named: &Named, emit: &Emit) -> String {
-    let chunk = Chunk {
-        id: &named.id,
-        object: "text_completion",
-        model: named.model.as_str(),
-        choices: [ChunkChoice {
-            index: 0,
-            position: emit.position,
-            token: emit.token,
-            text: &emit.text,
-        }],
-    };
-    let data = serde_json::to_string(&chunk).unwrap_or_default();
-    format!("id: {}\ndata: {data}\n\n", emit.id)
-}
-
-fn end_event(named: &Named, finish: &Finish) -> String {
-    let data = serde_json::to_string(&whole(named, finish)).unwrap_or_default();
-    format!("data: {data}\n\ndata: [DONE]\n\n")
-}
-
-async fn whole_reply(named: &Named, mut received: mpsc::Receiver<Piece>) -> Reply {
-    while let Some(piece) = received.recv().await {
-        match piece {
-            Piece::Token(_) => {}
-            Piece::End(finish) => return problem::json(StatusCode::OK, &whole(named, &finish)),
-            Piece::Failed(error) => return Problem::new(Kind::Incomplete, error).reply(),
-        }
-    }
-    Problem::new(Kind::Incomplete, celerypond_answer::Incomplete::Abandoned).reply()
-}
-
-fn whole<'a>(named: &'a Named, finish: &'a Finish) -> Whole<'a> {
-    Whole {
-        id: &named.id,
-        object: "text_completion",
-        model: named.model.as_str(),
-        version: finish.version.as_str(),
-        choices: [WholeChoice {
-            index: 0,
-            text: finish.text.as_deref().unwrap_or_default(),
-            finish_reason: finish.reason,
-        }],
-        usage: Usage {
-            completion_tokens: finish.length,
-        },
-    }
-}
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -1,44 +1,40 @@
 //! Carries out what the state machine of an answer asks for.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc};
 
 use celerypond_answer::{
-    Choice, Chosen, Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
-    Start, Stream,
+    Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
 };
-use celerypond_rollout::{Failure, Trial};
-use celerypond_route::{InFlight, Route, View};
-use celerypond_telemetry::{hop, Counter};
-use celerypond_types::{RequestKey, TargetKey, TargetName, VersionKey, VersionName};
+use celerypond_rollout::Failure;
+use celerypond_route::Meter;
+use celerypond_telemetry::Counter;
+use celerypond_types::{TargetKey, VersionName};
 use rand::rngs::SmallRng;
 use tokio::{
     sync::mpsc,
-    task::AbortHandle,
     time::{self, Instant},
 };
 
-use tracing::Instrument;
-
 use crate::{
     admission::Permit,
-    engine,
-    front::completions,
     keeping,
     link::{self, Ask},
-    node::{self, Node},
-    rollouts::{self, OpenAnswer},
-    target_watch::{is_live, TargetEvent},
+    node::Node,
+    rollouts::OpenAnswer,
+    target_watch::TargetEvent,
 };
 
+mod choice;
+mod chunk;
+mod open;
+
+use chunk::Chunk;
+use open::{Open, Trying};
+
 /// How many events of engines may wait for their answer.
 const INPUTS: usize = 256;
 /// How many pieces may wait for a caller who reads slowly.
 pub const PIECES: usize = 256;
-/// How many tokens count as one trial of a version.
-const CHUNK: u32 = 32;
-/// How long the cancellation of a stream is tried again; an engine may be paused that long.
-const CANCEL: Duration = Duration::from_secs(30);
-const CANCEL_PAUSE: Duration = Duration::from_millis(500);
 
 /// A piece of an answer, on its way to the caller.
 #[derive(Clone, Debug)]
@@ -64,6 +60,9 @@
     version: Option<VersionName>,
     /// The place that was given when the answer was admitted.
     permit: Option<Permit>,
+    charge: Option<Charge>,
+    /// The tokens that came so far, over all attempts.
+    generated: u64,
     /// The target of the attempt under way, until its first token.
     trying: Option<Trying>,
     /// The chunk of tokens under way, as evidence of the version.
@@ -80,69 +79,30 @@
     gone: bool,
 }
 
-/// An attempt of which no token came yet.
-struct Trying {
-    link: Link,
-    route: Route,
-    target: TargetKey,
-    began: Instant,
-    resumed: bool,
-}
-
-/// A connection of the answer; dropping it closes it.
-struct Open {
-    node: Arc<Node>,
-    task: AbortHandle,
-    target: TargetKey,
-    load: Option<InFlight>,
-    /// Whether a token came over it.
-    came: bool,
-    /// Whether it reads a stream that was begun over another connection.
-    resumed: bool,
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.task.abort();
-        // An attempt ends with its connection, however that comes. One that brought nothing tells
-        // nothing of the time that requests take: a dead engine would seem the quickest.
-        if let Some(load) = self.load.take().filter(|_| self.came) {
-            load.end(self.node.now_ms());
-        }
-    }
+/// What an answer was given when it was admitted.
+pub struct Admitted {
+    /// The version that takes it.
+    pub version: VersionName,
+    /// Its place at an engine.
+    pub permit: Permit,
+    /// What its account was charged.
+    pub charge: Charge,
 }
 
-/// Some tokens in a row from one connection, which together count as one trial of the version.
-struct Chunk {
-    link: Link,
-    trial: Trial,
-    began: Instant,
-    /// The tokens so far; the first token of an attempt is a chunk of its own.
-    tokens: u32,
-    /// Whether it counts as asked for.
-    is_asked: bool,
-}
-
-impl Chunk {
-    /// Notes that the tokens so far came well.
-    fn came(&self, node: &Node, now: Instant) {
-        let per_token = (now - self.began).as_micros() as u64 / u64::from(self.tokens.max(1));
-        node.rollouts
-            .note(|agent| agent.came(&self.trial, per_token));
-    }
-
-    /// Begins the next chunk; it counts from its first token on.
-    fn next(&mut self, now: Instant) {
-        self.began = now;
-        self.tokens = 0;
-        self.is_asked = false;
-        self.trial.is_first = false;
-        self.trial.begun_ms = node::wall_ms();
-    }
+/// The tokens that were charged to an account when its answer was admitted.
+pub struct Charge {
+    /// The account's use of this instance.
+    pub meter: Arc<Meter>,
+    /// How many tokens were charged.
+    pub tokens: u64,
 }
 
 impl Drop for Drive {
     fn drop(&mut self) {
+        // An answer is charged with the most it may have; what it did not use goes back.
+        if let Some(charge) = &self.charge {
+            charge.meter.settle(charge.tokens, self.generated);
+        }
         self.node.open_requests(-1);
     }
 }
@@ -152,10 +112,17 @@
     pub fn new(
         node: Arc<Node>,
         ask: Ask,
-        admitted: Option<(VersionName, Permit)>,
+        admitted: Option<Admitted>,
         pieces: mpsc::Sender<Piece>,
     ) -> Self {
-        let (version, permit) = admitted.unzip();
+        let (version, permit, charge) = match admitted {
+            Some(admitted) => (
+                Some(admitted.version),
+                Some(admitted.permit),
+                Some(admitted.charge),
+            ),
+            None => (None, None, None),
+        };
         node.open_requests(1);
         let (inputs, received) = mpsc::channel(INPUTS);
         Self {
@@ -168,6 +135,8 @@
             links: HashMap::new(),
             version,
             permit,
+            charge,
+            generated: 0,
             trying: None,
             chunk: None,
             open: None,
@@ -280,6 +249,7 @@
         match input {
             Input::Event(link, Event::Frame(_)) => {
                 self.last_token = now;
+                self.generated += 1;
                 if let Some(open) = self.links.get_mut(link) {
                     open.came = true;
                     // Only a token shows that the stream goes on.
@@ -298,9 +268,7 @@
                 }
             }
             Input::Closed(link) => {
-                if let Some(open) = self.links.get(link) {
-                    self.node.suspects.add(open.target, now);
-                }
+                self.suspect(*link);
                 self.failed(*link);
                 self.end_chunk(*link, Failure::Cut);
             }
@@ -309,10 +277,7 @@
                 self.end_chunk(*link, Failure::Wrong);
             }
             Input::Refused(link, Refusal::Failed) => {
-                // An engine that fails at once looks idle, and would be chosen again and again.
-                if let Some(open) = self.links.get(link) {
-                    self.node.suspects.add(open.target, now);
-                }
+                self.suspect(*link);
                 self.failed(*link);
                 self.end_chunk(*link, Failure::Error);
             }
@@ -326,9 +291,7 @@
                 }
             }
             Input::Refused(link, _) => {
-                if let Some(open) = self.links.get(link) {
-                    self.node.suspects.add(open.target, now);
-                }
+                self.suspect(*link);
                 self.take_trying(*link);
                 self.end_chunk(*link, Failure::Refused);
             }
@@ -340,6 +303,14 @@
         }
     }
 
+    /// Keeps work from the engine of a connection for a moment. One that fails at once looks idle, and
+    /// would be chosen again and again.
+    fn suspect(&self, link: Link) {
+        if let Some(open) = self.links.get(&link) {
+            self.node.suspects.add(open.target, Instant::now());
+        }
+    }
+
     fn failed(&mut self, link: Link) {
         if let Some(trying) = self.take_trying(link) {
             self.node.tell(TargetEvent::Failed {
@@ -349,60 +320,6 @@
         }
     }
 
-    /// Counts a token into the evidence of its version.
-    fn count_token(&mut self, link: Link, now: Instant) {
-        let Some(chunk) = self.chunk.as_mut().filter(|chunk| chunk.link == link) else {
-            return;
-        };
-        if chunk.trial.is_first {
-            let took_us = (now - chunk.began).as_micros() as u64;
-            self.node
-                .rollouts
-                .note(|agent| agent.came(&chunk.trial, took_us));
-            chunk.next(now);
-            return;
-        }
-        if !std::mem::replace(&mut chunk.is_asked, true) {
-            self.node.rollouts.note(|agent| agent.sent(&chunk.trial));
-        }
-        chunk.tokens += 1;
-        if chunk.tokens == CHUNK {
-            chunk.came(&self.node, now);
-            chunk.next(now);
-        }
-    }
-
-    /// Ends the chunk under way with its answer.
-    fn finish_chunk(&mut self) {
-        if let Some(chunk) = self.chunk.take().filter(|chunk| chunk.tokens > 0) {
-            chunk.came(&self.node, Instant::now());
-        }
-    }
-
-    /// Counts the chunk under way as asked for, once its engine has taken it.
-    ///
-    /// The failure: attempts that engines refuse because they lack the version were counted as begun
-    /// and never ended. Trials under way pass for good ones, so thousands of them hid that 60 of 100
-    /// answers failed, and the bad version was completed.
-    fn ask_chunk(&mut self, link: Link) {
-        let chunk = self.chunk.as_mut().filter(|chunk| chunk.link == link);
-        if let Some(chunk) = chunk.filter(|chunk| !chunk.is_asked) {
-            chunk.is_asked = true;
-            self.node.rollouts.note(|agent| agent.sent(&chunk.trial));
-        }
-    }
-
-    /// Ends the chunk under way as failed, if it came over this connection.
-    fn end_chunk(&mut self, link: Link, failure: Failure) {
-        self.ask_chunk(link);
-        if let Some(chunk) = self.chunk.take_if(|chunk| chunk.link == link) {
-            let now_ms = node::wall_ms();
-            self.node
-                .rollouts
-                .note(|agent| agent.failed(&chunk.trial, failure, now_ms));
-        }
-    }
-
     /// Ends the wait for the first token of a connection's attempt.
     fn take_trying(&mut self, link: Link) -> Option<Trying> {
         let trying = self.trying.take_if(|trying| trying.link == link)?;
@@ -425,242 +342,4 @@
         }
         self.node.admission.ended();
     }
-
-    async fn choose(&mut self, choice: &Choice) -> Option<Input> {
-        if let Some(permit) = self.permit.take() {
-            return Some(self.use_permit(permit).await);
-        }
-        let version = match (&choice.version, &self.version) {
-            (Some(version), _) => version.clone(),
-            (None, Some(version)) => version.clone(),
-            (None, None) => return Some(Input::NoTarget),
-        };
-        let view = self.node.view.load_full();
-        let Some(key) = view.version(&self.ask.model, &version) else {
-            return Some(Input::NoTarget);
-        };
-        if choice.resumes {
-            self.wait_to_resume(key, version);
-            return None;
-        }
-        let avoid = choice
-            .avoid
-            .iter()
-            .filter_map(|name| view.key(name))
-            .collect();
-        let name = self.pick_live(&view, Route::Version(key), avoid).await;
-        Some(match name {
-            Some(name) => Input::Chosen(self.chosen(name, version)),
-            None => Input::NoTarget,
-        })
-    }
-
-    /// Chooses a target that takes new work by a word that is not old.
-    async fn pick_live(
-        &mut self,
-        view: &View,
-        route: Route,
-        avoid: Vec<TargetKey>,
-    ) -> Option<TargetName> {
-        let now = Instant::now();
-        let mut excluded = self.node.suspects.with(avoid, now);
-        let prefixes = completions::prefixes(&self.ask.prompt);
-        let adapter = self.ask.adapter.as_ref();
-        let adapter = adapter.map_or(0, |name| celerypond_route::hash(name.as_str().as_bytes()));
-        loop {
-            let ask = celerypond_route::Ask {
-                prefixes: &prefixes,
-                adapter,
-                excluded: &excluded,
-                near: Some(&self.node.settings.data_centre),
-            };
-            let picked = view.pick(route, &ask, now, &mut self.rng).ok()?;
-            let target = view.target(picked.target)?;
-            if is_live(&self.node, picked.target, target).await {
-                return Some(target.name.clone());
-            }
-            excluded.push(picked.target);
-        }
-    }
-
-    /// Begins at the place that was given when the answer was admitted.
-    async fn use_permit(&mut self, permit: Permit) -> Input {
-        let view = self.node.view.load_full();
-        let (Some(target), Some(version)) = (view.target(permit.target), self.version.clone())
-        else {
-            return Input::NoTarget;
-        };
-        if !is_live(&self.node, permit.target, target).await {
-            return Input::NoTarget;
-        }
-        let chosen = self.chosen(target.name.clone(), version);
-        self.permit = Some(permit);
-        Input::Chosen(chosen)
-    }
-
-    /// Waits in line with other answers that lost their engines; the place comes as an input.
-    fn wait_to_resume(&mut self, key: VersionKey, version: VersionName) {
-        let force = self.node.force.load_full();
-        let model = force
-            .as_ref()
-            .and_then(|force| force.model(&self.ask.model));
-        let unloaded = model.map(|model| self.node.rollouts.unloaded(&self.node, model, &version));
-        let unloaded = unloaded.unwrap_or_default();
-        let granted = self.node.admission.resume(key, unloaded, self.last_token);
-        let node = Arc::clone(&self.node);
-        let inputs = self.inputs.clone();
-        let tokens = self.prompt_tokens();
-        self.resuming = true;
-        self.node.work.spawn(async move {
-            let Ok(key) = granted.await else { return };
-            let view = node.view.load_full();
-            let live = match view.target(key) {
-                Some(target) if is_live(&node, key, target).await => Some(target.name.clone()),
-                _ => None,
-            };
-            let Some(target) = live else {
-                node.admission.settled(key);
-                // An answer that is over needs no target.
-                let _ = inputs.send(Input::NoTarget).await;
-                return;
-            };
-            let patience = node.stalls.patience(&target, tokens);
-            let chosen = Chosen {
-                target,
-                version,
-                patience,
-            };
-            if inputs.send(Input::Chosen(chosen)).await.is_err() {
-                node.admission.settled(key);
-            }
-        });
-    }
-
-    fn chosen(&self, target: TargetName, version: VersionName) -> Chosen {
-        let patience = self.node.stalls.patience(&target, self.prompt_tokens());
-        Chosen {
-            target,
-            version,
-            patience,
-        }
-    }
-
-    fn prompt_tokens(&self) -> u32 {
-        // About four characters make a token.
-        (self.ask.prompt.len() / 4) as u32
-    }
-
-    fn start(&mut self, start: Start) -> Option<Input> {
-        let link = start.link;
-        let view = self.node.view.load_full();
-        let resumed = self.granted.take().is_some();
-        let key = view.key(&start.stream.target);
-        let found = key.and_then(|key| Some((key, view.target(key)?)));
-        let route = view
-            .version(&self.ask.model, &start.version)
-            .map(Route::Version);
-        let (Some((target, found)), Some(route)) = (found, route) else {
-            return Some(Input::Closed(link));
-        };
-        let permit = self.permit.take().filter(|permit| permit.target == target);
-        let begun = permit
-            .map(|permit| permit.load)
-            .or_else(|| found.gauge.begin(self.node.now_ms()));
-        // The target may have said that it leaves since it was chosen.
-        let Some(load) = begun else {
-            if resumed {
-                self.node.admission.settled(target);
-            }
-            return Some(Input::Closed(link));
-        };
-        if self.starts > 0 {
-            self.node.metrics.add(Counter::ResumedElsewhere, 1);
-        }
-        self.starts += 1;
-        self.trying = Some(Trying {
-            link,
-            route,
-            target,
-            began: Instant::now(),
-            resumed,
-        });
-        self.begin_chunk(link, &start);
-        let stall = self.node.stalls.of(&start.stream.target);
-        let inputs = self.inputs.clone();
-        let task = link::start(Arc::clone(&self.ask), found.address, start, stall, inputs);
-        self.open(link, target, task, Some(load));
-        None
-    }
-
-    fn begin_chunk(&mut self, link: Link, start: &Start) {
-        let route = rollouts::route(self.ask.adapter.as_ref());
-        let model = &self.ask.model;
-        let trial = rollouts::trial(model, &start.version, &route, &start.stream.target);
-        if self.open.is_none() {
-            self.open = Some(self.node.rollouts.open(&self.node, model, &start.version));
-        }
-        self.chunk = Some(Chunk {
-            link,
-            trial,
-            began: Instant::now(),
-            tokens: 0,
-            is_asked: false,
-        });
-    }
-
-    fn open(
-        &mut self,
-        link: Link,
-        target: TargetKey,
-        task: impl Future<Output = ()> + Send + 'static,
-        load: Option<InFlight>,
-    ) {
-        let task = task.instrument(hop("target", None));
-        let task = self.node.work.spawn(task).abort_handle();
-        let open = Open {
-            node: Arc::clone(&self.node),
-            task,
-            target,
-            load,
-            came: false,
-            resumed: false,
-        };
-        self.links.insert(link, open);
-    }
-
-    fn review(&self, request: RequestKey) {
-        let node = Arc::clone(&self.node);
-        let inputs = self.inputs.clone();
-        self.node.work.spawn(async move {
-            let record = keeping::find(&node, &request).await;
-            // An answer that is over needs no review.
-            let _ = inputs.send(Input::Reviewed(record)).await;
-        });
-    }
-
-    fn cancel(&self, stream: Stream) {
-        let Some((_, address)) = self.find(&stream.target) else {
-            return;
-        };
-        let request = self.ask.request.clone();
-        let node = Arc::clone(&self.node);
-        self.node.work.spawn(async move {
-            let until = Instant::now() + CANCEL;
-            while Instant::now() < until && !node.ending.is_cancelled() {
-                if engine::cancel(address, &request, stream.attempt)
-                    .await
-                    .is_ok()
-                {
-                    return;
-                }
-                time::sleep(CANCEL_PAUSE).await;
-            }
-        });
-    }
-
-    fn find(&self, target: &TargetName) -> Option<(TargetKey, SocketAddr)> {
-        let view = self.node.view.load();
-        let key = view.key(target)?;
-        Some((key, view.target(key)?.address))
-    }
 }
--- /dev/null
+++ b/daemon/src/generation/choice.rs
@@ -0,0 +1,137 @@
+//! The choice of an engine for the next attempt at an answer.
+
+use std::sync::Arc;
+
+use celerypond_answer::{Choice, Chosen, Input};
+use celerypond_route::{Route, View};
+use celerypond_types::{TargetKey, TargetName, VersionKey, VersionName};
+use tokio::time::Instant;
+
+use super::Drive;
+use crate::{admission::Permit, front::completions, target_watch::is_live};
+
+impl Drive {
+    pub(super) async fn choose(&mut self, choice: &Choice) -> Option<Input> {
+        if let Some(permit) = self.permit.take() {
+            return Some(self.use_permit(permit).await);
+        }
+        let version = match (&choice.version, &self.version) {
+            (Some(version), _) => version.clone(),
+            (None, Some(version)) => version.clone(),
+            (None, None) => return Some(Input::NoTarget),
+        };
+        let view = self.node.view.load_full();
+        let Some(key) = view.version(&self.ask.model, &version) else {
+            return Some(Input::NoTarget);
+        };
+        if choice.resumes {
+            self.wait_to_resume(key, version);
+            return None;
+        }
+        let avoid = choice
+            .avoid
+            .iter()
+            .filter_map(|name| view.key(name))
+            .collect();
+        let name = self.pick_live(&view, Route::Version(key), avoid).await;
+        Some(match name {
+            Some(name) => Input::Chosen(self.chosen(name, version)),
+            None => Input::NoTarget,
+        })
+    }
+
+    /// Chooses a target that takes new work by a word that is not old.
+    pub(super) async fn pick_live(
+        &mut self,
+        view: &View,
+        route: Route,
+        avoid: Vec<TargetKey>,
+    ) -> Option<TargetName> {
+        let now = Instant::now();
+        let mut excluded = self.node.suspects.with(avoid, now);
+        let prefixes = completions::prefixes(&self.ask.prompt);
+        let adapter = self.ask.adapter.as_ref();
+        let adapter = adapter.map_or(0, |name| celerypond_route::hash(name.as_str().as_bytes()));
+        loop {
+            let ask = celerypond_route::Ask {
+                prefixes: &prefixes,
+                adapter,
+                excluded: &excluded,
+                near: Some(&self.node.settings.data_centre),
+            };
+            let picked = view.pick(route, &ask, now, &mut self.rng).ok()?;
+            let target = view.target(picked.target)?;
+            if is_live(&self.node, picked.target, target).await {
+                return Some(target.name.clone());
+            }
+            excluded.push(picked.target);
+        }
+    }
+
+    /// Begins at the place that was given when the answer was admitted.
+    pub(super) async fn use_permit(&mut self, permit: Permit) -> Input {
+        let view = self.node.view.load_full();
+        let (Some(target), Some(version)) = (view.target(permit.target), self.version.clone())
+        else {
+            return Input::NoTarget;
+        };
+        if !is_live(&self.node, permit.target, target).await {
+            return Input::NoTarget;
+        }
+        let chosen = self.chosen(target.name.clone(), version);
+        self.permit = Some(permit);
+        Input::Chosen(chosen)
+    }
+
+    /// Waits in line with other answers that lost their engines; the place comes as an input.
+    pub(super) fn wait_to_resume(&mut self, key: VersionKey, version: VersionName) {
+        let force = self.node.force.load_full();
+        let model = force
+            .as_ref()
+            .and_then(|force| force.model(&self.ask.model));
+        let unloaded = model.map(|model| self.node.rollouts.unloaded(&self.node, model, &version));
+        let unloaded = unloaded.unwrap_or_default();
+        let granted = self.node.admission.resume(key, unloaded, self.last_token);
+        let node = Arc::clone(&self.node);
+        let inputs = self.inputs.clone();
+        let tokens = self.prompt_tokens();
+        self.resuming = true;
+        self.node.work.spawn(async move {
+            let Ok(key) = granted.await else { return };
+            let view = node.view.load_full();
+            let live = match view.target(key) {
+                Some(target) if is_live(&node, key, target).await => Some(target.name.clone()),
+                _ => None,
+            };
+            let Some(target) = live else {
+                node.admission.settled(key);
+                // An answer that is over needs no target.
+                let _ = inputs.send(Input::NoTarget).await;
+                return;
+            };
+            let patience = node.stalls.patience(&target, tokens);
+            let chosen = Chosen {
+                target,
+                version,
+                patience,
+            };
+            if inputs.send(Input::Chosen(chosen)).await.is_err() {
+                node.admission.settled(key);
+            }
+        });
+    }
+
+    pub(super) fn chosen(&self, target: TargetName, version: VersionName) -> Chosen {
+        let patience = self.node.stalls.patience(&target, self.prompt_tokens());
+        Chosen {
+            target,
+            version,
+            patience,
+        }
+    }
+
+    pub(super) fn prompt_tokens(&self) -> u32 {
+        // About four characters make a token.
+        (self.ask.prompt.len() / 4) as u32
+    }
+}
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerypond_fleet::{Candidate, EntryKind, Event, Listed, MemberState, Outgoing, Subset};
+use celerypond_fleet::{
+    choose, Candidate, EntryKind, Event, Listed, MemberState, Outgoing, Subset,
+};
 use celerypond_platform::Presence;
 use celerypond_telemetry::{Counter, Gauge};
 use celerypond_types::{DataCentre, InstanceName, RequestKey, TargetName};
@@ -171,18 +173,32 @@
     all
 }
 
-/// Returns the instances that keep the record of a request, this one left out.
-pub fn keepers(node: &Node, request: &RequestKey) -> Vec<SocketAddr> {
+/// Returns the instance that a job falls to, by the view of this one; nothing while it leaves alone.
+///
+/// Instances that know different ones may disagree for a while. So a job that only one may do needs
+/// a condition of the store as well.
+pub fn falls_to(node: &Node, job: &str) -> Option<Near> {
     let all = live(node);
-    let candidates: Vec<Candidate<'_>> = all
-        .iter()
+    let chosen = choose(job.as_bytes(), &candidates(&all), 1);
+    let name = chosen.first()?.name;
+    all.iter().find(|near| near.name == *name).cloned()
+}
+
+fn candidates(all: &[Near]) -> Vec<Candidate<'_>> {
+    all.iter()
         .map(|near| Candidate {
             name: &near.name,
             data_centre: &near.data_centre,
         })
-        .collect();
+        .collect()
+}
+
+/// Returns the instances that keep the record of a request, this one left out.
+pub fn keepers(node: &Node, request: &RequestKey) -> Vec<SocketAddr> {
+    let all = live(node);
+    let candidates = candidates(&all);
     // One more than needed: the driver itself may be among them, and its own copy dies with it.
-    let chosen = celerypond_fleet::choose(request.as_str().as_bytes(), &candidates, KEEPERS + 1);
+    let chosen = choose(request.as_str().as_bytes(), &candidates, KEEPERS + 1);
     let address = |name: &InstanceName| all.iter().find(|near| near.name == *name)?.address;
     chosen
         .iter()
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use celerypond_bundle::{Bundle, Fencing, TargetKind};
-use celerypond_fleet::{choose, Candidate};
 use celerypond_orders::{
     Desired, Driver, Effect, Guard, Holder, Input, Order, Report, Sent, Settings, Shard, StoreCall,
     StoreReply,
@@ -209,19 +208,8 @@
 /// Returns whether the lease of a shard falls to this instance. Two may think so for a while; the
 /// store gives the lease to one of them.
 fn is_driver(node: &Node, shard: Shard) -> bool {
-    let live = gossip::live(node);
-    let candidates: Vec<Candidate<'_>> = live
-        .iter()
-        .map(|near| Candidate {
-            name: &near.name,
-            data_centre: &near.data_centre,
-        })
-        .collect();
-    let key = shard.object_key();
-    let chosen = choose(key.as_bytes(), &candidates, 1);
-    chosen
-        .first()
-        .is_some_and(|chosen| *chosen.name == node.settings.instance)
+    let driver = gossip::falls_to(node, &shard.object_key());
+    driver.is_some_and(|near| near.address.is_none())
 }
 
 async fn store(node: &Node, key: &str, call: StoreCall) -> StoreReply {
