--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -26,6 +26,15 @@
 
     /// Makes a client.
     pub(crate) fn client(&self) -> Result<Client, Failure> {
+        self.client_of(self.key()?.trim())
+    }
+
+    /// Makes a client for questions that need no key.
+    pub(crate) fn anonymous(&self) -> Result<Client, Failure> {
+        self.client_of("")
+    }
+
+    fn client_of(&self, key: &str) -> Result<Client, Failure> {
         let at = self.at.clone().or_else(|| env::var(AT).ok());
         let at = at.ok_or(Failure::Usage(
             "--at or CELERYPOND_AT must say where the system is",
@@ -37,7 +46,7 @@
                 Err(_) => Err(Failure::Form(text.to_owned(), "an IP number and port")),
             })
             .collect::<Result<Vec<_>, _>>()?;
-        Ok(Client::new(known, self.key()?.trim())?)
+        Ok(Client::new(known, key)?)
     }
 
     /// Prints a value as JSON.
