--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -42,6 +42,9 @@
     /// Signals could not be received.
     #[error("signals cannot be received")]
     Signal,
+    /// A background task has ended before the instance.
+    #[error("a background task has ended")]
+    Task,
     /// Counters or spans have nowhere to go.
     #[error("telemetry could not start")]
     Telemetry,
@@ -53,7 +56,7 @@
 ///
 /// # Errors
 ///
-/// A [`ServerError`] when the instance could not start.
+/// A [`ServerError`] when the instance could not start, or [`ServerError::Task`].
 pub async fn run(
     settings: Settings,
     mut stops: mpsc::Receiver<()>,
@@ -64,18 +67,28 @@
     let peer_listener = bind(settings.peer_address).await?;
     let (events, told) = mpsc::channel(EVENTS);
     let node = Node::new(settings, metrics, events);
-    let tasks = spawn(&node, peer_listener, told);
+    let mut tasks = spawn(&node, peer_listener, told);
     log::info!("serving callers at {}", node.address());
-    tokio::select! {
+    let is_whole = tokio::select! {
         never = front::serve(Arc::clone(&node), listener) => match never {},
-        () = leave(&node, &mut stops) => {}
+        () = leave(&node, &mut stops) => true,
+        // The failure: a task that ends by a panic is missed by nobody, and the instance serves on by an
+        // old bundle, for example. It is better replaced: what runs is finished, then it ends.
+        Some(_) = tasks.join_next() => false,
+    };
+    if !is_whole {
+        log::error!("a background task has ended; the instance stops");
+        step(&node, Drain::default().stop(node.now_ms()));
     }
     finish(&node, tasks).await;
     if let Some(spans) = spans {
         spans.finish().change_context(ServerError::Telemetry)?;
     }
     log::info!("stopped");
-    Ok(())
+    match is_whole {
+        true => Ok(()),
+        false => Err(Report::new(ServerError::Task)),
+    }
 }
 
 /// Returns a value for each signal that asks for the planned stop: SIGTERM, or SIGINT from a terminal.
