daemon: calls to plain services count against their account's limit

Found in the read-through: only completions were charged. A charge is now a value that gives back what was not used when it is dropped, also when the request is refused later on.

--- a/crates/route/src/meter.rs
+++ b/crates/route/src/meter.rs
@@ -22,6 +22,10 @@
 /// assert_eq!((0..9).filter(|_| meter.admit(10, 1_000).is_ok()).count(), 5);
 /// // Demand counts what was refused as well.
 /// assert_eq!(meter.drain(), (9, 90));
+/// // A call to a plain service generates nothing, and is not held up by a debt of tokens.
+/// assert!(meter.admit(5_000, 2_000).is_ok());
+/// assert!(meter.admit(10, 2_000).is_err());
+/// assert!(meter.admit(0, 2_000).is_ok());
 /// ```
 #[derive(Debug)]
 pub struct Meter {
@@ -64,6 +68,10 @@
         self.asked.fetch_add(1, Relaxed);
         self.asked_tokens.fetch_add(tokens, Relaxed);
         self.requests.take(1, now_ms)?;
+        // A debt of tokens must not refuse a call that generates none.
+        if tokens == 0 {
+            return Ok(());
+        }
         let refused = self.tokens.take(tokens, now_ms);
         if refused.is_err() {
             self.requests.settle(1, 0);
--- a/daemon/src/front/completions.rs
+++ b/daemon/src/front/completions.rs
@@ -19,13 +19,14 @@
 use tracing::Instrument;
 
 use crate::{
+    charge::Charge,
     force::Force,
     front::{
         auth, headers,
         problem::{Kind, Problem},
         Call, Reply,
     },
-    generation::{Admitted, Charge, Drive, Piece, PIECES},
+    generation::{Admitted, Drive, Piece, PIECES},
     keeping,
     link::Ask,
     node::Node,
@@ -190,19 +191,9 @@
         priority: Priority,
         deadline: Instant,
     ) -> Result<Admitted, Problem> {
-        let view = node.view.load_full();
-        let accounts = view.accounts();
-        let found = accounts.key(&self.account.name);
-        let entry = found.and_then(|key| Some((key, accounts.get(key)?)));
-        let Some((account, entry)) = entry else {
-            return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
-        };
-        let now_ms = node.now_ms();
         let tokens = self.completion.max_tokens.into();
-        entry
-            .meter
-            .admit(tokens, now_ms)
-            .map_err(|after| Problem::not_run(NotRunReason::AccountLimit, after))?;
+        let (account, charge) = Charge::new(node, self.account, tokens)?;
+        let view = node.view.load_full();
         let version = node.rollouts.choose(node, self.model);
         let Some(route) = view.version(&self.model.name, &version).map(Route::Version) else {
             return Err(Problem::not_run(NotRunReason::NoTarget, NO_BUNDLE));
@@ -223,23 +214,17 @@
             weight: self.account.weight,
             priority,
             cost: 1,
-            deadline: now_ms + patience.as_millis() as u64,
+            deadline: node.now_ms() + patience.as_millis() as u64,
             item: (),
         };
-        match node.admission.admit(node, route, &ask, waiting).await {
-            Ok(permit) => Ok(Admitted {
-                version,
-                permit,
-                charge: Charge {
-                    meter: Arc::clone(&entry.meter),
-                    tokens,
-                },
-            }),
-            Err(refusal) => {
-                entry.meter.settle(tokens, 0);
-                Err(Problem::not_run(refusal.reason, refusal.retry_after))
-            }
-        }
+        let admitted = node.admission.admit(node, route, &ask, waiting).await;
+        let permit =
+            admitted.map_err(|refusal| Problem::not_run(refusal.reason, refusal.retry_after))?;
+        Ok(Admitted {
+            version,
+            permit,
+            charge,
+        })
     }
 
     fn request(&self, node: &Node, deadline: Instant, rng: &mut impl Rng) -> Request {
--- a/daemon/src/front/services.rs
+++ b/daemon/src/front/services.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use celerypond_bundle::Service;
 use celerypond_ledger::{Answer, CallKey, Reply as ServiceReply, Unsent};
 use celerypond_telemetry::Counter;
 use celerypond_types::{NotRunReason, Outcome, ServiceName};
@@ -10,7 +11,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    body, forward,
+    body,
+    charge::Charge,
+    force::Force,
+    forward,
     front::{
         auth, headers,
         problem::{Kind, Problem},
@@ -47,36 +51,21 @@
         return Err(Problem::not_run(NotRunReason::NoTarget, COME_BACK));
     };
     let account = auth::account(&force, &call.headers)?;
-    let whole = call.uri.path_and_query().map_or("", |path| path.as_str());
-    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
-    let (name, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
-    let service = force
-        .service(&ServiceName::new(name))
-        .ok_or_else(|| Problem::new(Kind::NotFound, format_args!("there is no service {name}")))?;
-    let path = if path.is_empty() { "/" } else { path };
-    let is_idempotent = service.is_idempotent(call.method.as_str(), path);
     let key = headers::given_key(&call.headers)?;
+    let (service, path) = find(&force, &call)?;
+    let is_idempotent = service.is_idempotent(call.method.as_str(), &path);
     let longest = Duration::from_millis(service.deadline_ms);
     let deadline = Instant::now() + headers::deadline(&call.headers, longest)?;
     let body = headers::read_body(node, call.body).await?;
-    let service = Arc::new(service.clone());
-    let send = ServiceCall::new(service, call.method, path, &call.headers, body, deadline);
+    Charge::new(node, account, 0)?;
+    let send = ServiceCall::new(service, call.method, &path, &call.headers, body, deadline);
     let outcome = match key {
         _ if is_idempotent => send.send_idempotent(node).await,
-        None => send
-            .send_once(node, Unsent::unkeyed(deadline))
-            .await
-            .outcome(),
-        Some(key) => {
-            let key = CallKey::of(&account.name, &key);
-            match forward::call(node, key, send).await {
-                Answer::Outcome(outcome) => outcome,
-                Answer::KeyReused => {
-                    let message = "the key was used for another call";
-                    return Err(Problem::new(Kind::Conflict, message));
-                }
-            }
+        None => {
+            let finished = send.send_once(node, Unsent::unkeyed(deadline)).await;
+            finished.outcome()
         }
+        Some(key) => run_keyed(node, CallKey::of(&account.name, &key), send).await?,
     };
     match outcome {
         Outcome::Ran(reply) => Ok(ran(reply)),
@@ -88,6 +77,32 @@
     }
 }
 
+/// Finds the service that a call names, and the path below it.
+fn find(force: &Force, call: &Call) -> Result<(Arc<Service>, String), Problem> {
+    let whole = call.uri.path_and_query().map_or("", |path| path.as_str());
+    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
+    let (name, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let path = if path.is_empty() { "/" } else { path };
+    let service = force
+        .service(&ServiceName::new(name))
+        .ok_or_else(|| Problem::new(Kind::NotFound, format_args!("there is no service {name}")))?;
+    Ok((Arc::new(service.clone()), path.to_owned()))
+}
+
+async fn run_keyed(
+    node: &Arc<Node>,
+    key: CallKey,
+    send: ServiceCall,
+) -> Result<Outcome<ServiceReply>, Problem> {
+    match forward::call(node, key, send).await {
+        Answer::Outcome(outcome) => Ok(outcome),
+        Answer::KeyReused => {
+            let message = "the key was used for another call";
+            Err(Problem::new(Kind::Conflict, message))
+        }
+    }
+}
+
 fn ran(answer: ServiceReply) -> Reply {
     let mut reply = Response::new(body::whole(answer.body));
     *reply.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/daemon/src/generation.rs
+++ b/daemon/src/generation.rs
@@ -6,7 +6,6 @@
     Effect, Emit, Event, Finish, Generation, Incomplete, Input, Link, Refusal,
 };
 use celerypond_rollout::Failure;
-use celerypond_route::Meter;
 use celerypond_telemetry::Counter;
 use celerypond_types::{TargetKey, VersionName};
 use rand::rngs::SmallRng;
@@ -17,6 +16,7 @@
 
 use crate::{
     admission::Permit,
+    charge::Charge,
     keeping,
     link::{self, Ask},
     node::Node,
@@ -60,9 +60,8 @@
     version: Option<VersionName>,
     /// The place that was given when the answer was admitted.
     permit: Option<Permit>,
+    /// What its account was charged, with the tokens of all attempts so far.
     charge: Option<Charge>,
-    /// The tokens that came so far, over all attempts.
-    generated: u64,
     /// The target of the attempt under way, until its first token.
     trying: Option<Trying>,
     /// The chunk of tokens under way, as evidence of the version.
@@ -89,20 +88,8 @@
     pub charge: Charge,
 }
 
-/// The tokens that were charged to an account when its answer was admitted.
-pub struct Charge {
-    /// The account's use of this instance.
-    pub meter: Arc<Meter>,
-    /// How many tokens were charged.
-    pub tokens: u64,
-}
-
 impl Drop for Drive {
     fn drop(&mut self) {
-        // An answer is charged with the most it may have; what it did not use goes back.
-        if let Some(charge) = &self.charge {
-            charge.meter.settle(charge.tokens, self.generated);
-        }
         self.node.open_requests(-1);
     }
 }
@@ -136,7 +123,6 @@
             version,
             permit,
             charge,
-            generated: 0,
             trying: None,
             chunk: None,
             open: None,
@@ -249,7 +235,9 @@
         match input {
             Input::Event(link, Event::Frame(_)) => {
                 self.last_token = now;
-                self.generated += 1;
+                if let Some(charge) = &mut self.charge {
+                    charge.used += 1;
+                }
                 if let Some(open) = self.links.get_mut(link) {
                     open.came = true;
                     // Only a token shows that the stream goes on.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod body;
+pub mod charge;
 pub mod engine;
 pub mod force;
 pub mod forward;
--- a/daemon/tests/test_front.rs
+++ b/daemon/tests/test_front.rs
@@ -146,3 +146,32 @@
     let response = client.call(&called, Duration::from_secs(2)).await.unwrap();
     assert_eq!(response.status, 200);
 }
+
+/// Callers over their account's limit get 429 with when to come back, also for calls to plain services,
+/// which once went past the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_to_services_count_against_the_limit_of_the_account() {
+    let fleet = Fleet::start(GAP).await;
+    let mut bundle = fleet.bundle();
+    bundle["accounts"][0]["requests_per_s"] = json!(3);
+    let digest = fleet.sign(&bundle).await;
+    fleet.roll(digest).await;
+    fleet.await_revision(2).await;
+    // The part of an account is reckoned each second.
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let key = ("authorization", "Bearer showroom-key");
+    let mut refused = 0;
+    for _ in 0..12 {
+        let path = "/v1/services/desk/prices/query";
+        let (status, answer) = post(&fleet, path, &[key], b"{}".to_vec()).await;
+        if status == 429 {
+            assert_eq!(answer["error"]["kind"], "not_run");
+            assert!(answer["error"]["retry_after_ms"].as_u64() > Some(0));
+            refused += 1;
+        }
+    }
+    assert!(
+        refused >= 6,
+        "{refused} of 12 calls were refused at 3 a second over three instances"
+    );
+}
