--- a/daemon/src/forward.rs
+++ b/daemon/src/forward.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use celerypond_ledger::{Answer, CallKey, Reply};
+use celerypond_telemetry::{hop, TraceContext};
 use celerypond_types::{NotRunReason, Outcome, ServiceName};
 use gotham::hyper::{HeaderMap, Method};
 use http::{HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 use tokio::time::Instant;
+use tracing::{Instrument, Span};
 
 use crate::{gossip, ledger, node::Node, peers::PeerCallError, service_call::ServiceCall};
 
@@ -31,6 +33,7 @@
     headers: Vec<(SmolStr, SmolStr)>,
     body: Vec<u8>,
     left_ms: u64,
+    trace: Option<SmolStr>,
 }
 
 /// What became of it.
@@ -84,7 +87,10 @@
 /// Answers a call that another instance passed on.
 pub async fn answer(node: &Arc<Node>, call: &[u8]) -> Vec<u8> {
     let came = match serde_json::from_slice::<Sent>(call) {
-        Ok(sent) => run(node, sent).await,
+        Ok(sent) => {
+            let trace = sent.trace.as_ref().and_then(|text| text.parse().ok());
+            run(node, sent).instrument(hop("peer", trace)).await
+        }
         Err(_) => not_run(NotRunReason::NoTarget, COME_BACK),
     };
     serde_json::to_vec(&came).unwrap_or_default()
@@ -105,6 +111,7 @@
         headers: sent.headers.iter().filter_map(header).collect(),
         body: Bytes::from(sent.body),
         deadline: Instant::now() + Duration::from_millis(sent.left_ms),
+        trace: TraceContext::of_span(&Span::current()),
     };
     match node.ledger.call(node, sent.key, call).await {
         Some(Answer::Outcome(Outcome::Ran(reply))) => Came::Ran(reply),
@@ -133,6 +140,7 @@
         headers: texts(&send.headers),
         body: send.body.to_vec(),
         left_ms: limit.as_millis() as u64,
+        trace: send.trace.map(|trace| format_smolstr!("{trace}")),
     };
     let value = serde_json::to_vec(&sent).unwrap_or_default();
     let result = node.peers.forward(owner, value, limit).await;
--- a/daemon/src/service_call.rs
+++ b/daemon/src/service_call.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use smol_str::SmolStr;
 use tokio::time::{self, Instant};
-use tracing::Instrument;
+use tracing::{Instrument, Span};
 
 use crate::{
     body, engine,
@@ -48,6 +48,8 @@
     pub body: Bytes,
     /// When the caller no longer waits.
     pub deadline: Instant,
+    /// The hop that the call came over; the task that sends it is another's.
+    pub trace: Option<TraceContext>,
 }
 
 /// A connection to a target that was chosen for a call.
@@ -124,6 +126,7 @@
             headers: kept,
             body,
             deadline,
+            trace: TraceContext::of_span(&Span::current()),
         }
     }
 
@@ -284,15 +287,13 @@
     }
 
     async fn call(&self, address: SocketAddr, fresh: Fresh) -> Tried {
-        let Ok(request) = self.request(address) else {
+        let span = hop("target", self.trace);
+        let Ok(request) = self.request(address, &span) else {
             return Tried::Failed(Failure::Protocol);
         };
         let left = self.deadline.saturating_duration_since(Instant::now());
         let exchange = async {
-            let answer = fresh
-                .send(request, left)
-                .instrument(hop("target", None))
-                .await?;
+            let answer = fresh.send(request, left).instrument(span).await?;
             let (head, body) = answer.response.into_parts();
             // The connection is closed with its answer, so no later call can meet a late one.
             let value = body::read(body, ANSWER).await;
@@ -317,7 +318,11 @@
         }
     }
 
-    fn request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, http::Error> {
+    fn request(
+        &self,
+        address: SocketAddr,
+        span: &Span,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.path.as_str())
@@ -325,7 +330,7 @@
         for (name, value) in &self.headers {
             request = request.header(name, value);
         }
-        if let Some(context) = TraceContext::of_span(&tracing::Span::current()) {
+        if let Some(context) = TraceContext::of_span(span) {
             request = request.header("traceparent", context.to_string());
         }
         request.body(Full::new(self.body.clone()))
