--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -1,96 +1,79 @@
 //! The list of all counters.
 
-macro_rules! counters {
-    ($($(#[$doc:meta])* $variant:ident = $name:literal,)*) => {
-        /// A number of events since the start of the instance; it only rises.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub enum Counter {
-            $($(#[$doc])* $variant,)*
-        }
+use crate::metric_list::metric_list;
 
-        impl Counter {
-            /// All counters, in the order of their slots.
-            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
-
-            /// Returns the name under which the counter is published.
-            pub const fn name(self) -> &'static str {
-                match self {
-                    $(Self::$variant => $name,)*
-                }
-            }
-        }
-    };
-}
-
-counters! {
-    /// Requests accepted from callers.
-    Requests = "requests",
-    /// Requests refused before anything was sent to a target.
-    Refused = "requests.refused",
-    /// Requests whose outcome is not known.
-    Unknown = "requests.unknown",
-    /// Requests that ended with a typed failure after they had begun.
-    Failed = "requests.failed",
-    /// Tokens passed to callers.
-    Tokens = "answers.tokens",
-    /// Frames dropped because another frame with their position was passed on before.
-    Repeats = "answers.repeats",
-    /// Frames discarded because they belong to another attempt or request.
-    Strays = "answers.strays",
-    /// Answers resumed on the target that began them.
-    ResumedSame = "answers.resumed_same",
-    /// Answers continued on another target.
-    ResumedElsewhere = "answers.resumed_elsewhere",
-    /// Answers taken over from another instance.
-    TakenOver = "answers.taken_over",
-    /// Streams found silent for longer than the progress timeout.
-    Stalls = "answers.stalls",
-    /// Non-idempotent calls with a durable intent.
-    KeyedCalls = "ledger.calls",
-    /// Non-idempotent calls answered from a result that stood already.
-    KeyedRepeats = "ledger.repeats",
-    /// Batches written to the ledger.
-    LedgerBatches = "ledger.batches",
-    /// Conditional creates of the ledger lost to another writer.
-    LedgerRaces = "ledger.races",
-    /// Retries sent to targets.
-    Retries = "route.retries",
-    /// Retries withheld because the budget was used up.
-    RetriesWithheld = "route.retries_withheld",
-    /// Targets taken out of routing.
-    Ejections = "route.ejections",
-    /// Targets brought back into routing.
-    Returns = "route.returns",
-    /// Bundles brought into force at this instance.
-    Bundles = "rollout.bundles",
-    /// Brakes that became known to this instance.
-    Brakes = "rollout.brakes",
-    /// Calls to the platform.
-    StoreCalls = "platform.calls",
-    /// Calls to the platform that failed or got no reply.
-    StoreFailures = "platform.failures",
-    /// Calls to the platform withheld by the call budget.
-    StoreWithheld = "platform.withheld",
-    /// Gossip messages sent.
-    GossipSent = "gossip.sent",
-    /// Gossip messages received.
-    GossipReceived = "gossip.received",
-    /// Bytes of gossip sent.
-    GossipBytes = "gossip.bytes",
-    /// Exchanges with peers that failed or ran into their deadline.
-    GossipFailures = "gossip.failures",
-    /// Peers that became suspected.
-    Suspicions = "gossip.suspicions",
-    /// Keeper records accepted from peers.
-    KeeperRecords = "keeper.records",
-    /// Keeper records dropped because the store was full.
-    KeeperDropped = "keeper.dropped",
-    /// Orders sent to engines.
-    Orders = "orders.sent",
-    /// Orders refused by an engine because it had seen a newer holder.
-    OrdersFenced = "orders.fenced",
-    /// Orders held back because too little of the lease remained.
-    OrdersHeld = "orders.held",
-    /// Calls made to acquire or renew a lease.
-    LeaseCalls = "orders.lease_calls",
+metric_list! {
+    /// A number of events since the start of the instance; it only rises.
+    Counter {
+        /// Requests accepted from callers.
+        Requests = "requests",
+        /// Requests refused before anything was sent to a target.
+        Refused = "requests.refused",
+        /// Requests whose outcome is not known.
+        Unknown = "requests.unknown",
+        /// Requests that ended with a typed failure after they had begun.
+        Failed = "requests.failed",
+        /// Tokens passed to callers.
+        Tokens = "answers.tokens",
+        /// Frames dropped because another frame with their position was passed on before.
+        Repeats = "answers.repeats",
+        /// Frames discarded because they belong to another attempt or request.
+        Strays = "answers.strays",
+        /// Answers resumed on the target that began them.
+        ResumedSame = "answers.resumed_same",
+        /// Answers continued on another target.
+        ResumedElsewhere = "answers.resumed_elsewhere",
+        /// Answers taken over from another instance.
+        TakenOver = "answers.taken_over",
+        /// Streams found silent for longer than the progress timeout.
+        Stalls = "answers.stalls",
+        /// Non-idempotent calls with a durable intent.
+        KeyedCalls = "ledger.calls",
+        /// Non-idempotent calls answered from a result that stood already.
+        KeyedRepeats = "ledger.repeats",
+        /// Batches written to the ledger.
+        LedgerBatches = "ledger.batches",
+        /// Conditional creates of the ledger lost to another writer.
+        LedgerRaces = "ledger.races",
+        /// Retries sent to targets.
+        Retries = "route.retries",
+        /// Retries withheld because the budget was used up.
+        RetriesWithheld = "route.retries_withheld",
+        /// Targets taken out of routing.
+        Ejections = "route.ejections",
+        /// Targets brought back into routing.
+        Returns = "route.returns",
+        /// Bundles brought into force at this instance.
+        Bundles = "rollout.bundles",
+        /// Brakes that became known to this instance.
+        Brakes = "rollout.brakes",
+        /// Calls to the platform.
+        StoreCalls = "platform.calls",
+        /// Calls to the platform that failed or got no reply.
+        StoreFailures = "platform.failures",
+        /// Calls to the platform withheld by the call budget.
+        StoreWithheld = "platform.withheld",
+        /// Gossip messages sent.
+        GossipSent = "gossip.sent",
+        /// Gossip messages received.
+        GossipReceived = "gossip.received",
+        /// Bytes of gossip sent.
+        GossipBytes = "gossip.bytes",
+        /// Exchanges with peers that failed or ran into their deadline.
+        GossipFailures = "gossip.failures",
+        /// Peers that became suspected.
+        Suspicions = "gossip.suspicions",
+        /// Keeper records accepted from peers.
+        KeeperRecords = "keeper.records",
+        /// Keeper records dropped because the store was full.
+        KeeperDropped = "keeper.dropped",
+        /// Orders sent to engines.
+        Orders = "orders.sent",
+        /// Orders refused by an engine because it had seen a newer holder.
+        OrdersFenced = "orders.fenced",
+        /// Orders held back because too little of the lease remained.
+        OrdersHeld = "orders.held",
+        /// Calls made to acquire or renew a lease.
+        LeaseCalls = "orders.lease_calls",
+    }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod exporter;
 mod gauge;
 mod logs;
+mod metric_list;
 mod metrics;
 mod output;
 mod spans;
