route: versions and services keep their keys by one function

Cause: View's versions and services each had the same replace-or-insert in an arena. Keys are kept as before; the tests of the view are unchanged.

--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -6,7 +6,7 @@
 use celerypond_types::{
     AdapterName, ModelName, ServiceName, TargetKey, TargetName, VersionKey, VersionName,
 };
-use slotmap::{SecondaryMap, SlotMap};
+use slotmap::{Key, SecondaryMap, SlotMap};
 use tokio::time::Instant;
 
 use crate::{gauge::Tallies, Accounts, CacheIndex, Clock, Pool, Target};
@@ -222,14 +222,8 @@
         for version in &model.versions {
             let kept = last.and_then(|last| last.versions.get(&version.name).copied());
             let before = kept.map(|key| &self.versions[key]);
-            let pool = Arc::new(self.pool_of(&version.targets, before));
-            let key = match kept {
-                Some(key) => {
-                    self.versions[key] = pool;
-                    key
-                }
-                None => self.versions.insert(pool),
-            };
+            let pool = self.pool_of(&version.targets, before);
+            let key = put(&mut self.versions, kept, pool);
             entry.versions.insert(version.name.clone(), key);
         }
         entry
@@ -239,14 +233,8 @@
         for service in &bundle.services {
             let kept = last.by_service.get(&service.name).copied();
             let before = kept.map(|key| &self.services[key]);
-            let pool = Arc::new(self.pool_of(&service.targets, before));
-            let key = match kept {
-                Some(key) => {
-                    self.services[key] = pool;
-                    key
-                }
-                None => self.services.insert(pool),
-            };
+            let pool = self.pool_of(&service.targets, before);
+            let key = put(&mut self.services, kept, pool);
             self.by_service.insert(service.name.clone(), key);
         }
         let Self {
@@ -281,3 +269,13 @@
         Pool::new(targets.collect(), last.map(Arc::as_ref))
     }
 }
+
+/// Puts a pool under the key that it had before, or under a new one, and returns the key.
+fn put<K: Key>(pools: &mut SlotMap<K, Arc<Pool>>, kept: Option<K>, pool: Pool) -> K {
+    let pool = Arc::new(pool);
+    let Some(key) = kept else {
+        return pools.insert(pool);
+    };
+    pools[key] = pool;
+    key
+}
