--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -12,7 +12,7 @@
 };
 
 use celerypond_bundle::{Bundle, Settings};
-use celerypond_cli::{Client, Prompt, Token};
+use celerypond_cli::{Called, Client, Prompt, Token};
 use celerypond_daemon::{force::Force, node::Node, server, target_watch::TargetEvent};
 use celerypond_rollout::Headline;
 use celerypond_telemetry::Metrics;
@@ -247,6 +247,12 @@
         }
     }
 
+    /// Returns how many generations the engines have started.
+    pub(crate) fn starts(&self) -> usize {
+        let engines = self.engines.iter();
+        engines.map(|it| it.stand_in.log().starts.len()).sum()
+    }
+
     async fn await_all(&self, path: &str) {
         for instance in &self.instances {
             wait_for(async || get(instance.address, path).await.is_some()).await;
@@ -303,6 +309,17 @@
     tokens.into_iter().map(|token| token.0).collect()
 }
 
+/// Returns an idempotent call to the plain service.
+pub(crate) fn stock() -> Called {
+    Called {
+        service: "desk".into(),
+        method: "GET".into(),
+        path: "/stock".into(),
+        body: "".into(),
+        key: None,
+    }
+}
+
 /// Returns a request for tokens.
 pub(crate) fn prompt(text: &str, seed: u64, tokens: u32) -> Prompt {
     Prompt {
--- a/daemon/tests/test_answers.rs
+++ b/daemon/tests/test_answers.rs
@@ -48,12 +48,7 @@
         }
     });
     assert_eq!(tokens.await.unwrap(), reference("v1", "letter", 8, 120));
-    let starts: usize = fleet
-        .engines
-        .iter()
-        .map(|it| it.stand_in.log().starts.len())
-        .sum();
-    assert_eq!(starts, 1, "the answer was generated again");
+    assert_eq!(fleet.starts(), 1, "the answer was generated again");
 }
 
 /// The caller sees all tokens, each once. The engine is paused for longer than the progress timeout
@@ -96,12 +91,7 @@
     });
     assert_eq!(tokens.await.unwrap(), reference("v1", "cut list", 10, 200));
     assert!(killed);
-    let starts: usize = fleet
-        .engines
-        .iter()
-        .map(|it| it.stand_in.log().starts.len())
-        .sum();
-    assert_eq!(starts, 1, "the answer was generated again");
+    assert_eq!(fleet.starts(), 1, "the answer was generated again");
 }
 
 /// The caller sees all tokens, each once. Its instance and its engine die at the same moment, so no
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use celerypond_cli::{Called, Client};
+use celerypond_cli::Client;
 use celerypond_daemon::{
     admission::Admission, front, node::Node, service_call::ServiceCall, target_watch::TargetEvent,
 };
@@ -25,7 +25,9 @@
     net::{TcpListener, TcpStream},
 };
 
-use crate::fleet::{get, lone, prompt, receive, reference, wait_for, Fleet, Target, ACCOUNT_KEY};
+use crate::fleet::{
+    get, lone, prompt, receive, reference, stock, wait_for, Fleet, Target, ACCOUNT_KEY,
+};
 
 const GAP: Duration = Duration::from_millis(2);
 
@@ -146,14 +148,7 @@
     });
     let client = fleet.client(ACCOUNT_KEY);
     for seed in 0..20 {
-        let called = Called {
-            service: "desk".into(),
-            method: "GET".into(),
-            path: "/stock".into(),
-            body: bytes::Bytes::new(),
-            key: None,
-        };
-        client.call(&called, Duration::from_secs(2)).await.unwrap();
+        client.call(&stock(), Duration::from_secs(2)).await.unwrap();
         let tokens = receive(&client, prompt("p", seed, 3), |_| {}).await;
         assert_eq!(tokens.unwrap(), reference("v1", "p", seed, 3));
     }
@@ -316,14 +311,7 @@
     wait_for(async || {
         let before = work.load(Relaxed);
         for _ in 0..40 {
-            let called = Called {
-                service: "desk".into(),
-                method: "GET".into(),
-                path: "/stock".into(),
-                body: bytes::Bytes::new(),
-                key: None,
-            };
-            client.call(&called, Duration::from_secs(2)).await.unwrap();
+            client.call(&stock(), Duration::from_secs(2)).await.unwrap();
         }
         before > 0 && work.load(Relaxed) == before
     })
