platform: the client speaks a dialect, so that a second store needs no second client

Cause: the users' platform has a store of other forms; the client's budget, timeouts and failures are the same for both. Ruled out: a second client beside the first.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,17 +11,14 @@
 
 use bytes::Bytes;
 use error_stack::Report;
-use http::{
-    header::{ETAG, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER},
-    request::Builder,
-    HeaderMap, Method, Request, Response, StatusCode,
-};
+use http::{header::RETRY_AFTER, request::Builder, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use crate::{
+    dialect::{Answer, Call, Dialect},
+    own::OWN,
     path::escape,
     pool::{Lost, Pool},
     Budget, CallKind, Changes, InstanceList, Listing, Object, PlatformError, Rates, Settled,
@@ -64,17 +61,17 @@
     timeout: Duration,
     pool: Pool,
     budget: Arc<Mutex<Budget>>,
-}
-
-struct Answer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
+    dialect: Dialect,
 }
 
 impl Client {
-    /// Makes a client; connects when the first call is made.
+    /// Makes a client of the project's own store; connects when the first call is made.
     pub fn new(settings: &Settings) -> Self {
+        Self::speaking(settings, OWN)
+    }
+
+    /// Makes a client of a store that speaks `dialect`; connects when the first call is made.
+    pub fn speaking(settings: &Settings, dialect: Dialect) -> Self {
         let budget = Budget::new(settings.rates, Instant::now());
         Self {
             addresses: settings.addresses.as_slice().into(),
@@ -82,6 +79,7 @@
             timeout: settings.timeout,
             pool: Pool::new(settings.connect),
             budget: Arc::new(Mutex::new(budget)),
+            dialect,
         }
     }
 
@@ -97,12 +95,12 @@
     ///
     /// `Missing`, or a failure of the call.
     pub async fn get(&self, key: &str) -> Result<Object> {
-        let request = self.request(Method::GET, &object(key));
-        let answer = self.send(CallKind::Read, request, Bytes::new()).await?;
+        let answer = self.object_call(&Call::Get(key), Bytes::new()).await?;
+        let (version, value) = (self.dialect.object)(key, &answer)?;
         Ok(Object {
             key: key.into(),
-            version: answer.version()?,
-            value: answer.body,
+            version,
+            value,
         })
     }
 
@@ -112,8 +110,7 @@
     ///
     /// `Conflict` when there is one; `Ambiguous` when no answer came.
     pub async fn create(&self, key: &str, value: Bytes) -> Result<Version> {
-        let request = self.request(Method::PUT, &object(key));
-        self.write(request.header(IF_NONE_MATCH, "*"), value).await
+        self.write(key, &Call::Create(key), value).await
     }
 
     /// Replaces an object if it still has the version `before`.
@@ -122,9 +119,7 @@
     ///
     /// `Conflict` when it has another; `Ambiguous` when no answer came.
     pub async fn update(&self, key: &str, before: Version, value: Bytes) -> Result<Version> {
-        let request = self.request(Method::PUT, &object(key));
-        let request = request.header(IF_MATCH, format!("\"{before}\""));
-        self.write(request, value).await
+        self.write(key, &Call::Update(key, before), value).await
     }
 
     /// Deletes an object if it still has the version `before`.
@@ -133,9 +128,8 @@
     ///
     /// `Conflict` when it has another, `Missing` when it is gone, `Ambiguous` when no answer came.
     pub async fn delete(&self, key: &str, before: Version) -> Result<()> {
-        let request = self.request(Method::DELETE, &object(key));
-        let request = request.header(IF_MATCH, format!("\"{before}\""));
-        self.send(CallKind::Write, request, Bytes::new()).await?;
+        let call = Call::Delete(key, before);
+        self.object_call(&call, Bytes::new()).await?;
         Ok(())
     }
 
@@ -164,9 +158,13 @@
     ///
     /// A failure of the call.
     pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Listing> {
-        let (prefix, after) = (escape(prefix), escape(after));
-        let path = format!("/v1/objects?prefix={prefix}&after={after}&limit={limit}");
-        self.read(&path, self.timeout).await
+        let call = Call::List {
+            prefix,
+            after,
+            limit,
+        };
+        let answer = self.object_call(&call, Bytes::new()).await?;
+        Ok((self.dialect.listing)(prefix, &answer.body)?)
     }
 
     /// Lists all objects under `prefix`, page by page.
@@ -179,11 +177,15 @@
     /// A failure of one of the calls.
     pub async fn list_all(&self, prefix: &str) -> Result<Listing> {
         let mut all = self.list(prefix, "", PAGE).await?;
-        while let Some(last) = all.objects.last() {
+        while all.more {
+            let Some(last) = all.objects.last() else {
+                break;
+            };
             let page = self.list(prefix, &last.key, PAGE).await?;
             if page.objects.is_empty() {
                 break;
             }
+            all.more = page.more;
             all.objects.extend(page.objects);
         }
         Ok(all)
@@ -195,10 +197,13 @@
     ///
     /// A failure of the call.
     pub async fn watch(&self, prefix: &str, since: Version, wait: Duration) -> Result<Changes> {
-        let prefix = escape(prefix);
-        let wait_ms = wait.as_millis();
-        let path = format!("/v1/watch?prefix={prefix}&since={since}&wait_ms={wait_ms}");
-        self.read(&path, wait + self.timeout).await
+        let call = Call::Watch {
+            prefix,
+            since,
+            wait,
+        };
+        let answer = self.object_call(&call, Bytes::new()).await?;
+        Ok((self.dialect.changes)(prefix, &answer.body)?)
     }
 
     /// Reads the list of instances and targets.
@@ -207,7 +212,10 @@
     ///
     /// A failure of the call.
     pub async fn instances(&self) -> Result<InstanceList> {
-        self.read("/v1/instances", self.timeout).await
+        let request = self.request(Method::GET, "/v1/instances");
+        let answer = self.send(CallKind::Read, request, Bytes::new()).await?;
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))
     }
 
     /// Reads weights of the weight store.
@@ -243,20 +251,25 @@
         let _ = self.turn.compare_exchange(turn, turn + 1, Relaxed, Relaxed);
     }
 
-    async fn write(&self, request: Builder, value: Bytes) -> Result<Version> {
+    async fn write(&self, key: &str, call: &Call<'_>, value: Bytes) -> Result<Version> {
         if value.len() > VALUE_BYTES {
             return Err(Report::new(PlatformError::TooLarge));
         }
-        self.send(CallKind::Write, request, value).await?.version()
+        let answer = self.object_call(call, value).await?;
+        let (version, _) = (self.dialect.object)(key, &answer)?;
+        Ok(version)
     }
 
-    async fn read<T: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<T> {
-        let request = self.request(Method::GET, path);
-        let answer = self
-            .exchange(CallKind::Read, request, Bytes::new(), limit)
-            .await?;
-        serde_json::from_slice(&answer.body)
-            .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))
+    /// Makes a call on objects; a watch has its wait on top of the timeout.
+    async fn object_call(&self, call: &Call<'_>, value: Bytes) -> Result<Answer> {
+        let encoded = (self.dialect.encode)(call, value);
+        let mut request = self.request(encoded.method, &encoded.path);
+        if let Some((name, condition)) = encoded.condition {
+            request = request.header(name, condition);
+        }
+        let kind = call.kind();
+        let limit = self.timeout + call.wait();
+        self.exchange(kind, request, encoded.body, limit).await
     }
 
     async fn send(&self, kind: CallKind, request: Builder, body: Bytes) -> Result<Answer> {
@@ -295,27 +308,38 @@
     }
 }
 
-impl Answer {
-    fn version(&self) -> Result<Version> {
-        let tag = self.headers.get(ETAG).and_then(|tag| tag.to_str().ok());
-        tag.and_then(|tag| tag.trim_matches('"').parse().ok())
-            .map(Version)
-            .ok_or_else(|| Report::new(PlatformError::Malformed))
+impl Call<'_> {
+    const fn kind(&self) -> CallKind {
+        match self {
+            Self::Get(_) | Self::List { .. } | Self::Watch { .. } => CallKind::Read,
+            Self::Create(_) | Self::Update(..) | Self::Delete(..) => CallKind::Write,
+        }
+    }
+
+    const fn wait(&self) -> Duration {
+        match self {
+            Self::Watch { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        }
     }
+}
 
+impl Answer {
     fn retry_after(&self) -> Duration {
         let header = self.headers.get(RETRY_AFTER);
         header
             .and_then(|text| text.to_str().ok())
             .and_then(|text| text.parse().ok())
-            .map_or(RETRY_AFTER_DEFAULT, Duration::from_secs)
+            .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+            .unwrap_or(RETRY_AFTER_DEFAULT)
     }
 
     fn check(self, kind: CallKind) -> std::result::Result<Self, PlatformError> {
         match self.status {
             status if status.is_success() => Ok(self),
             StatusCode::NOT_FOUND => Err(PlatformError::Missing),
-            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict),
+            StatusCode::PRECONDITION_FAILED | StatusCode::CONFLICT => Err(PlatformError::Conflict),
+            StatusCode::GONE => Err(PlatformError::Compacted),
             StatusCode::PAYLOAD_TOO_LARGE => Err(PlatformError::TooLarge),
             StatusCode::SERVICE_UNAVAILABLE => Err(PlatformError::Down),
             StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::RateLimited {
@@ -330,10 +354,6 @@
     }
 }
 
-fn object(key: &str) -> String {
-    format!("/v1/objects/{}", escape(key))
-}
-
 async fn collect(response: Response<Incoming>) -> std::result::Result<Answer, PlatformError> {
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, ANSWER_BYTES).collect().await;
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -13,6 +13,9 @@
     /// There is no such object.
     #[error("there is no such object")]
     Missing,
+    /// The history from which a watch was to go on is no longer kept.
+    #[error("the history of the watch is gone")]
+    Compacted,
     /// The platform does not answer; a write took no effect.
     #[error("the platform is down")]
     Down,
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -47,6 +47,10 @@
     pub revision: Version,
     /// The objects.
     pub objects: Vec<Object>,
+    /// Whether a further page may have more; a store that does not say is asked until a page is
+    /// empty.
+    #[serde(default = "unsaid")]
+    pub more: bool,
 }
 
 /// One change that a watch saw.
@@ -70,6 +74,10 @@
     pub changes: Vec<Change>,
 }
 
+const fn unsaid() -> bool {
+    true
+}
+
 fn decode<'de, D: Deserializer<'de>>(input: D) -> Result<Bytes, D::Error> {
     let text = String::deserialize(input)?;
     let bytes = BASE64_STANDARD.decode(text).map_err(D::Error::custom)?;
--- /dev/null
+++ b/crates/platform/src/own.rs
@@ -0,0 +1,76 @@
+//! The form of the project's own store, as `docs/design/wire.md` fixes it.
+
+use bytes::Bytes;
+use http::{
+    header::{ETAG, IF_MATCH, IF_NONE_MATCH},
+    Method,
+};
+
+use crate::{
+    dialect::{Answer, Call, Dialect, Encoded},
+    path::escape,
+    PlatformError, Version,
+};
+
+/// The form of the project's own store.
+pub(crate) const OWN: Dialect = Dialect {
+    encode,
+    object,
+    listing: |_, body| decode(body),
+    changes: |_, body| decode(body),
+};
+
+fn encode(call: &Call<'_>, body: Bytes) -> Encoded {
+    let (method, path, condition) = match *call {
+        Call::Get(key) => (Method::GET, object_path(key), None),
+        Call::List {
+            prefix,
+            after,
+            limit,
+        } => {
+            let (prefix, after) = (escape(prefix), escape(after));
+            let path = format!("/v1/objects?prefix={prefix}&after={after}&limit={limit}");
+            (Method::GET, path, None)
+        }
+        Call::Watch {
+            prefix,
+            since,
+            wait,
+        } => {
+            let (prefix, wait_ms) = (escape(prefix), wait.as_millis());
+            let path = format!("/v1/watch?prefix={prefix}&since={since}&wait_ms={wait_ms}");
+            (Method::GET, path, None)
+        }
+        Call::Create(key) => {
+            let absent = (IF_NONE_MATCH, "*".to_owned());
+            (Method::PUT, object_path(key), Some(absent))
+        }
+        Call::Update(key, before) => (Method::PUT, object_path(key), Some(matching(before))),
+        Call::Delete(key, before) => (Method::DELETE, object_path(key), Some(matching(before))),
+    };
+    Encoded {
+        method,
+        path,
+        condition,
+        body,
+    }
+}
+
+fn object_path(key: &str) -> String {
+    format!("/v1/objects/{}", escape(key))
+}
+
+fn matching(before: Version) -> (http::HeaderName, String) {
+    (IF_MATCH, format!("\"{before}\""))
+}
+
+fn object(_: &str, answer: &Answer) -> Result<(Version, Bytes), PlatformError> {
+    let tag = answer.headers.get(ETAG).and_then(|tag| tag.to_str().ok());
+    tag.and_then(|tag| tag.trim_matches('"').parse().ok())
+        .map(|version| (Version(version), answer.body.clone()))
+        .ok_or(PlatformError::Malformed)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|_| PlatformError::Malformed)
+}
