--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -62,6 +62,9 @@
     pub body: Bytes,
 }
 
+/// The version and the value of an object.
+pub type Held = (Version, Bytes);
+
 /// The form in which a store speaks; the client keeps to budgets, timeouts and failures, which are
 /// the same for all.
 #[derive(Clone, Copy, Debug)]
@@ -70,7 +73,7 @@
     pub encode: fn(&Call<'_>, Bytes) -> Encoded,
     /// Reads the version of an object or of a write, and the value of an object that was asked for
     /// by this key.
-    pub object: fn(&str, &Answer) -> Result<(Version, Bytes), PlatformError>,
+    pub object: fn(&str, &Answer) -> Result<Held, PlatformError>,
     /// Reads a page of a list under a prefix.
     pub listing: fn(&str, &[u8]) -> Result<Listing, PlatformError>,
     /// Reads what a watch under a prefix saw.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use budget::{Budget, CallKind, Rates};
 pub use client::{Client, Settings};
-pub use dialect::{Answer, Call, Dialect, Encoded};
+pub use dialect::{Answer, Call, Dialect, Encoded, Held};
 pub use error::PlatformError;
 pub use instances::{Instance, InstanceList, Presence, Target};
 pub use object::{Change, Changes, Listing, Object, Version};
--- a/crates/platform/src/own.rs
+++ b/crates/platform/src/own.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    dialect::{Answer, Call, Dialect, Encoded},
+    dialect::{Answer, Call, Dialect, Encoded, Held},
     path::escape,
     PlatformError, Version,
 };
@@ -64,7 +64,7 @@
     (IF_MATCH, format!("\"{before}\""))
 }
 
-fn object(_: &str, answer: &Answer) -> Result<(Version, Bytes), PlatformError> {
+fn object(_: &str, answer: &Answer) -> Result<Held, PlatformError> {
     let tag = answer.headers.get(ETAG).and_then(|tag| tag.to_str().ok());
     tag.and_then(|tag| tag.trim_matches('"').parse().ok())
         .map(|version| (Version(version), answer.body.clone()))
--- /dev/null
+++ b/crates/relay/src/ended.rs
@@ -0,0 +1,117 @@
+//! What the end of an attempt proves, and what follows.
+
+use std::time::Duration;
+
+use crate::RouteKind;
+
+/// How an attempt at a target ended without a response to pass on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// No connection was made, or it closed before a byte was written.
+    Unsent,
+    /// The target says that it has not run the request.
+    NotRun,
+    /// Another target has the address and has not run the request.
+    Misdirected,
+    /// The target answered that it failed.
+    Failed(u16),
+    /// The connection broke after the request may have arrived.
+    Broken,
+    /// Nothing came for longer than the target is expected to need.
+    Silent,
+    /// What came is not a response to this request.
+    Foreign,
+}
+
+impl Ended {
+    /// Returns whether the end proves that the request has not run at this target.
+    pub const fn proves_not_run(self) -> bool {
+        matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected)
+    }
+
+    /// Returns whether the target itself is likely to be down.
+    pub const fn suspects(self) -> bool {
+        matches!(
+            self,
+            Self::Unsent | Self::Misdirected | Self::Broken | Self::Silent
+        )
+    }
+}
+
+/// What is known of a request when an attempt has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation {
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Targets at which the request may have run.
+    pub runs: u32,
+    /// The most targets at which it may run.
+    pub attempts: u32,
+    /// Targets that refused it so far.
+    pub refusals: u32,
+    /// The time left.
+    pub left: Duration,
+}
+
+/// What follows the end of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to another target.
+    Elsewhere,
+    /// Answer that it has not run, with when to come back.
+    NotRun,
+    /// Answer that it failed and may have run.
+    Failed,
+    /// Answer that its time is over and that it may have run.
+    Expired,
+}
+
+/// The least time for which another attempt is worth a send.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Refusals after which a caller is told to come back. Each refusal costs the target work, and a
+/// service whose targets refuse this often in a row is full.
+const REFUSALS_LIMIT: u32 = 6;
+
+impl Situation {
+    /// Decides what follows an attempt that ended so; `budget` says whether one more send is
+    /// allowed, and is only asked when one is wanted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::{Ended, Next, RouteKind, Situation};
+    ///
+    /// let reservation = Situation {
+    ///     kind: RouteKind::Unsafe,
+    ///     runs: 1,
+    ///     attempts: 1,
+    ///     refusals: 0,
+    ///     left: Duration::from_secs(1),
+    /// };
+    /// assert_eq!(reservation.next(Ended::Broken, || true), Next::Failed);
+    /// let unsent = Situation { runs: 0, ..reservation };
+    /// assert_eq!(unsent.next(Ended::Unsent, || true), Next::Elsewhere);
+    /// ```
+    pub fn next(&self, ended: Ended, budget: impl FnOnce() -> bool) -> Next {
+        let may_have_run = self.runs > 0;
+        if self.left < LEAST_LEFT {
+            return if may_have_run {
+                Next::Expired
+            } else {
+                Next::NotRun
+            };
+        }
+        let may_send = !may_have_run || self.kind.may_repeat();
+        let has_room = self.runs < self.attempts && self.refusals < REFUSALS_LIMIT;
+        if may_send && has_room && budget() {
+            return Next::Elsewhere;
+        }
+        match ended {
+            _ if !may_have_run => Next::NotRun,
+            Ended::Silent => Next::Expired,
+            _ => Next::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/event.rs
@@ -0,0 +1,98 @@
+//! The events of a stream.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// One whole event as it was received, with its id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The id; nothing for a comment or an event without one.
+    pub id: Option<u64>,
+    /// All bytes of the event, the empty line at its end included.
+    pub bytes: Bytes,
+}
+
+/// Cuts received bytes into whole events.
+///
+/// A target may stop in the middle of an event. If its first half were passed on, the other run's
+/// event would be joined to it; so only whole events leave, and what is left over at the end of a
+/// run is dropped with it.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::Events;
+///
+/// let mut events = Events::default();
+/// events.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// let first = events.next().unwrap();
+/// assert_eq!((first.id, &first.bytes[..]), (Some(1), &b"id: 1\ndata: a\n\n"[..]));
+/// assert!(events.next().is_none());
+/// assert!(events.has_rest());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    buffer: BytesMut,
+    /// How far the buffer was searched for the end of an event.
+    searched: usize,
+}
+
+impl Events {
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns whether a part of an event is left.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Drops what is left of a run that broke off.
+    pub fn clear(&mut self) {
+        self.buffer.clear();
+        self.searched = 0;
+    }
+
+    /// Returns the bytes held for an event that is not whole yet.
+    pub fn held(&self) -> usize {
+        self.buffer.remaining()
+    }
+
+    fn end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let found = (from..self.buffer.len()).find_map(|at| {
+            let rest = &self.buffer[at..];
+            let is_end = rest.starts_with(b"\n\n");
+            let is_long_end = rest.starts_with(b"\r\n\r\n");
+            is_end
+                .then_some(at + 2)
+                .or_else(|| is_long_end.then_some(at + 4))
+        });
+        self.searched = self.buffer.len();
+        found
+    }
+}
+
+impl Iterator for Events {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        Some(Event {
+            id: id(&bytes),
+            bytes,
+        })
+    }
+}
+
+fn id(bytes: &[u8]) -> Option<u64> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let mut fields = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    std::str::from_utf8(fields.next()?)
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of routed requests: which route a request takes, who may ask, which target runs it,
+//! what a failed attempt proves, and how a stream goes on at another target.
+//!
+//! Nothing here does I/O; the time is passed in.
+
+mod access;
+mod config;
+mod ended;
+mod entry;
+mod event;
+mod head;
+mod left;
+mod patience;
+mod place;
+mod settings;
+mod snapshot;
+mod table;
+mod target;
+mod targets;
+
+pub use access::Denied;
+pub use config::{Account, Backend, CallerLimits, Config, EngineLimits, Route, RouteKind, Service};
+pub use ended::{Ended, Next, Situation};
+pub use entry::{Presence, TargetEntry};
+pub use event::{Event, Events};
+pub use head::{CallerHead, Load, Part, Prompt, TargetAnswer, TargetHead};
+pub use left::Clock;
+pub use patience::Patience;
+pub use place::{Pick, Want};
+pub use settings::{Bounds, Listen, Seed, Settings, StoreSettings};
+pub use snapshot::Snapshot;
+pub use table::Table;
+pub use target::Target;
+pub use targets::{Change, Targets};
--- /dev/null
+++ b/crates/relay/src/table.rs
@@ -0,0 +1,95 @@
+//! The configuration in force, ready for look-ups.
+
+use std::collections::HashMap;
+
+use celerypond_types::ServiceName;
+use smol_str::SmolStr;
+
+use crate::{Account, Config, Denied, Route, Service};
+
+/// The configuration in force, indexed by host, key and service.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::{Config, Denied, Table};
+///
+/// let table = Table::new(Config::default());
+/// assert_eq!(table.admit("a.example", "/x/1", None).unwrap_err(), Denied::NoRoute);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    config: Config,
+    /// Routes by host, the longest prefix first.
+    hosts: HashMap<SmolStr, Vec<usize>>,
+    keys: HashMap<SmolStr, usize>,
+    services: HashMap<ServiceName, usize>,
+}
+
+impl Table {
+    /// Indexes a configuration.
+    pub fn new(config: Config) -> Self {
+        let mut hosts: HashMap<SmolStr, Vec<usize>> = HashMap::new();
+        for (at, route) in config.routes.iter().enumerate() {
+            let host = SmolStr::new(route.host.to_ascii_lowercase());
+            hosts.entry(host).or_default().push(at);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|at| std::cmp::Reverse(config.routes[*at].prefix.len()));
+        }
+        let accounts = config.accounts.iter().enumerate();
+        let keys = accounts
+            .flat_map(|(at, account)| account.keys.iter().map(move |key| (key.clone(), at)))
+            .collect();
+        let services = config.services.iter().enumerate();
+        let services = services
+            .map(|(at, service)| (service.name.clone(), at))
+            .collect();
+        Self {
+            config,
+            hosts,
+            keys,
+            services,
+        }
+    }
+
+    /// Returns the configuration.
+    pub const fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns the service with this name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.get(name).map(|at| &self.config.services[*at])
+    }
+
+    /// Returns the route that a request takes and the account that it belongs to.
+    ///
+    /// # Errors
+    ///
+    /// Why the request is not allowed.
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<(&Route, Option<&Account>), Denied> {
+        let route = self.route(host, path).ok_or(Denied::NoRoute)?;
+        let account = key.and_then(|key| self.keys.get(key));
+        let account = account.map(|at| &self.config.accounts[*at]);
+        let needs_key = !route.anonymous && !self.config.accounts.is_empty();
+        if needs_key && account.is_none() {
+            return Err(Denied::UnknownKey);
+        }
+        Ok((route, account))
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(name.to_ascii_lowercase().as_str())?;
+        let routes = routes.iter().map(|at| &self.config.routes[*at]);
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/runner.rs
@@ -0,0 +1,3 @@
+//! The integration tests of the crate, in one binary.
+
+mod test_events;
--- /dev/null
+++ b/crates/relay/tests/test_events.rs
@@ -0,0 +1,35 @@
+//! Events out of received bytes.
+
+use celerypond_relay::Events;
+use rstest::rstest;
+
+#[rstest]
+#[case::whole(&["id: 1\ndata: a\n\n"])]
+#[case::in_the_field(&["id: ", "1\ndata: a\n\n"])]
+#[case::in_the_end(&["id: 1\ndata: a\n", "\n"])]
+#[case::byte_by_byte(&["i", "d", ":", " ", "1", "\n", "data: a", "\n", "\n"])]
+#[case::long_ends(&["id: 1\r\ndata: a\r\n\r", "\n"])]
+fn an_event_is_found_however_its_bytes_are_cut(#[case] pieces: &[&str]) {
+    let mut events = Events::default();
+    let mut found = Vec::new();
+    for piece in pieces {
+        events.push(piece.as_bytes());
+        found.extend(events.by_ref());
+    }
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].id, Some(1));
+    assert!(!events.has_rest());
+}
+
+/// An engine dies in the middle of its third event. The caller must get two events, and nothing of
+/// the third, which another run sends again from its start.
+#[test]
+fn the_half_of_an_event_is_never_passed_on() {
+    let mut events = Events::default();
+    events.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    let ids: Vec<_> = events.by_ref().map(|event| event.id).collect();
+    assert_eq!(ids, [Some(1), Some(2)]);
+    events.clear();
+    events.push(b"id: 3\ndata: c\n\n");
+    assert_eq!(&events.next().unwrap().bytes[..], b"id: 3\ndata: c\n\n");
+}
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -3,8 +3,11 @@
 use std::{fmt::Arguments, time::SystemTime};
 
 use error_stack::{Report, ResultExt as _};
-use log::{Level, LevelFilter, Record};
-use serde::{Deserialize, Serialize};
+use log::{
+    kv::{self, Key, Source, Value, VisitSource},
+    Level, LevelFilter, Record,
+};
+use serde::{ser::SerializeMap, Deserialize, Serialize, Serializer};
 use thiserror::Error;
 
 use crate::{output::Writer, Output};
@@ -70,6 +73,37 @@
     level: &'static str,
     target: &'a str,
     message: String,
+    /// The inputs and the outcome of a decision, by name.
+    #[serde(flatten)]
+    fields: Fields<'a>,
+}
+
+/// The named values of a line, in the order in which the line gives them.
+struct Fields<'a>(&'a dyn Source);
+
+impl Serialize for Fields<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(None)?;
+        let mut failed = None;
+        let _ = self.0.visit(&mut Writing(&mut map, &mut failed));
+        match failed {
+            Some(error) => Err(error),
+            None => map.end(),
+        }
+    }
+}
+
+struct Writing<'a, M: SerializeMap>(&'a mut M, &'a mut Option<M::Error>);
+
+impl<'kvs, M: SerializeMap> VisitSource<'kvs> for Writing<'_, M> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        self.0
+            .serialize_entry(key.as_str(), &value)
+            .map_err(|error| {
+                *self.1 = Some(error);
+                kv::Error::msg("a value cannot be written")
+            })
+    }
 }
 
 impl Default for LogSettings {
@@ -140,6 +174,7 @@
         level: record.level().as_str(),
         target: record.target(),
         message: message.to_string(),
+        fields: Fields(record.key_values()),
     };
     serde_json::to_string(&line).unwrap_or_default()
 }
--- a/daemon/src/flags.rs
+++ b/daemon/src/flags.rs
@@ -6,7 +6,9 @@
     /// Serves callers of celerypond.
     cmd celerypondd {
         /// The settings, as JSON.
-        required --config config: PathBuf
+        optional --config config: PathBuf
+        /// Relays routed requests by the settings that the platform wrote, instead of --config.
+        optional --relay
         /// Checks the settings, prints every fault and exits.
         optional --check
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod part;
 pub mod peer_server;
 pub mod peers;
+pub mod relay;
 pub mod rollouts;
 pub mod roster;
 pub mod server;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,13 +8,21 @@
 use tokio::runtime::{Builder, Runtime};
 
 mod flags;
+mod relaying;
 
 /// The exit code for faults in the settings.
-const BAD_SETTINGS: u8 = 2;
+pub(crate) const BAD_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
     let flags = flags::Celerypondd::from_env_or_exit();
-    let Some(settings) = read(&flags.config) else {
+    if flags.relay {
+        return relaying::main(flags.check);
+    }
+    let Some(path) = flags.config else {
+        eprintln!("--config or --relay is needed");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let Some(settings) = read(&path) else {
         return ExitCode::from(BAD_SETTINGS);
     };
     if flags.check {
--- /dev/null
+++ b/daemon/src/relay/callers.rs
@@ -0,0 +1,60 @@
+//! Connections of callers.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{request, site::Site};
+
+/// The least size of the buffer for a request's head that the library takes.
+const BUFFER_LEAST: usize = 8 << 10;
+/// How long accepting rests after a failure, which is a lack of descriptors.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+
+/// Accepts callers until no more connections are taken.
+pub(super) async fn run(site: Arc<Site>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = site.closed.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                site.served.spawn(serve(Arc::clone(&site), stream));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a caller cannot be accepted");
+                tokio::time::sleep(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+async fn serve(site: Arc<Site>, stream: TcpStream) {
+    // Without it small events wait for acknowledgements; the connection works all the same.
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "a caller's socket keeps its delay");
+    }
+    let limits = site.table.load().config().limits;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(limits.head_bytes.max(BUFFER_LEAST));
+    let was_stopping = site.stopping.is_cancelled();
+    let service = {
+        let site = Arc::clone(&site);
+        service_fn(move |request| request::answer(Arc::clone(&site), request))
+    };
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    if !was_stopping {
+        tokio::select! {
+            // A caller may leave in any way; its requests have their own lines.
+            _ = connection.as_mut() => return,
+            () = site.stopping.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/daemon/src/relay/plain.rs
@@ -0,0 +1,71 @@
+//! Requests whose response is one piece.
+
+use celerypond_relay::{Ended, Next, Patience, RouteKind, TargetHead};
+
+use super::{
+    attempt::{read_whole, send},
+    lease::Lease,
+    reply::{self, Reply},
+    run::Run,
+};
+
+/// Relays a request whose response is one piece.
+///
+/// The response is read whole before its first byte goes out: one that breaks off can then be asked
+/// for again where that is allowed, and never looks complete.
+pub(super) async fn relay(mut run: Run) -> Reply {
+    let mut failed = None;
+    loop {
+        let Some(mut lease) = run.place() else {
+            return failed.unwrap_or_else(|| reply::not_run(&run.asked.id, run.left()));
+        };
+        let ended = match attempt(&run, &mut lease).await {
+            Ok(reply) if is_final(&run, &reply) => return reply,
+            Ok(reply) => {
+                let status = reply.status().as_u16();
+                failed = Some(reply);
+                Ended::Failed(status)
+            }
+            Err(ended) => ended,
+        };
+        let next = run.ended(&lease, ended);
+        if next != Next::Elsewhere {
+            return failed.unwrap_or_else(|| reply::after(next, &run.asked.id, run.left()));
+        }
+    }
+}
+
+/// A failure of an idempotent request may be the target's alone, so another one is asked.
+fn is_final(run: &Run, reply: &Reply) -> bool {
+    !(run.kind().may_repeat() && reply.status().is_server_error())
+}
+
+async fn attempt(run: &Run, lease: &mut Lease) -> Result<Reply, Ended> {
+    let left = run.left();
+    let head = TargetHead {
+        account: run.account.as_ref(),
+        left,
+        target: &lease.name.clone(),
+        last_event: None,
+        backup: None,
+        resume_from: None,
+    };
+    let limit = match run.kind() {
+        RouteKind::Safe => Patience::of_request(run.route.aim, left),
+        RouteKind::Unsafe | RouteKind::Stream { .. } => left,
+    };
+    let mut opened = send(&run.site, lease, &run.asked, &head, limit).await?;
+    let body = read_whole(&mut opened.body, run.left()).await?;
+    let (status, headers) = (opened.status, opened.headers.clone());
+    opened.keep(&run.site, lease);
+    if is_promise(status) {
+        return Err(Ended::Failed(status.as_u16()));
+    }
+    Ok(reply::relayed(status, &headers, reply::whole(body)))
+}
+
+/// Statuses by which callers understand that the request has not run; a target that does not say so
+/// itself may have run it.
+fn is_promise(status: http::StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/daemon/src/relay/questions.rs
@@ -0,0 +1,76 @@
+//! Questions beside requests: whether the instance is ready, which addresses to use, and counters.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use celerypond_adapter::directory;
+use http::{header::CONTENT_TYPE, HeaderValue, Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, task::JoinSet};
+
+use super::{
+    members,
+    reply::{own, whole, Reply},
+    site::Site,
+};
+
+/// How long callers keep an answer of the directory. A short time lets them leave a dead instance
+/// soon; asking costs an instance some tens of microseconds.
+const DIRECTORY_TTL: Duration = Duration::from_secs(1);
+/// How long a connection may stay without a question.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers questions on a listener until the instance ends.
+pub(super) async fn run(site: Arc<Site>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = site.ending.cancelled() => break,
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let site = Arc::clone(&site);
+                    connections.spawn(serve(site, stream));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    connections.shutdown().await;
+}
+
+async fn serve(site: Arc<Site>, stream: tokio::net::TcpStream) {
+    let service = service_fn(move |request| {
+        let reply = answer(&site, &request);
+        async { Ok::<Reply, Infallible>(reply) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    // Whoever asks may leave in any way.
+    let _ = connection.await;
+}
+
+fn answer(site: &Site, request: &Request<Incoming>) -> Reply {
+    match request.uri().path() {
+        directory::READY_PATH if site.is_ready() => own(StatusCode::OK, None),
+        directory::READY_PATH => own(StatusCode::SERVICE_UNAVAILABLE, None),
+        directory::DIRECTORY_PATH => addresses(site),
+        "/metrics" => Response::new(whole(site.metrics.render())),
+        _ => own(StatusCode::NOT_FOUND, None),
+    }
+}
+
+/// An instance that knows nobody to name says so, and the caller asks another one.
+fn addresses(site: &Site) -> Reply {
+    let mut found: Vec<SocketAddr> = members::addresses(site);
+    if found.is_empty() {
+        return own(StatusCode::SERVICE_UNAVAILABLE, None);
+    }
+    found.truncate(directory::ADDRESSES_MOST);
+    let ttl = DIRECTORY_TTL.min(site.settings.load().bounds.directory_ttl);
+    let mut reply = Response::new(whole(directory::encode(&found, ttl)));
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    reply
+}
--- /dev/null
+++ b/daemon/src/relay/reload.rs
@@ -0,0 +1,43 @@
+//! Changes of the settings file.
+
+use std::{sync::Arc, time::Duration};
+
+use celerypond_adapter::settings;
+use tokio::signal::unix::Signal;
+
+use super::site::Site;
+
+/// The time between two looks at the file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Takes in changes of the settings file until the instance ends.
+pub(super) async fn run(site: Arc<Site>, mut hangup: Signal) {
+    let mut text = read();
+    loop {
+        tokio::select! {
+            () = site.ending.cancelled() => return,
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(LOOK) => {}
+        }
+        let now = read();
+        if now == text {
+            continue;
+        }
+        text = now;
+        match settings::parse(text.as_deref().unwrap_or_default()) {
+            Ok(new) => {
+                log::info!("settings reloaded");
+                site.settings.store(Arc::new(new));
+            }
+            Err(faults) => {
+                for fault in faults {
+                    log::error!(fault:% = fault; "the settings stay as they were");
+                }
+            }
+        }
+    }
+}
+
+fn read() -> Option<String> {
+    std::fs::read_to_string(settings::path()).ok()
+}
--- /dev/null
+++ b/daemon/src/relay/request.rs
@@ -0,0 +1,149 @@
+//! A caller's request, from its head to the way it takes.
+
+use std::{convert::Infallible, sync::Arc};
+
+use celerypond_adapter::headers;
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
+use celerypond_types::{AccountName, ServiceName};
+use http::{
+    header::{HOST, TRANSFER_ENCODING},
+    Request, StatusCode,
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::Rng as _;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::{
+    attempt::Asked,
+    plain,
+    reply::{self, Reply},
+    run::Run,
+    site::Site,
+    stream,
+};
+
+/// Answers a caller's request.
+pub(super) async fn answer(
+    site: Arc<Site>,
+    request: Request<Incoming>,
+) -> Result<Reply, Infallible> {
+    let start = Instant::now();
+    // A body without a length is read by its chunks. A request that also names a length may be read
+    // differently by whoever stands before us, and what follows it would be a request that no
+    // caller sent; so nothing after such a body is read.
+    let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
+    let head = headers::read_caller(request.headers());
+    let id = head.request.clone();
+    let mut reply = route(&site, request, head, start).await;
+    if is_chunked || site.stopping.is_cancelled() {
+        reply::close_after(&mut reply);
+    }
+    let status = reply.status().as_u16();
+    let took_ms = start.elapsed().as_millis() as u64;
+    log::info!(request = id.as_deref(), status, took_ms; "answered");
+    Ok(reply)
+}
+
+async fn route(
+    site: &Arc<Site>,
+    request: Request<Incoming>,
+    head: CallerHead,
+    start: Instant,
+) -> Reply {
+    let Some(id) = head.request.clone() else {
+        return reply::own(StatusCode::BAD_REQUEST, None);
+    };
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = host.unwrap_or_default().to_owned();
+    let path = request.uri().path().to_owned();
+    let Some(taken) = admit(site, &host, &path, &head) else {
+        return reply::not_run(&id, head.deadline.unwrap_or_default());
+    };
+    let (route, account) = match taken {
+        Ok(taken) => taken,
+        Err(denied) => return deny(site, denied, &id),
+    };
+    let clock = Clock::new(start, head.deadline, route.timeout);
+    let limit = site.table.load().config().limits.body_bytes;
+    let asked = match read(request, id.clone(), limit).await {
+        Ok(asked) => asked,
+        Err(status) => return reply::own(status, Some(&id)),
+    };
+    let Some(service) = choose_service(&route) else {
+        return reply::not_run(&id, clock.left(Instant::now()));
+    };
+    let mut run = Run::new(site, asked, &route, service, account, clock);
+    if let Some(prompt) = &head.prompt {
+        run.affinity = prompt.parts.last().map(|part| part.id);
+        run.tokens = prompt.tokens_in + prompt.tokens_out;
+        let table = site.table.load();
+        let service = table.service(&run.service);
+        run.capacity = service.and_then(|service| Some(service.engine.as_ref()?.tokens));
+    }
+    match route.kind {
+        RouteKind::Stream { .. } => stream::relay(run).await,
+        RouteKind::Safe | RouteKind::Unsafe => plain::relay(run).await,
+    }
+}
+
+type Taken = Result<(Route, Option<AccountName>), Denied>;
+
+/// Finds the route and the account; nothing while no configuration is known.
+fn admit(site: &Site, host: &str, path: &str, head: &CallerHead) -> Option<Taken> {
+    if !site.has_config() {
+        return None;
+    }
+    let table: arc_swap::Guard<Arc<Table>> = site.table.load();
+    let taken = table.admit(host, path, head.key.as_deref());
+    Some(taken.map(|(route, account)| {
+        let account = account.map(|account| account.name.clone());
+        (route.clone(), account)
+    }))
+}
+
+fn deny(site: &Site, denied: Denied, id: &SmolStr) -> Reply {
+    let version = site.table.load().config().version;
+    log::info!(request = id.as_str(), reason:? = denied, version; "request denied");
+    let status = match denied {
+        Denied::NoRoute => StatusCode::NOT_FOUND,
+        Denied::UnknownKey => StatusCode::UNAUTHORIZED,
+    };
+    reply::own(status, Some(id))
+}
+
+async fn read(request: Request<Incoming>, id: SmolStr, limit: usize) -> Result<Asked, StatusCode> {
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, limit).collect().await;
+    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+        true => StatusCode::PAYLOAD_TOO_LARGE,
+        false => StatusCode::BAD_REQUEST,
+    })?;
+    Ok(Asked {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: body.to_bytes(),
+        id,
+    })
+}
+
+/// Draws one of a route's services by their weights.
+fn choose_service(route: &Route) -> Option<ServiceName> {
+    let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    for backend in &route.backends {
+        if drawn < backend.weight {
+            return Some(backend.service.clone());
+        }
+        drawn -= backend.weight;
+    }
+    None
+}
--- /dev/null
+++ b/daemon/src/relay/site.rs
@@ -0,0 +1,196 @@
+//! What all tasks of a relaying instance share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering::Relaxed},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+};
+
+use arc_swap::ArcSwap;
+use celerypond_fleet::Gossip;
+use celerypond_platform::{Client, Rates};
+use celerypond_relay::{Config, Settings, Snapshot, Table, TargetEntry, Targets};
+use celerypond_route::RetryBudget;
+use celerypond_telemetry::Metrics;
+use celerypond_types::TargetKey;
+use tokio::{sync::Notify, time::Duration};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::connections::Connections;
+use crate::peers::Peers;
+
+/// How long a call of the store may take; an answer takes milliseconds when it is sound.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a connection to the store may take.
+const STORE_CONNECT: Duration = Duration::from_millis(500);
+/// The share of the store's rates that one instance may use. A few instances may burst at once, and
+/// in steady state each uses a few calls a second.
+const STORE_SHARE: f64 = 0.1;
+/// The instances that the slack of the retry budget is divided among, while their number is not
+/// known.
+const INSTANCES_GUESS: f64 = 8.0;
+
+/// What all tasks of a relaying instance share.
+pub(super) struct Site {
+    pub(super) settings: ArcSwap<Settings>,
+    pub(super) table: ArcSwap<Table>,
+    pub(super) connections: Connections,
+    pub(super) store: Client,
+    pub(super) retries: RetryBudget,
+    pub(super) peers: Peers,
+    pub(super) metrics: Metrics,
+    /// Tells that the configuration or the targets changed.
+    pub(super) changed: Notify,
+    /// No more callers are wanted.
+    pub(super) stopping: CancellationToken,
+    /// No new connections are taken.
+    pub(super) closed: CancellationToken,
+    /// All background work ends.
+    pub(super) ending: CancellationToken,
+    pub(super) tasks: TaskTracker,
+    /// Connections of callers.
+    pub(super) served: TaskTracker,
+    targets: Mutex<Targets>,
+    gossip: Mutex<Gossip>,
+    has_config: AtomicBool,
+    has_targets: AtomicBool,
+    revision: Mutex<u64>,
+}
+
+impl Site {
+    pub(super) fn new(settings: Settings, gossip: Gossip) -> Self {
+        let store = celerypond_platform::Settings {
+            addresses: vec![settings.store.address],
+            connect: STORE_CONNECT,
+            timeout: STORE_TIMEOUT,
+            rates: Rates {
+                reads: settings.store.reads * STORE_SHARE,
+                writes: settings.store.writes * STORE_SHARE,
+                burst: Duration::from_secs(1),
+            },
+        };
+        Self {
+            table: ArcSwap::default(),
+            connections: Connections::default(),
+            store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
+            retries: retry_budget(&settings),
+            peers: Peers::default(),
+            metrics: Metrics::local(),
+            changed: Notify::new(),
+            stopping: CancellationToken::new(),
+            closed: CancellationToken::new(),
+            ending: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            served: TaskTracker::new(),
+            targets: Mutex::default(),
+            gossip: Mutex::new(gossip),
+            has_config: AtomicBool::new(false),
+            has_targets: AtomicBool::new(false),
+            revision: Mutex::default(),
+            settings: ArcSwap::from_pointee(settings),
+        }
+    }
+
+    pub(super) fn targets(&self) -> MutexGuard<'_, Targets> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns where a target listens; nothing when it is gone.
+    pub(super) fn address_of(&self, key: TargetKey) -> Option<SocketAddr> {
+        let targets = self.targets();
+        targets.get(key).map(|target| target.entry.address)
+    }
+
+    pub(super) fn gossip(&self) -> MutexGuard<'_, Gossip> {
+        self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether requests can be served.
+    pub(super) fn is_ready(&self) -> bool {
+        let knows = self.has_config.load(Relaxed) && self.has_targets.load(Relaxed);
+        knows && !self.stopping.is_cancelled()
+    }
+
+    /// Returns whether a configuration is known.
+    pub(super) fn has_config(&self) -> bool {
+        self.has_config.load(Relaxed)
+    }
+
+    /// Returns whether the targets are known.
+    pub(super) fn has_targets(&self) -> bool {
+        self.has_targets.load(Relaxed)
+    }
+
+    /// Puts a configuration in force, unless one of its version or a later one is.
+    ///
+    /// The failure: a store that answers from the past, or a peer that is behind, tells of an older
+    /// version. A caller would see a removed key or route come back. Versions only rise here.
+    pub(super) fn apply(&self, config: Config, source: &str) {
+        let before = self.table.load();
+        let known = before.config().version;
+        if self.has_config() && config.version <= known {
+            return;
+        }
+        let version = config.version;
+        self.table.store(Arc::new(Table::new(config)));
+        self.has_config.store(true, Relaxed);
+        self.gossip().raise(celerypond_types::Revision(version));
+        log::info!(version, before = known, source; "configuration in force");
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in a whole list of targets of the store's revision, unless a later one is known.
+    pub(super) fn list_targets(&self, entries: Vec<TargetEntry>, revision: u64, source: &str) {
+        let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.has_targets() && revision < *known {
+            return;
+        }
+        *known = revision;
+        drop(known);
+        let changes = self.targets().replace(entries);
+        for change in &changes {
+            log::info!(revision, source, change:? = change; "target changed");
+        }
+        self.has_targets.store(true, Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in one change of the targets at the store's revision.
+    pub(super) fn change_target(&self, change: &celerypond_relay::Change, revision: u64) {
+        let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
+        *known = revision.max(*known);
+        drop(known);
+        if self.targets().apply(change) {
+            log::info!(revision, source = "store", change:? = change; "target changed");
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Returns what a starting peer needs while the store is away.
+    pub(super) fn snapshot(&self) -> Option<Snapshot> {
+        if !self.has_config() || !self.has_targets() {
+            return None;
+        }
+        let revision = *self.revision.lock().unwrap_or_else(PoisonError::into_inner);
+        let targets = self.targets();
+        let entries = targets.iter().map(|(_, target)| target.entry.clone());
+        Some(Snapshot {
+            config: self.table.load().config().clone(),
+            targets: entries.collect(),
+            revision,
+            versions: Vec::new(),
+        })
+    }
+}
+
+/// Each request adds the allowed share of one more send; the slack is divided among the instances.
+fn retry_budget(settings: &Settings) -> RetryBudget {
+    /// The part of the allowed ratio and slack that is used, so that all instances together stay
+    /// below it when requests are spread unevenly over time.
+    const MARGIN: f64 = 0.7;
+    let per_mille = settings.bounds.retry_ratio * MARGIN * 1_000.0;
+    let slack = (settings.bounds.retry_slack * MARGIN / INSTANCES_GUESS).max(1.0);
+    RetryBudget::new(per_mille as u32, slack as u32, slack as u32)
+}
--- /dev/null
+++ b/daemon/src/relay/start.rs
@@ -0,0 +1,119 @@
+//! The start of a relaying instance.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use celerypond_adapter::settings;
+use celerypond_relay::Settings;
+use error_stack::{Report, ResultExt as _};
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{signal, SignalKind},
+    time::Instant,
+};
+
+use super::{callers, members, questions, reload, site::Site, stop, watches};
+
+/// The time between two looks at idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+/// How long a port is tried that a process before this one may still hold.
+const BIND_TRIES: usize = 20;
+/// The time between two tries of a port.
+const BIND_REST: Duration = Duration::from_millis(50);
+
+/// The ways in which a relaying instance cannot start.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum RelayError {
+    /// The settings have faults.
+    #[error("the settings cannot be used: {0}")]
+    Settings(String),
+    /// A signal handler cannot be set.
+    #[error("signals cannot be handled")]
+    Signals,
+    /// An address cannot be listened on.
+    #[error("cannot listen on {0}")]
+    Listen(SocketAddr),
+}
+
+/// Relays routed requests until SIGTERM, by the settings file that the platform wrote.
+///
+/// # Errors
+///
+/// A [`RelayError`] if the instance cannot start.
+pub async fn run() -> Result<(), Report<RelayError>> {
+    let settings = read()?;
+    let hangup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
+    let gossip = members::gossip(&settings, Instant::now());
+    let site = Arc::new(Site::new(settings, gossip));
+    listen(&site).await?;
+    let settings = site.settings.load_full();
+    log::info!(
+        instance = settings.instance.as_str(),
+        data_centre = settings.data_centre.as_str(),
+        version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
+    site.tasks.spawn(watches::configuration(Arc::clone(&site)));
+    site.tasks.spawn(watches::targets(Arc::clone(&site)));
+    site.tasks.spawn(members::run(Arc::clone(&site)));
+    site.tasks.spawn(members::ask_peers(Arc::clone(&site)));
+    site.tasks.spawn(reload::run(Arc::clone(&site), hangup));
+    site.tasks.spawn(sweep(Arc::clone(&site)));
+    terminate.recv().await;
+    stop::run(&site).await;
+    site.tasks.close();
+    site.tasks.wait().await;
+    site.connections.close().await;
+    Ok(())
+}
+
+fn read() -> Result<Settings, Report<RelayError>> {
+    let path = settings::path();
+    let failed = |reason: String| RelayError::Settings(reason);
+    let text = std::fs::read_to_string(&path)
+        .map_err(|error| Report::new(failed(format!("{}: {error}", path.display()))))?;
+    settings::parse(&text).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Report::new(failed(faults.join("; ")))
+    })
+}
+
+async fn listen(site: &Arc<Site>) -> Result<(), Report<RelayError>> {
+    let settings = site.settings.load_full();
+    let peers = bind(members::address(&settings)).await?;
+    site.tasks.spawn(members::serve(Arc::clone(site), peers));
+    let asked = [settings.listen.ready, settings.listen.directory];
+    for address in asked.into_iter().flatten() {
+        let listener = bind(address).await?;
+        site.tasks.spawn(questions::run(Arc::clone(site), listener));
+    }
+    if let Some(address) = settings.listen.callers {
+        let listener = bind(address).await?;
+        site.tasks.spawn(callers::run(Arc::clone(site), listener));
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<RelayError>> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) if tries == BIND_TRIES => {
+                return Err(Report::new(error).change_context(RelayError::Listen(address)));
+            }
+            Err(_) => tries += 1,
+        }
+        tokio::time::sleep(BIND_REST).await;
+    }
+}
+
+async fn sweep(site: Arc<Site>) {
+    loop {
+        tokio::select! {
+            () = site.ending.cancelled() => return,
+            () = tokio::time::sleep(SWEEP) => site.connections.sweep(Instant::now()),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/watches.rs
@@ -0,0 +1,155 @@
+//! What the store tells: the configuration and the targets.
+
+use std::{sync::Arc, time::Duration};
+
+use celerypond_adapter::{config, store, target};
+use celerypond_platform::{Changes, Listing, PlatformError, Version};
+use celerypond_relay::{Change, TargetEntry};
+use celerypond_types::TargetName;
+use error_stack::Report;
+use rand::Rng as _;
+
+use super::site::Site;
+
+/// How long a watch waits for a change.
+///
+/// A watch may go silent without a sign, and only its end shows that it lives. A drain must be
+/// obeyed within two seconds, so a silent watch has to be found out before.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// The shortest rest after a failed call; drawn up to three times as long, so that instances whose
+/// calls failed together do not come back together.
+const REST: Duration = Duration::from_millis(100);
+
+/// One kind of object that is watched.
+#[derive(Clone, Copy)]
+struct Kind {
+    prefix: &'static str,
+    list: fn(&Site, Listing),
+    change: fn(&Site, Changes),
+}
+
+/// Watches the configuration until the instance ends.
+pub(super) async fn configuration(site: Arc<Site>) {
+    let kind = Kind {
+        prefix: store::CONFIG_PREFIX,
+        list: |site, listing| {
+            for object in listing.objects {
+                take_config(site, &object.key, &object.value);
+            }
+        },
+        change: |site, changes| {
+            for change in changes.changes {
+                if let Some(value) = change.value {
+                    take_config(site, &change.key, &value);
+                }
+            }
+        },
+    };
+    run(&site, kind).await;
+}
+
+/// Watches the targets until the instance ends.
+pub(super) async fn targets(site: Arc<Site>) {
+    let kind = Kind {
+        prefix: store::TARGETS_PREFIX,
+        list: |site, listing| {
+            let objects = listing.objects.iter();
+            let entries = objects.filter_map(|object| entry(&object.key, &object.value));
+            site.list_targets(entries.collect(), listing.revision.0, "store");
+        },
+        change: |site, changes| {
+            for change in changes.changes {
+                let revision = change.version.0;
+                let told = change.value.and_then(|value| entry(&change.key, &value));
+                let told = told.map_or_else(|| Change::Gone(name(&change.key)), Change::Is);
+                site.change_target(&told, revision);
+            }
+        },
+    };
+    run(&site, kind).await;
+}
+
+async fn run(site: &Site, kind: Kind) {
+    let mut since = None;
+    let mut is_lost = false;
+    while !site.ending.is_cancelled() {
+        let step = tokio::select! {
+            () = site.ending.cancelled() => return,
+            step = step(site, kind, since) => step,
+        };
+        match step {
+            Ok(revision) => {
+                since = Some(revision);
+                if std::mem::take(&mut is_lost) {
+                    log::info!(kind = kind.prefix, revision = revision.0; "store regained");
+                }
+            }
+            Err(report) => {
+                let error = *report.current_context();
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!(kind = kind.prefix, error:% = error; "store lost");
+                }
+                if matches!(error, PlatformError::Compacted | PlatformError::Malformed) {
+                    since = None;
+                }
+                rest(site, error).await;
+            }
+        }
+    }
+}
+
+async fn step(
+    site: &Site,
+    kind: Kind,
+    since: Option<Version>,
+) -> Result<Version, Report<PlatformError>> {
+    let Some(since) = since else {
+        let listing = site.store.list_all(kind.prefix).await?;
+        let revision = listing.revision;
+        (kind.list)(site, listing);
+        return Ok(revision);
+    };
+    let changes = site.store.watch(kind.prefix, since, WAIT).await?;
+    let revision = changes.revision;
+    (kind.change)(site, changes);
+    Ok(revision.max(since))
+}
+
+async fn rest(site: &Site, error: PlatformError) {
+    let least = match error {
+        PlatformError::Compacted => return,
+        PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
+            retry_after.min(Duration::from_secs(1))
+        }
+        _ => Duration::ZERO,
+    };
+    let drawn = rand::rng().random_range(REST..=REST * 3);
+    tokio::select! {
+        () = site.ending.cancelled() => {}
+        () = tokio::time::sleep(least + drawn) => {}
+    }
+}
+
+fn take_config(site: &Site, key: &str, value: &[u8]) {
+    if key != store::CONFIG_KEY {
+        return;
+    }
+    match config::decode(value) {
+        Ok(config) => site.apply(config, "store"),
+        Err(error) => log::error!(error:% = error; "the configuration cannot be read"),
+    }
+}
+
+fn entry(key: &str, value: &[u8]) -> Option<TargetEntry> {
+    let name = key.strip_prefix(store::TARGETS_PREFIX)?;
+    if name.contains('/') {
+        return None;
+    }
+    target::decode(name, value)
+        .inspect_err(|error| log::warn!(target = name, error:% = error; "entry not used"))
+        .ok()
+}
+
+fn name(key: &str) -> TargetName {
+    TargetName::new(key.strip_prefix(store::TARGETS_PREFIX).unwrap_or(key))
+}
--- /dev/null
+++ b/daemon/src/relaying.rs
@@ -0,0 +1,73 @@
+//! The daemon as an instance that relays routed requests.
+
+use std::process::ExitCode;
+
+use celerypond_adapter::settings;
+use celerypond_daemon::relay;
+use celerypond_telemetry::{LogFormat, LogSettings, Output};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::BAD_SETTINGS;
+
+/// Runs the instance, or only checks its settings.
+pub(crate) fn main(check: bool) -> ExitCode {
+    let path = settings::path();
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    let settings = match settings::parse(&text) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{}: {fault}", path.display());
+            }
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if check {
+        println!("the settings have no fault");
+        return ExitCode::SUCCESS;
+    }
+    serve(settings.cores)
+}
+
+fn serve(cores: usize) -> ExitCode {
+    let logs = LogSettings {
+        level: log::LevelFilter::Info,
+        format: LogFormat::Json,
+        output: Output::Stdout,
+    };
+    if let Err(report) = logs.install() {
+        eprintln!("{report:#}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match runtime(cores) {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!(error:% = error; "the runtime cannot start");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(relay::run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!(error:% = report; "the instance cannot run");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// On one core further threads only cost memory and switches.
+fn runtime(cores: usize) -> std::io::Result<Runtime> {
+    if cores <= 1 {
+        return Builder::new_current_thread().enable_all().build();
+    }
+    Builder::new_multi_thread()
+        .worker_threads(cores)
+        .enable_all()
+        .build()
+}
