relay: instances tell each other where their streams run, and ask silent engines by a connection

Cause: two prompts met at one engine while others were idle, since each instance counted its own alone; an engine without power was found by a fixed time; a copy was used only after the first event; and the deploy file asked for no seeds, so no instance knew another.

--- /dev/null
+++ b/crates/relay/src/board.rs
@@ -0,0 +1,118 @@
+//! Where the streams of all instances run.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How long an instance's list holds without a new one. Lists are sent again each second, so three
+/// of them were lost, or the instance is gone and its streams with it.
+const LIST_TTL: Duration = Duration::from_millis(3_500);
+
+/// A stream of one instance and the engine where it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The hash of the engine's name.
+    pub target: u64,
+    /// The prompt part that belongs to the request alone.
+    pub part: u64,
+    /// Tokens that it takes at most.
+    pub tokens: u32,
+    /// Whether its prompt is still being read.
+    pub is_reading: bool,
+}
+
+/// All streams of one instance, as it tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placements {
+    /// The run of the instance.
+    pub origin: u64,
+    /// Rises with each list of this run; a later list replaces an earlier one.
+    pub sequence: u64,
+    /// The streams.
+    pub streams: Vec<Placement>,
+}
+
+/// What streams of other instances take of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Taken {
+    /// Streams that run or are read.
+    pub streams: u32,
+    /// Tokens of prompts that are being read.
+    pub reading: u64,
+    /// Tokens in memory, at most.
+    pub tokens: u64,
+}
+
+/// Where the streams of other instances run.
+///
+/// The load it answers: several instances place streams at once, each by its own counts alone, and
+/// two prompts meet at one engine while others are idle. Each then takes twice the time to be read.
+/// Each instance tells the whole list of its few streams whenever it changes, so a lost message is
+/// made good by the next one.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::{Board, Placement, Placements};
+/// use tokio::time::Instant;
+///
+/// let mut board = Board::default();
+/// let stream = Placement { target: 7, part: 1, tokens: 9_000, is_reading: true };
+/// let list = Placements { origin: 1, sequence: 1, streams: vec![stream] };
+/// let now = Instant::now();
+/// board.hear(list, now);
+/// assert_eq!(board.taken(now)[&7].reading, 9_000);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    lists: HashMap<u64, Heard>,
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    sequence: u64,
+    at: Instant,
+    streams: Vec<Placement>,
+}
+
+impl Board {
+    /// Takes in the list of another instance; an older one than known is dropped.
+    pub fn hear(&mut self, list: Placements, now: Instant) {
+        let known = self.lists.get(&list.origin);
+        if known.is_some_and(|known| known.sequence >= list.sequence) {
+            return;
+        }
+        let heard = Heard {
+            sequence: list.sequence,
+            at: now,
+            streams: list.streams,
+        };
+        self.lists.insert(list.origin, heard);
+    }
+
+    /// Drops the lists of instances that have been silent for long.
+    pub fn sweep(&mut self, now: Instant) {
+        self.lists.retain(|_, heard| is_fresh(heard, now));
+    }
+
+    /// Returns what the streams of other instances take of each engine.
+    pub fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
+        let mut all: HashMap<u64, Taken> = HashMap::new();
+        let lists = self.lists.values().filter(|heard| is_fresh(heard, now));
+        for stream in lists.flat_map(|heard| &heard.streams) {
+            let taken = all.entry(stream.target).or_default();
+            let tokens = u64::from(stream.tokens);
+            taken.streams += 1;
+            taken.tokens += tokens;
+            if stream.is_reading {
+                taken.reading += tokens;
+            }
+        }
+        all
+    }
+}
+
+fn is_fresh(heard: &Heard, now: Instant) -> bool {
+    now.saturating_duration_since(heard.at) < LIST_TTL
+}
--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -2,34 +2,42 @@
 
 use std::time::Duration;
 
-use crate::Prompt;
-
-/// How long a target may be silent before it is given up.
+/// How long a target may be silent before it is asked for a sign of life, and given up.
 ///
 /// The load it answers: engines of one data centre fall silent at once, without a reset, in the
 /// middle of streams whose pauses must stay short. Giving up late breaks the longest pause that is
-/// still on time; giving up early moves a stream that was only slow beside the reading of others.
+/// still on time; giving up an engine that is only slow reads its prompt twice. A new connection to
+/// an engine that lives takes a few milliseconds and disturbs nobody, so silence is first checked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
-    /// The longest time until the first event.
+    /// The longest time until the first event, though the engine lives.
     pub first: Duration,
-    /// The longest time between two events.
+    /// The longest time between two events, though the engine lives.
     pub gap: Duration,
+    /// The silence before the first event after which the engine is asked for a sign of life.
+    pub ask_first: Duration,
+    /// The silence between two events after which the engine is asked for a sign of life.
+    pub ask_gap: Duration,
 }
 
-/// The part of the longest pause on time that is spent on finding a silent engine. The rest is for
-/// the connection, the wait for a step and the first step at the other engine.
-const GAP_SHARE: f64 = 0.45;
-/// The bounds of the time between two events. Below, an engine that reads others' prompts between
-/// its steps would be given up; above, the pause would be noticed anyhow.
-const GAP_BOUNDS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
-/// How many tokens an engine is taken to read in a millisecond when nothing is known of it.
-const READ_TOKENS: f64 = 8.0;
-/// What an engine needs for a first event beside its reading, with some requests ahead.
-const FIRST_SLACK: Duration = Duration::from_millis(1_000);
+/// The part of the longest pause on time that an engine may be silent though it lives. The rest is
+/// for the connection, the wait for a step and the first step at the other engine.
+const GAP_SHARE: f64 = 0.6;
+/// The part of the longest pause on time after which an engine is asked. Pauses reach a fifth of it
+/// beside the reading of others' prompts.
+const ASK_SHARE: f64 = 0.22;
+/// The longest time between two events where the route names none.
+const GAP_DEFAULT: Duration = Duration::from_secs(2);
+/// How many tokens an engine is taken to read in a millisecond beside others' steps.
+const READ_TOKENS: f64 = 5.0;
+/// What an engine needs for a first event beside its reading.
+const FIRST_SLACK: Duration = Duration::from_millis(1_200);
+/// The time between two questions during the reading of a prompt.
+const ASK_FIRST: Duration = Duration::from_millis(350);
 
 impl Patience {
-    /// Returns the patience with a stream.
+    /// Returns the patience with a stream at an engine that reads so many tokens, its own prompt
+    /// included.
     ///
     /// # Examples
     ///
@@ -38,23 +46,27 @@
     ///
     /// use celerypond_relay::Patience;
     ///
-    /// let patience = Patience::of_stream(None, Duration::from_secs(4), Some(Duration::from_millis(700)));
-    /// assert_eq!(patience.gap, Duration::from_millis(315));
+    /// let patience = Patience::of_stream(5_000, Some(Duration::from_millis(700)));
+    /// assert_eq!(patience.first, Duration::from_millis(2_200));
+    /// assert_eq!(patience.gap, Duration::from_millis(420));
     /// ```
-    pub fn of_stream(prompt: Option<&Prompt>, aim: Duration, gap_aim: Option<Duration>) -> Self {
-        let tokens = prompt.map_or(0, |prompt| prompt.tokens_in);
-        let reading = Duration::from_secs_f64(tokens as f64 / READ_TOKENS / 1_000.0);
-        let (least, most) = GAP_BOUNDS;
-        let gap = gap_aim.map_or(most, |aim| aim.mul_f64(GAP_SHARE).clamp(least, most));
+    pub fn of_stream(reading: u64, gap_aim: Option<Duration>) -> Self {
+        let reading = Duration::from_secs_f64(reading as f64 / READ_TOKENS / 1_000.0);
+        let gap_aim = gap_aim.unwrap_or(GAP_DEFAULT);
         Self {
-            first: (reading * 2 + FIRST_SLACK).max(aim / 4),
-            gap,
+            first: reading + FIRST_SLACK,
+            gap: gap_aim.mul_f64(GAP_SHARE),
+            ask_first: ASK_FIRST,
+            ask_gap: gap_aim.mul_f64(ASK_SHARE),
         }
     }
 
     /// Returns the patience with an idempotent request whose response is one piece: the time in
-    /// which another target can still answer on time.
-    pub fn of_request(aim: Duration, left: Duration) -> Duration {
-        (aim * 2).min(left / 2)
+    /// which another target can still answer, or all that is left when no other may be asked.
+    pub fn of_request(aim: Duration, left: Duration, may_ask_another: bool) -> Duration {
+        match may_ask_another {
+            true => (aim * 2).min(left / 2),
+            false => left,
+        }
     }
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -1,15 +1,15 @@
 //! Which target runs a request.
 
-use std::cmp::Ordering;
+use std::{cmp::Ordering, collections::HashMap};
 
 use celerypond_types::{DataCentre, ServiceName, TargetKey, VersionName};
 use tokio::time::Instant;
 
-use crate::{Target, Targets};
+use crate::{Taken, Target, Targets};
 
-/// The part of an engine's slots or memory up to which streams of one prompt part go to the engine
-/// that has read it; beyond it the next one in its order is taken.
-const AFFINITY_BOUND: f64 = 0.8;
+/// The part of an engine's slots or memory beyond which it takes streams only when all are so full:
+/// the copies of others' runs need room as well, and where memory runs out streams are preempted.
+const CROWDED: f64 = 0.6;
 
 /// What is wanted of a target.
 #[derive(Clone, Debug)]
@@ -55,7 +55,8 @@
         };
         let all: Vec<(TargetKey, &Target)> = self.iter().filter(|target| fits(&target)).collect();
         let sound = all.iter().filter(|(_, target)| !target.is_avoided(now));
-        let best = sound.min_by(|a, b| compare(want, a.1, b.1, now));
+        let loads = Loads::of(self, want, now);
+        let best = sound.min_by(|a, b| loads.compare(a.1, b.1));
         if let Some((key, _)) = best {
             return Some(Pick {
                 key: *key,
@@ -82,36 +83,63 @@
                 && target.entry.version == home.version
                 && target.entry.data_centre != home.data_centre
         });
+        let loads = Loads::of(self, want, now);
         others
-            .min_by(|a, b| compare(want, a.1, b.1, now))
+            .min_by(|a, b| loads.compare(a.1, b.1))
             .map(|(key, _)| key)
     }
 }
 
-fn compare(want: &Want<'_>, a: &Target, b: &Target, now: Instant) -> Ordering {
-    let Some(affinity) = want.affinity else {
-        return compare_load(want, a, b, now);
-    };
-    let order = |target: &Target| {
-        let is_crowded = target.reading > 0 || crowding(want, target, now) > AFFINITY_BOUND;
-        (is_crowded, rank(affinity, target))
-    };
-    order(a).cmp(&order(b))
+/// What is known of the targets' loads at one moment.
+struct Loads<'a> {
+    want: &'a Want<'a>,
+    /// What streams of other instances take; counted for streams only.
+    taken: HashMap<u64, Taken>,
+    now: Instant,
 }
 
-fn compare_load(want: &Want<'_>, a: &Target, b: &Target, now: Instant) -> Ordering {
-    let (left, right) = (a.fullness(now), b.fullness(now));
-    let is_far = |target: &Target| target.entry.data_centre != *want.near;
-    left.total_cmp(&right).then(is_far(a).cmp(&is_far(b)))
-}
+impl<'a> Loads<'a> {
+    fn of(targets: &Targets, want: &'a Want<'a>, now: Instant) -> Self {
+        let taken = match want.affinity {
+            Some(_) => targets.taken(now),
+            None => HashMap::new(),
+        };
+        Self { want, taken, now }
+    }
+
+    fn compare(&self, a: &Target, b: &Target) -> Ordering {
+        match self.want.affinity {
+            Some(affinity) => self.order(affinity, a).cmp(&self.order(affinity, b)),
+            None => self.compare_load(a, b),
+        }
+    }
 
-/// Returns the larger of the parts of an engine's slots and of its memory that are taken.
-fn crowding(want: &Want<'_>, target: &Target, now: Instant) -> f64 {
-    let tokens = target.tokens + want.tokens;
-    let memory = want
-        .capacity
-        .map_or(0.0, |capacity| tokens as f64 / capacity.max(1) as f64);
-    memory.max(target.fullness(now))
+    /// Orders engines for a stream: those with room, then those with the least to read before it,
+    /// in steps of half a prompt, then by the order that all instances share.
+    fn order(&self, affinity: u64, target: &Target) -> (bool, u64, u64) {
+        let others = self.taken.get(&target.hash).copied().unwrap_or_default();
+        let reading = target.reading + others.reading;
+        let step = (self.want.tokens / 2).max(1);
+        let is_full = self.crowding(target, &others) > CROWDED;
+        (is_full, reading / step, rank(affinity, target))
+    }
+
+    /// Returns the larger of the parts of an engine's slots and of its memory that are taken.
+    fn crowding(&self, target: &Target, others: &Taken) -> f64 {
+        let tokens = target.tokens + others.tokens + self.want.tokens;
+        let memory = self
+            .want
+            .capacity
+            .map_or(0.0, |capacity| tokens as f64 / capacity.max(1) as f64);
+        let slots = f64::from(target.open + others.streams) / f64::from(target.entry.slots.max(1));
+        memory.max(slots)
+    }
+
+    fn compare_load(&self, a: &Target, b: &Target) -> Ordering {
+        let (left, right) = (a.fullness(self.now), b.fullness(self.now));
+        let is_far = |target: &Target| target.entry.data_centre != *self.want.near;
+        left.total_cmp(&right).then(is_far(a).cmp(&is_far(b)))
+    }
 }
 
 fn rank(affinity: u64, target: &Target) -> u64 {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -21,9 +21,11 @@
     pub entry: TargetEntry,
     /// Requests of this instance that are open at it.
     pub open: u32,
-    /// Streams of this instance that have had no event from it.
-    pub reading: u32,
-    /// Tokens of this instance's streams in its memory, backups included.
+    /// The hash of its name, by which instances name it to each other.
+    pub hash: u64,
+    /// Tokens of this instance's prompts that it is reading.
+    pub reading: u64,
+    /// Tokens of this instance's streams in its memory, at most.
     pub tokens: u64,
     /// Failures in a row.
     pub failures: u32,
@@ -34,8 +36,9 @@
 
 impl Target {
     /// Makes a target of which nothing else is known.
-    pub const fn new(entry: TargetEntry) -> Self {
+    pub fn new(entry: TargetEntry) -> Self {
         Self {
+            hash: celerypond_route::hash(entry.name.as_str().as_bytes()),
             entry,
             open: 0,
             reading: 0,
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -4,8 +4,14 @@
 
 use celerypond_types::{TargetKey, TargetName};
 use slotmap::SlotMap;
+use tokio::time::Instant;
 
-use crate::{Target, TargetEntry};
+use crate::{Board, Placement, Placements, Taken, Target, TargetEntry};
+
+slotmap::new_key_type! {
+    /// A stream of this instance among those that it tells the others of.
+    pub struct PlacementKey;
+}
 
 /// A change in the list of targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +27,9 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     names: HashMap<TargetName, TargetKey>,
+    /// Streams of this instance.
+    streams: SlotMap<PlacementKey, Placement>,
+    board: Board,
 }
 
 impl Targets {
@@ -82,6 +91,79 @@
         self.arena.get_mut(key)
     }
 
+    /// Adds a stream of this instance at a target; nothing when the target is gone.
+    pub fn add_stream(&mut self, key: TargetKey, part: u64, tokens: u64) -> Option<PlacementKey> {
+        let target = self.arena.get_mut(key)?;
+        target.reading += tokens;
+        target.tokens += tokens;
+        Some(self.streams.insert(Placement {
+            target: target.hash,
+            part,
+            // No engine's memory comes near this bound.
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            is_reading: true,
+        }))
+    }
+
+    /// Takes in that the prompt of a stream was read.
+    pub fn stream_read(&mut self, key: TargetKey, stream: PlacementKey) {
+        let Some(placement) = self.streams.get_mut(stream) else {
+            return;
+        };
+        if !std::mem::take(&mut placement.is_reading) {
+            return;
+        }
+        let tokens = u64::from(placement.tokens);
+        if let Some(target) = self.arena.get_mut(key) {
+            target.reading = target.reading.saturating_sub(tokens);
+        }
+    }
+
+    /// Removes a stream of this instance.
+    pub fn remove_stream(&mut self, key: TargetKey, stream: PlacementKey) {
+        self.stream_read(key, stream);
+        let Some(placement) = self.streams.remove(stream) else {
+            return;
+        };
+        if let Some(target) = self.arena.get_mut(key) {
+            let tokens = u64::from(placement.tokens);
+            target.tokens = target.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Returns the list of this instance's streams for the others.
+    pub fn placements(&self, origin: u64, sequence: u64) -> Placements {
+        Placements {
+            origin,
+            sequence,
+            streams: self.streams.values().copied().collect(),
+        }
+    }
+
+    /// Takes in the list of another instance.
+    pub fn hear(&mut self, list: Placements, now: Instant) {
+        self.board.hear(list, now);
+    }
+
+    /// Drops the lists of instances that have been silent for long.
+    pub fn sweep(&mut self, now: Instant) {
+        self.board.sweep(now);
+    }
+
+    pub(crate) fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
+        self.board.taken(now)
+    }
+
+    /// Returns the tokens of all prompts that a target is reading, as far as is known.
+    pub fn reading(&self, key: TargetKey, now: Instant) -> u64 {
+        let Some(target) = self.arena.get(key) else {
+            return 0;
+        };
+        let taken = self.taken(now);
+        let others = taken.get(&target.hash).map_or(0, |taken| taken.reading);
+        target.reading + others
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         self.arena.iter()
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -4,9 +4,12 @@
 //! the sockets, the tasks and the clock.
 
 mod attempt;
+mod board;
 mod callers;
 mod connections;
+mod flow;
 mod lease;
+mod listen;
 mod members;
 mod plain;
 mod questions;
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -18,7 +18,7 @@
 
 /// How long a connection may take. Targets accept within a few milliseconds; one that does not is
 /// cut off or has lost its power, and says nothing.
-const CONNECT: Duration = Duration::from_millis(150);
+const CONNECT: Duration = Duration::from_millis(100);
 /// How long written bytes may stay unacknowledged.
 ///
 /// The failure: a target loses its power, or something on the way has lost track of a connection.
@@ -101,6 +101,17 @@
         });
     }
 
+    /// Returns whether a new connection can be made; it is kept for the next request.
+    pub(super) async fn is_alive(&self, address: SocketAddr) -> bool {
+        match self.connect(address).await {
+            Ok(sender) => {
+                self.keep(address, sender, None, Instant::now());
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Makes a connection.
     pub(super) async fn connect(&self, address: SocketAddr) -> io::Result<Sender> {
         let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
--- /dev/null
+++ b/daemon/src/relay/flow.rs
@@ -0,0 +1,313 @@
+//! A stream on its way from engines to its caller.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use celerypond_adapter::headers;
+use celerypond_relay::{Ended, Event, Events, Next, Patience, TargetHead};
+use celerypond_types::TargetKey;
+use http::{HeaderMap, StatusCode};
+use hyper::body::Frame;
+use tokio::time::Instant;
+
+use super::{
+    attempt::{send, Opened},
+    lease::Lease,
+    listen::{Heard, Listening},
+    reply::Broken,
+    run::Run,
+};
+
+/// A stream on its way from engines to its caller.
+pub(super) struct Flow {
+    pub(super) run: Run,
+    events: Events,
+    /// Whole events that the caller has not had yet.
+    ready: VecDeque<Bytes>,
+    /// The id of the last event that was taken in.
+    last: Option<u64>,
+    /// Events that were passed on.
+    passed: u64,
+    at: Option<Position>,
+    is_complete: bool,
+}
+
+/// Where a stream runs.
+struct Position {
+    lease: Lease,
+    opened: Opened,
+    patience: Patience,
+    /// The engine to which the run's memory is copied.
+    backup: Option<TargetKey>,
+}
+
+/// An attempt that ended, and what is left of it.
+struct Lost {
+    lease: Lease,
+    ended: Ended,
+    /// The engine that may hold a copy of the run's memory.
+    copy: Option<TargetKey>,
+}
+
+impl Flow {
+    pub(super) fn new(run: Run) -> Self {
+        let last = headers::read_caller(&run.asked.headers).last_event;
+        Self {
+            run,
+            events: Events::default(),
+            ready: VecDeque::new(),
+            last,
+            passed: 0,
+            at: None,
+            is_complete: false,
+        }
+    }
+
+    /// Asks engines until one has sent a first event, or its failure is to be passed on.
+    pub(super) async fn begin(&mut self) -> Result<(StatusCode, HeaderMap), Next> {
+        self.find(None).await?;
+        let at = self.at.as_ref().ok_or(Next::Failed)?;
+        Ok((at.opened.status, at.opened.headers.clone()))
+    }
+
+    /// Asks engines until one answers; first the one that holds a copy of the run's memory.
+    async fn find(&mut self, mut copy: Option<TargetKey>) -> Result<(), Next> {
+        loop {
+            let from = copy.take();
+            let at_copy = from.and_then(|key| self.run.place_at_copy(key));
+            let from = from.filter(|_| at_copy.is_some());
+            let Some(lease) = at_copy.or_else(|| self.run.place()) else {
+                return Err(self.run.nowhere());
+            };
+            let lost = match self.ask(lease, from).await {
+                Ok(()) => return Ok(()),
+                Err(lost) => lost,
+            };
+            self.events.clear();
+            let next = self.run.ended(&lost.lease, lost.ended);
+            if next != Next::Elsewhere {
+                return Err(next);
+            }
+            copy = lost.copy;
+        }
+    }
+
+    /// Asks one engine, and waits for its first event.
+    async fn ask(&mut self, mut lease: Lease, from: Option<TargetKey>) -> Result<(), Lost> {
+        let begun = Instant::now();
+        let backup = self.backup(lease.key);
+        let reading = self.run.site.targets().reading(lease.key, begun);
+        let sent = self.send(&mut lease, backup, from).await;
+        let lost = |lease, ended, copy| Err(Lost { lease, ended, copy });
+        let opened = match sent {
+            Ok(opened) => opened,
+            // What is not known to have run may have been read and copied for a while.
+            Err(ended) if ended.proves_not_run() => return lost(lease, ended, None),
+            Err(ended) => return lost(lease, ended, backup),
+        };
+        if opened.status.is_server_error() && self.run.kind().may_repeat() {
+            return lost(lease, Ended::Failed(opened.status.as_u16()), None);
+        }
+        let is_success = opened.status.is_success();
+        let patience = self.patience(lease.key);
+        let mut at = Position {
+            lease,
+            opened,
+            patience,
+            backup,
+        };
+        if is_success {
+            if let Err(ended) = self.read(&mut at, true).await {
+                return lost(at.lease, ended, backup);
+            }
+            at.lease.has_read();
+        }
+        log::info!(
+            request = self.run.asked.id.as_str(),
+            target = at.lease.name.as_str(),
+            status = at.opened.status.as_u16(),
+            reading,
+            with_copy = from.is_some(),
+            last = self.last,
+            took_ms = begun.elapsed().as_millis() as u64;
+            "engine began"
+        );
+        self.at = Some(at);
+        Ok(())
+    }
+
+    async fn send(
+        &self,
+        lease: &mut Lease,
+        backup: Option<TargetKey>,
+        from: Option<TargetKey>,
+    ) -> Result<Opened, Ended> {
+        let address = |key| self.run.site.address_of(key);
+        let target = lease.name.clone();
+        let left = self.run.left();
+        let head = TargetHead {
+            account: self.run.account.as_ref(),
+            left,
+            target: &target,
+            last_event: self.last,
+            backup: backup.and_then(address),
+            resume_from: from.and_then(address),
+        };
+        let patience = self.patience(lease.key);
+        let listening = Listening::new(&self.run.site, lease, patience, true);
+        let address = lease.address;
+        let limit = patience.first.min(left);
+        let sending = send(&self.run.site, lease, &self.run.asked, &head, limit);
+        match listening.hear(address, sending).await {
+            Heard::Said(answer) => answer,
+            Heard::Silence => Err(Ended::Silent),
+        }
+    }
+
+    fn patience(&self, key: TargetKey) -> Patience {
+        let reading = self.run.site.targets().reading(key, Instant::now());
+        Patience::of_stream(reading, self.run.route.gap_aim)
+    }
+
+    fn backup(&self, main: TargetKey) -> Option<TargetKey> {
+        let table = self.run.site.table.load();
+        let engine = table.service(&self.run.service)?.engine.as_ref()?;
+        if !engine.backups || !self.run.kind().may_repeat() {
+            return None;
+        }
+        self.run.backup_of(main)
+    }
+
+    /// Reads until there is a whole event to pass on or the stream has ended.
+    async fn read(&mut self, at: &mut Position, is_first: bool) -> Result<(), Ended> {
+        use http_body_util::BodyExt as _;
+        let address = at.lease.address;
+        let most = match is_first {
+            true => at.patience.first,
+            false => at.patience.gap,
+        };
+        let until = Instant::now() + most.min(self.run.left());
+        while self.ready.is_empty() && !self.is_complete {
+            let listening = Listening::new(&self.run.site, &at.lease, at.patience, is_first);
+            let frame = tokio::time::timeout_at(until, at.opened.body.frame());
+            let Heard::Said(Ok(frame)) = listening.hear(address, frame).await else {
+                return Err(Ended::Silent);
+            };
+            match frame {
+                Some(Ok(frame)) => self.take_in(&frame)?,
+                Some(Err(_)) => return Err(Ended::Broken),
+                None if self.events.has_rest() => return Err(Ended::Broken),
+                None => self.is_complete = true,
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes in received bytes; events that the caller has are dropped.
+    fn take_in(&mut self, frame: &Frame<Bytes>) -> Result<(), Ended> {
+        let Some(bytes) = frame.data_ref() else {
+            return Ok(());
+        };
+        self.events.push(bytes);
+        for Event { id, bytes } in self.events.by_ref() {
+            if let (Some(id), Some(last)) = (id, self.last) {
+                if id <= last {
+                    continue;
+                }
+                if id > last + 1 {
+                    return Err(Ended::Foreign);
+                }
+            }
+            self.last = id.or(self.last);
+            self.ready.push_back(bytes);
+        }
+        Ok(())
+    }
+
+    /// Returns the next bytes for the caller; nothing at the end.
+    pub(super) async fn next(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        loop {
+            if !self.ready.is_empty() {
+                self.passed += self.ready.len() as u64;
+                let bytes: Vec<Bytes> = self.ready.drain(..).collect();
+                return Some(Ok(Frame::data(join(bytes))));
+            }
+            if self.is_complete {
+                self.finish();
+                return None;
+            }
+            let mut at = self.at.take()?;
+            match self.read(&mut at, false).await {
+                Ok(()) => self.at = Some(at),
+                Err(ended) => {
+                    if !self.go_on(at, ended).await {
+                        return Some(Err(Broken));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on at another engine; returns whether one was found.
+    ///
+    /// The connection to the lost engine is closed first: two engines must not work on one request.
+    async fn go_on(&mut self, at: Position, ended: Ended) -> bool {
+        let begun = Instant::now();
+        drop(at.opened);
+        self.events.clear();
+        let next = self.run.ended(&at.lease, ended);
+        drop(at.lease);
+        let found = match next {
+            Next::Elsewhere => self.find(at.backup).await,
+            next => Err(next),
+        };
+        let status = self.at.as_ref().map(|at| at.opened.status);
+        log::info!(
+            request = self.run.asked.id.as_str(),
+            with_copy = at.backup.is_some(),
+            last = self.last,
+            status = status.map(|status| status.as_u16()),
+            failed:? = found.err(),
+            took_ms = begun.elapsed().as_millis() as u64;
+            "stream goes on"
+        );
+        found.is_ok() && status.is_some_and(|status| status.is_success())
+    }
+
+    fn finish(&mut self) {
+        if let Some(Position { lease, opened, .. }) = self.at.take() {
+            opened.keep(&self.run.site, &lease);
+        }
+        log::info!(
+            request = self.run.asked.id.as_str(),
+            events = self.passed,
+            last = self.last;
+            "stream complete"
+        );
+    }
+
+    /// Takes the response of the engine out, to be read by other means.
+    pub(super) fn take_opened(&mut self) -> Option<Opened> {
+        self.at.take().map(|at| at.opened)
+    }
+}
+
+impl Drop for Flow {
+    fn drop(&mut self) {
+        if let Some(at) = &self.at {
+            log::info!(
+                request = self.run.asked.id.as_str(),
+                target = at.lease.name.as_str(),
+                events = self.passed;
+                "caller left its stream"
+            );
+        }
+    }
+}
+
+fn join(mut parts: Vec<Bytes>) -> Bytes {
+    if parts.len() == 1 {
+        return parts.remove(0);
+    }
+    parts.concat().into()
+}
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerypond_relay::{Ended, Load};
+use celerypond_relay::{Ended, Load, PlacementKey};
 use celerypond_types::{TargetKey, TargetName};
 use tokio::time::Instant;
 
@@ -14,29 +14,37 @@
     pub(super) key: TargetKey,
     pub(super) name: TargetName,
     pub(super) address: SocketAddr,
-    tokens: u64,
-    is_reading: bool,
+    stream: Option<PlacementKey>,
 }
 
 impl Lease {
-    /// Takes a place for a request of so many tokens; nothing when the target is gone.
-    pub(super) fn take(site: &Arc<Site>, key: TargetKey, tokens: u64) -> Option<Self> {
+    /// Takes a place for a request; nothing when the target is gone.
+    pub(super) fn take(site: &Arc<Site>, key: TargetKey) -> Option<Self> {
         let mut targets = site.targets();
         let target = targets.get_mut(key)?;
         target.open += 1;
-        target.tokens += tokens;
-        let is_reading = tokens > 0;
-        target.reading += u32::from(is_reading);
         Some(Self {
             site: Arc::clone(site),
             key,
             name: target.entry.name.clone(),
             address: target.entry.address,
-            tokens,
-            is_reading,
+            stream: None,
         })
     }
 
+    /// Takes a place for a stream of so many tokens; nothing when the target is gone.
+    pub(super) fn take_stream(
+        site: &Arc<Site>,
+        key: TargetKey,
+        part: u64,
+        tokens: u64,
+    ) -> Option<Self> {
+        let mut lease = Self::take(site, key)?;
+        lease.stream = site.targets().add_stream(key, part, tokens);
+        site.placed.notify_one();
+        Some(lease)
+    }
+
     /// Takes in a sign of life.
     pub(super) fn answered(&mut self, load: Option<Load>) {
         if let Some(target) = self.site.targets().get_mut(self.key) {
@@ -46,11 +54,9 @@
 
     /// Takes in that the prompt was read.
     pub(super) fn has_read(&mut self) {
-        if !std::mem::take(&mut self.is_reading) {
-            return;
-        }
-        if let Some(target) = self.site.targets().get_mut(self.key) {
-            target.reading = target.reading.saturating_sub(1);
+        if let Some(stream) = self.stream {
+            self.site.targets().stream_read(self.key, stream);
+            self.site.placed.notify_one();
         }
     }
 
@@ -67,10 +73,13 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some(target) = self.site.targets().get_mut(self.key) {
+        let mut targets = self.site.targets();
+        if let Some(target) = targets.get_mut(self.key) {
             target.open = target.open.saturating_sub(1);
-            target.tokens = target.tokens.saturating_sub(self.tokens);
-            target.reading = target.reading.saturating_sub(u32::from(self.is_reading));
+        }
+        if let Some(stream) = self.stream {
+            targets.remove_stream(self.key, stream);
+            self.site.placed.notify_one();
         }
     }
 }
--- /dev/null
+++ b/daemon/src/relay/listen.rs
@@ -0,0 +1,85 @@
+//! Waiting for an engine, with questions whether it lives.
+
+use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+
+use celerypond_relay::Patience;
+use celerypond_types::DataCentre;
+use tokio::{sync::watch, time::sleep};
+
+use super::{lease::Lease, site::Site};
+
+/// What came of waiting.
+pub(super) enum Heard<T> {
+    /// What was waited for.
+    Said(T),
+    /// The engine takes no new connection.
+    Silence,
+}
+
+/// Waiting for an engine. Each time it was silent for a while, or another engine of its data centre
+/// was found dead, it is asked for a sign of life.
+pub(super) struct Listening {
+    site: Arc<Site>,
+    data_centre: Option<DataCentre>,
+    alarm: watch::Receiver<Option<DataCentre>>,
+    ask_after: Duration,
+}
+
+impl Listening {
+    pub(super) fn new(site: &Arc<Site>, lease: &Lease, patience: Patience, is_first: bool) -> Self {
+        Self {
+            site: Arc::clone(site),
+            data_centre: site.data_centre_of(lease.key),
+            alarm: site.alarm.subscribe(),
+            ask_after: match is_first {
+                true => patience.ask_first,
+                false => patience.ask_gap,
+            },
+        }
+    }
+
+    /// Waits for `event` from the engine at `address` as long as the engine lives.
+    pub(super) async fn hear<T>(
+        mut self,
+        address: SocketAddr,
+        event: impl Future<Output = T>,
+    ) -> Heard<T> {
+        let mut event = pin!(event);
+        loop {
+            tokio::select! {
+                biased;
+                said = &mut event => return Heard::Said(said),
+                () = sleep(self.ask_after) => {}
+                () = alarmed(&mut self.alarm, self.data_centre.as_ref()) => {}
+            }
+            tokio::select! {
+                biased;
+                said = &mut event => return Heard::Said(said),
+                is_alive = self.site.connections.is_alive(address) => {
+                    if !is_alive {
+                        self.raise_alarm();
+                        return Heard::Silence;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets all who wait for engines of the data centre ask at once: where one falls silent, most
+    /// do.
+    fn raise_alarm(&self) {
+        log::info!(data_centre = self.data_centre.as_ref().map(DataCentre::as_str); "engine silent");
+        self.site.alarm.send_replace(self.data_centre.clone());
+    }
+}
+
+async fn alarmed(alarm: &mut watch::Receiver<Option<DataCentre>>, home: Option<&DataCentre>) {
+    loop {
+        if alarm.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if alarm.borrow_and_update().as_ref() == home {
+            return;
+        }
+    }
+}
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is one piece.
 
-use celerypond_relay::{Ended, Next, Patience, RouteKind, TargetHead};
+use celerypond_relay::{Ended, Next, Patience, TargetHead};
 
 use super::{
     attempt::{read_whole, send},
@@ -50,10 +50,7 @@
         backup: None,
         resume_from: None,
     };
-    let limit = match run.kind() {
-        RouteKind::Safe => Patience::of_request(run.route.aim, left),
-        RouteKind::Unsafe | RouteKind::Stream { .. } => left,
-    };
+    let limit = Patience::of_request(run.route.aim, left, run.may_ask_another());
     let mut opened = send(&run.site, lease, &run.asked, &head, limit).await?;
     let body = read_whole(&mut opened.body, run.left()).await?;
     let (status, headers) = (opened.status, opened.headers.clone());
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -58,6 +58,11 @@
         self.clock.left(Instant::now())
     }
 
+    /// Returns whether another target may be asked if the one that is asked now does not answer.
+    pub(super) const fn may_ask_another(&self) -> bool {
+        self.route.kind.may_repeat() && self.runs < self.route.attempts
+    }
+
     pub(super) const fn kind(&self) -> RouteKind {
         self.route.kind
     }
@@ -76,13 +81,39 @@
 
     /// Takes a place at the best target that was not tried yet.
     pub(super) fn place(&mut self) -> Option<Lease> {
-        let pick = self.site.targets().pick(&self.want(), Instant::now())?;
+        let now = Instant::now();
+        let pick = self.site.targets().pick(&self.want(), now)?;
+        if self.affinity.is_some() {
+            let targets = self.site.targets();
+            let name = targets.get(pick.key).map(|target| target.entry.name.as_str());
+            log::info!(
+                request = self.asked.id.as_str(),
+                target = name,
+                reading = targets.reading(pick.key, now),
+                tokens = self.tokens,
+                is_doubtful = pick.is_doubtful,
+                tried = self.tried.len();
+                "engine chosen"
+            );
+        }
         self.place_at(pick.key)
     }
 
+    /// Takes a place at the engine that holds a copy, unless it takes no new work any more.
+    pub(super) fn place_at_copy(&mut self, key: TargetKey) -> Option<Lease> {
+        let is_ready = self.site.targets().get(key)?.is_ready();
+        if !is_ready {
+            return None;
+        }
+        self.place_at(key)
+    }
+
     /// Takes a place at a target.
-    pub(super) fn place_at(&mut self, key: TargetKey) -> Option<Lease> {
-        let lease = Lease::take(&self.site, key, self.tokens)?;
+    fn place_at(&mut self, key: TargetKey) -> Option<Lease> {
+        let lease = match self.affinity {
+            Some(part) => Lease::take_stream(&self.site, key, part, self.tokens)?,
+            None => Lease::take(&self.site, key)?,
+        };
         self.tried.push(key);
         self.runs += 1;
         Some(lease)
@@ -95,6 +126,14 @@
             .pick_backup(main, &self.want(), Instant::now())
     }
 
+    /// Returns what follows when no target is left.
+    pub(super) const fn nowhere(&self) -> Next {
+        match self.runs {
+            0 => Next::NotRun,
+            _ => Next::Failed,
+        }
+    }
+
     /// Takes in how an attempt ended and decides what follows.
     pub(super) fn ended(&mut self, lease: &Lease, ended: Ended) -> Next {
         lease.ended(ended);
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
     },
 };
@@ -14,8 +14,11 @@
 use celerypond_relay::{Config, Settings, Snapshot, Table, TargetEntry, Targets};
 use celerypond_route::RetryBudget;
 use celerypond_telemetry::Metrics;
-use celerypond_types::TargetKey;
-use tokio::{sync::Notify, time::Duration};
+use celerypond_types::{DataCentre, TargetKey};
+use tokio::{
+    sync::{watch, Notify},
+    time::Duration,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::connections::Connections;
@@ -43,6 +46,12 @@
     pub(super) metrics: Metrics,
     /// Tells that the configuration or the targets changed.
     pub(super) changed: Notify,
+    /// Tells that streams of this instance began, were read or ended.
+    pub(super) placed: Notify,
+    /// Counts the lists of streams that were sent.
+    pub(super) sequence: AtomicU64,
+    /// Tells of a data centre in which an engine fell silent.
+    pub(super) alarm: watch::Sender<Option<DataCentre>>,
     /// No more callers are wanted.
     pub(super) stopping: CancellationToken,
     /// No new connections are taken.
@@ -79,6 +88,9 @@
             peers: Peers::default(),
             metrics: Metrics::local(),
             changed: Notify::new(),
+            placed: Notify::new(),
+            sequence: AtomicU64::new(0),
+            alarm: watch::Sender::default(),
             stopping: CancellationToken::new(),
             closed: CancellationToken::new(),
             ending: CancellationToken::new(),
@@ -103,6 +115,14 @@
         targets.get(key).map(|target| target.entry.address)
     }
 
+    /// Returns the data centre of a target; nothing when it is gone.
+    pub(super) fn data_centre_of(&self, key: TargetKey) -> Option<DataCentre> {
+        let targets = self.targets();
+        targets
+            .get(key)
+            .map(|target| target.entry.data_centre.clone())
+    }
+
     pub(super) fn gossip(&self) -> MutexGuard<'_, Gossip> {
         self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -7,12 +7,12 @@
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
     time::Instant,
 };
 
-use super::{callers, members, questions, reload, site::Site, stop, watches};
+use super::{board, callers, members, questions, reload, site::Site, stop, watches};
 
 /// The time between two looks at idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -83,6 +83,10 @@
     let settings = site.settings.load_full();
     let peers = bind(members::address(&settings)).await?;
     site.tasks.spawn(members::serve(Arc::clone(site), peers));
+    let address = board::address(site);
+    let lists = UdpSocket::bind(address).await;
+    let lists = lists.change_context(RelayError::Listen(address))?;
+    site.tasks.spawn(board::run(Arc::clone(site), lists));
     let asked = [settings.listen.ready, settings.listen.directory];
     for address in asked.into_iter().flatten() {
         let listener = bind(address).await?;
