relay: a dead engine is known to all, and a copy goes where engines live

Cause: copies were made at engines that had died without this instance's knowledge, or at the old entry of a restarted one; the stream was then read anew.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -31,6 +31,8 @@
     pub sequence: u64,
     /// The streams.
     pub streams: Vec<Placement>,
+    /// The hashes of the names of targets that took no connection a moment ago.
+    pub dead: Vec<u64>,
 }
 
 /// What streams of other instances take of an engine.
@@ -59,7 +61,7 @@
 ///
 /// let mut board = Board::default();
 /// let stream = Placement { target: 7, part: 1, tokens: 9_000, is_reading: true };
-/// let list = Placements { origin: 1, sequence: 1, streams: vec![stream] };
+/// let list = Placements { origin: 1, sequence: 1, streams: vec![stream], dead: Vec::new() };
 /// let now = Instant::now();
 /// board.hear(list, now);
 /// assert_eq!(board.taken(now)[&7].reading, 9_000);
--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -19,6 +19,8 @@
     Broken,
     /// Nothing came for longer than the target is expected to need.
     Silent,
+    /// Nothing came for a while, and the target takes no new connection.
+    Dead,
     /// What came is not a response to this request.
     Foreign,
 }
@@ -33,7 +35,7 @@
     pub const fn suspects(self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::Misdirected | Self::Broken | Self::Silent
+            Self::Unsent | Self::Misdirected | Self::Broken | Self::Silent | Self::Dead
         )
     }
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,6 +11,11 @@
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
 const CROWDED: f64 = 0.6;
 
+/// One in so many targets of a data centre avoided make it sick.
+const SICK: usize = 3;
+/// Fewer avoided targets never make a data centre sick.
+const SICK_LEAST: usize = 2;
+
 /// What is wanted of a target.
 #[derive(Clone, Debug)]
 pub struct Want<'a> {
@@ -46,7 +51,7 @@
     /// caller's retry finds its prompt where it was read. Without one, the least loaded is taken.
     pub fn pick(&self, want: &Want<'_>, now: Instant) -> Option<Pick> {
         let fits = |target: &&(TargetKey, &Target)| {
-            target.1.is_ready()
+            self.is_usable(target.0)
                 && target.1.entry.service == *want.service
                 && want
                     .version
@@ -77,7 +82,7 @@
         let home = &self.get(main)?.entry;
         let others = self.iter().filter(|(key, target)| {
             *key != main
-                && target.is_ready()
+                && self.is_usable(*key)
                 && !target.is_avoided(now)
                 && target.entry.service == *want.service
                 && target.entry.version == home.version
@@ -95,16 +100,23 @@
     want: &'a Want<'a>,
     /// What streams of other instances take; counted for streams only.
     taken: HashMap<u64, Taken>,
+    /// Data centres where many of the service's targets are avoided.
+    sick: Vec<&'a DataCentre>,
     now: Instant,
 }
 
 impl<'a> Loads<'a> {
-    fn of(targets: &Targets, want: &'a Want<'a>, now: Instant) -> Self {
+    fn of(targets: &'a Targets, want: &'a Want<'a>, now: Instant) -> Self {
         let taken = match want.affinity {
             Some(_) => targets.taken(now),
             None => HashMap::new(),
         };
-        Self { want, taken, now }
+        Self {
+            want,
+            taken,
+            sick: sick(targets, want, now),
+            now,
+        }
     }
 
     fn compare(&self, a: &Target, b: &Target) -> Ordering {
@@ -114,14 +126,20 @@
         }
     }
 
-    /// Orders engines for a stream: those with room, then those with the least to read before it,
-    /// in steps of half a prompt, then by the order that all instances share.
-    fn order(&self, affinity: u64, target: &Target) -> (bool, u64, u64) {
+    /// Orders engines for a stream: those with room outside of sick data centres, then those with
+    /// the least to read before it, in steps of half a prompt, then by the order that all instances
+    /// share.
+    fn order(&self, affinity: u64, target: &Target) -> (bool, bool, u64, u64) {
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
         let reading = target.reading + others.reading;
         let step = (self.want.tokens / 2).max(1);
         let is_full = self.crowding(target, &others) > CROWDED;
-        (is_full, reading / step, rank(affinity, target))
+        (
+            is_full,
+            self.is_sick(target),
+            reading / step,
+            rank(affinity, target),
+        )
     }
 
     /// Returns the larger of the parts of an engine's slots and of its memory that are taken.
@@ -135,6 +153,10 @@
         memory.max(slots)
     }
 
+    fn is_sick(&self, target: &Target) -> bool {
+        self.sick.contains(&&target.entry.data_centre)
+    }
+
     fn compare_load(&self, a: &Target, b: &Target) -> Ordering {
         let (left, right) = (a.fullness(self.now), b.fullness(self.now));
         let is_far = |target: &Target| target.entry.data_centre != *self.want.near;
@@ -142,6 +164,28 @@
     }
 }
 
+/// Returns the data centres where at least a third of the service's targets are avoided.
+///
+/// The failure: nearly all engines of a data centre die at once, and each is found out by a stream
+/// or a copy that is lost there. Where two of six do not answer, the others are asked last.
+fn sick<'a>(targets: &'a Targets, want: &Want<'_>, now: Instant) -> Vec<&'a DataCentre> {
+    let mut counts: HashMap<&DataCentre, (usize, usize)> = HashMap::new();
+    for (key, target) in targets.iter() {
+        if target.entry.service != *want.service || !targets.is_usable(key) {
+            continue;
+        }
+        let (all, avoided) = counts.entry(&target.entry.data_centre).or_default();
+        *all += 1;
+        *avoided += usize::from(target.is_avoided(now));
+    }
+    let is_sick = |(all, avoided): (usize, usize)| avoided >= SICK_LEAST && avoided * SICK >= all;
+    let counts = counts.into_iter();
+    counts
+        .filter(|(_, count)| is_sick(*count))
+        .map(|(data_centre, _)| data_centre)
+        .collect()
+}
+
 fn rank(affinity: u64, target: &Target) -> u64 {
     let mut bytes = affinity.to_le_bytes().to_vec();
     bytes.extend_from_slice(target.entry.name.as_str().as_bytes());
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -6,9 +6,12 @@
 
 use crate::{Ended, Load, Presence, TargetEntry};
 
-/// How long a target is avoided after its first failure; it doubles with each further one. A
-/// restart takes about a second, and a target that only dropped a connection is back at once.
+/// How long a target is avoided after a connection to it broke; it doubles with each further
+/// failure. Connections are reset for other reasons than a target's death as well.
 const AVOID: Duration = Duration::from_millis(400);
+/// How long a target is avoided that takes no connection. A restart takes about a second, and then
+/// comes back under another name.
+const AVOID_DEAD: Duration = Duration::from_millis(1_500);
 /// The longest time for which a target is avoided.
 const AVOID_MOST: Duration = Duration::from_secs(4);
 /// How long a load that a target reported is believed.
@@ -31,6 +34,8 @@
     pub failures: u32,
     /// Until when it is avoided.
     pub avoid: Option<Instant>,
+    /// Whether it took no connection when it was last tried.
+    pub is_dead: bool,
     load: Option<(Load, Instant)>,
 }
 
@@ -45,6 +50,7 @@
             tokens: 0,
             failures: 0,
             avoid: None,
+            is_dead: false,
             load: None,
         }
     }
@@ -65,14 +71,29 @@
             return;
         }
         self.failures += 1;
+        self.is_dead |= matches!(ended, Ended::Unsent | Ended::Dead);
+        let base = if self.is_dead { AVOID_DEAD } else { AVOID };
         let times = 1 << self.failures.min(4).saturating_sub(1);
-        self.avoid = Some(now + (AVOID * times).min(AVOID_MOST));
+        self.avoid_until(now + (base * times).min(AVOID_MOST));
+    }
+
+    /// Takes in that another instance found it dead.
+    ///
+    /// The failure: an engine dies, and each instance finds out by a stream that it sends there, or
+    /// by a copy that is not there when it is needed.
+    pub fn told_dead(&mut self, now: Instant) {
+        self.avoid_until(now + AVOID_DEAD);
+    }
+
+    fn avoid_until(&mut self, until: Instant) {
+        self.avoid = self.avoid.max(Some(until));
     }
 
     /// Takes in a sign of life.
     pub fn answered(&mut self, load: Option<Load>, now: Instant) {
         self.failures = 0;
         self.avoid = None;
+        self.is_dead = false;
         if let Some(load) = load {
             self.load = Some((load, now));
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -1,6 +1,9 @@
 //! All targets that are known.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use celerypond_types::{TargetKey, TargetName};
 use slotmap::SlotMap;
@@ -27,6 +30,8 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     names: HashMap<TargetName, TargetKey>,
+    /// The latest target at each address.
+    addresses: HashMap<SocketAddr, TargetKey>,
     /// Streams of this instance.
     streams: SlotMap<PlacementKey, Placement>,
     board: Board,
@@ -55,10 +60,14 @@
     pub fn apply(&mut self, change: &Change) -> bool {
         match change {
             Change::Is(entry) => self.put(entry),
-            Change::Gone(name) => match self.names.remove(name) {
-                Some(key) => self.arena.remove(key).is_some(),
-                None => false,
-            },
+            Change::Gone(name) => {
+                let key = self.names.remove(name);
+                let Some(gone) = key.and_then(|key| self.arena.remove(key)) else {
+                    return false;
+                };
+                self.release_address(gone.entry.address);
+                true
+            }
         }
     }
 
@@ -67,17 +76,23 @@
         let Some(target) = known.and_then(|key| self.arena.get_mut(key)) else {
             let key = self.arena.insert(Target::new(entry.clone()));
             self.names.insert(entry.name.clone(), key);
+            self.take_address(key);
             return true;
         };
         if target.entry == *entry {
             return false;
         }
+        let before = target.entry.address;
         let is_same_run = target.entry.born == entry.born && target.entry.address == entry.address;
         if is_same_run {
             target.entry = entry.clone();
         } else {
             *target = Target::new(entry.clone());
         }
+        self.release_address(before);
+        if let Some(key) = known {
+            self.take_address(key);
+        }
         true
     }
 
@@ -132,19 +147,67 @@
     }
 
     /// Returns the list of this instance's streams for the others.
-    pub fn placements(&self, origin: u64, sequence: u64) -> Placements {
+    pub fn placements(&self, origin: u64, sequence: u64, now: Instant) -> Placements {
         Placements {
             origin,
             sequence,
             streams: self.streams.values().copied().collect(),
+            dead: self.dead(now).collect(),
         }
     }
 
+    fn dead(&self, now: Instant) -> impl Iterator<Item = u64> + '_ {
+        let targets = self.arena.values();
+        targets
+            .filter(move |target| target.is_dead && target.is_avoided(now))
+            .map(|target| target.hash)
+    }
+
     /// Takes in the list of another instance.
     pub fn hear(&mut self, list: Placements, now: Instant) {
+        let is_told = |target: &Target| list.dead.contains(&target.hash);
+        let told = self.arena.values_mut().filter(|target| is_told(target));
+        told.for_each(|target| target.told_dead(now));
         self.board.hear(list, now);
     }
 
+    /// Returns whether no later target has taken the address over.
+    ///
+    /// The failure: an engine dies and starts again under another name. Its old entry stays in the
+    /// store for some heartbeats, and what is sent to it is refused; a copy that was to be found
+    /// there is lost.
+    pub(crate) fn owns_address(&self, key: TargetKey) -> bool {
+        let Some(target) = self.arena.get(key) else {
+            return false;
+        };
+        self.addresses.get(&target.entry.address) == Some(&key)
+    }
+
+    fn take_address(&mut self, key: TargetKey) {
+        let Some(target) = self.arena.get(key) else {
+            return;
+        };
+        let address = target.entry.address;
+        let owner = self.addresses.get(&address);
+        let owner = owner.and_then(|owner| self.arena.get(*owner));
+        let is_later = owner.is_none_or(|owner| owner.entry.born <= target.entry.born);
+        if is_later {
+            self.addresses.insert(address, key);
+        }
+    }
+
+    /// Gives an address back to a target that still has it, after another one is gone.
+    fn release_address(&mut self, address: SocketAddr) {
+        self.addresses.remove(&address);
+        let rest: Vec<TargetKey> = self
+            .arena
+            .iter()
+            .filter(|(_, target)| target.entry.address == address)
+            .map(|(key, _)| key)
+            .collect();
+        rest.into_iter().for_each(|key| self.take_address(key));
+    }
+
     /// Drops the lists of instances that have been silent for long.
     pub fn sweep(&mut self, now: Instant) {
         self.board.sweep(now);
@@ -164,6 +227,12 @@
         target.reading + others
     }
 
+    /// Returns whether new work may go to a target.
+    pub fn is_usable(&self, key: TargetKey) -> bool {
+        let is_ready = self.arena.get(key).is_some_and(Target::is_ready);
+        is_ready && self.owns_address(key)
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         self.arena.iter()
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -61,7 +61,7 @@
 async fn tell(site: &Site, socket: &UdpSocket) {
     let sequence = site.sequence.fetch_add(1, Relaxed) + 1;
     let (origin, peers) = peers(site);
-    let list = site.targets().placements(origin, sequence);
+    let list = site.targets().placements(origin, sequence, Instant::now());
     match bincode::serialize(&list) {
         Ok(bytes) if bytes.len() <= DATAGRAM => {
             for peer in peers {
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -160,7 +160,7 @@
         let sending = send(&self.run.site, lease, &self.run.asked, &head, limit);
         match listening.hear(address, sending).await {
             Heard::Said(answer) => answer,
-            Heard::Silence => Err(Ended::Silent),
+            Heard::Dead => Err(Ended::Dead),
         }
     }
 
@@ -190,8 +190,10 @@
         while self.ready.is_empty() && !self.is_complete {
             let listening = Listening::new(&self.run.site, &at.lease, at.patience, is_first);
             let frame = tokio::time::timeout_at(until, at.opened.body.frame());
-            let Heard::Said(Ok(frame)) = listening.hear(address, frame).await else {
-                return Err(Ended::Silent);
+            let frame = match listening.hear(address, frame).await {
+                Heard::Said(Ok(frame)) => frame,
+                Heard::Said(Err(_)) => return Err(Ended::Silent),
+                Heard::Dead => return Err(Ended::Dead),
             };
             match frame {
                 Some(Ok(frame)) => self.take_in(&frame)?,
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -67,10 +67,26 @@
         }
         if ended.suspects() {
             self.site.connections.drop_idle(self.address);
+            self.site.placed.notify_one();
+        }
+        // A stream that breaks may be the sign of a dead engine, which others should know of.
+        if ended == Ended::Broken && self.stream.is_some() {
+            let check = check(Arc::clone(&self.site), self.key, self.address);
+            self.site.tasks.spawn(check);
         }
     }
 }
 
+async fn check(site: Arc<Site>, key: TargetKey, address: SocketAddr) {
+    if site.connections.is_alive(address).await {
+        return;
+    }
+    if let Some(target) = site.targets().get_mut(key) {
+        target.ended(Ended::Unsent, Instant::now());
+    }
+    site.placed.notify_one();
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         let mut targets = self.site.targets();
--- a/daemon/src/relay/listen.rs
+++ b/daemon/src/relay/listen.rs
@@ -13,7 +13,7 @@
     /// What was waited for.
     Said(T),
     /// The engine takes no new connection.
-    Silence,
+    Dead,
 }
 
 /// Waiting for an engine. Each time it was silent for a while, or another engine of its data centre
@@ -58,7 +58,7 @@
                 is_alive = self.site.connections.is_alive(address) => {
                     if !is_alive {
                         self.raise_alarm();
-                        return Heard::Silence;
+                        return Heard::Dead;
                     }
                 }
             }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -85,7 +85,9 @@
         let pick = self.site.targets().pick(&self.want(), now)?;
         if self.affinity.is_some() {
             let targets = self.site.targets();
-            let name = targets.get(pick.key).map(|target| target.entry.name.as_str());
+            let name = targets
+                .get(pick.key)
+                .map(|target| target.entry.name.as_str());
             log::info!(
                 request = self.asked.id.as_str(),
                 target = name,
@@ -101,11 +103,8 @@
 
     /// Takes a place at the engine that holds a copy, unless it takes no new work any more.
     pub(super) fn place_at_copy(&mut self, key: TargetKey) -> Option<Lease> {
-        let is_ready = self.site.targets().get(key)?.is_ready();
-        if !is_ready {
-            return None;
-        }
-        self.place_at(key)
+        let is_usable = self.site.targets().is_usable(key);
+        is_usable.then(|| self.place_at(key)).flatten()
     }
 
     /// Takes a place at a target.
