relay: engines that restart while the store is away are found by their own word

Ruled out: waiting for the store; trying the address blindly, which may belong to another service by then.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use celerypond_types::TargetName;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -23,7 +24,7 @@
 }
 
 /// All streams of one instance, as it tells the others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placements {
     /// The run of the instance.
     pub origin: u64,
@@ -33,6 +34,17 @@
     pub streams: Vec<Placement>,
     /// The hashes of the names of targets that took no connection a moment ago.
     pub dead: Vec<u64>,
+    /// Engines that were found again under another name.
+    pub adopted: Vec<Adoption>,
+}
+
+/// An engine that was found again under another name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Adoption {
+    /// The hash of the name before.
+    pub before: u64,
+    /// The name.
+    pub name: TargetName,
 }
 
 /// What streams of other instances take of an engine.
@@ -61,7 +73,7 @@
 ///
 /// let mut board = Board::default();
 /// let stream = Placement { target: 7, part: 1, tokens: 9_000, is_reading: true };
-/// let list = Placements { origin: 1, sequence: 1, streams: vec![stream], dead: Vec::new() };
+/// let list = Placements { origin: 1, sequence: 1, streams: vec![stream], ..Placements::default() };
 /// let now = Instant::now();
 /// board.hear(list, now);
 /// assert_eq!(board.taken(now)[&7].reading, 9_000);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,7 @@
 mod targets;
 
 pub use access::Denied;
-pub use board::{Board, Placement, Placements, Taken};
+pub use board::{Adoption, Board, Placement, Placements, Taken};
 pub use config::{Account, Backend, CallerLimits, Config, EngineLimits, Route, RouteKind, Service};
 pub use ended::{Ended, Next, Situation};
 pub use entry::{Presence, TargetEntry};
@@ -33,4 +33,4 @@
 pub use snapshot::Snapshot;
 pub use table::Table;
 pub use target::Target;
-pub use targets::{Change, PlacementKey, Targets};
+pub use targets::{Change, Dead, PlacementKey, Targets};
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -63,6 +63,14 @@
         self.services.get(name).map(|at| &self.config.services[*at])
     }
 
+    /// Returns the service with engines, if there is only one.
+    pub fn only_engines(&self) -> Option<&Service> {
+        let services = self.config.services.iter();
+        let mut engines = services.filter(|service| service.engine.is_some());
+        let only = engines.next()?;
+        engines.next().is_none().then_some(only)
+    }
+
     /// Returns the route that a request takes and the account that it belongs to.
     ///
     /// # Errors
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -36,6 +36,8 @@
     pub avoid: Option<Instant>,
     /// Whether it took no connection when it was last tried.
     pub is_dead: bool,
+    /// When it was found dead, here or by another instance.
+    pub died: Option<Instant>,
     load: Option<(Load, Instant)>,
 }
 
@@ -51,6 +53,7 @@
             failures: 0,
             avoid: None,
             is_dead: false,
+            died: None,
             load: None,
         }
     }
@@ -72,6 +75,9 @@
         }
         self.failures += 1;
         self.is_dead |= matches!(ended, Ended::Unsent | Ended::Dead);
+        if self.is_dead {
+            self.died.get_or_insert(now);
+        }
         let base = if self.is_dead { AVOID_DEAD } else { AVOID };
         let times = 1 << self.failures.min(4).saturating_sub(1);
         self.avoid_until(now + (base * times).min(AVOID_MOST));
@@ -82,6 +88,7 @@
     /// The failure: an engine dies, and each instance finds out by a stream that it sends there, or
     /// by a copy that is not there when it is needed.
     pub fn told_dead(&mut self, now: Instant) {
+        self.died.get_or_insert(now);
         self.avoid_until(now + AVOID_DEAD);
     }
 
@@ -94,6 +101,7 @@
         self.failures = 0;
         self.avoid = None;
         self.is_dead = false;
+        self.died = None;
         if let Some(load) = load {
             self.load = Some((load, now));
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -3,19 +3,40 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    time::Duration,
 };
 
-use celerypond_types::{TargetKey, TargetName};
+use celerypond_types::{ServiceName, TargetKey, TargetName};
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::{Board, Placement, Placements, Taken, Target, TargetEntry};
+use crate::{Adoption, Board, Placement, Placements, Taken, Target, TargetEntry};
 
 slotmap::new_key_type! {
     /// A stream of this instance among those that it tells the others of.
     pub struct PlacementKey;
 }
 
+/// How long after its death an engine is looked for first: it takes about a second to start.
+const REVIVE_FROM: Duration = Duration::from_millis(900);
+/// How long after its death an engine is looked for at most.
+const REVIVE_UNTIL: Duration = Duration::from_secs(10);
+/// How long others are told of an engine that was found again.
+const ADOPTION_TTL: Duration = Duration::from_secs(5);
+
+/// An engine that was found dead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dead {
+    /// Its name.
+    pub name: TargetName,
+    /// The hash of its name.
+    pub hash: u64,
+    /// The service that it belonged to.
+    pub service: ServiceName,
+    /// Where it listened.
+    pub address: SocketAddr,
+}
+
 /// A change in the list of targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -35,6 +56,10 @@
     /// Streams of this instance.
     streams: SlotMap<PlacementKey, Placement>,
     board: Board,
+    /// Engines that were found again, and when.
+    adopted: Vec<(Adoption, Instant)>,
+    /// The part of a stagger by which this instance is later than others.
+    pub lateness: f64,
 }
 
 impl Targets {
@@ -153,9 +178,62 @@
             sequence,
             streams: self.streams.values().copied().collect(),
             dead: self.dead(now).collect(),
+            adopted: self.adopted.iter().map(|(told, _)| told.clone()).collect(),
         }
     }
 
+    /// Returns engines that were found dead and may have started again. Each instance gets them at
+    /// its own time, up to `stagger` after the others.
+    pub fn dead_engines(&self, now: Instant, stagger: Duration) -> Vec<Dead> {
+        let late = stagger.mul_f64(self.lateness);
+        let is_due = |target: &Target| {
+            let died = target.died.map(|died| now.saturating_duration_since(died));
+            died.is_some_and(|since| (REVIVE_FROM + late..REVIVE_UNTIL).contains(&since))
+        };
+        let dead = self.arena.iter();
+        dead.filter(|(key, target)| is_due(target) && self.owns_address(*key))
+            .map(|(_, target)| Dead {
+                name: target.entry.name.clone(),
+                hash: target.hash,
+                service: target.entry.service.clone(),
+                address: target.entry.address,
+            })
+            .collect()
+    }
+
+    /// Takes in that the engine that had a name, of this hash, answers under another or the same
+    /// name; returns whether that was news.
+    pub fn adopt(&mut self, before: u64, name: &TargetName, now: Instant) -> bool {
+        let old = self.arena.iter().find(|(_, target)| target.hash == before);
+        let Some((key, old)) = old else {
+            return false;
+        };
+        if old.entry.name == *name {
+            if let Some(target) = self.arena.get_mut(key) {
+                target.answered(None, now);
+            }
+            return true;
+        }
+        if self.names.contains_key(name) {
+            return false;
+        }
+        let entry = TargetEntry {
+            name: name.clone(),
+            born: None,
+            ..old.entry.clone()
+        };
+        let address = entry.address;
+        let key = self.arena.insert(Target::new(entry));
+        self.names.insert(name.clone(), key);
+        self.addresses.insert(address, key);
+        let told = Adoption {
+            before,
+            name: name.clone(),
+        };
+        self.adopted.push((told, now));
+        true
+    }
+
     fn dead(&self, now: Instant) -> impl Iterator<Item = u64> + '_ {
         let targets = self.arena.values();
         targets
@@ -168,6 +246,9 @@
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
+        for Adoption { before, name } in &list.adopted {
+            self.adopt(*before, name, now);
+        }
         self.board.hear(list, now);
     }
 
@@ -211,6 +292,8 @@
     /// Drops the lists of instances that have been silent for long.
     pub fn sweep(&mut self, now: Instant) {
         self.board.sweep(now);
+        let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
+        self.adopted.retain(|(_, at)| is_news(*at));
     }
 
     pub(crate) fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -16,6 +16,7 @@
 mod reload;
 mod reply;
 mod request;
+mod revive;
 mod run;
 mod site;
 mod start;
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -15,6 +15,7 @@
 use celerypond_route::RetryBudget;
 use celerypond_telemetry::Metrics;
 use celerypond_types::{DataCentre, TargetKey};
+use rand::Rng as _;
 use tokio::{
     sync::{watch, Notify},
     time::Duration,
@@ -65,6 +66,7 @@
     gossip: Mutex<Gossip>,
     has_config: AtomicBool,
     has_targets: AtomicBool,
+    store_lost: AtomicBool,
     revision: Mutex<u64>,
 }
 
@@ -80,6 +82,8 @@
                 burst: Duration::from_secs(1),
             },
         };
+        let mut targets = Targets::default();
+        targets.lateness = rand::rng().random();
         Self {
             table: ArcSwap::default(),
             connections: Connections::default(),
@@ -96,10 +100,11 @@
             ending: CancellationToken::new(),
             tasks: TaskTracker::new(),
             served: TaskTracker::new(),
-            targets: Mutex::default(),
+            targets: Mutex::new(targets),
             gossip: Mutex::new(gossip),
             has_config: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
+            store_lost: AtomicBool::new(false),
             revision: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
         }
@@ -138,6 +143,16 @@
         self.has_config.load(Relaxed)
     }
 
+    /// Returns whether the store does not tell of targets at present.
+    pub(super) fn is_store_lost(&self) -> bool {
+        self.store_lost.load(Relaxed)
+    }
+
+    /// Takes in whether the store tells of targets.
+    pub(super) fn set_store_lost(&self, is_lost: bool) {
+        self.store_lost.store(is_lost, Relaxed);
+    }
+
     /// Returns whether the targets are known.
     pub(super) fn has_targets(&self) -> bool {
         self.has_targets.load(Relaxed)
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -12,7 +12,7 @@
     time::Instant,
 };
 
-use super::{board, callers, members, questions, reload, site::Site, stop, watches};
+use super::{board, callers, members, questions, reload, revive, site::Site, stop, watches};
 
 /// The time between two looks at idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -59,6 +59,7 @@
     site.tasks.spawn(members::run(Arc::clone(&site)));
     site.tasks.spawn(members::ask_peers(Arc::clone(&site)));
     site.tasks.spawn(reload::run(Arc::clone(&site), hangup));
+    site.tasks.spawn(revive::run(Arc::clone(&site)));
     site.tasks.spawn(sweep(Arc::clone(&site)));
     terminate.recv().await;
     stop::run(&site).await;
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -26,6 +26,8 @@
     prefix: &'static str,
     list: fn(&Site, Listing),
     change: fn(&Site, Changes),
+    /// Takes in that the store was lost or regained.
+    lost: fn(&Site, bool),
 }
 
 /// Watches the configuration until the instance ends.
@@ -44,6 +46,7 @@
                 }
             }
         },
+        lost: |_, _| {},
     };
     run(&site, kind).await;
 }
@@ -65,6 +68,7 @@
                 site.change_target(&told, revision);
             }
         },
+        lost: Site::set_store_lost,
     };
     run(&site, kind).await;
 }
@@ -81,12 +85,14 @@
             Ok(revision) => {
                 since = Some(revision);
                 if std::mem::take(&mut is_lost) {
+                    (kind.lost)(site, false);
                     log::info!(kind = kind.prefix, revision = revision.0; "store regained");
                 }
             }
             Err(report) => {
                 let error = *report.current_context();
                 if !std::mem::replace(&mut is_lost, true) {
+                    (kind.lost)(site, true);
                     log::warn!(kind = kind.prefix, error:% = error; "store lost");
                 }
                 if matches!(error, PlatformError::Compacted | PlatformError::Malformed) {
