--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -10,6 +10,10 @@
 /// of them were lost, or the instance is gone and its streams with it.
 const LIST_TTL: Duration = Duration::from_millis(3_500);
 
+/// How long a prompt part is looked for where it was read. Engines drop what was used least
+/// recently, and most callers come back within seconds.
+const PART_TTL: Duration = Duration::from_secs(20);
+
 /// A stream of one instance and the engine where it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
@@ -81,6 +85,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     lists: HashMap<u64, Heard>,
+    /// Where prompt parts were read last, and when that was heard.
+    parts: HashMap<u64, (u64, Instant)>,
 }
 
 #[derive(Clone, Debug)]
@@ -97,6 +103,9 @@
         if known.is_some_and(|known| known.sequence >= list.sequence) {
             return;
         }
+        for stream in &list.streams {
+            self.note_part(stream.part, stream.target, now);
+        }
         let heard = Heard {
             sequence: list.sequence,
             at: now,
@@ -105,8 +114,26 @@
         self.lists.insert(list.origin, heard);
     }
 
-    /// Drops the lists of instances that have been silent for long.
+    /// Notes that a prompt part is at an engine.
+    pub fn note_part(&mut self, part: u64, target: u64, now: Instant) {
+        self.parts.insert(part, (target, now));
+    }
+
+    /// Returns the engine that has read a prompt part a while ago.
+    ///
+    /// The load it answers: an instance dies, and its callers come to others with the prompts that
+    /// were just read. Where they were read, they need not be read again.
+    pub fn holder(&self, part: u64, now: Instant) -> Option<u64> {
+        let (target, at) = self.parts.get(&part)?;
+        let is_kept = now.saturating_duration_since(*at) < PART_TTL;
+        is_kept.then_some(*target)
+    }
+
+    /// Drops the lists of instances that have been silent for long, and what is known of parts that
+    /// engines have likely dropped.
     pub fn sweep(&mut self, now: Instant) {
+        let is_kept = |at: Instant| now.saturating_duration_since(at) < PART_TTL;
+        self.parts.retain(|_, (_, at)| is_kept(*at));
         self.lists.retain(|_, heard| is_fresh(heard, now));
     }
 
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -100,6 +100,8 @@
     want: &'a Want<'a>,
     /// What streams of other instances take; counted for streams only.
     taken: HashMap<u64, Taken>,
+    /// The hash of the target that has read the request's own prompt part.
+    holder: Option<u64>,
     /// Data centres where many of the service's targets are avoided.
     sick: Vec<&'a DataCentre>,
     now: Instant,
@@ -114,6 +116,7 @@
         Self {
             want,
             taken,
+            holder: want.affinity.and_then(|part| targets.holder(part, now)),
             sick: sick(targets, want, now),
             now,
         }
@@ -126,10 +129,10 @@
         }
     }
 
-    /// Orders engines for a stream: those with room outside of sick data centres, then those with
-    /// the least to read before it, in steps of half a prompt, then by the order that all instances
-    /// share.
-    fn order(&self, affinity: u64, target: &Target) -> (bool, bool, u64, u64) {
+    /// Orders engines for a stream: those with room outside of sick data centres, then the one that
+    /// has read the prompt, then those with the least to read before it, in steps of half a prompt,
+    /// then by the order that all instances share.
+    fn order(&self, affinity: u64, target: &Target) -> (bool, bool, bool, u64, u64) {
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
         let reading = target.reading + others.reading;
         let step = (self.want.tokens / 2).max(1);
@@ -137,6 +140,7 @@
         (
             is_full,
             self.is_sick(target),
+            self.holder != Some(target.hash),
             reading / step,
             rank(affinity, target),
         )
@@ -186,8 +190,8 @@
         .collect()
 }
 
+/// An engine that starts again keeps its address, and with it the prompts that go to it first.
 fn rank(affinity: u64, target: &Target) -> u64 {
-    let mut bytes = affinity.to_le_bytes().to_vec();
-    bytes.extend_from_slice(target.entry.name.as_str().as_bytes());
-    celerypond_route::hash(&bytes)
+    let bytes = format!("{affinity:x} {}", target.entry.address);
+    celerypond_route::hash(bytes.as_bytes())
 }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -132,8 +132,15 @@
     }
 
     /// Adds a stream of this instance at a target; nothing when the target is gone.
-    pub fn add_stream(&mut self, key: TargetKey, part: u64, tokens: u64) -> Option<PlacementKey> {
+    pub fn add_stream(
+        &mut self,
+        key: TargetKey,
+        part: u64,
+        tokens: u64,
+        now: Instant,
+    ) -> Option<PlacementKey> {
         let target = self.arena.get_mut(key)?;
+        self.board.note_part(part, target.hash, now);
         target.reading += tokens;
         target.tokens += tokens;
         Some(self.streams.insert(Placement {
@@ -296,6 +303,10 @@
         self.adopted.retain(|(_, at)| is_news(*at));
     }
 
+    pub(crate) fn holder(&self, part: u64, now: Instant) -> Option<u64> {
+        self.board.holder(part, now)
+    }
+
     pub(crate) fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
         self.board.taken(now)
     }
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -40,7 +40,7 @@
         tokens: u64,
     ) -> Option<Self> {
         let mut lease = Self::take(site, key)?;
-        lease.stream = site.targets().add_stream(key, part, tokens);
+        lease.stream = site.targets().add_stream(key, part, tokens, Instant::now());
         site.placed.notify_one();
         Some(lease)
     }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -93,6 +93,7 @@
                 target = name,
                 reading = targets.reading(pick.key, now),
                 tokens = self.tokens,
+                part = self.affinity,
                 is_doubtful = pick.is_doubtful,
                 tried = self.tried.len();
                 "engine chosen"
