relay, telemetry: bounded log lines by a thread of their own, counters and latencies as text

Cause: lines went to the standard output by the thread that serves requests, without a bound, and nothing was counted.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -45,6 +45,8 @@
     pub ready: Option<SocketAddr>,
     /// For callers that ask which addresses to use.
     pub directory: Option<SocketAddr>,
+    /// For counters and latencies as text.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Where the store is and what all instances may ask of it together.
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -75,5 +75,35 @@
         OrdersHeld = "orders.held",
         /// Calls made to acquire or renew a lease.
         LeaseCalls = "orders.lease_calls",
+        /// Routed requests that were read.
+        Routed = "relay.requests",
+        /// Routed requests that no route or account allows.
+        RoutedDenied = "relay.denied",
+        /// Routed requests that were told that they have not run.
+        RoutedRefused = "relay.refused",
+        /// Routed requests that failed and may have run.
+        RoutedFailed = "relay.failed",
+        /// Routed requests whose time was over.
+        RoutedExpired = "relay.expired",
+        /// Attempts at targets that ended without a response to pass on.
+        AttemptsEnded = "relay.attempts_ended",
+        /// Streams that went on at the holder of a copy.
+        ResumedByCopy = "relay.resumed_by_copy",
+        /// Streams that went on at an engine that had to read them anew.
+        ResumedByReading = "relay.resumed_by_reading",
+        /// Streams that were passed on to their end.
+        StreamsComplete = "relay.streams_complete",
+        /// Streams that could not go on.
+        StreamsBroken = "relay.streams_broken",
+        /// Streams that their callers left.
+        StreamsLeft = "relay.streams_left",
+        /// Targets that took no connection.
+        TargetsDead = "relay.targets_dead",
+        /// Engines that were found again while the store did not tell.
+        TargetsFound = "relay.targets_found",
+        /// Times that the store did not answer after it had.
+        StoreLosses = "relay.store_losses",
+        /// Log lines that were left out.
+        LinesLeftOut = "log.lines_left_out",
     }
 }
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -21,5 +21,11 @@
         KeeperHeld = "keeper.held",
         /// Connections from callers.
         Connections = "front.connections",
+        /// The version of the configuration in force for routed requests.
+        ConfigVersion = "relay.config_version",
+        /// Targets that routed requests may go to.
+        RoutedTargets = "relay.targets",
+        /// Milliseconds since the store last told of targets.
+        TargetsAge = "relay.targets_age_ms",
     }
 }
--- /dev/null
+++ b/crates/telemetry/src/histogram.rs
@@ -0,0 +1,81 @@
+//! Latencies, counted by their size.
+
+use std::{
+    fmt::Write as _,
+    sync::atomic::{AtomicU64, Ordering::Relaxed},
+    time::Duration,
+};
+
+use crate::metric_list::metric_list;
+
+metric_list! {
+    /// A latency whose distribution is kept.
+    Latency {
+        /// From the head of a request to the end of its response, for responses in one piece.
+        Request = "relay.request_ms",
+        /// From the head of a request to the first event of its stream.
+        FirstEvent = "relay.first_event_ms",
+        /// From the end of an attempt in the middle of a stream to the next event.
+        Resume = "relay.resume_ms",
+        /// From a call of the store to its answer, without the wait of a watch.
+        Store = "relay.store_ms",
+    }
+}
+
+/// The upper bounds of the counts, in milliseconds: each about twice the one before.
+const BOUNDS: [u64; 15] = [
+    1, 2, 5, 10, 20, 50, 100, 200, 400, 700, 1_500, 3_000, 6_000, 12_000, 30_000,
+];
+
+/// The distributions of all latencies.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_telemetry::{Histograms, Latency};
+///
+/// let histograms = Histograms::default();
+/// histograms.add(Latency::Request, Duration::from_millis(7));
+/// let text = histograms.render("celerypond");
+/// assert!(text.contains("celerypond.relay.request_ms.le_5 0\n"));
+/// assert!(text.contains("celerypond.relay.request_ms.le_10 1\n"));
+/// assert!(text.contains("celerypond.relay.request_ms.count 1\n"));
+/// ```
+#[derive(Debug, Default)]
+pub struct Histograms {
+    counts: [[AtomicU64; BOUNDS.len() + 1]; Latency::ALL.len()],
+    sums: [AtomicU64; Latency::ALL.len()],
+}
+
+impl Histograms {
+    /// Adds one latency.
+    pub fn add(&self, latency: Latency, time: Duration) {
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let at = BOUNDS.partition_point(|bound| *bound < ms);
+        self.counts[latency as usize][at].fetch_add(1, Relaxed);
+        self.sums[latency as usize].fetch_add(ms, Relaxed);
+    }
+
+    /// Renders all distributions as text, one `name value` pair a line. A count holds all latencies
+    /// up to its bound.
+    pub fn render(&self, prefix: &str) -> String {
+        let mut text = String::new();
+        for latency in Latency::ALL {
+            let name = latency.name();
+            let counts = &self.counts[*latency as usize];
+            let mut all = 0;
+            for (bound, count) in BOUNDS.iter().zip(counts) {
+                all += count.load(Relaxed);
+                // Writing to a string does not fail.
+                let _ = writeln!(text, "{prefix}.{name}.le_{bound} {all}");
+            }
+            all += counts[BOUNDS.len()].load(Relaxed);
+            let sum = self.sums[*latency as usize].load(Relaxed);
+            let _ = writeln!(text, "{prefix}.{name}.count {all}");
+            let _ = writeln!(text, "{prefix}.{name}.sum {sum}");
+        }
+        text
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,21 +3,27 @@
 //! Counters come first: lines are written only for changes of state, and spans only for hops of
 //! sampled requests.
 
+mod background;
 mod counter;
 mod exporter;
 mod gauge;
+mod histogram;
 mod logs;
 mod metric_list;
 mod metrics;
 mod output;
 mod spans;
 mod trace_context;
+mod volume;
 
+pub use background::{Background, BackgroundThread};
 pub use counter::Counter;
 pub use exporter::JsonExporter;
 pub use gauge::Gauge;
+pub use histogram::{Histograms, Latency};
 pub use logs::{LogError, LogFormat, LogSettings};
 pub use metrics::{Metrics, MetricsError};
 pub use output::{Output, OutputError};
 pub use spans::{hop, SpanError, SpanSettings, Spans};
 pub use trace_context::{TraceContext, TraceContextError};
+pub use volume::Volume;
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,6 +1,9 @@
 //! Log lines, as text or JSON, by `log` and `fern`.
 
-use std::{fmt::Arguments, time::SystemTime};
+use std::{
+    fmt::Arguments,
+    time::{Instant, SystemTime},
+};
 
 use error_stack::{Report, ResultExt as _};
 use log::{
@@ -10,7 +13,7 @@
 use serde::{ser::SerializeMap, Deserialize, Serialize, Serializer};
 use thiserror::Error;
 
-use crate::{output::Writer, Output};
+use crate::{output::Writer, Background, BackgroundThread, Output, Volume};
 
 /// The least important lines of libraries that are kept; some write a line for each call.
 const LIBRARIES: Level = Level::Warn;
@@ -123,16 +126,41 @@
     ///
     /// Fails with [`LogError::Output`].
     pub fn dispatch(&self) -> Result<fern::Dispatch, Report<LogError>> {
-        let format = self.format;
         let writer = self.output.open().change_context(LogError::Output)?;
-        Ok(fern::Dispatch::new()
+        Ok(self.lines().chain(sink(writer)))
+    }
+
+    fn lines(&self) -> fern::Dispatch {
+        let format = self.format;
+        fern::Dispatch::new()
             .level(self.level)
             .filter(|line| line.level() <= LIBRARIES || is_own(line.target()))
             .format(move |out, message, record| match format {
                 LogFormat::Text => out.finish(format_args!("{}", text(message, record))),
                 LogFormat::Json => out.finish(format_args!("{}", json(message, record))),
             })
-            .chain(sink(writer)))
+    }
+
+    /// Installs the logger of the process with a bound on its volume; a thread of its own writes
+    /// the lines, so nobody waits for their reader. The lines are written to the end when the
+    /// returned value is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`LogError::Output`] or [`LogError::AlreadySet`].
+    pub fn install_bounded(
+        &self,
+        volume: &'static Volume,
+    ) -> Result<BackgroundThread, Report<LogError>> {
+        let output = self.output.open().change_context(LogError::Output)?;
+        let (writer, thread) = Background::start(output).change_context(LogError::Output)?;
+        let sink = fern::Output::writer(Box::new(writer), "\n");
+        self.lines()
+            .filter(|line| volume.take(line.level(), Instant::now()))
+            .chain(sink)
+            .apply()
+            .change_context(LogError::AlreadySet)?;
+        Ok(thread)
     }
 
     /// Installs the logger of the process.
--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -66,3 +66,13 @@
         }
     }
 }
+
+impl Write for Writer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        Self::write(self, bytes).map(|()| bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/telemetry/tests/test_logs.rs
+++ b/crates/telemetry/tests/test_logs.rs
@@ -1,8 +1,13 @@
 //! Log lines.
 
-use std::fs;
+use std::{
+    fs,
+    io::Write,
+    sync::{mpsc, Arc, Mutex},
+    time::{Duration, Instant},
+};
 
-use celerypond_telemetry::{LogFormat, LogSettings, Output};
+use celerypond_telemetry::{Background, LogFormat, LogSettings, Output, Volume};
 use log::{Level, LevelFilter, Record};
 use rstest::rstest;
 
@@ -35,3 +40,99 @@
     assert_eq!(lines.lines().count(), 1);
     assert!(lines.contains(part), "{lines}");
 }
+
+/// The reader of the output stops while lines go on. The thread that serves requests must not wait:
+/// what does not fit is left out, and the next line that fits tells how many there were.
+#[test]
+fn a_reader_that_stops_holds_nobody_up() {
+    let (held, release) = Gate::new();
+    let (mut writer, thread) = Background::start(held).unwrap();
+    let line = vec![b'x'; 64 << 10];
+    for _ in 0..200 {
+        writer.write_all(&line).unwrap();
+    }
+    let written = release();
+    std::thread::sleep(Duration::from_millis(200));
+    writer.write_all(b"last\n").unwrap();
+    drop(thread);
+    let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+    assert!(text.contains("lines left out"), "{} bytes", text.len());
+    assert!(text.ends_with("last\n"));
+}
+
+/// An output that takes nothing until it is released.
+struct Gate {
+    released: mpsc::Receiver<()>,
+    is_open: bool,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Gate {
+    fn new() -> (Self, impl FnOnce() -> Arc<Mutex<Vec<u8>>>) {
+        let (send, released) = mpsc::channel();
+        let written = Arc::new(Mutex::default());
+        let gate = Self {
+            released,
+            is_open: false,
+            written: Arc::clone(&written),
+        };
+        let release = move || {
+            send.send(()).unwrap();
+            written
+        };
+        (gate, release)
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        if !self.is_open {
+            self.released.recv().unwrap();
+            self.is_open = true;
+        }
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_of_failures_are_kept_when_routine_lines_are_many() {
+    let volume = Volume::new(10, 5);
+    let now = Instant::now();
+    let routine = (0..100).filter(|_| volume.take(Level::Info, now)).count();
+    let failures = (0..3).filter(|_| volume.take(Level::Warn, now)).count();
+    assert_eq!((routine, failures), (10, 3));
+    assert_eq!(volume.left_out(), 90);
+    assert!(volume.take(Level::Info, now + Duration::from_secs(1)));
+}
+
+#[test]
+fn a_json_line_has_the_named_values() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("log");
+    let settings = LogSettings {
+        level: LevelFilter::Info,
+        format: LogFormat::Json,
+        output: Output::File(path.clone()),
+    };
+    let (_, logger) = settings.dispatch().unwrap().into_log();
+    let values = [("request", "a1"), ("target", "t1")];
+    logger.log(
+        &Record::builder()
+            .level(Level::Info)
+            .target("celerypond_fleet")
+            .key_values(&values)
+            .args(format_args!("chosen"))
+            .build(),
+    );
+    logger.flush();
+    let lines = fs::read_to_string(path).unwrap();
+    assert!(
+        lines.contains(r#""message":"chosen","request":"a1","target":"t1""#),
+        "{lines}"
+    );
+}
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -24,4 +24,10 @@
 mod stream;
 mod watches;
 
+use celerypond_telemetry::Volume;
+
 pub use start::{run, RelayError};
+
+/// The bound on log lines: routine ones and those of failures, a second. A request writes about
+/// three lines, so that the lines of 300 requests a second are kept; a line takes some microseconds.
+pub static LOG_VOLUME: Volume = Volume::new(1_000, 500);
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use celerypond_adapter::headers;
 use celerypond_relay::{Ended, Event, Events, Next, Patience, TargetHead};
+use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetKey;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
@@ -29,6 +30,8 @@
     /// Events that were passed on.
     passed: u64,
     at: Option<Position>,
+    /// Whether the last engine that answered had a copy of the run's memory.
+    by_copy: bool,
     is_complete: bool,
 }
 
@@ -59,13 +62,17 @@
             last,
             passed: 0,
             at: None,
+            by_copy: false,
             is_complete: false,
         }
     }
 
     /// Asks engines until one has sent a first event, or its failure is to be passed on.
     pub(super) async fn begin(&mut self) -> Result<(StatusCode, HeaderMap), Next> {
+        let begun = Instant::now();
         self.find(None).await?;
+        let latencies = &self.run.site.latencies;
+        latencies.add(Latency::FirstEvent, begun.elapsed());
         let at = self.at.as_ref().ok_or(Next::Failed)?;
         Ok((at.opened.status, at.opened.headers.clone()))
     }
@@ -133,6 +140,7 @@
             "engine began"
         );
         self.at = Some(at);
+        self.by_copy = from.is_some();
         Ok(())
     }
 
@@ -264,9 +272,17 @@
             next => Err(next),
         };
         let status = self.at.as_ref().map(|at| at.opened.status);
+        let site = &self.run.site;
+        site.latencies.add(Latency::Resume, begun.elapsed());
+        let counter = match (&found, self.by_copy) {
+            (Ok(()), true) => Counter::ResumedByCopy,
+            (Ok(()), false) => Counter::ResumedByReading,
+            (Err(_), _) => Counter::StreamsBroken,
+        };
+        site.metrics.add(counter, 1);
         log::info!(
             request = self.run.asked.id.as_str(),
-            with_copy = at.backup.is_some(),
+            by_copy = self.by_copy,
             last = self.last,
             status = status.map(|status| status.as_u16()),
             failed:? = found.err(),
@@ -280,6 +296,7 @@
         if let Some(Position { lease, opened, .. }) = self.at.take() {
             opened.keep(&self.run.site, &lease);
         }
+        self.run.site.metrics.add(Counter::StreamsComplete, 1);
         log::info!(
             request = self.run.asked.id.as_str(),
             events = self.passed,
@@ -297,6 +314,7 @@
 impl Drop for Flow {
     fn drop(&mut self) {
         if let Some(at) = &self.at {
+            self.run.site.metrics.add(Counter::StreamsLeft, 1);
             log::info!(
                 request = self.run.asked.id.as_str(),
                 target = at.lease.name.as_str(),
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use celerypond_relay::{Ended, Load, PlacementKey};
+use celerypond_telemetry::Counter;
 use celerypond_types::{TargetKey, TargetName};
 use tokio::time::Instant;
 
@@ -82,8 +83,10 @@
         return;
     }
     if let Some(target) = site.targets().get_mut(key) {
-        target.ended(Ended::Unsent, Instant::now());
+        target.ended(Ended::Dead, Instant::now());
     }
+    site.metrics.add(Counter::TargetsDead, 1);
+    log::info!(address:% = address, reason = "no connection"; "target dead");
     site.placed.notify_one();
 }
 
--- a/daemon/src/relay/questions.rs
+++ b/daemon/src/relay/questions.rs
@@ -17,6 +17,8 @@
 /// How long callers keep an answer of the directory. A short time lets them leave a dead instance
 /// soon; asking costs an instance some tens of microseconds.
 const DIRECTORY_TTL: Duration = Duration::from_secs(1);
+/// The path of counters and latencies.
+const METRICS_PATH: &str = "/metrics";
 /// How long a connection may stay without a question.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -56,7 +58,7 @@
         directory::READY_PATH if site.is_ready() => own(StatusCode::OK, None),
         directory::READY_PATH => own(StatusCode::SERVICE_UNAVAILABLE, None),
         directory::DIRECTORY_PATH => addresses(site),
-        "/metrics" => Response::new(whole(site.metrics.render())),
+        METRICS_PATH => Response::new(whole(site.render_metrics())),
         _ => own(StatusCode::NOT_FOUND, None),
     }
 }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -1,9 +1,13 @@
 //! A caller's request, from its head to the way it takes.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{
+    convert::Infallible,
+    sync::{atomic::Ordering::Relaxed, Arc},
+};
 
 use celerypond_adapter::headers;
 use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
+use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
     header::{HOST, TRANSFER_ENCODING},
@@ -36,16 +40,47 @@
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let head = headers::read_caller(request.headers());
     let id = head.request.clone();
+    let _open = Open::new(&site);
     let mut reply = route(&site, request, head, start).await;
     if is_chunked || site.stopping.is_cancelled() {
         reply::close_after(&mut reply);
     }
+    count(&site, &reply);
     let status = reply.status().as_u16();
     let took_ms = start.elapsed().as_millis() as u64;
     log::info!(request = id.as_deref(), status, took_ms; "answered");
     Ok(reply)
 }
 
+/// Counts a request as open until it is dropped; a caller may leave at any time.
+struct Open(Arc<Site>);
+
+impl Open {
+    fn new(site: &Arc<Site>) -> Self {
+        site.metrics.add(Counter::Routed, 1);
+        site.open.fetch_add(1, Relaxed);
+        Self(Arc::clone(site))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Relaxed);
+    }
+}
+
+/// Counts what became of a request; failures of targets that were passed on are the targets'.
+fn count(site: &Site, reply: &Reply) {
+    let counter = match reply.status() {
+        StatusCode::NOT_FOUND | StatusCode::UNAUTHORIZED => Counter::RoutedDenied,
+        StatusCode::SERVICE_UNAVAILABLE => Counter::RoutedRefused,
+        StatusCode::BAD_GATEWAY => Counter::RoutedFailed,
+        StatusCode::GATEWAY_TIMEOUT => Counter::RoutedExpired,
+        _ => return,
+    };
+    site.metrics.add(counter, 1);
+}
+
 async fn route(
     site: &Arc<Site>,
     request: Request<Incoming>,
@@ -87,7 +122,11 @@
     }
     match route.kind {
         RouteKind::Stream { .. } => stream::relay(run).await,
-        RouteKind::Safe | RouteKind::Unsafe => plain::relay(run).await,
+        RouteKind::Safe | RouteKind::Unsafe => {
+            let reply = plain::relay(run).await;
+            site.latencies.add(Latency::Request, start.elapsed());
+            reply
+        }
     }
 }
 
--- a/daemon/src/relay/revive.rs
+++ b/daemon/src/relay/revive.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use celerypond_adapter::{engine, headers};
 use celerypond_relay::Dead;
+use celerypond_telemetry::Counter;
 use celerypond_types::TargetName;
 use futures::future::join_all;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -51,6 +52,7 @@
     };
     let is_new = site.targets().adopt(dead.hash, &name, Instant::now());
     if is_new {
+        site.metrics.add(Counter::TargetsFound, 1);
         log::info!(target = name.as_str(), before = dead.name.as_str(), source = "engine"; "engine found again");
         site.placed.notify_one();
     }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerypond_relay::{Clock, Ended, Next, Route, RouteKind, Situation, Want};
+use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
 use tokio::time::Instant;
 
@@ -137,6 +138,7 @@
     /// Takes in how an attempt ended and decides what follows.
     pub(super) fn ended(&mut self, lease: &Lease, ended: Ended) -> Next {
         lease.ended(ended);
+        self.site.metrics.add(Counter::AttemptsEnded, 1);
         if ended.proves_not_run() {
             self.runs -= 1;
             self.refusals += 1;
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -9,11 +9,11 @@
 };
 
 use arc_swap::ArcSwap;
-use celerypond_fleet::Gossip;
+use celerypond_fleet::{Gossip, MemberState};
 use celerypond_platform::{Client, Rates};
 use celerypond_relay::{Config, Settings, Snapshot, Table, TargetEntry, Targets};
 use celerypond_route::RetryBudget;
-use celerypond_telemetry::Metrics;
+use celerypond_telemetry::{Counter, Gauge, Histograms, Metrics};
 use celerypond_types::{DataCentre, TargetKey};
 use rand::Rng as _;
 use tokio::{
@@ -32,6 +32,8 @@
 /// The share of the store's rates that one instance may use. A few instances may burst at once, and
 /// in steady state each uses a few calls a second.
 const STORE_SHARE: f64 = 0.1;
+/// What the names of metrics begin with.
+const METRICS_PREFIX: &str = "celerypond";
 /// The instances that the slack of the retry budget is divided among, while their number is not
 /// known.
 const INSTANCES_GUESS: f64 = 8.0;
@@ -45,6 +47,9 @@
     pub(super) retries: RetryBudget,
     pub(super) peers: Peers,
     pub(super) metrics: Metrics,
+    pub(super) latencies: Histograms,
+    /// Requests that are being answered.
+    pub(super) open: AtomicU64,
     /// Tells that the configuration or the targets changed.
     pub(super) changed: Notify,
     /// Tells that streams of this instance began, were read or ended.
@@ -91,6 +96,8 @@
             retries: retry_budget(&settings),
             peers: Peers::default(),
             metrics: Metrics::local(),
+            latencies: Histograms::default(),
+            open: AtomicU64::new(0),
             changed: Notify::new(),
             placed: Notify::new(),
             sequence: AtomicU64::new(0),
@@ -150,6 +157,9 @@
 
     /// Takes in whether the store tells of targets.
     pub(super) fn set_store_lost(&self, is_lost: bool) {
+        if is_lost {
+            self.metrics.add(Counter::StoreLosses, 1);
+        }
         self.store_lost.store(is_lost, Relaxed);
     }
 
@@ -203,6 +213,25 @@
         }
     }
 
+    /// Renders counters, levels and latencies as text.
+    pub(super) fn render_metrics(&self) -> String {
+        let version = self.table.load().config().version;
+        let members = self.gossip().roster().of_state(MemberState::Live).count() as u64;
+        let levels = [
+            (Gauge::ConfigVersion, version),
+            (Gauge::RoutedTargets, self.targets().len() as u64),
+            (Gauge::OpenRequests, self.open.load(Relaxed)),
+            (Gauge::Connections, self.served.len() as u64),
+            (Gauge::LiveInstances, members + 1),
+        ];
+        for (gauge, level) in levels {
+            self.metrics.set(gauge, level);
+        }
+        let mut text = self.metrics.render();
+        text.push_str(&self.latencies.render(METRICS_PREFIX));
+        text
+    }
+
     /// Returns what a starting peer needs while the store is away.
     pub(super) fn snapshot(&self) -> Option<Snapshot> {
         if !self.has_config() || !self.has_targets() {
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -4,12 +4,13 @@
 
 use celerypond_adapter::settings;
 use celerypond_relay::Settings;
+use celerypond_telemetry::Counter;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
-    time::Instant,
+    time::{timeout, Instant},
 };
 
 use super::{board, callers, members, questions, reload, revive, site::Site, stop, watches};
@@ -21,6 +22,9 @@
 /// The time between two tries of a port.
 const BIND_REST: Duration = Duration::from_millis(50);
 
+/// How long background work may take to end.
+const JOIN: Duration = Duration::from_millis(100);
+
 /// The ways in which a relaying instance cannot start.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum RelayError {
@@ -63,12 +67,23 @@
     site.tasks.spawn(sweep(Arc::clone(&site)));
     terminate.recv().await;
     stop::run(&site).await;
-    site.tasks.close();
-    site.tasks.wait().await;
-    site.connections.close().await;
+    join(&site).await;
     Ok(())
 }
 
+/// Joins what was spawned. What callers still have open at the end of the grace is cut off with the
+/// process, so the wait is bounded.
+async fn join(site: &Site) {
+    site.tasks.close();
+    let joined = timeout(JOIN, async {
+        site.tasks.wait().await;
+        site.connections.close().await;
+    });
+    if joined.await.is_err() {
+        log::warn!(tasks = site.tasks.len(); "ends with open connections");
+    }
+}
+
 fn read() -> Result<Settings, Report<RelayError>> {
     let path = settings::path();
     let failed = |reason: String| RelayError::Settings(reason);
@@ -88,7 +103,8 @@
     let lists = UdpSocket::bind(address).await;
     let lists = lists.change_context(RelayError::Listen(address))?;
     site.tasks.spawn(board::run(Arc::clone(site), lists));
-    let asked = [settings.listen.ready, settings.listen.directory];
+    let listen = settings.listen;
+    let asked = [listen.ready, listen.directory, listen.metrics];
     for address in asked.into_iter().flatten() {
         let listener = bind(address).await?;
         site.tasks.spawn(questions::run(Arc::clone(site), listener));
@@ -118,7 +134,18 @@
     loop {
         tokio::select! {
             () = site.ending.cancelled() => return,
-            () = tokio::time::sleep(SWEEP) => site.connections.sweep(Instant::now()),
+            () = tokio::time::sleep(SWEEP) => {
+                site.connections.sweep(Instant::now());
+                report_left_out(&site);
+            }
         }
     }
 }
+
+fn report_left_out(site: &Site) {
+    let count = super::LOG_VOLUME.left_out();
+    if count > 0 {
+        site.metrics.add(Counter::LinesLeftOut, count);
+        log::warn!(count; "lines left out, more than the bound");
+    }
+}
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -9,8 +9,9 @@
 /// The part of the grace for which new connections are still taken: callers keep an answer of the
 /// directory for a while, and what they begin then must end within the grace.
 const ACCEPT_SHARE: u32 = 5;
-/// How long before the end of the grace the process goes by itself.
-const BEFORE_KILL: Duration = Duration::from_millis(150);
+/// How long before the end of the grace callers are cut off: background work has to end and lines
+/// have to be written, or the process is killed with them.
+const BEFORE_KILL: Duration = Duration::from_millis(350);
 
 /// Stops the instance: it takes no new callers, and what runs ends within the grace.
 pub(super) async fn run(site: &Arc<Site>) {
--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -41,10 +41,14 @@
         format: LogFormat::Json,
         output: Output::Stdout,
     };
-    if let Err(report) = logs.install() {
-        eprintln!("{report:#}");
-        return ExitCode::FAILURE;
-    }
+    // The lines are written to their end when this is dropped.
+    let _writing = match logs.install_bounded(&relay::LOG_VOLUME) {
+        Ok(thread) => thread,
+        Err(report) => {
+            eprintln!("{report:#}");
+            return ExitCode::FAILURE;
+        }
+    };
     let runtime = match runtime(cores) {
         Ok(runtime) => runtime,
         Err(error) => {
