--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -108,7 +108,9 @@
             return false;
         }
         let before = target.entry.address;
-        let is_same_run = target.entry.born == entry.born && target.entry.address == entry.address;
+        // Of an engine that was found again, only the store tells when it started.
+        let is_same_start = target.entry.born.is_none() || target.entry.born == entry.born;
+        let is_same_run = is_same_start && target.entry.address == entry.address;
         if is_same_run {
             target.entry = entry.clone();
         } else {
--- /dev/null
+++ b/crates/relay/tests/fixture.rs
@@ -0,0 +1,100 @@
+//! Targets and requests for tests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use celerypond_relay::{Change, Presence, TargetEntry, Targets, Want};
+use celerypond_types::{DataCentre, ServiceName, TargetKey, TargetName, VersionName};
+
+/// A prompt of the usual length, with its answer.
+pub const TOKENS: u64 = 9_000;
+/// The memory of an engine.
+pub const CAPACITY: u64 = 88_000;
+
+/// Makes the entry of an engine `n` of a data centre, started at `born`.
+pub fn engine(data_centre: &str, n: u8, born: u64) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::new(format!("{data_centre}-{n}-{born}")),
+        service: ServiceName::new("writer"),
+        address: address(data_centre, n),
+        data_centre: DataCentre::new(data_centre),
+        version: VersionName::new("v1"),
+        slots: 64,
+        presence: Presence::Ready,
+        cold: Duration::ZERO,
+        born: Some(born),
+    }
+}
+
+fn address(data_centre: &str, n: u8) -> SocketAddr {
+    let second = data_centre.bytes().map(u32::from).sum::<u32>() % 200;
+    format!("10.{second}.0.{n}:80").parse().unwrap()
+}
+
+/// Makes three data centres with so many engines each.
+pub fn three_data_centres(each: u8) -> Targets {
+    let mut targets = Targets::default();
+    for data_centre in ["east", "mid", "west"] {
+        for n in 0..each {
+            targets.apply(&Change::Is(engine(data_centre, n, 1)));
+        }
+    }
+    targets
+}
+
+/// Returns the key of a target.
+pub fn key(targets: &Targets, name: &str) -> TargetKey {
+    let mut found = targets.iter();
+    found
+        .find(|(_, target)| target.entry.name.as_str() == name)
+        .unwrap()
+        .0
+}
+
+/// Returns the name of a target.
+pub fn name(targets: &Targets, key: TargetKey) -> String {
+    targets.get(key).unwrap().entry.name.as_str().to_owned()
+}
+
+/// Returns the data centre of a target.
+pub fn home(targets: &Targets, key: TargetKey) -> String {
+    let target = targets.get(key).unwrap();
+    target.entry.data_centre.as_str().to_owned()
+}
+
+/// What requests of one service want.
+pub struct Wanted {
+    service: ServiceName,
+    near: DataCentre,
+}
+
+impl Wanted {
+    pub fn new() -> Self {
+        Self {
+            service: ServiceName::new("writer"),
+            near: DataCentre::new("east"),
+        }
+    }
+
+    /// Wants an engine for a stream with this prompt part.
+    pub fn stream(&self, part: u64) -> Want<'_> {
+        Want {
+            affinity: Some(part),
+            tokens: TOKENS,
+            capacity: Some(CAPACITY),
+            ..self.request(&[])
+        }
+    }
+
+    /// Wants a target for a request in one piece.
+    pub fn request<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
+        Want {
+            service: &self.service,
+            version: None,
+            near: &self.near,
+            tried,
+            affinity: None,
+            tokens: 0,
+            capacity: None,
+        }
+    }
+}
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -1,3 +1,9 @@
 //! The integration tests of the crate, in one binary.
 
+mod fixture;
+mod test_access;
+mod test_attempts;
+mod test_death;
 mod test_events;
+mod test_lists;
+mod test_placement;
--- /dev/null
+++ b/crates/relay/tests/test_access.rs
@@ -0,0 +1,109 @@
+//! Which route a request takes, and who may ask.
+
+use std::time::Duration;
+
+use celerypond_relay::{
+    Account, Backend, CallerLimits, Config, Denied, EngineLimits, Route, RouteKind, Service, Table,
+};
+use celerypond_types::{AccountName, ServiceName};
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(100),
+        gap_aim: None,
+        attempts: 2,
+        priority: 1,
+        backends: vec![Backend {
+            service: ServiceName::new("shop"),
+            weight: 1,
+        }],
+        anonymous,
+    }
+}
+
+fn service(name: &str, engine: bool) -> Service {
+    Service {
+        name: ServiceName::new(name),
+        health: "/health".into(),
+        connections: 10,
+        engine: engine.then_some(EngineLimits {
+            slots: 8,
+            tokens: 80_000,
+            backups: true,
+            backup_ttl: Duration::from_secs(4),
+        }),
+    }
+}
+
+fn config() -> Config {
+    Config {
+        version: 3,
+        routes: vec![
+            route("all", "a.example", "/", false),
+            route("orders", "a.example", "/orders/", false),
+            route("holds", "a.example", "/orders/holds/", false),
+            route("open", "b.example", "/", true),
+        ],
+        services: vec![service("shop", false), service("writer", true)],
+        accounts: vec![Account {
+            name: AccountName::new("yard"),
+            keys: vec!["k1".into(), "k2".into()],
+            priority: None,
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+#[rstest]
+#[case::root("a.example", "/x", Some("k1"), Ok("all"))]
+#[case::longest("a.example", "/orders/holds/7", Some("k2"), Ok("holds"))]
+#[case::whole_segment("a.example", "/ordersx", Some("k1"), Ok("all"))]
+#[case::between("a.example", "/orders/7", Some("k1"), Ok("orders"))]
+#[case::port_and_case("A.Example:8080", "/orders/7", Some("k1"), Ok("orders"))]
+#[case::other_host("c.example", "/", Some("k1"), Err(Denied::NoRoute))]
+#[case::no_key("a.example", "/", None, Err(Denied::UnknownKey))]
+#[case::wrong_key("a.example", "/", Some("k3"), Err(Denied::UnknownKey))]
+#[case::open_route("b.example", "/", None, Ok("open"))]
+fn the_longest_prefix_of_the_host_is_taken(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] expected: Result<&str, Denied>,
+) {
+    let table = Table::new(config());
+    let taken = table.admit(host, path, key);
+    assert_eq!(taken.map(|(route, _)| route.name.as_str()), expected);
+}
+
+#[test]
+fn an_account_is_known_on_an_open_route_as_well() {
+    let table = Table::new(config());
+    let (_, account) = table.admit("b.example", "/", Some("k1")).unwrap();
+    assert_eq!(account.unwrap().name.as_str(), "yard");
+}
+
+#[test]
+fn without_accounts_no_key_is_needed() {
+    let table = Table::new(Config {
+        accounts: Vec::new(),
+        ..config()
+    });
+    assert!(table.admit("a.example", "/", None).is_ok());
+}
+
+/// An engine that starts again while the store is away is taken back by its own word, which is
+/// only safe where no other service has engines.
+#[test]
+fn two_services_with_engines_leave_no_only_one() {
+    let mut config = config();
+    let only = Table::new(config.clone());
+    assert_eq!(only.only_engines().unwrap().name.as_str(), "writer");
+    config.services.push(service("drafter", true));
+    assert!(Table::new(config).only_engines().is_none());
+}
--- /dev/null
+++ b/crates/relay/tests/test_attempts.rs
@@ -0,0 +1,129 @@
+//! What the end of an attempt proves.
+
+use std::time::Duration;
+
+use celerypond_relay::{Ended, Next, Patience, RouteKind, Situation};
+use rstest::rstest;
+
+const SAFE: RouteKind = RouteKind::Safe;
+const UNSAFE: RouteKind = RouteKind::Unsafe;
+const FIXED: RouteKind = RouteKind::Stream { resumable: false };
+const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
+
+fn situation(kind: RouteKind, runs: u32) -> Situation {
+    Situation {
+        kind,
+        runs,
+        attempts: 3,
+        refusals: 0,
+        left: Duration::from_secs(1),
+    }
+}
+
+/// A reservation is sent, and then the connection breaks, or nothing comes, or another request's
+/// response does. It may have run, so no other target gets it, and its caller is not told that it
+/// has not run.
+#[rstest]
+fn what_may_have_run_is_never_sent_again(
+    #[values(
+        Ended::Broken,
+        Ended::Silent,
+        Ended::Dead,
+        Ended::Foreign,
+        Ended::Failed(503)
+    )]
+    ended: Ended,
+    #[values(UNSAFE, FIXED)] kind: RouteKind,
+) {
+    assert!(!ended.proves_not_run());
+    let next = situation(kind, 1).next(ended, || panic!("no send is to be asked for"));
+    assert!(matches!(next, Next::Failed | Next::Expired), "{next:?}");
+}
+
+#[rstest]
+fn what_has_not_run_goes_elsewhere_whatever_its_kind(
+    #[values(Ended::Unsent, Ended::NotRun, Ended::Misdirected)] ended: Ended,
+    #[values(SAFE, UNSAFE, FIXED, RESUMABLE)] kind: RouteKind,
+) {
+    assert!(ended.proves_not_run());
+    assert_eq!(situation(kind, 0).next(ended, || true), Next::Elsewhere);
+}
+
+#[rstest]
+#[case::safe(SAFE, Ended::Broken)]
+#[case::stream(RESUMABLE, Ended::Silent)]
+fn what_may_be_repeated_goes_elsewhere(#[case] kind: RouteKind, #[case] ended: Ended) {
+    assert_eq!(situation(kind, 1).next(ended, || true), Next::Elsewhere);
+}
+
+/// All targets fail at once, and each failed request would be sent again. The budget ends that, and
+/// the caller hears at once.
+#[rstest]
+#[case::not_run(0, Ended::NotRun, Next::NotRun)]
+#[case::run(1, Ended::Broken, Next::Failed)]
+fn without_budget_the_caller_hears_at_once(
+    #[case] runs: u32,
+    #[case] ended: Ended,
+    #[case] expected: Next,
+) {
+    assert_eq!(situation(SAFE, runs).next(ended, || false), expected);
+}
+
+#[test]
+fn no_more_targets_are_asked_than_the_route_allows() {
+    let next = situation(SAFE, 3).next(Ended::Broken, || true);
+    assert_eq!(next, Next::Failed);
+}
+
+/// A service is full: each of its targets refuses. The caller is told to come back instead of
+/// having every target refuse it in turn.
+#[test]
+fn a_full_service_is_not_asked_for_ever() {
+    let full = Situation {
+        refusals: 6,
+        ..situation(SAFE, 0)
+    };
+    assert_eq!(full.next(Ended::NotRun, || true), Next::NotRun);
+}
+
+#[rstest]
+#[case::not_run(0, Next::NotRun)]
+#[case::may_have_run(1, Next::Expired)]
+fn when_the_time_is_over_nothing_is_sent(#[case] runs: u32, #[case] expected: Next) {
+    let over = Situation {
+        left: Duration::ZERO,
+        ..situation(SAFE, runs)
+    };
+    assert_eq!(over.next(Ended::Unsent, || true), expected);
+}
+
+/// A request whose route allows one attempt was given up after half of its time, though nobody else
+/// could be asked; its target answered a moment later.
+#[test]
+fn the_last_attempt_gets_all_the_time_that_is_left() {
+    let (aim, left) = (Duration::from_millis(100), Duration::from_millis(1_000));
+    assert_eq!(Patience::of_request(aim, left, false), left);
+    assert_eq!(Patience::of_request(aim, left, true), aim * 2);
+}
+
+/// Two prompts are read at one engine. The first event takes twice as long, and giving the engine
+/// up would have both prompts read once more.
+#[test]
+fn patience_grows_with_what_the_engine_has_to_read() {
+    let gap = Some(Duration::from_millis(700));
+    let one = Patience::of_stream(8_000, gap);
+    let two = Patience::of_stream(16_000, gap);
+    assert_eq!(two.first - one.first, Duration::from_millis(1_600));
+}
+
+/// A silent engine must be found while there is time to go on elsewhere within the pause that is
+/// still on time, and pauses beside the reading of others, 130 ms, must not look like silence.
+#[test]
+fn silence_is_questioned_between_usual_pauses_and_the_aim() {
+    let aim = Duration::from_millis(700);
+    let patience = Patience::of_stream(8_000, Some(aim));
+    assert!(patience.ask_gap > Duration::from_millis(130));
+    assert!(patience.ask_gap < aim / 3);
+    assert!(patience.gap > patience.ask_gap * 2);
+    assert!(patience.gap + Duration::from_millis(200) < aim);
+}
--- /dev/null
+++ b/crates/relay/tests/test_death.rs
@@ -0,0 +1,189 @@
+//! Engines that die, and start again.
+
+use std::time::Duration;
+
+use celerypond_relay::{Change, Ended, Placements, Presence, TargetEntry, Targets};
+use celerypond_types::TargetName;
+use tokio::time::Instant;
+
+use crate::fixture::{engine, home, key, name, three_data_centres, Wanted};
+
+const AT_ONCE: Duration = Duration::ZERO;
+
+/// An engine dies. Another instance found out by a stream that it lost; this one has sent nothing
+/// there, and would send its next stream or a copy to it.
+#[test]
+fn an_engine_that_another_instance_found_dead_is_avoided() {
+    let now = Instant::now();
+    let mut here = three_data_centres(2);
+    let mut there = three_data_centres(2);
+    let wanted = Wanted::new();
+    let first = here.pick(&wanted.stream(1), now).unwrap().key;
+    let dead = name(&here, first);
+    let at = key(&there, &dead);
+    there.get_mut(at).unwrap().ended(Ended::Dead, now);
+    here.hear(there.placements(1, 1, now), now);
+    assert_ne!(here.pick(&wanted.stream(1), now).unwrap().key, first);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(here.pick(&wanted.stream(1), later).unwrap().key, first);
+}
+
+/// Nearly all engines of a data centre die at once. Two of them were found out; a copy made at a
+/// third one would be lost when it is needed.
+#[test]
+fn a_copy_stays_away_from_a_data_centre_where_engines_die() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(6);
+    for n in 0..2 {
+        let at = key(&targets, &format!("west-{n}-1"));
+        targets.get_mut(at).unwrap().ended(Ended::Unsent, now);
+    }
+    let main = key(&targets, "east-0-1");
+    let wanted = Wanted::new();
+    for part in 0..50 {
+        let copy = targets
+            .pick_backup(main, &wanted.stream(part), now)
+            .unwrap();
+        assert_eq!(home(&targets, copy), "mid");
+    }
+}
+
+/// All engines of a data centre can go at once, so a copy in the same one is lost with its run.
+#[test]
+fn a_copy_is_in_another_data_centre() {
+    let now = Instant::now();
+    let targets = three_data_centres(6);
+    let wanted = Wanted::new();
+    for part in 0..50 {
+        let main = targets.pick(&wanted.stream(part), now).unwrap().key;
+        let copy = targets
+            .pick_backup(main, &wanted.stream(part), now)
+            .unwrap();
+        assert_ne!(home(&targets, copy), home(&targets, main));
+    }
+}
+
+/// An engine dies and starts again under another name, and its old entry stays for some
+/// heartbeats. What names the old entry is refused at the address.
+#[test]
+fn the_latest_start_owns_the_address() {
+    let mut targets = three_data_centres(1);
+    targets.apply(&Change::Is(engine("east", 0, 2)));
+    assert!(!targets.is_usable(key(&targets, "east-0-1")));
+    assert!(targets.is_usable(key(&targets, "east-0-2")));
+    targets.apply(&Change::Gone(TargetName::new("east-0-2")));
+    assert!(targets.is_usable(key(&targets, "east-0-1")));
+}
+
+/// The old entry is listed after the new one; it must not take the address back.
+#[test]
+fn the_order_of_entries_does_not_matter() {
+    let mut targets = Targets::default();
+    targets.replace(vec![engine("east", 0, 2), engine("east", 0, 1)]);
+    assert!(targets.is_usable(key(&targets, "east-0-2")));
+    assert!(!targets.is_usable(key(&targets, "east-0-1")));
+}
+
+/// A run's engine dies, and the engine with the copy has said meanwhile that it leaves. It may not
+/// get the stream, however useful the copy is.
+#[test]
+fn an_engine_that_leaves_is_not_used_for_its_copy() {
+    let mut targets = three_data_centres(1);
+    let holder = key(&targets, "mid-0-1");
+    assert!(targets.is_usable(holder));
+    targets.apply(&Change::Is(TargetEntry {
+        presence: Presence::Leaving,
+        ..engine("mid", 0, 1)
+    }));
+    assert!(!targets.is_usable(holder));
+}
+
+/// While the store is away an engine dies and starts again. Its address answers with another name;
+/// it is used under that name, and other instances hear of it.
+#[test]
+fn an_engine_that_started_again_is_used_without_the_store() {
+    let now = Instant::now();
+    let mut here = three_data_centres(1);
+    let mut there = three_data_centres(1);
+    let old = key(&here, "east-0-1");
+    here.get_mut(old).unwrap().ended(Ended::Dead, now);
+    assert!(here.dead_engines(now, AT_ONCE).is_empty());
+    let later = now + Duration::from_secs(1);
+    let dead = here.dead_engines(later, AT_ONCE);
+    assert_eq!(dead.len(), 1);
+    assert!(here.adopt(dead[0].hash, &TargetName::new("anew"), later));
+    assert!(here.is_usable(key(&here, "anew")));
+    assert!(!here.is_usable(old));
+    assert!(here.dead_engines(later, AT_ONCE).is_empty());
+    there.hear(here.placements(1, 1, later), later);
+    assert!(there.is_usable(key(&there, "anew")));
+    // The store's own entry, which alone tells the start, does not end what runs there.
+    let new = key(&here, "anew");
+    here.get_mut(new).unwrap().open = 1;
+    let entry = TargetEntry {
+        name: TargetName::new("anew"),
+        ..engine("east", 0, 9)
+    };
+    here.apply(&Change::Is(entry));
+    assert_eq!(here.get(new).unwrap().open, 1);
+    assert!(here.is_usable(new));
+}
+
+#[test]
+fn an_engine_that_answers_under_its_old_name_had_not_died() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let at = key(&targets, "east-0-1");
+    targets.get_mut(at).unwrap().ended(Ended::Dead, now);
+    let hash = targets.get(at).unwrap().hash;
+    assert!(targets.adopt(hash, &TargetName::new("east-0-1"), now));
+    assert!(!targets.get(at).unwrap().is_avoided(now));
+}
+
+/// An engine starts again under the name that it had. It holds and knows nothing of before, so what
+/// was counted there is over.
+#[test]
+fn a_start_under_the_same_name_counts_anew() {
+    let mut targets = three_data_centres(1);
+    let at = key(&targets, "east-0-1");
+    targets.get_mut(at).unwrap().open = 5;
+    let again = TargetEntry {
+        born: Some(7),
+        ..engine("east", 0, 1)
+    };
+    targets.apply(&Change::Is(again));
+    assert_eq!(targets.get(at).unwrap().open, 0);
+}
+
+/// Each further failure doubles the time for which a target is avoided; one answer ends it.
+#[test]
+fn a_target_that_keeps_failing_is_avoided_for_longer() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let at = key(&targets, "east-0-1");
+    let target = targets.get_mut(at).unwrap();
+    target.ended(Ended::Broken, now);
+    assert!(!target.is_avoided(now + Duration::from_millis(500)));
+    target.ended(Ended::Broken, now);
+    assert!(target.is_avoided(now + Duration::from_millis(500)));
+    target.answered(None, now);
+    assert!(!target.is_avoided(now));
+}
+
+#[test]
+fn a_request_that_a_target_refused_says_nothing_against_it() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let at = key(&targets, "east-0-1");
+    targets.get_mut(at).unwrap().ended(Ended::NotRun, now);
+    targets.get_mut(at).unwrap().ended(Ended::Failed(500), now);
+    assert!(!targets.get(at).unwrap().is_avoided(now));
+}
+
+#[test]
+fn an_empty_list_tells_nothing() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    targets.hear(Placements::default(), now);
+    assert!(targets.iter().all(|(_, target)| !target.is_avoided(now)));
+}
--- /dev/null
+++ b/crates/relay/tests/test_placement.rs
@@ -0,0 +1,167 @@
+//! Where requests run.
+
+use std::{collections::HashMap, time::Duration};
+
+use celerypond_relay::{Load, PlacementKey, Targets};
+use celerypond_types::TargetKey;
+use tokio::time::Instant;
+
+use crate::fixture::{key, three_data_centres, Wanted, TOKENS};
+
+/// Replays streams that arrive at several instances, and returns the most prompts that were read at
+/// one engine at a time. A prompt takes `reading` to be read.
+fn most_readings(instances: usize, gap: Duration, reading: Duration, tells: bool) -> usize {
+    let begin = Instant::now();
+    let mut all: Vec<Targets> = (0..instances).map(|_| three_data_centres(4)).collect();
+    let wanted = Wanted::new();
+    let mut open: Vec<(Instant, usize, TargetKey, PlacementKey)> = Vec::new();
+    let mut most = 0;
+    for n in 0..200_u32 {
+        let now = begin + gap * n;
+        let at = n as usize % instances;
+        open.retain(|(until, instance, key, stream)| {
+            let is_over = *until <= now;
+            if is_over {
+                all[*instance].remove_stream(*key, *stream);
+            }
+            !is_over
+        });
+        if tells {
+            tell(&mut all, u64::from(n) + 1, now);
+        }
+        let part = u64::from(n) * 7_919;
+        let key = all[at].pick(&wanted.stream(part), now).unwrap().key;
+        let stream = all[at].add_stream(key, part, TOKENS, now).unwrap();
+        open.push((now + reading, at, key, stream));
+        let mut counts: HashMap<TargetKey, usize> = HashMap::new();
+        for (_, _, key, _) in &open {
+            *counts.entry(*key).or_default() += 1;
+        }
+        most = most.max(counts.values().copied().max().unwrap());
+    }
+    most
+}
+
+fn tell(all: &mut [Targets], sequence: u64, now: Instant) {
+    let lists: Vec<_> = all
+        .iter()
+        .enumerate()
+        .map(|(origin, targets)| targets.placements(origin as u64, sequence, now))
+        .collect();
+    for (origin, targets) in all.iter_mut().enumerate() {
+        let others = lists.iter().filter(|list| list.origin != origin as u64);
+        others.for_each(|list| targets.hear(list.clone(), now));
+    }
+}
+
+/// Seven instances place streams at twelve engines, six prompts being read at any time. Each by its
+/// own counts alone lets prompts meet at one engine while others are idle; by the lists of all, no
+/// engine reads two.
+#[test]
+fn instances_that_tell_each_other_read_one_prompt_an_engine() {
+    let (gap, reading) = (Duration::from_millis(200), Duration::from_millis(1_200));
+    assert!(most_readings(7, gap, reading, false) >= 3);
+    assert_eq!(most_readings(7, gap, reading, true), 1);
+}
+
+/// The same at twice the load that the engines can read: all are used alike, none is left idle.
+#[test]
+fn beyond_what_engines_can_read_the_load_is_even() {
+    let (gap, reading) = (Duration::from_millis(100), Duration::from_millis(2_400));
+    assert_eq!(most_readings(7, gap, reading, true), 2);
+}
+
+/// An instance dies, and its caller comes to another one with the same prompt. The engine that has
+/// read it is asked, though others are idle.
+#[test]
+fn a_retry_goes_to_the_engine_that_has_read_its_prompt() {
+    let now = Instant::now();
+    let mut first = three_data_centres(4);
+    let mut second = three_data_centres(4);
+    let wanted = Wanted::new();
+    for part in 0..40 {
+        let read_at = key(&first, &format!("mid-{}-1", part % 4));
+        first.add_stream(read_at, part, 100, now).unwrap();
+    }
+    second.hear(first.placements(1, 1, now), now);
+    let later = now + Duration::from_secs(5);
+    for part in 0..40 {
+        let at = second.pick(&wanted.stream(part), later).unwrap().key;
+        assert_eq!(at, key(&second, &format!("mid-{}-1", part % 4)));
+    }
+}
+
+/// All instances lose their power and know nothing of before. The order by which prompts go to
+/// engines is the same for all, so most callers meet the engine that has read theirs.
+#[test]
+fn instances_that_know_nothing_prefer_the_same_engines() {
+    let now = Instant::now();
+    let (first, second) = (three_data_centres(4), three_data_centres(4));
+    let wanted = Wanted::new();
+    for part in 0..40 {
+        let one = first.pick(&wanted.stream(part), now).unwrap().key;
+        let two = second.pick(&wanted.stream(part), now).unwrap().key;
+        assert_eq!(one, two);
+    }
+}
+
+/// An engine's memory is nearly taken. A further stream would have a running one preempted.
+#[test]
+fn a_stream_goes_where_there_is_memory() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    for name in ["east-0-1", "mid-0-1"] {
+        let at = key(&targets, name);
+        for part in 0..6 {
+            let stream = targets.add_stream(at, part, TOKENS, now).unwrap();
+            targets.stream_read(at, stream);
+        }
+    }
+    let wanted = Wanted::new();
+    for part in 100..140 {
+        let at = targets.pick(&wanted.stream(part), now).unwrap().key;
+        assert_eq!(at, key(&targets, "west-0-1"));
+    }
+}
+
+#[test]
+fn a_request_goes_to_the_least_loaded_target_and_then_to_the_nearest() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let wanted = Wanted::new();
+    let east = key(&targets, "east-0-1");
+    let pick = |targets: &Targets| targets.pick(&wanted.request(&[]), now).unwrap().key;
+    assert_eq!(pick(&targets), east);
+    let busy = Load {
+        running: 40,
+        waiting: 0,
+        slots: 64,
+    };
+    targets.get_mut(east).unwrap().answered(Some(busy), now);
+    assert_ne!(pick(&targets), east);
+}
+
+#[test]
+fn a_target_that_was_tried_is_not_chosen_again() {
+    let now = Instant::now();
+    let targets = three_data_centres(1);
+    let all: Vec<TargetKey> = targets.iter().map(|(key, _)| key).collect();
+    let wanted = Wanted::new();
+    assert!(targets.pick(&wanted.request(&all[..2]), now).is_some());
+    assert!(targets.pick(&wanted.request(&all), now).is_none());
+}
+
+/// All targets failed a moment ago. Refusing everything would be worse than asking the one whose
+/// time is over first.
+#[test]
+fn when_all_targets_are_avoided_one_is_asked_all_the_same() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let keys: Vec<TargetKey> = targets.iter().map(|(key, _)| key).collect();
+    for key in &keys {
+        let target = targets.get_mut(*key).unwrap();
+        target.ended(celerypond_relay::Ended::Dead, now);
+    }
+    let pick = targets.pick(&Wanted::new().request(&[]), now).unwrap();
+    assert!(pick.is_doubtful);
+}
