--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -29,6 +29,8 @@
     pub tried: &'a [TargetKey],
     /// The hash of the prompt part that belongs to the request alone.
     pub affinity: Option<u64>,
+    /// A number of this request's own, by which one of several equal targets is taken.
+    pub lot: u64,
     /// Tokens that the request takes at most.
     pub tokens: u64,
     /// The memory of one engine in tokens; nothing for plain services.
@@ -164,7 +166,11 @@
     fn compare_load(&self, a: &Target, b: &Target) -> Ordering {
         let (left, right) = (a.fullness(self.now), b.fullness(self.now));
         let is_far = |target: &Target| target.entry.data_centre != *self.want.near;
-        left.total_cmp(&right).then(is_far(a).cmp(&is_far(b)))
+        let lot =
+            |target: &Target| celerypond_route::hash(&(self.want.lot ^ target.hash).to_le_bytes());
+        left.total_cmp(&right)
+            .then(is_far(a).cmp(&is_far(b)))
+            .then_with(|| lot(a).cmp(&lot(b)))
     }
 }
 
--- a/crates/relay/tests/fixture.rs
+++ b/crates/relay/tests/fixture.rs
@@ -6,12 +6,12 @@
 use celerypond_types::{DataCentre, ServiceName, TargetKey, TargetName, VersionName};
 
 /// A prompt of the usual length, with its answer.
-pub const TOKENS: u64 = 9_000;
+pub(crate) const TOKENS: u64 = 9_000;
 /// The memory of an engine.
-pub const CAPACITY: u64 = 88_000;
+pub(crate) const CAPACITY: u64 = 88_000;
 
 /// Makes the entry of an engine `n` of a data centre, started at `born`.
-pub fn engine(data_centre: &str, n: u8, born: u64) -> TargetEntry {
+pub(crate) fn engine(data_centre: &str, n: u8, born: u64) -> TargetEntry {
     TargetEntry {
         name: TargetName::new(format!("{data_centre}-{n}-{born}")),
         service: ServiceName::new("writer"),
@@ -31,7 +31,7 @@
 }
 
 /// Makes three data centres with so many engines each.
-pub fn three_data_centres(each: u8) -> Targets {
+pub(crate) fn three_data_centres(each: u8) -> Targets {
     let mut targets = Targets::default();
     for data_centre in ["east", "mid", "west"] {
         for n in 0..each {
@@ -42,7 +42,7 @@
 }
 
 /// Returns the key of a target.
-pub fn key(targets: &Targets, name: &str) -> TargetKey {
+pub(crate) fn key(targets: &Targets, name: &str) -> TargetKey {
     let mut found = targets.iter();
     found
         .find(|(_, target)| target.entry.name.as_str() == name)
@@ -51,24 +51,24 @@
 }
 
 /// Returns the name of a target.
-pub fn name(targets: &Targets, key: TargetKey) -> String {
+pub(crate) fn name(targets: &Targets, key: TargetKey) -> String {
     targets.get(key).unwrap().entry.name.as_str().to_owned()
 }
 
 /// Returns the data centre of a target.
-pub fn home(targets: &Targets, key: TargetKey) -> String {
+pub(crate) fn home(targets: &Targets, key: TargetKey) -> String {
     let target = targets.get(key).unwrap();
     target.entry.data_centre.as_str().to_owned()
 }
 
 /// What requests of one service want.
-pub struct Wanted {
+pub(crate) struct Wanted {
     service: ServiceName,
     near: DataCentre,
 }
 
 impl Wanted {
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             service: ServiceName::new("writer"),
             near: DataCentre::new("east"),
@@ -76,7 +76,7 @@
     }
 
     /// Wants an engine for a stream with this prompt part.
-    pub fn stream(&self, part: u64) -> Want<'_> {
+    pub(crate) fn stream(&self, part: u64) -> Want<'_> {
         Want {
             affinity: Some(part),
             tokens: TOKENS,
@@ -86,13 +86,14 @@
     }
 
     /// Wants a target for a request in one piece.
-    pub fn request<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
+    pub(crate) fn request<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
         Want {
             service: &self.service,
             version: None,
             near: &self.near,
             tried,
             affinity: None,
+            lot: 0,
             tokens: 0,
             capacity: None,
         }
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use celerypond_relay::{Load, PlacementKey, Targets};
-use celerypond_types::TargetKey;
+use celerypond_relay::{Change, Load, PlacementKey, Targets, Want};
+use celerypond_types::{TargetKey, TargetName};
 use tokio::time::Instant;
 
 use crate::fixture::{key, three_data_centres, Wanted, TOKENS};
@@ -141,6 +141,27 @@
     assert_ne!(pick(&targets), east);
 }
 
+/// Targets in other data centres are equally idle. Requests that come one by one must not all go to
+/// the first of them.
+#[test]
+fn equal_targets_share_requests() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    targets.apply(&Change::Gone(TargetName::new("east-0-1")));
+    let wanted = Wanted::new();
+    let mut counts: HashMap<TargetKey, usize> = HashMap::new();
+    for lot in 0..100 {
+        let want = Want {
+            lot,
+            ..wanted.request(&[])
+        };
+        let key = targets.pick(&want, now).unwrap().key;
+        *counts.entry(key).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 2);
+    assert!(counts.values().all(|count| *count > 30), "{counts:?}");
+}
+
 #[test]
 fn a_target_that_was_tried_is_not_chosen_again() {
     let now = Instant::now();
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -26,7 +26,7 @@
 
 use celerypond_telemetry::Volume;
 
-pub use start::{run, RelayError};
+pub use start::{run, Instance, RelayError};
 
 /// The bound on log lines: routine ones and those of failures, a second. A request writes about
 /// three lines, so that the lines of 300 requests a second are kept; a line takes some microseconds.
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -53,8 +53,12 @@
         tokio::select! {
             // A caller may leave in any way; its requests have their own lines.
             _ = connection.as_mut() => return,
+            () = site.killed.cancelled() => return,
             () = site.stopping.cancelled() => connection.as_mut().graceful_shutdown(),
         }
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = site.killed.cancelled() => {}
+    }
 }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -113,13 +113,7 @@
         return reply::not_run(&id, clock.left(Instant::now()));
     };
     let mut run = Run::new(site, asked, &route, service, account, clock);
-    if let Some(prompt) = &head.prompt {
-        run.affinity = prompt.parts.last().map(|part| part.id);
-        run.tokens = prompt.tokens_in + prompt.tokens_out;
-        let table = site.table.load();
-        let service = table.service(&run.service);
-        run.capacity = service.and_then(|service| Some(service.engine.as_ref()?.tokens));
-    }
+    run.take_prompt(head.prompt.as_ref());
     match route.kind {
         RouteKind::Stream { .. } => stream::relay(run).await,
         RouteKind::Safe | RouteKind::Unsafe => {
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use celerypond_relay::{Clock, Ended, Next, Route, RouteKind, Situation, Want};
+use celerypond_relay::{Clock, Ended, Next, Prompt, Route, RouteKind, Situation, Want};
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
 use tokio::time::Instant;
@@ -23,6 +23,7 @@
     /// The memory of one engine, in tokens.
     pub(super) capacity: Option<u64>,
     near: DataCentre,
+    lot: u64,
     tried: Vec<TargetKey>,
     runs: u32,
     refusals: u32,
@@ -40,6 +41,7 @@
         site.retries.succeeded();
         Self {
             near: site.settings.load().data_centre.clone(),
+            lot: rand::random(),
             site: Arc::clone(site),
             asked,
             route: route.clone(),
@@ -55,6 +57,19 @@
         }
     }
 
+    /// Takes in the prompt of a request to an engine; plain services read none.
+    pub(super) fn take_prompt(&mut self, prompt: Option<&Prompt>) {
+        let table = self.site.table.load();
+        let engine = table.service(&self.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let (Some(prompt), Some(engine)) = (prompt, engine) else {
+            return;
+        };
+        self.affinity = prompt.parts.last().map(|part| part.id);
+        self.tokens = prompt.tokens_in + prompt.tokens_out;
+        self.capacity = Some(engine.tokens);
+    }
+
     pub(super) fn left(&self) -> Duration {
         self.clock.left(Instant::now())
     }
@@ -75,6 +90,7 @@
             near: &self.near,
             tried: &self.tried,
             affinity: self.affinity,
+            lot: self.lot,
             tokens: self.tokens,
             capacity: self.capacity,
         }
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -62,6 +62,8 @@
     pub(super) stopping: CancellationToken,
     /// No new connections are taken.
     pub(super) closed: CancellationToken,
+    /// Connections of callers are cut off.
+    pub(super) killed: CancellationToken,
     /// All background work ends.
     pub(super) ending: CancellationToken,
     pub(super) tasks: TaskTracker,
@@ -104,6 +106,7 @@
             alarm: watch::Sender::default(),
             stopping: CancellationToken::new(),
             closed: CancellationToken::new(),
+            killed: CancellationToken::new(),
             ending: CancellationToken::new(),
             tasks: TaskTracker::new(),
             served: TaskTracker::new(),
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -10,7 +10,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
-    time::{timeout, Instant},
+    time::{timeout, Instant as Moment},
 };
 
 use super::{board, callers, members, questions, reload, revive, site::Site, stop, watches};
@@ -45,32 +45,63 @@
 ///
 /// A [`RelayError`] if the instance cannot start.
 pub async fn run() -> Result<(), Report<RelayError>> {
-    let settings = read()?;
     let hangup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
     let mut terminate = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
-    let gossip = members::gossip(&settings, Instant::now());
-    let site = Arc::new(Site::new(settings, gossip));
-    listen(&site).await?;
-    let settings = site.settings.load_full();
-    log::info!(
-        instance = settings.instance.as_str(),
-        data_centre = settings.data_centre.as_str(),
-        version = env!("CARGO_PKG_VERSION");
-        "started"
-    );
-    site.tasks.spawn(watches::configuration(Arc::clone(&site)));
-    site.tasks.spawn(watches::targets(Arc::clone(&site)));
-    site.tasks.spawn(members::run(Arc::clone(&site)));
-    site.tasks.spawn(members::ask_peers(Arc::clone(&site)));
-    site.tasks.spawn(reload::run(Arc::clone(&site), hangup));
-    site.tasks.spawn(revive::run(Arc::clone(&site)));
-    site.tasks.spawn(sweep(Arc::clone(&site)));
+    let instance = Instance::start(read()?).await?;
+    let site = Arc::clone(&instance.site);
+    instance.site.tasks.spawn(reload::run(site, hangup));
     terminate.recv().await;
-    stop::run(&site).await;
-    join(&site).await;
+    instance.stop().await;
     Ok(())
 }
 
+/// A running instance that relays routed requests.
+pub struct Instance {
+    site: Arc<Site>,
+}
+
+impl Instance {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// A [`RelayError`] if an address cannot be listened on.
+    pub async fn start(settings: Settings) -> Result<Self, Report<RelayError>> {
+        let gossip = members::gossip(&settings, Moment::now());
+        let site = Arc::new(Site::new(settings, gossip));
+        listen(&site).await?;
+        let settings = site.settings.load_full();
+        log::info!(
+            instance = settings.instance.as_str(),
+            data_centre = settings.data_centre.as_str(),
+            version = env!("CARGO_PKG_VERSION");
+            "started"
+        );
+        site.tasks.spawn(watches::configuration(Arc::clone(&site)));
+        site.tasks.spawn(watches::targets(Arc::clone(&site)));
+        site.tasks.spawn(members::run(Arc::clone(&site)));
+        site.tasks.spawn(members::ask_peers(Arc::clone(&site)));
+        site.tasks.spawn(revive::run(Arc::clone(&site)));
+        site.tasks.spawn(sweep(Arc::clone(&site)));
+        Ok(Self { site })
+    }
+
+    /// Stops as planned: no new callers, and what runs ends within the grace.
+    pub async fn stop(self) {
+        stop::run(&self.site).await;
+        join(&self.site).await;
+    }
+
+    /// Ends at once, as by a kill: open connections are cut off.
+    pub async fn kill(self) {
+        self.site.stopping.cancel();
+        self.site.closed.cancel();
+        self.site.killed.cancel();
+        self.site.ending.cancel();
+        join(&self.site).await;
+    }
+}
+
 /// Joins what was spawned. What callers still have open at the end of the grace is cut off with the
 /// process, so the wait is bounded.
 async fn join(site: &Site) {
@@ -135,7 +166,7 @@
         tokio::select! {
             () = site.ending.cancelled() => return,
             () = tokio::time::sleep(SWEEP) => {
-                site.connections.sweep(Instant::now());
+                site.connections.sweep(Moment::now());
                 report_left_out(&site);
             }
         }
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -26,5 +26,6 @@
     let end = begun + grace.saturating_sub(BEFORE_KILL);
     let is_done = timeout_at(end, site.served.wait()).await.is_ok();
     log::info!(is_done, open = site.served.len(); "stopped");
+    site.killed.cancel();
     site.ending.cancel();
 }
