relay: follow peers where the store turns an instance away; entries that lapsed have time to come back

Cause: the store may turn some instances away for seconds, and they then sent to leaving targets and took old keys; after a long outage it comes back with an empty list, and all requests were refused for two seconds.

--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -38,6 +38,8 @@
     pub is_dead: bool,
     /// When it was found dead, here or by another instance.
     pub died: Option<Instant>,
+    /// Since when its entry is missing after the store's return.
+    pub missing: Option<Instant>,
     load: Option<(Load, Instant)>,
 }
 
@@ -54,6 +56,7 @@
             avoid: None,
             is_dead: false,
             died: None,
+            missing: None,
             load: None,
         }
     }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -17,6 +17,8 @@
     pub struct PlacementKey;
 }
 
+/// How long after the store's return the entries of targets that live may be missing.
+const ENTRIES_BACK: Duration = Duration::from_millis(2_000);
 /// How long after its death an engine is looked for first: it takes about a second to start.
 const REVIVE_FROM: Duration = Duration::from_millis(900);
 /// How long after its death an engine is looked for at most.
@@ -58,13 +60,17 @@
     board: Board,
     /// Engines that were found again, and when.
     adopted: Vec<(Adoption, Instant)>,
+    /// Until when entries that are missing may come back.
+    grace: Option<Instant>,
     /// The part of a stagger by which this instance is later than others.
     pub lateness: f64,
 }
 
 impl Targets {
     /// Takes in a whole list; targets that it leaves out are gone. Returns what changed.
-    pub fn replace(&mut self, entries: Vec<TargetEntry>) -> Vec<Change> {
+    ///
+    /// Within the grace that [`Targets::await_entries`] gives, they are only missing.
+    pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Instant) -> Vec<Change> {
         let kept: HashSet<&TargetName> = entries.iter().map(|entry| &entry.name).collect();
         let gone: Vec<TargetName> = self
             .names
@@ -77,23 +83,58 @@
         gone.chain(there)
             .collect::<Vec<Change>>()
             .into_iter()
-            .filter(|change| self.apply(change))
+            .filter(|change| self.apply(change, now))
             .collect()
     }
 
     /// Takes in one change; returns whether it told anything new.
-    pub fn apply(&mut self, change: &Change) -> bool {
+    pub fn apply(&mut self, change: &Change, now: Instant) -> bool {
         match change {
             Change::Is(entry) => self.put(entry),
-            Change::Gone(name) => {
-                let key = self.names.remove(name);
-                let Some(gone) = key.and_then(|key| self.arena.remove(key)) else {
-                    return false;
-                };
-                self.release_address(gone.entry.address);
-                true
+            Change::Gone(name) if self.grace.is_some_and(|until| now < until) => {
+                self.miss(name, now);
+                false
             }
+            Change::Gone(name) => self.remove(name),
+        }
+    }
+
+    /// Takes in that the store is back after a time in which entries may have lapsed.
+    ///
+    /// The failure: the store was away for longer than entries live without a heartbeat. It comes
+    /// back with an empty list, and every request would be refused until the targets that live have
+    /// written their entries again, which takes them about two seconds. What is missing after that
+    /// is gone.
+    pub fn await_entries(&mut self, now: Instant) {
+        self.grace = Some(now + ENTRIES_BACK);
+    }
+
+    /// Removes targets whose entries did not come back in time; returns their names.
+    pub fn drop_missing(&mut self, now: Instant) -> Vec<TargetName> {
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= ENTRIES_BACK;
+        let missing = self.arena.values();
+        let missing = missing.filter(|target| target.missing.is_some_and(is_over));
+        let names: Vec<TargetName> = missing.map(|target| target.entry.name.clone()).collect();
+        for name in &names {
+            self.remove(name);
         }
+        names
+    }
+
+    fn miss(&mut self, name: &TargetName, now: Instant) {
+        let key = self.names.get(name).copied();
+        if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
+            target.missing.get_or_insert(now);
+        }
+    }
+
+    fn remove(&mut self, name: &TargetName) -> bool {
+        let key = self.names.remove(name);
+        let Some(gone) = key.and_then(|key| self.arena.remove(key)) else {
+            return false;
+        };
+        self.release_address(gone.entry.address);
+        true
     }
 
     fn put(&mut self, entry: &TargetEntry) -> bool {
@@ -104,6 +145,7 @@
             self.take_address(key);
             return true;
         };
+        target.missing = None;
         if target.entry == *entry {
             return false;
         }
--- a/crates/relay/tests/fixture.rs
+++ b/crates/relay/tests/fixture.rs
@@ -4,6 +4,7 @@
 
 use celerypond_relay::{Change, Presence, TargetEntry, Targets, Want};
 use celerypond_types::{DataCentre, ServiceName, TargetKey, TargetName, VersionName};
+use tokio::time::Instant;
 
 /// A prompt of the usual length, with its answer.
 pub(crate) const TOKENS: u64 = 9_000;
@@ -35,7 +36,7 @@
     let mut targets = Targets::default();
     for data_centre in ["east", "mid", "west"] {
         for n in 0..each {
-            targets.apply(&Change::Is(engine(data_centre, n, 1)));
+            targets.apply(&Change::Is(engine(data_centre, n, 1)), Instant::now());
         }
     }
     targets
--- a/crates/relay/tests/test_death.rs
+++ b/crates/relay/tests/test_death.rs
@@ -68,10 +68,10 @@
 #[test]
 fn the_latest_start_owns_the_address() {
     let mut targets = three_data_centres(1);
-    targets.apply(&Change::Is(engine("east", 0, 2)));
+    targets.apply(&Change::Is(engine("east", 0, 2)), Instant::now());
     assert!(!targets.is_usable(key(&targets, "east-0-1")));
     assert!(targets.is_usable(key(&targets, "east-0-2")));
-    targets.apply(&Change::Gone(TargetName::new("east-0-2")));
+    targets.apply(&Change::Gone(TargetName::new("east-0-2")), Instant::now());
     assert!(targets.is_usable(key(&targets, "east-0-1")));
 }
 
@@ -79,7 +79,10 @@
 #[test]
 fn the_order_of_entries_does_not_matter() {
     let mut targets = Targets::default();
-    targets.replace(vec![engine("east", 0, 2), engine("east", 0, 1)]);
+    targets.replace(
+        vec![engine("east", 0, 2), engine("east", 0, 1)],
+        Instant::now(),
+    );
     assert!(targets.is_usable(key(&targets, "east-0-2")));
     assert!(!targets.is_usable(key(&targets, "east-0-1")));
 }
@@ -91,10 +94,11 @@
     let mut targets = three_data_centres(1);
     let holder = key(&targets, "mid-0-1");
     assert!(targets.is_usable(holder));
-    targets.apply(&Change::Is(TargetEntry {
+    let leaving = TargetEntry {
         presence: Presence::Leaving,
         ..engine("mid", 0, 1)
-    }));
+    };
+    targets.apply(&Change::Is(leaving), Instant::now());
     assert!(!targets.is_usable(holder));
 }
 
@@ -124,7 +128,7 @@
         name: TargetName::new("anew"),
         ..engine("east", 0, 9)
     };
-    here.apply(&Change::Is(entry));
+    here.apply(&Change::Is(entry), Instant::now());
     assert_eq!(here.get(new).unwrap().open, 1);
     assert!(here.is_usable(new));
 }
@@ -151,7 +155,7 @@
         born: Some(7),
         ..engine("east", 0, 1)
     };
-    targets.apply(&Change::Is(again));
+    targets.apply(&Change::Is(again), Instant::now());
     assert_eq!(targets.get(at).unwrap().open, 0);
 }
 
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -71,7 +71,7 @@
         engine("mid", 0, 1),
         engine("mid", 1, 1),
     ];
-    let changes = targets.replace(list);
+    let changes = targets.replace(list, Instant::now());
     let expected = [
         Change::Gone(engine("west", 0, 1).name),
         Change::Is(engine("mid", 1, 1)),
@@ -111,3 +111,27 @@
     assert_eq!(read.targets, snapshot.targets);
     assert!(Snapshot::decode(b"{").is_err());
 }
+
+/// The store was away for long and comes back with an empty list, as all entries have lapsed. The
+/// targets live and write their entries again within two seconds; until then requests go on. The
+/// one that does not come back is gone.
+#[test]
+fn entries_that_lapsed_with_the_store_have_time_to_come_back() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    targets.await_entries(now);
+    assert!(targets.replace(Vec::new(), now).is_empty());
+    assert_eq!(targets.len(), 3);
+    let soon = now + Duration::from_secs(1);
+    targets.apply(&Change::Is(engine("east", 0, 1)), soon);
+    targets.apply(&Change::Gone(engine("mid", 0, 1).name), soon);
+    assert!(targets.drop_missing(soon).is_empty());
+    let later = now + Duration::from_secs(2);
+    let mut gone = targets.drop_missing(later);
+    gone.sort();
+    assert_eq!(gone, [engine("mid", 0, 1).name, engine("west", 0, 1).name]);
+    assert_eq!(targets.len(), 1);
+    // From then on a removal holds at once.
+    targets.apply(&Change::Gone(engine("east", 0, 1).name), later);
+    assert!(targets.is_empty());
+}
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -147,7 +147,7 @@
 fn equal_targets_share_requests() {
     let now = Instant::now();
     let mut targets = three_data_centres(1);
-    targets.apply(&Change::Gone(TargetName::new("east-0-1")));
+    targets.apply(&Change::Gone(TargetName::new("east-0-1")), Instant::now());
     let wanted = Wanted::new();
     let mut counts: HashMap<TargetKey, usize> = HashMap::new();
     for lot in 0..100 {
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -7,18 +7,18 @@
 };
 use celerypond_relay::{Settings, Snapshot};
 use celerypond_types::{Attempt, RequestKey, Revision};
-use rand::{rngs::SmallRng, SeedableRng as _};
+use rand::{rngs::SmallRng, seq::SliceRandom as _, SeedableRng as _};
 use smol_str::format_smolstr;
 use tarpc::context::Context;
 use tokio::{net::TcpListener, task::JoinSet, time::Instant};
 
-use super::site::Site;
+use super::site::{Site, PEER};
 
 /// The time between two rounds of gossip. After two failed exchanges a dead instance is no longer
 /// named to callers.
 const ROUND: Duration = Duration::from_millis(500);
 /// The time between two questions to peers for what the store does not tell.
-const ASK_PEERS: Duration = Duration::from_millis(250);
+const ASK_PEERS: Duration = Duration::from_millis(300);
 
 /// Makes the gossip of this instance.
 pub(super) fn gossip(settings: &Settings, now: Instant) -> Gossip {
@@ -125,32 +125,51 @@
     after(&site);
 }
 
-/// Asks peers for the configuration and the targets until they are known.
-pub(super) async fn ask_peers(site: Arc<Site>) {
+/// Asks peers for what the store does not tell, until the instance ends.
+///
+/// The failures: an instance starts while the store is away; the store turns some instances away
+/// and serves the others, which know of new versions, taken keys and leaving targets.
+pub(super) async fn follow_peers(site: Arc<Site>) {
     let mut turn = tokio::time::interval(ASK_PEERS);
-    while !(site.has_config() && site.has_targets()) {
+    loop {
         tokio::select! {
             () = site.ending.cancelled() => return,
             _ = turn.tick() => {}
         }
-        for peer in peers(&site) {
-            let Ok(Some(bytes)) = site.peers.bundle(peer, Revision::default()).await else {
-                continue;
-            };
-            match Snapshot::decode(&bytes) {
-                Ok(snapshot) => {
-                    site.apply(snapshot.config, "peer");
-                    site.list_targets(snapshot.targets, snapshot.revision, "peer");
-                    break;
-                }
-                Err(error) => {
-                    log::warn!(peer:% = peer, error:% = error; "a peer's state cannot be read");
-                }
+        let knows_all = site.has_config() && site.has_targets();
+        let is_behind = site.gossip().facts().revision().0 > site.table.load().config().version;
+        if knows_all && !is_behind && !site.is_store_lost() {
+            continue;
+        }
+        let mut peers = peers(&site);
+        peers.shuffle(&mut rand::rng());
+        for peer in peers {
+            if ask_peer(&site, peer).await {
+                break;
             }
         }
     }
 }
 
+/// Asks a peer for its state; returns whether it told one.
+async fn ask_peer(site: &Site, peer: SocketAddr) -> bool {
+    let told = site.peers.bundle(peer, Revision::default()).await;
+    let Ok(Some(bytes)) = told else {
+        return false;
+    };
+    match Snapshot::decode(&bytes) {
+        Ok(snapshot) => {
+            site.apply(snapshot.config, PEER);
+            site.list_targets(snapshot.targets, snapshot.revision, PEER);
+            true
+        }
+        Err(error) => {
+            log::warn!(peer:% = peer, error:% = error; "a peer's state cannot be read");
+            false
+        }
+    }
+}
+
 fn peers(site: &Site) -> Vec<SocketAddr> {
     let settings = site.settings.load();
     let own = address(&settings);
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -18,7 +18,7 @@
 use rand::Rng as _;
 use tokio::{
     sync::{watch, Notify},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -32,6 +32,10 @@
 /// The share of the store's rates that one instance may use. A few instances may burst at once, and
 /// in steady state each uses a few calls a second.
 const STORE_SHARE: f64 = 0.1;
+/// The name of the store as a source.
+pub(super) const STORE: &str = "store";
+/// The name of another instance as a source.
+pub(super) const PEER: &str = "peer";
 /// What the names of metrics begin with.
 const METRICS_PREFIX: &str = "celerypond";
 /// The instances that the slack of the retry budget is divided among, while their number is not
@@ -192,12 +196,22 @@
     /// Takes in a whole list of targets of the store's revision, unless a later one is known.
     pub(super) fn list_targets(&self, entries: Vec<TargetEntry>, revision: u64, source: &str) {
         let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
-        if self.has_targets() && revision < *known {
+        let is_old = match source {
+            PEER => revision <= *known,
+            _ => revision < *known,
+        };
+        if self.has_targets() && is_old {
             return;
         }
         *known = revision;
         drop(known);
-        let changes = self.targets().replace(entries);
+        let now = Instant::now();
+        let mut targets = self.targets();
+        if self.is_store_lost() && source == STORE {
+            targets.await_entries(now);
+        }
+        let changes = targets.replace(entries, now);
+        drop(targets);
         for change in &changes {
             log::info!(revision, source, change:? = change; "target changed");
         }
@@ -210,8 +224,15 @@
         let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
         *known = revision.max(*known);
         drop(known);
-        if self.targets().apply(change) {
-            log::info!(revision, source = "store", change:? = change; "target changed");
+        let now = Instant::now();
+        let mut targets = self.targets();
+        if self.is_store_lost() {
+            targets.await_entries(now);
+        }
+        let is_new = targets.apply(change, now);
+        drop(targets);
+        if is_new {
+            log::info!(revision, source = STORE, change:? = change; "target changed");
             self.changed.notify_waiters();
         }
     }
@@ -235,6 +256,13 @@
         text
     }
 
+    /// Removes targets whose entries did not come back after the store's return.
+    pub(super) fn drop_missing(&self) {
+        for name in self.targets().drop_missing(Instant::now()) {
+            log::info!(target = name.as_str(), reason = "entry did not come back"; "target gone");
+        }
+    }
+
     /// Returns what a starting peer needs while the store is away.
     pub(super) fn snapshot(&self) -> Option<Snapshot> {
         if !self.has_config() || !self.has_targets() {
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -15,8 +15,8 @@
 
 use super::{board, callers, members, questions, reload, revive, site::Site, stop, watches};
 
-/// The time between two looks at idle connections.
-const SWEEP: Duration = Duration::from_secs(1);
+/// The time between two looks at idle connections and at targets whose entries are missing.
+const SWEEP: Duration = Duration::from_millis(500);
 /// How long a port is tried that a process before this one may still hold.
 const BIND_TRIES: usize = 20;
 /// The time between two tries of a port.
@@ -80,7 +80,7 @@
         site.tasks.spawn(watches::configuration(Arc::clone(&site)));
         site.tasks.spawn(watches::targets(Arc::clone(&site)));
         site.tasks.spawn(members::run(Arc::clone(&site)));
-        site.tasks.spawn(members::ask_peers(Arc::clone(&site)));
+        site.tasks.spawn(members::follow_peers(Arc::clone(&site)));
         site.tasks.spawn(revive::run(Arc::clone(&site)));
         site.tasks.spawn(sweep(Arc::clone(&site)));
         Ok(Self { site })
@@ -167,6 +167,7 @@
             () = site.ending.cancelled() => return,
             () = tokio::time::sleep(SWEEP) => {
                 site.connections.sweep(Moment::now());
+                site.drop_missing();
                 report_left_out(&site);
             }
         }
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -9,7 +9,7 @@
 use error_stack::Report;
 use rand::Rng as _;
 
-use super::site::Site;
+use super::site::{Site, STORE};
 
 /// How long a watch waits for a change.
 ///
@@ -58,7 +58,7 @@
         list: |site, listing| {
             let objects = listing.objects.iter();
             let entries = objects.filter_map(|object| entry(&object.key, &object.value));
-            site.list_targets(entries.collect(), listing.revision.0, "store");
+            site.list_targets(entries.collect(), listing.revision.0, STORE);
         },
         change: |site, changes| {
             for change in changes.changes {
@@ -141,7 +141,7 @@
         return;
     }
     match config::decode(value) {
-        Ok(config) => site.apply(config, "store"),
+        Ok(config) => site.apply(config, STORE),
         Err(error) => log::error!(error:% = error; "the configuration cannot be read"),
     }
 }
