cli, relay: celerypond explain joins the lines of a request; each answer says why

Cause: an answer of the instance itself told its status only, and the module of a line and its target had the same key. The line has the reason, the version of the configuration and the store's revision now.

--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use celerypond_cli::ClientError;
+use celerypond_cli::{ClientError, ExplainError};
 use thiserror::Error;
 
 /// Why a command failed.
@@ -26,6 +26,9 @@
     /// The rollout ended by being taken back.
     #[error("the rollout was taken back")]
     TakenBack,
+    /// No story can be told.
+    #[error("{0}")]
+    Explain(ExplainError),
     /// The request failed.
     #[error("{0}")]
     Client(ClientError),
@@ -41,7 +44,7 @@
     /// Returns the exit code, as `docs/cli.md` lists them.
     pub(crate) fn code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::File(..) => 1,
+            Self::File(..) | Self::Explain(_) => 1,
             Self::Usage(_) | Self::Faults(_) | Self::Form(..) => 2,
             Self::Outrun => 6,
             Self::TakenBack => 8,
@@ -53,6 +56,7 @@
     pub(crate) fn hint(&self) -> Option<&'static str> {
         match self {
             Self::Usage(_) => Some("celerypond --help lists all commands"),
+            Self::Explain(_) => Some("give the files of all instances, and the id of one attempt"),
             Self::Outrun => {
                 Some("compare with `celerypond diff`, then roll again if it still fits")
             }
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -55,6 +55,13 @@
         cmd status {}
         /// Lists the operators' steps.
         cmd history {}
+        /// Tells what became of a routed request and why, from the log lines of instances.
+        cmd explain {
+            /// The id of the request.
+            required request: String
+            /// Files of log lines, one or several an instance.
+            repeated files: PathBuf
+        }
         /// Lists the addresses that callers should use.
         cmd entries {}
         /// Generates an answer.
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,10 +3,12 @@
 mod client;
 mod connection;
 mod error;
+mod explain;
 mod generation;
 mod reply;
 
 pub use client::{Client, Entries, EntryAddress};
 pub use error::{ClientError, Problem};
+pub use explain::{explain, ExplainError, Line, Source, Story};
 pub use generation::{Ended, Generation, Prompt, Token};
 pub use reply::{Called, Response};
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod exit;
 mod flags;
 mod operator;
+mod stories;
 
 use context::Context;
 use exit::Failure;
@@ -39,6 +40,7 @@
         CelerypondCmd::Roll(roll) => operator::roll(&context, &roll).await,
         CelerypondCmd::Status(_) => operator::status(&context).await,
         CelerypondCmd::History(_) => operator::history(&context).await,
+        CelerypondCmd::Explain(explain) => stories::explain(&context, &explain),
         CelerypondCmd::Entries(_) => caller::entries(&context).await,
         CelerypondCmd::Generate(generate) => caller::generate(&context, generate).await,
         CelerypondCmd::Call(call) => caller::call(&context, call).await,
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,5 +2,6 @@
 
 mod instance;
 mod test_documents;
+mod test_explain;
 mod test_failures;
 mod test_waiting;
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -74,7 +74,8 @@
 struct Line<'a> {
     time: String,
     level: &'static str,
-    target: &'a str,
+    /// The module that wrote the line; `target` is left to lines about targets.
+    module: &'a str,
     message: String,
     /// The inputs and the outcome of a decision, by name.
     #[serde(flatten)]
@@ -200,7 +201,7 @@
     let line = Line {
         time: now(),
         level: record.level().as_str(),
-        target: record.target(),
+        module: record.target(),
         message: message.to_string(),
         fields: Fields(record.key_values()),
     };
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -6,7 +6,7 @@
 use celerypond_adapter::headers;
 use celerypond_relay::{Ended, Event, Events, Next, Patience, TargetHead};
 use celerypond_telemetry::{Counter, Latency};
-use celerypond_types::TargetKey;
+use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
 use tokio::time::Instant;
@@ -35,6 +35,13 @@
     is_complete: bool,
 }
 
+/// The head that a caller gets: that of the first engine, also when the stream goes on elsewhere.
+pub(super) struct First {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) target: TargetName,
+}
+
 /// Where a stream runs.
 struct Position {
     lease: Lease,
@@ -68,13 +75,17 @@
     }
 
     /// Asks engines until one has sent a first event, or its failure is to be passed on.
-    pub(super) async fn begin(&mut self) -> Result<(StatusCode, HeaderMap), Next> {
+    pub(super) async fn begin(&mut self) -> Result<First, Next> {
         let begun = Instant::now();
         self.find(None).await?;
         let latencies = &self.run.site.latencies;
         latencies.add(Latency::FirstEvent, begun.elapsed());
         let at = self.at.as_ref().ok_or(Next::Failed)?;
-        Ok((at.opened.status, at.opened.headers.clone()))
+        Ok(First {
+            status: at.opened.status,
+            headers: at.opened.headers.clone(),
+            target: at.lease.name.clone(),
+        })
     }
 
     /// Asks engines until one answers; first the one that holds a copy of the run's memory.
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -5,7 +5,7 @@
 use super::{
     attempt::{read_whole, send},
     lease::Lease,
-    reply::{self, Reply},
+    reply::{self, Reason, Reply},
     run::Run,
 };
 
@@ -17,7 +17,8 @@
     let mut failed = None;
     loop {
         let Some(mut lease) = run.place() else {
-            return failed.unwrap_or_else(|| reply::not_run(&run.asked.id, run.left()));
+            return failed
+                .unwrap_or_else(|| reply::not_run(&run.asked.id, run.left(), Reason::NoTarget));
         };
         let ended = match attempt(&run, &mut lease).await {
             Ok(reply) if is_final(&run, &reply) => return reply,
@@ -58,7 +59,12 @@
     if is_promise(status) {
         return Err(Ended::Failed(status.as_u16()));
     }
-    Ok(reply::relayed(status, &headers, reply::whole(body)))
+    Ok(reply::relayed(
+        status,
+        &headers,
+        reply::whole(body),
+        &lease.name,
+    ))
 }
 
 /// Statuses by which callers understand that the request has not run; a target that does not say so
--- a/daemon/src/relay/questions.rs
+++ b/daemon/src/relay/questions.rs
@@ -10,7 +10,7 @@
 
 use super::{
     members,
-    reply::{own, whole, Reply},
+    reply::{whole, Reply},
     site::Site,
 };
 
@@ -55,19 +55,25 @@
 
 fn answer(site: &Site, request: &Request<Incoming>) -> Reply {
     match request.uri().path() {
-        directory::READY_PATH if site.is_ready() => own(StatusCode::OK, None),
-        directory::READY_PATH => own(StatusCode::SERVICE_UNAVAILABLE, None),
+        directory::READY_PATH if site.is_ready() => plain(StatusCode::OK),
+        directory::READY_PATH => plain(StatusCode::SERVICE_UNAVAILABLE),
         directory::DIRECTORY_PATH => addresses(site),
         METRICS_PATH => Response::new(whole(site.render_metrics())),
-        _ => own(StatusCode::NOT_FOUND, None),
+        _ => plain(StatusCode::NOT_FOUND),
     }
 }
 
+fn plain(status: StatusCode) -> Reply {
+    let mut reply = Response::new(whole(""));
+    *reply.status_mut() = status;
+    reply
+}
+
 /// An instance that knows nobody to name says so, and the caller asks another one.
 fn addresses(site: &Site) -> Reply {
     let mut found: Vec<SocketAddr> = members::addresses(site);
     if found.is_empty() {
-        return own(StatusCode::SERVICE_UNAVAILABLE, None);
+        return plain(StatusCode::SERVICE_UNAVAILABLE);
     }
     found.truncate(directory::ADDRESSES_MOST);
     let ttl = DIRECTORY_TTL.min(site.settings.load().bounds.directory_ttl);
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::Next;
+use celerypond_relay::{Denied, Next};
+use celerypond_types::TargetName;
 use http::{
     header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER},
     HeaderMap, Response, StatusCode,
@@ -21,6 +22,25 @@
 pub(super) type Body = UnsyncBoxBody<Bytes, Broken>;
 pub(super) type Reply = Response<Body>;
 
+/// Why a response is what it is; it goes with the response to the line that tells of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// A target answered.
+    Relayed(TargetName),
+    /// No configuration is known yet.
+    NoConfig,
+    /// No route matches, or no account has the key.
+    Denied(Denied),
+    /// The request itself has a fault.
+    BadRequest,
+    /// No target was left to ask, or those that were asked refused.
+    NoTarget,
+    /// The last attempt failed, and the request may have run.
+    Failed,
+    /// The time of the caller or of the route was over.
+    TimeOver,
+}
+
 /// When a caller whose request has not run may come back: a failed target is avoided by then.
 const COME_BACK: Duration = Duration::from_millis(300);
 /// The part of its time that a caller waits at most before it comes back.
@@ -34,7 +54,7 @@
 }
 
 /// Makes a response that the instance gives itself.
-pub(super) fn own(status: StatusCode, id: Option<&str>) -> Reply {
+pub(super) fn own(status: StatusCode, id: Option<&str>, why: Reason) -> Reply {
     let reason = status.canonical_reason().unwrap_or_default();
     let mut reply = Response::new(whole(format!("{reason}\n")));
     *reply.status_mut() = status;
@@ -43,13 +63,14 @@
     if let Some(id) = id {
         headers::set_request(headers, id);
     }
+    reply.extensions_mut().insert(why);
     reply
 }
 
 /// Makes the answer to a request that has not run and never will, with when to come back.
-pub(super) fn not_run(id: &str, left: Duration) -> Reply {
+pub(super) fn not_run(id: &str, left: Duration, why: Reason) -> Reply {
     let wait = COME_BACK.min(left / COME_BACK_SHARE);
-    let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, Some(id));
+    let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, Some(id), why);
     let seconds = format!("{:.2}", wait.as_secs_f64());
     // Digits and a point can stand in a header.
     if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -61,15 +82,22 @@
 /// Makes the final answer that follows the end of the last attempt.
 pub(super) fn after(next: Next, id: &str, left: Duration) -> Reply {
     match next {
-        Next::NotRun | Next::Elsewhere => not_run(id, left),
-        Next::Failed => own(StatusCode::BAD_GATEWAY, Some(id)),
-        Next::Expired => own(StatusCode::GATEWAY_TIMEOUT, Some(id)),
+        Next::NotRun | Next::Elsewhere => not_run(id, left, Reason::NoTarget),
+        Next::Failed => own(StatusCode::BAD_GATEWAY, Some(id), Reason::Failed),
+        Next::Expired => own(StatusCode::GATEWAY_TIMEOUT, Some(id), Reason::TimeOver),
     }
 }
 
 /// Makes the response that a target gave.
-pub(super) fn relayed(status: StatusCode, headers: &HeaderMap, body: Body) -> Reply {
+pub(super) fn relayed(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Body,
+    target: &TargetName,
+) -> Reply {
     let mut reply = Response::new(body);
+    let why = Reason::Relayed(target.clone());
+    reply.extensions_mut().insert(why);
     *reply.status_mut() = status;
     *reply.headers_mut() = headers::to_caller(headers);
     reply
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -22,7 +22,7 @@
 use super::{
     attempt::Asked,
     plain,
-    reply::{self, Reply},
+    reply::{self, Reason, Reply},
     run::Run,
     site::Site,
     stream,
@@ -46,10 +46,29 @@
         reply::close_after(&mut reply);
     }
     count(&site, &reply);
+    tell(&site, id.as_deref(), &reply, start);
+    Ok(reply)
+}
+
+/// Writes the line that tells how a request was answered, and by what state of the store.
+fn tell(site: &Site, request: Option<&str>, reply: &Reply, start: Instant) {
     let status = reply.status().as_u16();
     let took_ms = start.elapsed().as_millis() as u64;
-    log::info!(request = id.as_deref(), status, took_ms; "answered");
-    Ok(reply)
+    match reply.extensions().get::<Reason>() {
+        Some(Reason::Relayed(target)) => {
+            log::info!(request, status, target = target.as_str(), took_ms; "answered");
+        }
+        why => log::warn!(
+            request,
+            status,
+            why:? = why,
+            config = site.table.load().config().version,
+            targets_revision = site.revision(),
+            store_lost = site.is_store_lost(),
+            took_ms;
+            "answered"
+        ),
+    }
 }
 
 /// Counts a request as open until it is dropped; a caller may leave at any time.
@@ -88,7 +107,7 @@
     start: Instant,
 ) -> Reply {
     let Some(id) = head.request.clone() else {
-        return reply::own(StatusCode::BAD_REQUEST, None);
+        return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     let host = request
         .headers()
@@ -97,20 +116,20 @@
     let host = host.unwrap_or_default().to_owned();
     let path = request.uri().path().to_owned();
     let Some(taken) = admit(site, &host, &path, &head) else {
-        return reply::not_run(&id, head.deadline.unwrap_or_default());
+        return reply::not_run(&id, head.deadline.unwrap_or_default(), Reason::NoConfig);
     };
     let (route, account) = match taken {
         Ok(taken) => taken,
-        Err(denied) => return deny(site, denied, &id),
+        Err(denied) => return deny(denied, &id),
     };
     let clock = Clock::new(start, head.deadline, route.timeout);
     let limit = site.table.load().config().limits.body_bytes;
     let asked = match read(request, id.clone(), limit).await {
         Ok(asked) => asked,
-        Err(status) => return reply::own(status, Some(&id)),
+        Err(status) => return reply::own(status, Some(&id), Reason::BadRequest),
     };
     let Some(service) = choose_service(&route) else {
-        return reply::not_run(&id, clock.left(Instant::now()));
+        return reply::not_run(&id, clock.left(Instant::now()), Reason::NoTarget);
     };
     let mut run = Run::new(site, asked, &route, service, account, clock);
     run.take_prompt(head.prompt.as_ref());
@@ -139,14 +158,12 @@
     }))
 }
 
-fn deny(site: &Site, denied: Denied, id: &SmolStr) -> Reply {
-    let version = site.table.load().config().version;
-    log::info!(request = id.as_str(), reason:? = denied, version; "request denied");
+fn deny(denied: Denied, id: &SmolStr) -> Reply {
     let status = match denied {
         Denied::NoRoute => StatusCode::NOT_FOUND,
         Denied::UnknownKey => StatusCode::UNAUTHORIZED,
     };
-    reply::own(status, Some(id))
+    reply::own(status, Some(id), Reason::Denied(denied))
 }
 
 async fn read(request: Request<Incoming>, id: SmolStr, limit: usize) -> Result<Asked, StatusCode> {
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -157,6 +157,11 @@
         self.has_config.load(Relaxed)
     }
 
+    /// Returns the store's revision up to which the targets are known.
+    pub(super) fn revision(&self) -> u64 {
+        *self.revision.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the store does not tell of targets at present.
     pub(super) fn is_store_lost(&self) -> bool {
         self.store_lost.load(Relaxed)
@@ -268,7 +273,7 @@
         if !self.has_config() || !self.has_targets() {
             return None;
         }
-        let revision = *self.revision.lock().unwrap_or_else(PoisonError::into_inner);
+        let revision = self.revision();
         let targets = self.targets();
         let entries = targets.iter().map(|(_, target)| target.entry.clone());
         Some(Snapshot {
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -2,12 +2,11 @@
 
 use celerypond_relay::Next;
 use futures::stream;
-use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 
 use super::{
     attempt::read_whole,
-    flow::Flow,
+    flow::{First, Flow},
     reply::{self, Body, Reply},
     run::Run,
 };
@@ -16,22 +15,27 @@
 pub(super) async fn relay(run: Run) -> Reply {
     let mut flow = Flow::new(run);
     match flow.begin().await {
-        Ok((status, headers)) if status.is_success() => {
-            reply::relayed(status, &headers, body(flow))
+        Ok(first) if first.status.is_success() => {
+            reply::relayed(first.status, &first.headers, body(flow), &first.target)
         }
-        Ok((status, headers)) => pass_failure(flow, status, &headers).await,
+        Ok(first) => pass_failure(flow, &first).await,
         Err(next) => reply::after(next, &flow.run.asked.id, flow.run.left()),
     }
 }
 
 /// Passes the failure of an engine on.
-async fn pass_failure(mut flow: Flow, status: StatusCode, headers: &HeaderMap) -> Reply {
+async fn pass_failure(mut flow: Flow, first: &First) -> Reply {
     let left = flow.run.left();
     let Some(mut opened) = flow.take_opened() else {
         return reply::after(Next::Failed, &flow.run.asked.id, left);
     };
     match read_whole(&mut opened.body, left).await {
-        Ok(body) => reply::relayed(status, headers, reply::whole(body)),
+        Ok(body) => reply::relayed(
+            first.status,
+            &first.headers,
+            reply::whole(body),
+            &first.target,
+        ),
         Err(_) => reply::after(Next::Failed, &flow.run.asked.id, left),
     }
 }
