relay: two instances watch the store for all, and tell the others what is new

Cause: each change of a target was told to each of seven watches, and waiting watches cost calls; at 71 instances a call is five times as dear. Ruled out: longer waits, which let a silent watch be found too late for a leaving target.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,19 +5,21 @@
 
 mod access;
 mod board;
+mod change_log;
 mod config;
 mod ended;
 mod entry;
 mod event;
 mod head;
 mod left;
+mod news;
 mod patience;
 mod place;
 mod settings;
-mod snapshot;
 mod table;
 mod target;
 mod targets;
+mod watchers;
 
 pub use access::Denied;
 pub use board::{Adoption, Board, Placement, Placements, Taken};
@@ -27,10 +29,11 @@
 pub use event::{Event, Events};
 pub use head::{CallerHead, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use left::Clock;
+pub use news::News;
 pub use patience::Patience;
 pub use place::{Pick, Want};
 pub use settings::{Bounds, Listen, Seed, Settings, StoreSettings};
-pub use snapshot::Snapshot;
 pub use table::Table;
 pub use target::Target;
 pub use targets::{Change, Dead, PlacementKey, Targets};
+pub use watchers::{Watchers, Word};
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -10,7 +10,9 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
-use crate::{Adoption, Board, Placement, Placements, Taken, Target, TargetEntry};
+use crate::{
+    change_log::ChangeLog, Adoption, Board, News, Placement, Placements, Taken, Target, TargetEntry,
+};
 
 slotmap::new_key_type! {
     /// A stream of this instance among those that it tells the others of.
@@ -49,6 +51,16 @@
     Gone(TargetName),
 }
 
+impl Change {
+    /// Returns the name of the target.
+    pub const fn name(&self) -> &TargetName {
+        match self {
+            Self::Is(entry) => &entry.name,
+            Self::Gone(name) => name,
+        }
+    }
+}
+
 /// All targets that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -63,6 +75,8 @@
     adopted: Vec<(Adoption, Instant)>,
     /// Until when entries that are missing may come back.
     grace: Option<Instant>,
+    /// The changes since a revision of the store, in order.
+    log: ChangeLog,
     /// The part of a stagger by which this instance is later than others.
     pub lateness: f64,
 }
@@ -100,6 +114,48 @@
         }
     }
 
+    /// Notes that a target changed at a revision of the store.
+    pub fn note_change(&mut self, revision: u64, name: &TargetName) {
+        self.log.push(revision, name);
+    }
+
+    /// Notes that the whole list of a revision was taken in.
+    pub fn note_list(&mut self, revision: u64) {
+        self.log.restart(revision);
+    }
+
+    /// Returns what changed after a revision up to another one, or all when that is not known.
+    pub fn news(&self, since: u64, revision: u64) -> News {
+        let names = self.log.since(since);
+        let is_whole = names.is_none();
+        let names = names.unwrap_or_else(|| self.names.keys().collect());
+        let (there, gone): (Vec<&TargetName>, Vec<&TargetName>) = names
+            .into_iter()
+            .partition(|name| self.names.contains_key(*name));
+        let target = |name: &&TargetName| self.arena.get(*self.names.get(*name)?);
+        let there: Vec<&Target> = there.iter().filter_map(target).collect();
+        let missing = self.arena.values().filter(|target| target.is_missing);
+        News {
+            config: None,
+            revision,
+            is_whole,
+            targets: there.iter().map(|target| target.entry.clone()).collect(),
+            gone: gone.into_iter().cloned().collect(),
+            missing: missing.map(|target| target.entry.name.clone()).collect(),
+        }
+    }
+
+    /// Takes in which targets another instance misses after an outage.
+    pub fn miss_all(&mut self, names: &[TargetName], now: Instant) {
+        if names.is_empty() {
+            return;
+        }
+        if self.grace.is_none() {
+            self.await_entries(now);
+        }
+        names.iter().for_each(|name| self.miss(name));
+    }
+
     /// Takes in that the store is back after a time in which entries may have lapsed.
     ///
     /// The failure: the store was away for longer than entries live without a heartbeat. It comes
--- /dev/null
+++ b/crates/relay/src/watchers.rs
@@ -0,0 +1,82 @@
+//! Who watches the store for all.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How long ago a watcher's last answer of the store may be for others to rely on it.
+///
+/// A watch that waits without a change answers after 0.8 s. With the time between two words, 0.3 s,
+/// and one call, an instance whose watchers are all cut off knows of a change within 1.6 s; new
+/// versions and leaving targets must be obeyed within 2 s.
+const RELIED: Duration = Duration::from_millis(1_100);
+
+/// What an instance that watches the store says to the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// The run of the instance.
+    pub origin: u64,
+    /// The store's revision up to which it knows the targets.
+    pub revision: u64,
+    /// The version of the configuration that it knows.
+    pub config: u64,
+    /// The time since the store's last answer to it, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What instances that watch the store have said.
+///
+/// The load it answers: each change of a target is told to each watch, and each watch costs calls
+/// while nothing changes. Two instances watch for all, in different data centres; the others ask
+/// them for what is new. Whoever hears of no sound watcher watches for itself, so nothing depends on
+/// who was chosen.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::{Watchers, Word};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut watchers = Watchers::default();
+/// assert!(watchers.must_watch(false, now));
+/// watchers.hear(Word { origin: 1, revision: 7, config: 2, age_ms: 300 }, now);
+/// assert!(!watchers.must_watch(false, now));
+/// assert_eq!(watchers.ahead(6, 2, now), Some(1));
+/// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Watchers {
+    words: HashMap<u64, (Word, Instant)>,
+}
+
+impl Watchers {
+    /// Takes in the word of another instance.
+    pub fn hear(&mut self, word: Word, now: Instant) {
+        self.words.insert(word.origin, (word, now));
+        self.words.retain(|_, word| is_relied_on(word, now));
+    }
+
+    /// Returns whether this instance watches the store: it was chosen, or it hears of no other one
+    /// that does.
+    pub fn must_watch(&self, is_chosen: bool, now: Instant) -> bool {
+        is_chosen || !self.words.values().any(|word| is_relied_on(word, now))
+    }
+
+    /// Returns an instance that knows more than this revision or this configuration.
+    pub fn ahead(&self, revision: u64, config: u64, now: Instant) -> Option<u64> {
+        let relied = self.words.values().filter(|word| is_relied_on(word, now));
+        let ahead = relied.filter(|(word, _)| word.revision > revision || word.config > config);
+        ahead
+            .max_by_key(|(word, _)| (word.config, word.revision))
+            .map(|(word, _)| word.origin)
+    }
+}
+
+fn is_relied_on((word, heard): &(Word, Instant), now: Instant) -> bool {
+    let age = Duration::from_millis(u64::from(word.age_ms));
+    now.saturating_duration_since(*heard) + age < RELIED
+}
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerypond_relay::{Board, Change, Config, Placement, Placements, Snapshot};
+use celerypond_relay::{Board, Change, Config, News, Placement, Placements, Watchers, Word};
 use tokio::time::Instant;
 
 use crate::fixture::{engine, key, three_data_centres, TOKENS};
@@ -95,21 +95,76 @@
     assert!(targets.placements(1, 1, now).streams.is_empty());
 }
 
+/// Another instance knows the targets up to a revision. It gets what changed since, or all when that
+/// is not known any more.
 #[test]
-fn a_snapshot_is_read_as_it_was_written() {
-    let snapshot = Snapshot {
-        config: Config {
-            version: 4,
-            ..Config::default()
-        },
-        targets: vec![engine("east", 0, 1)],
-        revision: 9,
-        versions: Vec::new(),
+fn news_are_what_changed_since() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    assert!(targets.news(0, 3).is_whole);
+    targets.note_list(3);
+    let gone = engine("west", 0, 1).name;
+    targets.note_change(4, &gone);
+    targets.apply(&Change::Gone(gone.clone()), now);
+    let new = engine("mid", 7, 1);
+    targets.note_change(6, &new.name);
+    targets.apply(&Change::Is(new.clone()), now);
+    let news = targets.news(3, 6);
+    assert!(!news.is_whole);
+    assert_eq!((news.targets, news.gone), (vec![new], vec![gone]));
+    let later = targets.news(4, 6);
+    assert!(later.gone.is_empty());
+    assert!(targets.news(2, 6).is_whole);
+}
+
+#[test]
+fn news_are_read_as_they_were_written() {
+    let targets = three_data_centres(1);
+    let news = News {
+        config: Some(Config::default()),
+        ..targets.news(0, 9)
     };
-    let read = Snapshot::decode(&snapshot.encode()).unwrap();
-    assert_eq!(read.config, snapshot.config);
-    assert_eq!(read.targets, snapshot.targets);
-    assert!(Snapshot::decode(b"{").is_err());
+    assert_eq!(News::decode(&news.encode()).unwrap(), news);
+    assert!(News::decode(b"{").is_err());
+}
+
+/// A watcher of the store falls silent, or has no answer of the store any more. The others must find
+/// out, and watch for themselves, before two seconds are over.
+#[test]
+fn a_watcher_that_hears_nothing_is_not_relied_on() {
+    let now = Instant::now();
+    let mut watchers = Watchers::default();
+    let word = |age_ms| Word {
+        origin: 1,
+        revision: 5,
+        config: 2,
+        age_ms,
+    };
+    watchers.hear(word(850), now);
+    assert!(!watchers.must_watch(false, now));
+    assert!(watchers.must_watch(true, now));
+    assert!(watchers.must_watch(false, now + Duration::from_millis(300)));
+    watchers.hear(word(1_200), now);
+    assert!(watchers.must_watch(false, now));
+    assert_eq!(watchers.ahead(0, 0, now), None);
+}
+
+#[test]
+fn only_whoever_knows_more_is_asked() {
+    let now = Instant::now();
+    let mut watchers = Watchers::default();
+    for (origin, revision, config) in [(1, 5, 2), (2, 7, 2), (3, 4, 1)] {
+        let word = Word {
+            origin,
+            revision,
+            config,
+            age_ms: 10,
+        };
+        watchers.hear(word, now);
+    }
+    assert_eq!(watchers.ahead(4, 2, now), Some(2));
+    assert_eq!(watchers.ahead(7, 1, now), Some(2));
+    assert_eq!(watchers.ahead(7, 2, now), None);
 }
 
 /// The store was away for long and comes back with an empty list, as all entries have lapsed. The
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -1,4 +1,5 @@
-//! Tells other instances where the streams of this one run, and hears of theirs.
+//! Tells other instances where the streams of this one run and what is new in the store, and hears
+//! of theirs.
 
 use std::{
     net::SocketAddr,
@@ -7,10 +8,11 @@
 };
 
 use celerypond_fleet::MemberState;
-use celerypond_relay::Placements;
+use celerypond_relay::{Placements, Word};
+use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::site::Site;
+use super::{members, site::Site};
 
 /// The longest time between two lists; a lost one is made good by then.
 const REPEAT: Duration = Duration::from_secs(1);
@@ -20,6 +22,18 @@
 /// The largest datagram that is read.
 const DATAGRAM: usize = 16 << 10;
 
+/// The time between two words of an instance that watches the store.
+const WORD: Duration = Duration::from_millis(300);
+
+/// What instances tell each other by datagram; what is lost is told again.
+#[derive(Serialize, Deserialize)]
+enum Datagram {
+    /// Where streams run.
+    Streams(Placements),
+    /// What is known of the store.
+    Word(Word),
+}
+
 /// Returns where instances send their lists.
 pub(super) fn address(site: &Site) -> SocketAddr {
     let settings = site.settings.load();
@@ -30,6 +44,7 @@
 pub(super) async fn run(site: Arc<Site>, socket: UdpSocket) {
     let mut buffer = vec![0; DATAGRAM];
     let mut repeat = tokio::time::interval(REPEAT);
+    let mut word = tokio::time::interval(WORD);
     loop {
         tokio::select! {
             () = site.ending.cancelled() => return,
@@ -42,6 +57,11 @@
                 tokio::time::sleep(GATHER).await;
                 tell(&site, &socket).await;
             }
+            () = site.told.notified() => say(&site, &socket).await,
+            _ = word.tick() => {
+                members::choose_watchers(&site);
+                say(&site, &socket).await;
+            }
             _ = repeat.tick() => {
                 site.targets().sweep(Instant::now());
                 tell(&site, &socket).await;
@@ -50,26 +70,49 @@
     }
 }
 
-fn hear(site: &Site, bytes: &[u8]) {
-    match bincode::deserialize::<Placements>(bytes) {
-        Ok(list) => site.targets().hear(list, Instant::now()),
-        Err(error) => log::warn!(error:% = error; "a list of streams cannot be read"),
+fn hear(site: &Arc<Site>, bytes: &[u8]) {
+    match bincode::deserialize(bytes) {
+        Ok(Datagram::Streams(list)) => site.targets().hear(list, Instant::now()),
+        Ok(Datagram::Word(word)) => {
+            site.watchers().hear(word, Instant::now());
+            members::follow(site);
+        }
+        Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
 }
 
-/// A list that cannot be sent is left out: the next one says the same and more.
 async fn tell(site: &Site, socket: &UdpSocket) {
     let sequence = site.sequence.fetch_add(1, Relaxed) + 1;
     let (origin, peers) = peers(site);
     let list = site.targets().placements(origin, sequence, Instant::now());
-    match bincode::serialize(&list) {
+    send(socket, &peers, &Datagram::Streams(list)).await;
+}
+
+/// Says what is known of the store, if this instance watches it.
+async fn say(site: &Site, socket: &UdpSocket) {
+    let Some(age) = site.store_age(Instant::now()) else {
+        return;
+    };
+    let (origin, peers) = peers(site);
+    let word = Word {
+        origin,
+        revision: site.revision(),
+        config: site.table.load().config().version,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    };
+    send(socket, &peers, &Datagram::Word(word)).await;
+}
+
+/// What cannot be sent is left out: the next datagram says the same and more.
+async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
+    match bincode::serialize(datagram) {
         Ok(bytes) if bytes.len() <= DATAGRAM => {
             for peer in peers {
                 let _ = socket.send_to(&bytes, peer).await;
             }
         }
-        Ok(_) => log::warn!(streams = list.streams.len(); "the list of streams is too long"),
-        Err(error) => log::error!(error:% = error; "the list of streams cannot be written"),
+        Ok(bytes) => log::warn!(len = bytes.len(); "a datagram is too long"),
+        Err(error) => log::error!(error:% = error; "a datagram cannot be written"),
     }
 }
 
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use celerypond_fleet::{Gossip, MemberState};
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::{Config, Settings, Snapshot, Table, TargetEntry, Targets};
+use celerypond_relay::{Change, Config, News, Settings, Table, TargetEntry, Targets, Watchers};
 use celerypond_route::RetryBudget;
 use celerypond_telemetry::{Counter, Gauge, Histograms, Metrics};
 use celerypond_types::{DataCentre, TargetKey};
@@ -26,7 +26,7 @@
 use crate::peers::Peers;
 
 /// How long a call of the store may take; an answer takes milliseconds when it is sound.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a connection to the store may take.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
 /// The share of the store's rates that one instance may use. A few instances may burst at once, and
@@ -79,6 +79,20 @@
     has_targets: AtomicBool,
     store_lost: AtomicBool,
     revision: Mutex<u64>,
+    /// The revision of the store that was known when the configuration came.
+    config_revision: AtomicU64,
+    /// When the store last answered about the configuration; nothing while it is not watched.
+    pub(super) config_answer: Mutex<Option<Instant>>,
+    /// When the store last answered about targets; nothing while they are not watched.
+    pub(super) targets_answer: Mutex<Option<Instant>>,
+    /// What instances that watch the store have said.
+    watchers: Mutex<Watchers>,
+    /// Whether this instance was chosen to watch the store for all.
+    pub(super) is_watcher: AtomicBool,
+    /// Tells that others have to be told of something new in the store.
+    pub(super) told: Notify,
+    /// Whether a peer is being asked for news.
+    pub(super) is_asking: AtomicBool,
 }
 
 impl Site {
@@ -120,6 +134,13 @@
             has_targets: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
             revision: Mutex::default(),
+            config_revision: AtomicU64::new(0),
+            config_answer: Mutex::default(),
+            targets_answer: Mutex::default(),
+            watchers: Mutex::default(),
+            is_watcher: AtomicBool::new(false),
+            told: Notify::new(),
+            is_asking: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
         }
     }
@@ -128,6 +149,17 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn watchers(&self) -> MutexGuard<'_, Watchers> {
+        self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this instance has to watch the store itself.
+    pub(super) fn must_watch(&self) -> bool {
+        let is_chosen = self.is_watcher.load(Relaxed);
+        let knows_all = self.has_config() && self.has_targets();
+        !knows_all || self.watchers().must_watch(is_chosen, Instant::now())
+    }
+
     /// Returns where a target listens; nothing when it is gone.
     pub(super) fn address_of(&self, key: TargetKey) -> Option<SocketAddr> {
         let targets = self.targets();
@@ -159,7 +191,7 @@
 
     /// Returns the store's revision up to which the targets are known.
     pub(super) fn revision(&self) -> u64 {
-        *self.revision.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.known_revision()
     }
 
     /// Returns whether the store does not tell of targets at present.
@@ -193,6 +225,8 @@
         let version = config.version;
         self.table.store(Arc::new(Table::new(config)));
         self.has_config.store(true, Relaxed);
+        self.config_revision.store(self.revision(), Relaxed);
+        self.told.notify_one();
         self.gossip().raise(celerypond_types::Revision(version));
         log::info!(version, before = known, source; "configuration in force");
         self.changed.notify_waiters();
@@ -200,7 +234,7 @@
 
     /// Takes in a whole list of targets of the store's revision, unless a later one is known.
     pub(super) fn list_targets(&self, entries: Vec<TargetEntry>, revision: u64, source: &str) {
-        let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = self.known_revision();
         let is_old = match source {
             PEER => revision <= *known,
             _ => revision < *known,
@@ -209,56 +243,95 @@
             return;
         }
         *known = revision;
-        drop(known);
         let now = Instant::now();
         let mut targets = self.targets();
         if self.is_store_lost() && source == STORE {
             targets.await_entries(now);
         }
         let changes = targets.replace(entries, now);
+        targets.note_list(revision);
         drop(targets);
+        drop(known);
         for change in &changes {
             log::info!(revision, source, change:? = change; "target changed");
         }
         self.has_targets.store(true, Relaxed);
+        self.told.notify_one();
         self.changed.notify_waiters();
     }
 
-    /// Takes in one change of the targets at the store's revision.
-    pub(super) fn change_target(&self, change: &celerypond_relay::Change, revision: u64) {
-        let mut known = self.revision.lock().unwrap_or_else(PoisonError::into_inner);
-        *known = revision.max(*known);
-        drop(known);
+    /// Takes in what a watch saw up to a revision of the store, unless a later one is known.
+    pub(super) fn change_targets(&self, changes: &[(u64, Change)], revision: u64, source: &str) {
+        let mut known = self.known_revision();
+        if revision <= *known {
+            return;
+        }
+        *known = revision;
         let now = Instant::now();
         let mut targets = self.targets();
-        if self.is_store_lost() {
+        if self.is_store_lost() && source == STORE {
             targets.await_entries(now);
         }
-        let is_new = targets.apply(change, now);
+        for (at, change) in changes {
+            targets.note_change(*at, change.name());
+            if targets.apply(change, now) {
+                log::info!(revision = *at, source, change:? = change; "target changed");
+            }
+        }
         drop(targets);
-        if is_new {
-            log::info!(revision, source = STORE, change:? = change; "target changed");
-            self.changed.notify_waiters();
+        drop(known);
+        self.told.notify_one();
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in the news of another instance.
+    pub(super) fn take_news(&self, news: News) {
+        if let Some(config) = news.config {
+            self.apply(config, PEER);
+        }
+        if news.is_whole {
+            self.list_targets(news.targets, news.revision, PEER);
+        } else {
+            let there = news.targets.into_iter().map(Change::Is);
+            let gone = news.gone.into_iter().map(Change::Gone);
+            let changes: Vec<(u64, Change)> = there
+                .chain(gone)
+                .map(|change| (news.revision, change))
+                .collect();
+            self.change_targets(&changes, news.revision, PEER);
         }
+        self.targets().miss_all(&news.missing, Instant::now());
     }
 
-    /// Renders counters, levels and latencies as text.
-    pub(super) fn render_metrics(&self) -> String {
-        let version = self.table.load().config().version;
-        let members = self.gossip().roster().of_state(MemberState::Live).count() as u64;
-        let levels = [
-            (Gauge::ConfigVersion, version),
-            (Gauge::RoutedTargets, self.targets().len() as u64),
-            (Gauge::OpenRequests, self.open.load(Relaxed)),
-            (Gauge::Connections, self.served.len() as u64),
-            (Gauge::LiveInstances, members + 1),
-        ];
-        for (gauge, level) in levels {
-            self.metrics.set(gauge, level);
+    /// Returns what another instance that knows the targets up to a revision has to be told.
+    pub(super) fn news(&self, since: u64) -> Option<News> {
+        if !self.has_config() || !self.has_targets() {
+            return None;
         }
-        let mut text = self.metrics.render();
-        text.push_str(&self.latencies.render(METRICS_PREFIX));
-        text
+        let known = self.known_revision();
+        let mut news = self.targets().news(since, *known);
+        drop(known);
+        if news.is_whole || self.config_revision.load(Relaxed) >= since {
+            news.config = Some(self.table.load().config().clone());
+        }
+        Some(news)
+    }
+
+    /// Returns how long ago the store last answered this instance, if it watches the store.
+    pub(super) fn store_age(&self, now: Instant) -> Option<Duration> {
+        let answered = |at: &Mutex<Option<Instant>>| {
+            let at = *at.lock().unwrap_or_else(PoisonError::into_inner);
+            at.map(|at| now.saturating_duration_since(at))
+        };
+        let (config, targets) = (
+            answered(&self.config_answer),
+            answered(&self.targets_answer),
+        );
+        Some(config?.max(targets?))
+    }
+
+    fn known_revision(&self) -> MutexGuard<'_, u64> {
+        self.revision.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits until configuration and targets are known, or until `until`.
@@ -279,20 +352,23 @@
         }
     }
 
-    /// Returns what a starting peer needs while the store is away.
-    pub(super) fn snapshot(&self) -> Option<Snapshot> {
-        if !self.has_config() || !self.has_targets() {
-            return None;
+    /// Renders counters, levels and latencies as text.
+    pub(super) fn render_metrics(&self) -> String {
+        let version = self.table.load().config().version;
+        let members = self.gossip().roster().of_state(MemberState::Live).count() as u64;
+        let levels = [
+            (Gauge::ConfigVersion, version),
+            (Gauge::RoutedTargets, self.targets().len() as u64),
+            (Gauge::OpenRequests, self.open.load(Relaxed)),
+            (Gauge::Connections, self.served.len() as u64),
+            (Gauge::LiveInstances, members + 1),
+        ];
+        for (gauge, level) in levels {
+            self.metrics.set(gauge, level);
         }
-        let revision = self.revision();
-        let targets = self.targets();
-        let entries = targets.iter().map(|(_, target)| target.entry.clone());
-        Some(Snapshot {
-            config: self.table.load().config().clone(),
-            targets: entries.collect(),
-            revision,
-            versions: Vec::new(),
-        })
+        let mut text = self.metrics.render();
+        text.push_str(&self.latencies.render(METRICS_PREFIX));
+        text
     }
 }
 
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -1,6 +1,9 @@
 //! What the store tells: the configuration and the targets.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use celerypond_adapter::{config, store, target};
 use celerypond_platform::{Changes, Listing, PlatformError, Version};
@@ -8,6 +11,7 @@
 use celerypond_types::TargetName;
 use error_stack::Report;
 use rand::Rng as _;
+use tokio::time::{sleep, Instant};
 
 use super::site::{Site, STORE};
 
@@ -15,7 +19,9 @@
 ///
 /// A watch may go silent without a sign, and only its end shows that it lives. A drain must be
 /// obeyed within two seconds, so a silent watch has to be found out before.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(800);
+/// The time between two looks whether this instance has to watch the store.
+const LOOK: Duration = Duration::from_millis(100);
 /// The shortest rest after a failed call; drawn up to three times as long, so that instances whose
 /// calls failed together do not come back together.
 const REST: Duration = Duration::from_millis(100);
@@ -28,6 +34,8 @@
     change: fn(&Site, Changes),
     /// Takes in that the store was lost or regained.
     lost: fn(&Site, bool),
+    /// When the store last answered.
+    answer: fn(&Site) -> &Mutex<Option<Instant>>,
 }
 
 /// Watches the configuration until the instance ends.
@@ -47,6 +55,7 @@
             }
         },
         lost: |_, _| {},
+        answer: |site| &site.config_answer,
     };
     run(&site, kind).await;
 }
@@ -61,14 +70,16 @@
             site.list_targets(entries.collect(), listing.revision.0, STORE);
         },
         change: |site, changes| {
-            for change in changes.changes {
-                let revision = change.version.0;
+            let revision = changes.revision.0;
+            let seen = changes.changes.into_iter().map(|change| {
                 let told = change.value.and_then(|value| entry(&change.key, &value));
                 let told = told.map_or_else(|| Change::Gone(name(&change.key)), Change::Is);
-                site.change_target(&told, revision);
-            }
+                (change.version.0, told)
+            });
+            site.change_targets(&seen.collect::<Vec<_>>(), revision, STORE);
         },
         lost: Site::set_store_lost,
+        answer: |site| &site.targets_answer,
     };
     run(&site, kind).await;
 }
@@ -77,6 +88,14 @@
     let mut since = None;
     let mut is_lost = false;
     while !site.ending.is_cancelled() {
+        if !site.must_watch() {
+            // Others tell what is new; what they know is newer than what was seen here.
+            set(kind, site, None);
+            is_lost = false;
+            (kind.lost)(site, false);
+            sleep(LOOK).await;
+            continue;
+        }
         let step = tokio::select! {
             () = site.ending.cancelled() => return,
             step = step(site, kind, since) => step,
@@ -84,6 +103,7 @@
         match step {
             Ok(revision) => {
                 since = Some(revision);
+                set(kind, site, Some(Instant::now()));
                 if std::mem::take(&mut is_lost) {
                     (kind.lost)(site, false);
                     log::info!(kind = kind.prefix, revision = revision.0; "store regained");
@@ -91,11 +111,17 @@
             }
             Err(report) => {
                 let error = *report.current_context();
+                // The store answers; only its history is too short, and a list makes that good.
+                if error == PlatformError::Compacted {
+                    log::info!(kind = kind.prefix; "history of a watch gone");
+                    since = None;
+                    continue;
+                }
                 if !std::mem::replace(&mut is_lost, true) {
                     (kind.lost)(site, true);
                     log::warn!(kind = kind.prefix, error:% = error; "store lost");
                 }
-                if matches!(error, PlatformError::Compacted | PlatformError::Malformed) {
+                if error == PlatformError::Malformed {
                     since = None;
                 }
                 rest(site, error).await;
@@ -104,6 +130,11 @@
     }
 }
 
+fn set(kind: Kind, site: &Site, answer: Option<Instant>) {
+    let held = (kind.answer)(site);
+    *held.lock().unwrap_or_else(PoisonError::into_inner) = answer;
+}
+
 async fn step(
     site: &Site,
     kind: Kind,
@@ -123,7 +154,6 @@
 
 async fn rest(site: &Site, error: PlatformError) {
     let least = match error {
-        PlatformError::Compacted => return,
         PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
             retry_after.min(Duration::from_secs(1))
         }
@@ -132,7 +162,7 @@
     let drawn = rand::rng().random_range(REST..=REST * 3);
     tokio::select! {
         () = site.ending.cancelled() => {}
-        () = tokio::time::sleep(least + drawn) => {}
+        () = sleep(least + drawn) => {}
     }
 }
 
