relay: targets that do worse than their peers get requests last; callers hear before they give up

Cause: a target that failed half of its requests with good health got a third of all reservations, and a caller with a second to wait heard nothing before its time was over. Instances tell each other what came of requests; a target is compared with its peers, so faults of the requests blame nobody.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::Tally;
+
 /// How long an instance's list holds without a new one. Lists are sent again each second, so three
 /// of them were lost, or the instance is gone and its streams with it.
 const LIST_TTL: Duration = Duration::from_millis(3_500);
@@ -28,7 +30,7 @@
 }
 
 /// All streams of one instance, as it tells the others.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placements {
     /// The run of the instance.
     pub origin: u64,
@@ -40,6 +42,8 @@
     pub dead: Vec<u64>,
     /// Engines that were found again under another name.
     pub adopted: Vec<Adoption>,
+    /// What came of requests at targets lately.
+    pub tallies: Vec<(u64, Tally)>,
 }
 
 /// An engine that was found again under another name.
--- a/crates/relay/src/left.rs
+++ b/crates/relay/src/left.rs
@@ -4,6 +4,12 @@
 
 use tokio::time::Instant;
 
+/// How long before a caller gives up it is answered at the latest. The way there takes about a
+/// millisecond; the rest is for an instance that is held up for a moment.
+const MARGIN: Duration = Duration::from_millis(40);
+/// The part of a caller's time that the margin takes at most.
+const MARGIN_SHARE: u32 = 20;
+
 /// When a request came and by when it must be answered.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -16,7 +22,10 @@
 impl Clock {
     /// Makes the clock of a request that was read at `start`.
     pub fn new(start: Instant, deadline: Option<Duration>, timeout: Duration) -> Self {
-        let limit = deadline.map_or(timeout, |deadline| deadline.min(timeout));
+        // A caller that hears nothing before its own time is over cannot tell a failure from a lost
+        // response, so it hears of the failure just before.
+        let heard = |deadline: Duration| deadline - MARGIN.min(deadline / MARGIN_SHARE);
+        let limit = deadline.map_or(timeout, |deadline| heard(deadline).min(timeout));
         Self {
             start,
             end: start + limit,
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -104,6 +104,8 @@
     taken: HashMap<u64, Taken>,
     /// The hash of the target that has read the request's own prompt part.
     holder: Option<u64>,
+    /// Targets that do much worse than their peers; for requests in one piece only.
+    worse: Vec<u64>,
     /// Data centres where many of the service's targets are avoided.
     sick: Vec<&'a DataCentre>,
     now: Instant,
@@ -115,9 +117,14 @@
             Some(_) => targets.taken(now),
             None => HashMap::new(),
         };
+        let worse = match want.affinity {
+            Some(_) => Vec::new(),
+            None => worse(targets, want, now),
+        };
         Self {
             want,
             taken,
+            worse,
             holder: want.affinity.and_then(|part| targets.holder(part, now)),
             sick: sick(targets, want, now),
             now,
@@ -168,12 +175,23 @@
         let is_far = |target: &Target| target.entry.data_centre != *self.want.near;
         let lot =
             |target: &Target| celerypond_route::hash(&(self.want.lot ^ target.hash).to_le_bytes());
-        left.total_cmp(&right)
+        let is_worse = |target: &Target| self.worse.contains(&target.hash);
+        is_worse(a)
+            .cmp(&is_worse(b))
+            .then(left.total_cmp(&right))
             .then(is_far(a).cmp(&is_far(b)))
             .then_with(|| lot(a).cmp(&lot(b)))
     }
 }
 
+fn worse(targets: &Targets, want: &Want<'_>, now: Instant) -> Vec<u64> {
+    let of_service = targets
+        .iter()
+        .filter(|(key, target)| target.entry.service == *want.service && targets.is_usable(*key));
+    let hashes: Vec<u64> = of_service.map(|(_, target)| target.hash).collect();
+    targets.quality().sick(&hashes, now)
+}
+
 /// Returns the data centres where at least a third of the service's targets are avoided.
 ///
 /// The failure: nearly all engines of a data centre die at once, and each is found out by a stream
--- /dev/null
+++ b/crates/relay/src/quality.rs
@@ -0,0 +1,174 @@
+//! How well targets do, against their peers.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// The time after which a result counts half.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// So many failures, at least, make a target sick; fewer are chance.
+const LEAST_FAILURES: f64 = 3.0;
+/// So many results, at least, make a target slow.
+const LEAST_RESULTS: f64 = 6.0;
+/// A target is sick when it fails so many times as often as its peers.
+const WORSE: f64 = 2.5;
+/// The failure rate below which nobody is blamed, as peers may have none at all.
+const RATE_FLOOR: f64 = 0.05;
+/// A target is slow when it takes so many times as long as its peers.
+const SLOWER: f64 = 2.5;
+/// The mean time below which no target is slow, in milliseconds.
+const SLOW_FLOOR_MS: f64 = 20.0;
+
+/// What came of the requests at one target lately; older results count less.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Responses that were no failures.
+    pub good: f32,
+    /// Failures, among them what never came.
+    pub bad: f32,
+    /// The sum of the times of all, in milliseconds.
+    pub time_ms: f32,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+        self.time_ms += other.time_ms;
+    }
+
+    fn scaled(&self, by: f32) -> Self {
+        Self {
+            good: self.good * by,
+            bad: self.bad * by,
+            time_ms: self.time_ms * by,
+        }
+    }
+
+    fn count(&self) -> f64 {
+        f64::from(self.good + self.bad)
+    }
+
+    fn rate(&self) -> f64 {
+        f64::from(self.bad) / self.count().max(1.0)
+    }
+
+    fn mean_ms(&self) -> f64 {
+        f64::from(self.time_ms) / self.count().max(1.0)
+    }
+}
+
+/// What came of requests at all targets, as one instance saw it.
+///
+/// The load it answers: a target fails or slows down for part of its requests while its health check
+/// is good, and requests that may not be repeated are lost there. Targets are compared with the
+/// others of their service, so a fault of the requests themselves, or of all targets, blames nobody.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::Quality;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut quality = Quality::default();
+/// for n in 0..40 {
+///     quality.add(1, n % 2 == 0, Duration::from_millis(50), now);
+///     quality.add(2, true, Duration::from_millis(50), now);
+/// }
+/// assert_eq!(quality.sick(&[1, 2], now), [1]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quality {
+    own: HashMap<u64, (Tally, Instant)>,
+    /// What other instances told, by their run.
+    told: HashMap<u64, (Vec<(u64, Tally)>, Instant)>,
+}
+
+impl Quality {
+    /// Adds the result of a request at a target.
+    pub fn add(&mut self, target: u64, is_good: bool, time: Duration, now: Instant) {
+        let (tally, at) = self.own.entry(target).or_insert((Tally::default(), now));
+        *tally = tally.scaled(decay(*at, now));
+        *at = now;
+        tally.add(&Tally {
+            good: f32::from(u8::from(is_good)),
+            bad: f32::from(u8::from(!is_good)),
+            time_ms: time.as_secs_f32() * 1_000.0,
+        });
+    }
+
+    /// Returns what this instance saw lately, for the others.
+    pub fn tallies(&self, now: Instant) -> Vec<(u64, Tally)> {
+        let own = self.own.iter();
+        let own = own.map(|(target, (tally, at))| (*target, tally.scaled(decay(*at, now))));
+        own.filter(|(_, tally)| tally.count() > 0.5).collect()
+    }
+
+    /// Takes in what another instance saw.
+    pub fn hear(&mut self, origin: u64, tallies: Vec<(u64, Tally)>, now: Instant) {
+        self.told.insert(origin, (tallies, now));
+    }
+
+    /// Drops what is too old to count.
+    pub fn sweep(&mut self, now: Instant) {
+        let is_kept = |at: Instant| now.saturating_duration_since(at) < HALF_LIFE * 8;
+        self.own.retain(|_, (_, at)| is_kept(*at));
+        self.told.retain(|_, (_, at)| is_kept(*at));
+    }
+
+    /// Returns those of a service's targets that do much worse than their peers.
+    ///
+    /// Never all of them: the rest must be able to stand in.
+    pub fn sick(&self, targets: &[u64], now: Instant) -> Vec<u64> {
+        let tallies: Vec<(u64, Tally)> = targets
+            .iter()
+            .map(|target| (*target, self.of(*target, now)))
+            .collect();
+        let is_sick = |(target, tally): &(u64, Tally)| {
+            let mut peers = Tally::default();
+            let others = tallies.iter().filter(|(other, _)| other != target);
+            others.for_each(|(_, other)| peers.add(other));
+            is_failing(tally, &peers) || is_slow(tally, &peers)
+        };
+        let sick: Vec<u64> = tallies
+            .iter()
+            .filter(|one| is_sick(one))
+            .map(|(target, _)| *target)
+            .collect();
+        if sick.len() * 2 > targets.len() {
+            return Vec::new();
+        }
+        sick
+    }
+
+    fn of(&self, target: u64, now: Instant) -> Tally {
+        let mut sum = Tally::default();
+        if let Some((tally, at)) = self.own.get(&target) {
+            sum.add(&tally.scaled(decay(*at, now)));
+        }
+        for (tallies, at) in self.told.values() {
+            let told = tallies.iter().filter(|(told, _)| *told == target);
+            told.for_each(|(_, tally)| sum.add(&tally.scaled(decay(*at, now))));
+        }
+        sum
+    }
+}
+
+fn is_failing(tally: &Tally, peers: &Tally) -> bool {
+    let limit = WORSE * peers.rate().max(RATE_FLOOR);
+    f64::from(tally.bad) >= LEAST_FAILURES && tally.rate() > limit
+}
+
+fn is_slow(tally: &Tally, peers: &Tally) -> bool {
+    let is_known = tally.count() >= LEAST_RESULTS && peers.count() >= LEAST_RESULTS;
+    is_known && tally.mean_ms() > SLOWER * peers.mean_ms().max(SLOW_FLOOR_MS)
+}
+
+fn decay(since: Instant, now: Instant) -> f32 {
+    let age = now.saturating_duration_since(since).as_secs_f32();
+    0.5_f32.powf(age / HALF_LIFE.as_secs_f32())
+}
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    change_log::ChangeLog, Adoption, Board, News, Placement, Placements, Taken, Target, TargetEntry,
+    change_log::ChangeLog, Adoption, Board, News, Placement, Placements, Quality, Taken, Target,
+    TargetEntry,
 };
 
 slotmap::new_key_type! {
@@ -71,6 +72,7 @@
     /// Streams of this instance.
     streams: SlotMap<PlacementKey, Placement>,
     board: Board,
+    quality: Quality,
     /// Engines that were found again, and when.
     adopted: Vec<(Adoption, Instant)>,
     /// Until when entries that are missing may come back.
@@ -290,6 +292,7 @@
             streams: self.streams.values().copied().collect(),
             dead: self.dead(now).collect(),
             adopted: self.adopted.iter().map(|(told, _)| told.clone()).collect(),
+            tallies: self.quality.tallies(now),
         }
     }
 
@@ -353,7 +356,9 @@
     }
 
     /// Takes in the list of another instance.
-    pub fn hear(&mut self, list: Placements, now: Instant) {
+    pub fn hear(&mut self, mut list: Placements, now: Instant) {
+        let tallies = std::mem::take(&mut list.tallies);
+        self.quality.hear(list.origin, tallies, now);
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
@@ -403,10 +408,22 @@
     /// Drops the lists of instances that have been silent for long.
     pub fn sweep(&mut self, now: Instant) {
         self.board.sweep(now);
+        self.quality.sweep(now);
         let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
         self.adopted.retain(|(_, at)| is_news(*at));
     }
 
+    /// Takes in the result of a request in one piece at a target.
+    pub fn note_result(&mut self, key: TargetKey, is_good: bool, time: Duration, now: Instant) {
+        if let Some(target) = self.arena.get(key) {
+            self.quality.add(target.hash, is_good, time, now);
+        }
+    }
+
+    pub(crate) const fn quality(&self) -> &Quality {
+        &self.quality
+    }
+
     pub(crate) fn holder(&self, part: u64, now: Instant) -> Option<u64> {
         self.board.holder(part, now)
     }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -7,3 +7,4 @@
 mod test_events;
 mod test_lists;
 mod test_placement;
+mod test_quality;
--- /dev/null
+++ b/crates/relay/tests/test_quality.rs
@@ -0,0 +1,101 @@
+//! Targets that do worse than their peers.
+
+use std::time::Duration;
+
+use celerypond_relay::{Clock, Quality};
+use tokio::time::Instant;
+
+use crate::fixture::{key, three_data_centres, Wanted};
+
+const TIME: Duration = Duration::from_millis(50);
+
+/// One of three targets fails half of its requests with good health. Reservations that may not be
+/// repeated are lost there; they go to the others until it does well again.
+#[test]
+fn a_target_that_fails_gets_requests_last() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let east = key(&targets, "east-0-1");
+    for n in 0..24 {
+        for name in ["east-0-1", "mid-0-1", "west-0-1"] {
+            let at = key(&targets, name);
+            let is_good = name != "east-0-1" || n % 2 == 0;
+            targets.note_result(at, is_good, TIME, now);
+        }
+    }
+    let wanted = Wanted::new();
+    let pick = |now| targets.pick(&wanted.request(&[]), now).unwrap().key;
+    assert_ne!(pick(now), east);
+    // With nothing new known it is tried again; it is the nearest.
+    assert_eq!(pick(now + Duration::from_secs(10)), east);
+}
+
+/// Each instance sees few requests. Together they have seen enough.
+#[test]
+fn instances_find_a_failing_target_together() {
+    let now = Instant::now();
+    let mut all = Quality::default();
+    for origin in 0..7 {
+        let mut one = Quality::default();
+        for n in 0..4 {
+            one.add(1, n != 0, TIME, now);
+            one.add(2, true, TIME, now);
+            one.add(3, true, TIME, now);
+        }
+        assert!(one.sick(&[1, 2, 3], now).is_empty());
+        all.hear(origin, one.tallies(now), now);
+    }
+    assert_eq!(all.sick(&[1, 2, 3], now), [1]);
+}
+
+/// A seventh of all requests fails, wherever it runs. No target is to blame.
+#[test]
+fn requests_that_fail_everywhere_blame_nobody() {
+    let now = Instant::now();
+    let mut quality = Quality::default();
+    for n in 0..140 {
+        for target in [1, 2, 3] {
+            quality.add(target, (n + target) % 7 != 0, TIME, now);
+        }
+    }
+    assert!(quality.sick(&[1, 2, 3], now).is_empty());
+}
+
+/// Most targets fail. Sending all to the one that is left would end it as well.
+#[test]
+fn most_targets_are_never_left_out() {
+    let now = Instant::now();
+    let mut quality = Quality::default();
+    for n in 0..40 {
+        quality.add(1, n % 2 == 0, TIME, now);
+        quality.add(2, n % 2 == 0, TIME, now);
+        quality.add(3, true, TIME, now);
+    }
+    assert!(quality.sick(&[1, 2, 3], now).is_empty());
+}
+
+#[test]
+fn a_target_that_takes_several_times_as_long_is_slow() {
+    let now = Instant::now();
+    let mut quality = Quality::default();
+    for _ in 0..10 {
+        quality.add(1, true, TIME * 5, now);
+        quality.add(2, true, TIME, now);
+        quality.add(3, true, TIME, now);
+    }
+    assert_eq!(quality.sick(&[1, 2, 3], now), [1]);
+}
+
+/// A target takes a reservation and never answers. The caller gives up after a second and must have
+/// heard by then that it failed.
+#[test]
+fn a_caller_is_answered_before_it_gives_up() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let clock = Clock::new(now, Some(second), Duration::from_secs(60));
+    assert_eq!(clock.left(now), Duration::from_millis(960));
+    let short = Clock::new(now, Some(second / 10), second);
+    assert_eq!(short.left(now), Duration::from_millis(95));
+    let route = Clock::new(now, Some(second * 25), second);
+    assert_eq!(route.left(now), second);
+}
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -1,6 +1,6 @@
 //! A place at a target.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use celerypond_relay::{Ended, Load, PlacementKey};
 use celerypond_telemetry::Counter;
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Takes in the result of a request in one piece.
+    pub(super) fn note_result(&self, is_good: bool, time: Duration) {
+        let mut targets = self.site.targets();
+        targets.note_result(self.key, is_good, time, Instant::now());
+    }
+
     /// Takes in that the prompt was read.
     pub(super) fn has_read(&mut self) {
         if let Some(stream) = self.stream {
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -2,6 +2,8 @@
 
 use celerypond_relay::{Ended, Next, Patience, TargetHead};
 
+use tokio::time::Instant;
+
 use super::{
     attempt::{read_whole, send},
     lease::Lease,
@@ -20,7 +22,10 @@
             return failed
                 .unwrap_or_else(|| reply::not_run(&run.asked.id, run.left(), Reason::NoTarget));
         };
-        let ended = match attempt(&run, &mut lease).await {
+        let begun = Instant::now();
+        let result = attempt(&run, &mut lease).await;
+        note(&lease, &result, begun);
+        let ended = match result {
             Ok(reply) if is_final(&run, &reply) => return reply,
             Ok(reply) => {
                 let status = reply.status().as_u16();
@@ -36,6 +41,16 @@
     }
 }
 
+/// Takes in how well the target did. What it refused says nothing of that.
+fn note(lease: &Lease, result: &Result<Reply, Ended>, begun: Instant) {
+    let is_good = match result {
+        Ok(reply) => !reply.status().is_server_error(),
+        Err(ended) if ended.proves_not_run() => return,
+        Err(_) => false,
+    };
+    lease.note_result(is_good, begun.elapsed());
+}
+
 /// A failure of an idempotent request may be the target's alone, so another one is asked.
 fn is_final(run: &Run, reply: &Reply) -> bool {
     !(run.kind().may_repeat() && reply.status().is_server_error())
