relay: engines with fewer running streams first; streams placed again one after the other

Cause: an engine with several streams and a prompt to read makes events each 130 ms, so that drafts took up to 11 s and met two crashes; streams that lost their engines at once met at one engine, as lists take a millisecond to arrive; and an engine that had got a second prompt was given up for being slow.

--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,6 +11,8 @@
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
 const CROWDED: f64 = 0.6;
 
+/// How many running streams weigh as much as half a prompt that is being read.
+const READING_WEIGHT: u64 = 2;
 /// One in so many targets of a data centre avoided make it sick.
 const SICK: usize = 3;
 /// Fewer avoided targets never make a data centre sick.
@@ -145,12 +147,13 @@
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
         let reading = target.reading + others.reading;
         let step = (self.want.tokens / 2).max(1);
+        let streams = u64::from(target.open + others.streams);
         let is_full = self.crowding(target, &others) > CROWDED;
         (
             is_full,
             self.is_sick(target),
             self.holder != Some(target.hash),
-            reading / step,
+            reading / step * READING_WEIGHT + streams,
             rank(affinity, target),
         )
     }
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -17,8 +17,8 @@
 /// The longest time between two lists; a lost one is made good by then.
 const REPEAT: Duration = Duration::from_secs(1);
 /// How long changes are gathered before a list is sent. Streams begin and end in groups when
-/// engines are lost; a millisecond is far below the time in which a prompt is read.
-const GATHER: Duration = Duration::from_millis(1);
+/// engines are lost.
+const GATHER: Duration = Duration::from_micros(200);
 /// The largest datagram that is read.
 const DATAGRAM: usize = 16 << 10;
 
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -1,6 +1,6 @@
 //! A stream on its way from engines to its caller.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, pin::pin, time::Duration};
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
@@ -9,7 +9,8 @@
 use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
-use tokio::time::Instant;
+use rand::Rng as _;
+use tokio::time::{timeout_at, Instant};
 
 use super::{
     attempt::{send, Opened},
@@ -19,6 +20,10 @@
     run::Run,
 };
 
+/// The time over which streams are placed again that lost their engines at the same moment. A list of
+/// streams takes about a millisecond and a half to the other instances.
+const SPREAD: Duration = Duration::from_millis(20);
+
 /// A stream on its way from engines to its caller.
 pub(super) struct Flow {
     pub(super) run: Run,
@@ -90,8 +95,13 @@
 
     /// Asks engines until one answers; first the one that holds a copy of the run's memory.
     async fn find(&mut self, mut copy: Option<TargetKey>) -> Result<(), Next> {
+        let mut is_again = self.passed > 0;
         loop {
             let from = copy.take();
+            if is_again && from.is_none() {
+                spread_out().await;
+            }
+            is_again = true;
             let at_copy = from.and_then(|key| self.run.place_at_copy(key));
             let from = from.filter(|_| at_copy.is_some());
             let Some(lease) = at_copy.or_else(|| self.run.place()) else {
@@ -174,15 +184,28 @@
         };
         let patience = self.patience(lease.key);
         let listening = Listening::new(&self.run.site, lease, patience, true);
-        let address = lease.address;
-        let limit = patience.first.min(left);
-        let sending = send(&self.run.site, lease, &self.run.asked, &head, limit);
-        match listening.hear(address, sending).await {
-            Heard::Said(answer) => answer,
-            Heard::Dead => Err(Ended::Dead),
+        let (address, key) = (lease.address, lease.key);
+        let sending = send(&self.run.site, lease, &self.run.asked, &head, left);
+        let mut sending = pin!(listening.hear(address, sending));
+        let begun = Instant::now();
+        loop {
+            let until = begun + self.patience(key).first.min(left);
+            match timeout_at(until, sending.as_mut()).await {
+                Ok(Heard::Said(answer)) => return answer,
+                Ok(Heard::Dead) => return Err(Ended::Dead),
+                // Further prompts may have come to the engine, before this one or with it.
+                Err(_) if self.is_over(begun, key) => return Err(Ended::Silent),
+                Err(_) => {}
+            }
         }
     }
 
+    /// Returns whether an engine has had the time that it needs for all that it reads now.
+    fn is_over(&self, begun: Instant, key: TargetKey) -> bool {
+        let now = Instant::now();
+        now >= begun + self.patience(key).first || self.run.left().is_zero()
+    }
+
     fn patience(&self, key: TargetKey) -> Patience {
         let reading = self.run.site.targets().reading(key, Instant::now());
         Patience::of_stream(reading, self.run.route.gap_aim)
@@ -201,16 +224,18 @@
     async fn read(&mut self, at: &mut Position, is_first: bool) -> Result<(), Ended> {
         use http_body_util::BodyExt as _;
         let address = at.lease.address;
-        let most = match is_first {
-            true => at.patience.first,
-            false => at.patience.gap,
-        };
-        let until = Instant::now() + most.min(self.run.left());
+        let begun = Instant::now();
         while self.ready.is_empty() && !self.is_complete {
+            let most = match is_first {
+                true => self.patience(at.lease.key).first,
+                false => at.patience.gap,
+            };
+            let until = begun + most.min(self.clock_left(begun));
             let listening = Listening::new(&self.run.site, &at.lease, at.patience, is_first);
-            let frame = tokio::time::timeout_at(until, at.opened.body.frame());
+            let frame = timeout_at(until, at.opened.body.frame());
             let frame = match listening.hear(address, frame).await {
                 Heard::Said(Ok(frame)) => frame,
+                Heard::Said(Err(_)) if is_first && !self.is_over(begun, at.lease.key) => continue,
                 Heard::Said(Err(_)) => return Err(Ended::Silent),
                 Heard::Dead => return Err(Ended::Dead),
             };
@@ -224,6 +249,10 @@
         Ok(())
     }
 
+    fn clock_left(&self, since: Instant) -> Duration {
+        self.run.clock.left(since)
+    }
+
     /// Takes in received bytes; events that the caller has are dropped.
     fn take_in(&mut self, frame: &Frame<Bytes>) -> Result<(), Ended> {
         let Some(bytes) = frame.data_ref() else {
@@ -336,6 +365,16 @@
     }
 }
 
+/// Waits for a moment that differs from stream to stream.
+///
+/// The failure: engines die, and several instances place the streams of each again within the same
+/// millisecond, before they hear of each other. Two prompts then meet at one engine, and both take
+/// seconds. The wait is short beside a prompt's reading.
+async fn spread_out() {
+    let wait = rand::rng().random_range(Duration::ZERO..SPREAD);
+    tokio::time::sleep(wait).await;
+}
+
 fn join(mut parts: Vec<Bytes>) -> Bytes {
     if parts.len() == 1 {
         return parts.remove(0);
