relay: a run whose copy is lost gets another one by order

Cause: engines of a data centre died with the copies that they held, and six seconds later those of another one, whose runs were read anew. The holder of a copy is watched; another copy is ordered when it dies, and kept up each 0.8 s.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -100,6 +100,8 @@
     pub tokens: u64,
     /// Whether a running request's memory can be copied to another engine as it grows.
     pub backups: bool,
+    /// Whether a running request's memory can be copied to another engine by order.
+    pub copies: bool,
     /// How long such a copy is kept after its last part.
     pub backup_ttl: Duration,
 }
--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -53,8 +53,18 @@
     pub last_event: Option<u64>,
     /// The engine to which the run's memory is copied as it grows.
     pub backup: Option<SocketAddr>,
-    /// The engine that holds such a copy, and the request id of the run.
-    pub resume_from: Option<SocketAddr>,
+    /// The copy from which the run goes on.
+    pub resume_from: Option<CopyName<'a>>,
+}
+
+/// The name of a copy of a run's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyName<'a> {
+    /// The engine that holds it, or the one from which it was ordered.
+    pub address: SocketAddr,
+    /// The name under which it was ordered; nothing for a copy kept since the run began, which has
+    /// the request's id.
+    pub handle: Option<&'a str>,
 }
 
 /// The running and waiting requests of a target, as it reports them.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,7 @@
 pub use ended::{Ended, Next, Situation};
 pub use entry::{Presence, TargetEntry};
 pub use event::{Event, Events};
-pub use head::{CallerHead, Load, Part, Prompt, TargetAnswer, TargetHead};
+pub use head::{CallerHead, CopyName, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use left::Clock;
 pub use news::News;
 pub use patience::Patience;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -79,6 +79,12 @@
         })
     }
 
+    /// Returns whether many targets of a target's data centre are avoided, though it may not be.
+    pub fn is_doubtful(&self, key: TargetKey, want: &Want<'_>, now: Instant) -> bool {
+        let home = self.get(key).map(|target| &target.entry.data_centre);
+        home.is_some_and(|home| sick(self, want, now).contains(&home))
+    }
+
     /// Chooses the engine that holds a copy of the memory of a run at `main`.
     ///
     /// Nearly all engines of a data centre can go at once, so the copy goes to another one.
--- a/crates/relay/tests/test_access.rs
+++ b/crates/relay/tests/test_access.rs
@@ -36,6 +36,7 @@
             slots: 8,
             tokens: 80_000,
             backups: true,
+            copies: true,
             backup_ttl: Duration::from_secs(4),
         }),
     }
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -7,6 +7,8 @@
 mod board;
 mod callers;
 mod connections;
+mod control;
+mod copies;
 mod flow;
 mod lease;
 mod listen;
--- /dev/null
+++ b/daemon/src/relay/control.rs
@@ -0,0 +1,44 @@
+//! Questions and orders to engines, beside requests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt as _, Full};
+use tokio::time::timeout;
+
+use super::site::Site;
+
+/// What an engine answered.
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Asks an engine on a new connection, which is closed with the answer; nothing when none comes
+/// within `limit`.
+pub(super) async fn ask(
+    site: &Site,
+    address: SocketAddr,
+    method: Method,
+    path: Uri,
+    body: Vec<u8>,
+    limit: Duration,
+) -> Option<Answer> {
+    let exchange = async {
+        let mut sender = site.connections.connect(address).await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = method;
+        *request.uri_mut() = path;
+        sender.ready().await.ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let (parts, body) = response.into_parts();
+        Some(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.collect().await.ok()?.to_bytes(),
+        })
+    };
+    timeout(limit, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/daemon/src/relay/copies.rs
@@ -0,0 +1,217 @@
+//! The copy of a running stream's memory at another engine.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use celerypond_adapter::engine;
+use celerypond_types::TargetKey;
+use http::{Method, StatusCode};
+use smol_str::SmolStr;
+use tokio::time::{sleep, Instant};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::{control, run::Wish, site::Site};
+
+/// The time between two looks whether the holder of a copy still lives.
+const LOOK: Duration = Duration::from_millis(200);
+/// The time between two orders to copy what is new. What is generated meanwhile, some 25 tokens, is
+/// read anew in a few milliseconds.
+const REFRESH: Duration = Duration::from_millis(800);
+/// How long an order to copy may take: a whole prompt takes some ten milliseconds, behind others.
+const ORDER: Duration = Duration::from_millis(500);
+
+/// Where a copy of a run's memory is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct CopyAt {
+    /// The engine that holds it.
+    pub(super) holder: TargetKey,
+    /// Where it was ordered from and under which name; nothing for a copy that the engine keeps by
+    /// itself since the run began.
+    pub(super) ordered: Option<Ordered>,
+}
+
+/// A copy that was ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Ordered {
+    pub(super) from: SocketAddr,
+    pub(super) handle: SmolStr,
+}
+
+/// The copy of one run, kept up while the run goes on.
+pub(super) struct Copies {
+    at: Arc<Mutex<Option<CopyAt>>>,
+    /// The work that keeps it up, which ends when this is dropped.
+    work: Option<(Arc<Work>, DropGuard)>,
+}
+
+/// The run whose copy is kept up.
+pub(super) struct Source {
+    pub(super) request: SmolStr,
+    pub(super) engine: TargetKey,
+    pub(super) address: SocketAddr,
+    pub(super) wish: Wish,
+}
+
+impl Copies {
+    /// Keeps up the copy of a run.
+    ///
+    /// The failure: engines of one data centre die, and with them the copies that they hold; seconds
+    /// later those of another one die, whose runs then have no copy and are read anew. A run whose
+    /// copy is lost gets another one by order.
+    pub(super) fn keep(site: &Arc<Site>, source: Source, first: Option<TargetKey>) -> Self {
+        let first = first.map(|holder| CopyAt {
+            holder,
+            ordered: None,
+        });
+        let at = Arc::new(Mutex::new(first));
+        let over = CancellationToken::new();
+        let work = Arc::new(Work {
+            site: Arc::clone(site),
+            source,
+            at: Arc::clone(&at),
+            over: over.clone(),
+        });
+        site.tasks.spawn(Arc::clone(&work).run());
+        Self {
+            at,
+            work: Some((work, over.drop_guard())),
+        }
+    }
+
+    /// Only tells where the copy is that the engine keeps by itself; engines take no orders to copy.
+    pub(super) fn of_engine(holder: TargetKey) -> Self {
+        let copy = CopyAt {
+            holder,
+            ordered: None,
+        };
+        Self {
+            at: Arc::new(Mutex::new(Some(copy))),
+            work: None,
+        }
+    }
+
+    /// Gives the memory of an ordered copy back after the run has ended well.
+    pub(super) fn finish(self) {
+        if let Some((work, _guard)) = self.work {
+            let site = Arc::clone(&work.site);
+            site.tasks.spawn(async move { work.release().await });
+        }
+    }
+
+    /// Returns where the copy is.
+    pub(super) fn at(&self) -> Option<CopyAt> {
+        get(&self.at)
+    }
+}
+
+struct Work {
+    site: Arc<Site>,
+    source: Source,
+    at: Arc<Mutex<Option<CopyAt>>>,
+    over: CancellationToken,
+}
+
+impl Work {
+    async fn run(self: Arc<Self>) {
+        let mut refreshed = Instant::now();
+        loop {
+            tokio::select! {
+                () = self.over.cancelled() => return,
+                () = self.site.ending.cancelled() => return,
+                () = sleep(LOOK) => {}
+            }
+            let copy = get(&self.at);
+            let is_lost = match &copy {
+                Some(copy) => self.is_lost(copy).await,
+                None => true,
+            };
+            let is_ordered = copy.as_ref().is_some_and(|copy| copy.ordered.is_some());
+            let is_old = is_ordered && refreshed.elapsed() >= REFRESH;
+            if !is_lost && !is_old {
+                continue;
+            }
+            let holder = copy.filter(|_| !is_lost).map(|copy| copy.holder);
+            let Some(holder) = holder.or_else(|| self.choose()) else {
+                continue;
+            };
+            let ordered = self.order(holder).await;
+            if is_lost {
+                log::info!(
+                    request = self.source.request.as_str(),
+                    is_copied = ordered.is_some();
+                    "copy lost, another one ordered"
+                );
+            }
+            *self.at.lock().unwrap_or_else(PoisonError::into_inner) = ordered;
+            refreshed = Instant::now();
+        }
+    }
+
+    /// Returns whether the holder of a copy is dead. Where engines of its data centre die, it is asked
+    /// for a sign of life: nobody else may have found out.
+    async fn is_lost(&self, copy: &CopyAt) -> bool {
+        let (is_lost, is_doubtful) = {
+            let targets = self.site.targets();
+            let holder = targets.get(copy.holder);
+            let is_dead = holder.is_none_or(|holder| holder.died.is_some());
+            let want = self.source.wish.want(&[]);
+            let is_doubtful = targets.is_doubtful(copy.holder, &want, Instant::now());
+            (is_dead || !targets.is_usable(copy.holder), is_doubtful)
+        };
+        if is_lost || !is_doubtful {
+            return is_lost;
+        }
+        match self.site.address_of(copy.holder) {
+            Some(address) => !self.site.connections.is_alive(address).await,
+            None => true,
+        }
+    }
+
+    fn choose(&self) -> Option<TargetKey> {
+        let want = self.source.wish.want(&[]);
+        let targets = self.site.targets();
+        targets.pick_backup(self.source.engine, &want, Instant::now())
+    }
+
+    async fn order(&self, holder: TargetKey) -> Option<CopyAt> {
+        let target = self.site.address_of(holder)?;
+        let body = engine::encode_copy(&self.source.request, target);
+        let answer = control::ask(
+            &self.site,
+            self.source.address,
+            Method::POST,
+            engine::COPY_PATH.parse().ok()?,
+            body,
+            ORDER,
+        )
+        .await?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        let handle = engine::decode_copy(&answer.body).ok()?;
+        Some(CopyAt {
+            holder,
+            ordered: Some(Ordered {
+                from: self.source.address,
+                handle,
+            }),
+        })
+    }
+
+    async fn release(&self) {
+        let ordered = get(&self.at).and_then(|copy| copy.ordered);
+        let path = ordered.map(|copy| engine::release_path(&copy.handle));
+        let Some(Ok(path)) = path.map(|path| path.parse()) else {
+            return;
+        };
+        let address = self.source.address;
+        control::ask(&self.site, address, Method::DELETE, path, Vec::new(), ORDER).await;
+    }
+}
+
+fn get(at: &Mutex<Option<CopyAt>>) -> Option<CopyAt> {
+    at.lock().unwrap_or_else(PoisonError::into_inner).clone()
+}
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{Ended, Event, Events, Next, Patience, TargetHead};
+use celerypond_relay::{CopyName, Ended, Event, Events, Next, Patience, TargetHead};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
@@ -14,6 +14,7 @@
 
 use super::{
     attempt::{send, Opened},
+    copies::{Copies, CopyAt, Source},
     lease::Lease,
     listen::{Heard, Listening},
     reply::Broken,
@@ -52,16 +53,16 @@
     lease: Lease,
     opened: Opened,
     patience: Patience,
-    /// The engine to which the run's memory is copied.
-    backup: Option<TargetKey>,
+    /// The copy of the run's memory; nothing where engines make none.
+    copies: Option<Copies>,
 }
 
 /// An attempt that ended, and what is left of it.
 struct Lost {
     lease: Lease,
     ended: Ended,
-    /// The engine that may hold a copy of the run's memory.
-    copy: Option<TargetKey>,
+    /// The copy of the run's memory that there may be.
+    copy: Option<CopyAt>,
 }
 
 impl Flow {
@@ -94,7 +95,7 @@
     }
 
     /// Asks engines until one answers; first the one that holds a copy of the run's memory.
-    async fn find(&mut self, mut copy: Option<TargetKey>) -> Result<(), Next> {
+    async fn find(&mut self, mut copy: Option<CopyAt>) -> Result<(), Next> {
         let mut is_again = self.passed > 0;
         loop {
             let from = copy.take();
@@ -102,7 +103,8 @@
                 spread_out().await;
             }
             is_again = true;
-            let at_copy = from.and_then(|key| self.run.place_at_copy(key));
+            let holder = from.as_ref().map(|copy| copy.holder);
+            let at_copy = holder.and_then(|key| self.run.place_at_copy(key));
             let from = from.filter(|_| at_copy.is_some());
             let Some(lease) = at_copy.or_else(|| self.run.place()) else {
                 return Err(self.run.nowhere());
@@ -121,12 +123,20 @@
     }
 
     /// Asks one engine, and waits for its first event.
-    async fn ask(&mut self, mut lease: Lease, from: Option<TargetKey>) -> Result<(), Lost> {
+    async fn ask(&mut self, mut lease: Lease, from: Option<CopyAt>) -> Result<(), Lost> {
         let begun = Instant::now();
         let backup = self.backup(lease.key);
         let reading = self.run.site.targets().reading(lease.key, begun);
-        let sent = self.send(&mut lease, backup, from).await;
-        let lost = |lease, ended, copy| Err(Lost { lease, ended, copy });
+        let sent = self.send(&mut lease, backup, from.as_ref()).await;
+        let by_copy = from.is_some();
+        let kept = |holder| CopyAt {
+            holder,
+            ordered: None,
+        };
+        let lost = |lease, ended, holder: Option<TargetKey>| {
+            let copy = holder.map(kept);
+            Err(Lost { lease, ended, copy })
+        };
         let opened = match sent {
             Ok(opened) => opened,
             // What is not known to have run may have been read and copied for a while.
@@ -142,26 +152,27 @@
             lease,
             opened,
             patience,
-            backup,
+            copies: None,
         };
         if is_success {
             if let Err(ended) = self.read(&mut at, true).await {
                 return lost(at.lease, ended, backup);
             }
             at.lease.has_read();
+            at.copies = self.keep_copy(&at.lease, backup);
         }
         log::info!(
             request = self.run.asked.id.as_str(),
             target = at.lease.name.as_str(),
             status = at.opened.status.as_u16(),
             reading,
-            with_copy = from.is_some(),
+            with_copy = by_copy,
             last = self.last,
             took_ms = begun.elapsed().as_millis() as u64;
             "engine began"
         );
         self.at = Some(at);
-        self.by_copy = from.is_some();
+        self.by_copy = by_copy;
         Ok(())
     }
 
@@ -169,9 +180,19 @@
         &self,
         lease: &mut Lease,
         backup: Option<TargetKey>,
-        from: Option<TargetKey>,
+        from: Option<&CopyAt>,
     ) -> Result<Opened, Ended> {
         let address = |key| self.run.site.address_of(key);
+        let resume_from = from.and_then(|copy| match &copy.ordered {
+            Some(ordered) => Some(CopyName {
+                address: ordered.from,
+                handle: Some(&ordered.handle),
+            }),
+            None => address(copy.holder).map(|address| CopyName {
+                address,
+                handle: None,
+            }),
+        });
         let target = lease.name.clone();
         let left = self.run.left();
         let head = TargetHead {
@@ -180,7 +201,7 @@
             target: &target,
             last_event: self.last,
             backup: backup.and_then(address),
-            resume_from: from.and_then(address),
+            resume_from,
         };
         let patience = self.patience(lease.key);
         let listening = Listening::new(&self.run.site, lease, patience, true);
@@ -213,13 +234,28 @@
 
     fn backup(&self, main: TargetKey) -> Option<TargetKey> {
         let table = self.run.site.table.load();
-        let engine = table.service(&self.run.service)?.engine.as_ref()?;
+        let engine = table.service(&self.run.wish.service)?.engine.as_ref()?;
         if !engine.backups || !self.run.kind().may_repeat() {
             return None;
         }
         self.run.backup_of(main)
     }
 
+    fn keep_copy(&self, lease: &Lease, first: Option<TargetKey>) -> Option<Copies> {
+        let table = self.run.site.table.load();
+        let engine = table.service(&self.run.wish.service)?.engine.as_ref()?;
+        if !engine.copies || !self.run.kind().may_repeat() {
+            return first.map(Copies::of_engine);
+        }
+        let source = Source {
+            request: self.run.asked.id.clone(),
+            engine: lease.key,
+            address: lease.address,
+            wish: self.run.wish.clone(),
+        };
+        Some(Copies::keep(&self.run.site, source, first))
+    }
+
     /// Reads until there is a whole event to pass on or the stream has ended.
     async fn read(&mut self, at: &mut Position, is_first: bool) -> Result<(), Ended> {
         use http_body_util::BodyExt as _;
@@ -303,12 +339,14 @@
     /// The connection to the lost engine is closed first: two engines must not work on one request.
     async fn go_on(&mut self, at: Position, ended: Ended) -> bool {
         let begun = Instant::now();
+        let copy = at.copies.as_ref().and_then(Copies::at);
         drop(at.opened);
+        drop(at.copies);
         self.events.clear();
         let next = self.run.ended(&at.lease, ended);
         drop(at.lease);
         let found = match next {
-            Next::Elsewhere => self.find(at.backup).await,
+            Next::Elsewhere => self.find(copy).await,
             next => Err(next),
         };
         let status = self.at.as_ref().map(|at| at.opened.status);
@@ -333,8 +371,11 @@
     }
 
     fn finish(&mut self) {
-        if let Some(Position { lease, opened, .. }) = self.at.take() {
-            opened.keep(&self.run.site, &lease);
+        if let Some(at) = self.at.take() {
+            at.opened.keep(&self.run.site, &at.lease);
+            if let Some(copies) = at.copies {
+                copies.finish();
+            }
         }
         self.run.site.metrics.add(Counter::StreamsComplete, 1);
         log::info!(
--- a/daemon/src/relay/revive.rs
+++ b/daemon/src/relay/revive.rs
@@ -2,17 +2,15 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use celerypond_adapter::{engine, headers};
 use celerypond_relay::Dead;
 use celerypond_telemetry::Counter;
 use celerypond_types::TargetName;
 use futures::future::join_all;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt as _, Full};
-use tokio::time::{sleep, timeout, Instant};
+use http::{Method, StatusCode, Uri};
+use tokio::time::{sleep, Instant};
 
-use super::{connections::Sender, site::Site};
+use super::{control, site::Site};
 
 /// The time between two looks at dead engines.
 const LOOK: Duration = Duration::from_millis(250);
@@ -46,8 +44,7 @@
     let Some((path, tokens)) = may_adopt(site, &dead) else {
         return;
     };
-    let found = timeout(QUESTION, ask(site, dead.address, path, tokens)).await;
-    let Ok(Some(name)) = found else {
+    let Some(name) = ask(site, dead.address, path, tokens).await else {
         return;
     };
     let is_new = site.targets().adopt(dead.hash, &name, Instant::now());
@@ -71,22 +68,13 @@
 }
 
 async fn ask(site: &Site, address: SocketAddr, health: Uri, tokens: u64) -> Option<TargetName> {
-    let mut sender = site.connections.connect(address).await.ok()?;
-    let (head, _) = get(&mut sender, health).await?;
-    let name = headers::read_target(&head)?;
-    let (_, body) = get(&mut sender, Uri::from_static(engine::REPORT_PATH)).await?;
-    let report = engine::decode_report(&body).ok()?;
+    let get = |path| control::ask(site, address, Method::GET, path, Vec::new(), QUESTION);
+    let head = get(health)
+        .await
+        .filter(|answer| answer.status == StatusCode::OK)?;
+    let name = headers::read_target(&head.headers)?;
+    let report = get(Uri::from_static(engine::REPORT_PATH)).await?;
+    let report = engine::decode_report(&report.body).ok()?;
     let is_of_service = report.models > 0 && report.tokens == tokens;
     is_of_service.then_some(name)
 }
-
-async fn get(sender: &mut Sender, path: Uri) -> Option<(HeaderMap, Bytes)> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.method_mut() = Method::GET;
-    *request.uri_mut() = path;
-    sender.ready().await.ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let (parts, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
-    (parts.status == StatusCode::OK).then_some((parts.headers, body))
-}
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -9,21 +9,43 @@
 
 use super::{attempt::Asked, lease::Lease, site::Site};
 
+/// What a request wants of its targets.
+#[derive(Clone, Debug)]
+pub(super) struct Wish {
+    pub(super) service: ServiceName,
+    affinity: Option<u64>,
+    /// Tokens that it takes at most.
+    tokens: u64,
+    /// The memory of one engine, in tokens.
+    capacity: Option<u64>,
+    near: DataCentre,
+    lot: u64,
+}
+
+impl Wish {
+    /// Returns what is wanted of a target besides those that were tried.
+    pub(super) fn want<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
+        Want {
+            service: &self.service,
+            version: None,
+            near: &self.near,
+            tried,
+            affinity: self.affinity,
+            lot: self.lot,
+            tokens: self.tokens,
+            capacity: self.capacity,
+        }
+    }
+}
+
 /// A request on its way through targets.
 pub(super) struct Run {
     pub(super) site: Arc<Site>,
     pub(super) asked: Asked,
     pub(super) route: Route,
-    pub(super) service: ServiceName,
     pub(super) account: Option<AccountName>,
     pub(super) clock: Clock,
-    pub(super) affinity: Option<u64>,
-    /// Tokens that it takes at most.
-    pub(super) tokens: u64,
-    /// The memory of one engine, in tokens.
-    pub(super) capacity: Option<u64>,
-    near: DataCentre,
-    lot: u64,
+    pub(super) wish: Wish,
     tried: Vec<TargetKey>,
     runs: u32,
     refusals: u32,
@@ -39,18 +61,21 @@
         clock: Clock,
     ) -> Self {
         site.retries.succeeded();
-        Self {
+        let wish = Wish {
+            service,
+            affinity: None,
+            tokens: 0,
+            capacity: None,
             near: site.settings.load().data_centre.clone(),
             lot: rand::random(),
+        };
+        Self {
             site: Arc::clone(site),
             asked,
             route: route.clone(),
-            service,
             account,
             clock,
-            affinity: None,
-            tokens: 0,
-            capacity: None,
+            wish,
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
@@ -60,14 +85,14 @@
     /// Takes in the prompt of a request to an engine; plain services read none.
     pub(super) fn take_prompt(&mut self, prompt: Option<&Prompt>) {
         let table = self.site.table.load();
-        let engine = table.service(&self.service);
+        let engine = table.service(&self.wish.service);
         let engine = engine.and_then(|service| service.engine.as_ref());
         let (Some(prompt), Some(engine)) = (prompt, engine) else {
             return;
         };
-        self.affinity = prompt.parts.last().map(|part| part.id);
-        self.tokens = prompt.tokens_in + prompt.tokens_out;
-        self.capacity = Some(engine.tokens);
+        self.wish.affinity = prompt.parts.last().map(|part| part.id);
+        self.wish.tokens = prompt.tokens_in + prompt.tokens_out;
+        self.wish.capacity = Some(engine.tokens);
     }
 
     pub(super) fn left(&self) -> Duration {
@@ -83,24 +108,14 @@
         self.route.kind
     }
 
-    fn want(&self) -> Want<'_> {
-        Want {
-            service: &self.service,
-            version: None,
-            near: &self.near,
-            tried: &self.tried,
-            affinity: self.affinity,
-            lot: self.lot,
-            tokens: self.tokens,
-            capacity: self.capacity,
-        }
-    }
-
     /// Takes a place at the best target that was not tried yet.
     pub(super) fn place(&mut self) -> Option<Lease> {
         let now = Instant::now();
-        let pick = self.site.targets().pick(&self.want(), now)?;
-        if self.affinity.is_some() {
+        let pick = self
+            .site
+            .targets()
+            .pick(&self.wish.want(&self.tried), now)?;
+        if self.wish.affinity.is_some() {
             let targets = self.site.targets();
             let name = targets
                 .get(pick.key)
@@ -109,8 +124,8 @@
                 request = self.asked.id.as_str(),
                 target = name,
                 reading = targets.reading(pick.key, now),
-                tokens = self.tokens,
-                part = self.affinity,
+                tokens = self.wish.tokens,
+                part = self.wish.affinity,
                 is_doubtful = pick.is_doubtful,
                 tried = self.tried.len();
                 "engine chosen"
@@ -127,8 +142,8 @@
 
     /// Takes a place at a target.
     fn place_at(&mut self, key: TargetKey) -> Option<Lease> {
-        let lease = match self.affinity {
-            Some(part) => Lease::take_stream(&self.site, key, part, self.tokens)?,
+        let lease = match self.wish.affinity {
+            Some(part) => Lease::take_stream(&self.site, key, part, self.wish.tokens)?,
             None => Lease::take(&self.site, key)?,
         };
         self.tried.push(key);
@@ -140,7 +155,7 @@
     pub(super) fn backup_of(&self, main: TargetKey) -> Option<TargetKey> {
         self.site
             .targets()
-            .pick_backup(main, &self.want(), Instant::now())
+            .pick_backup(main, &self.wish.want(&self.tried), Instant::now())
     }
 
     /// Returns what follows when no target is left.
