--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O; the time is passed in.
 
 mod access;
+mod addresses;
 mod board;
 mod change_log;
 mod config;
@@ -17,6 +18,7 @@
 mod place;
 mod quality;
 mod settings;
+mod streams;
 mod table;
 mod target;
 mod targets;
@@ -35,7 +37,8 @@
 pub use place::{Pick, Want};
 pub use quality::{Quality, Tally};
 pub use settings::{Bounds, Listen, Seed, Settings, StoreSettings};
+pub use streams::PlacementKey;
 pub use table::Table;
 pub use target::Target;
-pub use targets::{Change, Dead, PlacementKey, Targets};
+pub use targets::{Change, Dead, Targets};
 pub use watchers::{Watchers, Word};
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -38,6 +38,8 @@
     pub is_dead: bool,
     /// When it was found dead, here or by another instance.
     pub died: Option<Instant>,
+    /// Whether it was found by its own word, so that its start is not known.
+    pub is_found: bool,
     /// Whether its entry is missing after the store's return.
     pub is_missing: bool,
     load: Option<(Load, Instant)>,
@@ -56,6 +58,7 @@
             avoid: None,
             is_dead: false,
             died: None,
+            is_found: false,
             is_missing: false,
             load: None,
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -11,15 +11,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    change_log::ChangeLog, Adoption, Board, News, Placement, Placements, Quality, Taken, Target,
-    TargetEntry,
+    addresses::Addresses, change_log::ChangeLog, streams::Streams, Adoption, Board, News,
+    PlacementKey, Placements, Quality, Taken, Target, TargetEntry,
 };
 
-slotmap::new_key_type! {
-    /// A stream of this instance among those that it tells the others of.
-    pub struct PlacementKey;
-}
-
 /// How long after the store's return the entries of targets that live may be missing. With the time
 /// until the end is noticed it stays below the two seconds in which a leaving target must be left.
 const ENTRIES_BACK: Duration = Duration::from_millis(1_700);
@@ -67,10 +62,9 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     names: HashMap<TargetName, TargetKey>,
-    /// The latest target at each address.
-    addresses: HashMap<SocketAddr, TargetKey>,
+    addresses: Addresses,
     /// Streams of this instance.
-    streams: SlotMap<PlacementKey, Placement>,
+    streams: Streams,
     board: Board,
     quality: Quality,
     /// Engines that were found again, and when.
@@ -195,7 +189,7 @@
         let Some(gone) = key.and_then(|key| self.arena.remove(key)) else {
             return false;
         };
-        self.release_address(gone.entry.address);
+        self.settle_address(gone.entry.address);
         true
     }
 
@@ -204,7 +198,7 @@
         let Some(target) = known.and_then(|key| self.arena.get_mut(key)) else {
             let key = self.arena.insert(Target::new(entry.clone()));
             self.names.insert(entry.name.clone(), key);
-            self.take_address(key);
+            self.settle_address(entry.address);
             return true;
         };
         target.is_missing = false;
@@ -213,17 +207,16 @@
         }
         let before = target.entry.address;
         // Of an engine that was found again, only the store tells when it started.
-        let is_same_start = target.entry.born.is_none() || target.entry.born == entry.born;
+        let is_same_start = target.is_found || target.entry.born == entry.born;
         let is_same_run = is_same_start && target.entry.address == entry.address;
         if is_same_run {
+            target.is_found = false;
             target.entry = entry.clone();
         } else {
             *target = Target::new(entry.clone());
         }
-        self.release_address(before);
-        if let Some(key) = known {
-            self.take_address(key);
-        }
+        self.settle_address(before);
+        self.settle_address(entry.address);
         true
     }
 
@@ -249,25 +242,13 @@
         self.board.note_part(part, target.hash, now);
         target.reading += tokens;
         target.tokens += tokens;
-        Some(self.streams.insert(Placement {
-            target: target.hash,
-            part,
-            // No engine's memory comes near this bound.
-            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
-            is_reading: true,
-        }))
+        Some(self.streams.add(target.hash, part, tokens))
     }
 
     /// Takes in that the prompt of a stream was read.
     pub fn stream_read(&mut self, key: TargetKey, stream: PlacementKey) {
-        let Some(placement) = self.streams.get_mut(stream) else {
-            return;
-        };
-        if !std::mem::take(&mut placement.is_reading) {
-            return;
-        }
-        let tokens = u64::from(placement.tokens);
-        if let Some(target) = self.arena.get_mut(key) {
+        let read = self.streams.has_read(stream);
+        if let (Some(tokens), Some(target)) = (read, self.arena.get_mut(key)) {
             target.reading = target.reading.saturating_sub(tokens);
         }
     }
@@ -275,11 +256,8 @@
     /// Removes a stream of this instance.
     pub fn remove_stream(&mut self, key: TargetKey, stream: PlacementKey) {
         self.stream_read(key, stream);
-        let Some(placement) = self.streams.remove(stream) else {
-            return;
-        };
-        if let Some(target) = self.arena.get_mut(key) {
-            let tokens = u64::from(placement.tokens);
+        let removed = self.streams.remove(stream);
+        if let (Some(tokens), Some(target)) = (removed, self.arena.get_mut(key)) {
             target.tokens = target.tokens.saturating_sub(tokens);
         }
     }
@@ -289,7 +267,7 @@
         Placements {
             origin,
             sequence,
-            streams: self.streams.values().copied().collect(),
+            streams: self.streams.all().collect(),
             dead: self.dead(now).collect(),
             adopted: self.adopted.iter().map(|(told, _)| told.clone()).collect(),
             tallies: self.quality.tallies(now),
@@ -333,13 +311,16 @@
         }
         let entry = TargetEntry {
             name: name.clone(),
-            born: None,
+            // Later than the start that it follows, and earlier than any that the store will tell.
+            born: old.entry.born.map(|born| born + 1),
             ..old.entry.clone()
         };
         let address = entry.address;
-        let key = self.arena.insert(Target::new(entry));
+        let mut found = Target::new(entry);
+        found.is_found = true;
+        let key = self.arena.insert(found);
         self.names.insert(name.clone(), key);
-        self.addresses.insert(address, key);
+        self.settle_address(address);
         let told = Adoption {
             before,
             name: name.clone(),
@@ -369,40 +350,17 @@
     }
 
     /// Returns whether no later target has taken the address over.
-    ///
-    /// The failure: an engine dies and starts again under another name. Its old entry stays in the
-    /// store for some heartbeats, and what is sent to it is refused; a copy that was to be found
-    /// there is lost.
     pub(crate) fn owns_address(&self, key: TargetKey) -> bool {
-        let Some(target) = self.arena.get(key) else {
-            return false;
-        };
-        self.addresses.get(&target.entry.address) == Some(&key)
-    }
-
-    fn take_address(&mut self, key: TargetKey) {
-        let Some(target) = self.arena.get(key) else {
-            return;
-        };
-        let address = target.entry.address;
-        let owner = self.addresses.get(&address);
-        let owner = owner.and_then(|owner| self.arena.get(*owner));
-        let is_later = owner.is_none_or(|owner| owner.entry.born <= target.entry.born);
-        if is_later {
-            self.addresses.insert(address, key);
-        }
+        let target = self.arena.get(key);
+        target.is_some_and(|target| self.addresses.owner(target.entry.address) == Some(key))
     }
 
-    /// Gives an address back to a target that still has it, after another one is gone.
-    fn release_address(&mut self, address: SocketAddr) {
-        self.addresses.remove(&address);
-        let rest: Vec<TargetKey> = self
-            .arena
-            .iter()
-            .filter(|(_, target)| target.entry.address == address)
-            .map(|(key, _)| key)
-            .collect();
-        rest.into_iter().for_each(|key| self.take_address(key));
+    /// Gives an address to the latest target that has it.
+    fn settle_address(&mut self, address: SocketAddr) {
+        let at = self.arena.iter();
+        let at = at.filter(|(_, target)| target.entry.address == address);
+        let at = at.map(|(key, target)| (key, target.entry.born));
+        self.addresses.settle(address, at);
     }
 
     /// Drops the lists of instances that have been silent for long.
--- a/crates/relay/tests/test_death.rs
+++ b/crates/relay/tests/test_death.rs
@@ -133,6 +133,20 @@
     assert!(here.is_usable(new));
 }
 
+/// An engine that was found by its own word dies again and starts once more, and this time the store
+/// tells. The entry of the later start is used, not the name that was found.
+#[test]
+fn the_stores_entry_of_a_later_start_goes_before_a_found_name() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let old = key(&targets, "east-0-1");
+    let hash = targets.get(old).unwrap().hash;
+    assert!(targets.adopt(hash, &TargetName::new("anew"), now));
+    targets.apply(&Change::Is(engine("east", 0, 5_000)), now);
+    assert!(targets.is_usable(key(&targets, "east-0-5000")));
+    assert!(!targets.is_usable(key(&targets, "anew")));
+}
+
 #[test]
 fn an_engine_that_answers_under_its_old_name_had_not_died() {
     let now = Instant::now();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod link;
+pub mod listening;
 pub mod node;
 pub mod orders;
 pub mod part;
--- /dev/null
+++ b/daemon/src/listening.rs
@@ -0,0 +1,33 @@
+//! Connections that are taken until the instance ends.
+
+use std::future::Future;
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Serves each connection of a listener in a task of its own until `ending`, and then ends them all.
+pub async fn serve<F>(
+    listener: TcpListener,
+    ending: CancellationToken,
+    handle: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = ending.cancelled() => break,
+            accepted = listener.accept() => {
+                // One that cannot be taken is tried again by its other side.
+                if let Ok((socket, _)) = accepted {
+                    connections.spawn(handle(socket));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    connections.shutdown().await;
+}
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -8,9 +8,9 @@
 use celerypond_types::{Attempt, RequestKey, Revision};
 use futures::FutureExt;
 use tarpc::context::Context;
-use tokio::{net::TcpListener, task::JoinSet, time::Instant};
+use tokio::{net::TcpListener, time::Instant};
 
-use crate::{forward, gossip, keeping, node::Node, watch::Told};
+use crate::{forward, gossip, keeping, listening, node::Node, watch::Told};
 
 /// Answers the calls of other instances.
 #[derive(Clone)]
@@ -18,21 +18,13 @@
 
 /// Serves peers on a listener until the instance ends.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = node.ending.cancelled() => break,
-            accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted {
-                    let server = Server(Arc::clone(&node));
-                    // A peer that goes away in the middle is an ordinary end.
-                    connections.spawn(accept(socket, server.serve()).map(|_| ()));
-                }
-            }
-            Some(_) = connections.join_next() => {}
-        }
-    }
-    connections.shutdown().await;
+    let ending = node.ending.clone();
+    listening::serve(listener, ending, |socket| {
+        let server = Server(Arc::clone(&node));
+        // A peer that goes away in the middle is an ordinary end.
+        accept(socket, server.serve()).map(|_| ())
+    })
+    .await;
 }
 
 impl Peer for Server {
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{members, site::Site};
+use super::{follow, site::Site};
 
 /// The longest time between two lists; a lost one is made good by then.
 const REPEAT: Duration = Duration::from_secs(1);
@@ -57,13 +57,13 @@
                 tokio::time::sleep(GATHER).await;
                 tell(&site, &socket).await;
             }
-            () = site.told.notified() => say(&site, &socket).await,
+            () = site.known.told.notified() => say(&site, &socket).await,
             _ = word.tick() => {
-                members::choose_watchers(&site);
+                follow::choose_watchers(&site);
                 say(&site, &socket).await;
             }
             _ = repeat.tick() => {
-                site.targets().sweep(Instant::now());
+                site.known.targets().sweep(Instant::now());
                 tell(&site, &socket).await;
             }
         }
@@ -72,10 +72,10 @@
 
 fn hear(site: &Arc<Site>, bytes: &[u8]) {
     match bincode::deserialize(bytes) {
-        Ok(Datagram::Streams(list)) => site.targets().hear(list, Instant::now()),
+        Ok(Datagram::Streams(list)) => site.known.targets().hear(list, Instant::now()),
         Ok(Datagram::Word(word)) => {
-            site.watchers().hear(word, Instant::now());
-            members::follow(site);
+            site.duty.watchers().hear(word, Instant::now());
+            follow::ask_for_news(site);
         }
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
@@ -84,20 +84,23 @@
 async fn tell(site: &Site, socket: &UdpSocket) {
     let sequence = site.sequence.fetch_add(1, Relaxed) + 1;
     let (origin, peers) = peers(site);
-    let list = site.targets().placements(origin, sequence, Instant::now());
+    let list = site
+        .known
+        .targets()
+        .placements(origin, sequence, Instant::now());
     send(socket, &peers, &Datagram::Streams(list)).await;
 }
 
 /// Says what is known of the store, if this instance watches it.
 async fn say(site: &Site, socket: &UdpSocket) {
-    let Some(age) = site.store_age(Instant::now()) else {
+    let Some(age) = site.duty.age(Instant::now()) else {
         return;
     };
     let (origin, peers) = peers(site);
     let word = Word {
         origin,
-        revision: site.revision(),
-        config: site.table.load().config().version,
+        revision: site.known.revision(),
+        config: site.known.version(),
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     };
     send(socket, &peers, &Datagram::Word(word)).await;
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -37,7 +37,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "a caller's socket keeps its delay");
     }
-    let limits = site.table.load().config().limits;
+    let limits = site.known.table().config().limits;
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
--- a/daemon/src/relay/copies.rs
+++ b/daemon/src/relay/copies.rs
@@ -33,6 +33,16 @@
     pub(super) ordered: Option<Ordered>,
 }
 
+impl CopyAt {
+    /// Returns the copy that an engine keeps by itself.
+    pub(super) const fn of_engine(holder: TargetKey) -> Self {
+        Self {
+            holder,
+            ordered: None,
+        }
+    }
+}
+
 /// A copy that was ordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Ordered {
@@ -62,10 +72,7 @@
     /// later those of another one die, whose runs then have no copy and are read anew. A run whose
     /// copy is lost gets another one by order.
     pub(super) fn keep(site: &Arc<Site>, source: Source, first: Option<TargetKey>) -> Self {
-        let first = first.map(|holder| CopyAt {
-            holder,
-            ordered: None,
-        });
+        let first = first.map(CopyAt::of_engine);
         let at = Arc::new(Mutex::new(first));
         let over = CancellationToken::new();
         let work = Arc::new(Work {
@@ -83,10 +90,7 @@
 
     /// Only tells where the copy is that the engine keeps by itself; engines take no orders to copy.
     pub(super) fn of_engine(holder: TargetKey) -> Self {
-        let copy = CopyAt {
-            holder,
-            ordered: None,
-        };
+        let copy = CopyAt::of_engine(holder);
         Self {
             at: Arc::new(Mutex::new(Some(copy))),
             work: None,
@@ -154,7 +158,7 @@
     /// for a sign of life: nobody else may have found out.
     async fn is_lost(&self, copy: &CopyAt) -> bool {
         let (is_lost, is_doubtful) = {
-            let targets = self.site.targets();
+            let targets = self.site.known.targets();
             let holder = targets.get(copy.holder);
             let is_dead = holder.is_none_or(|holder| holder.died.is_some());
             let want = self.source.wish.want(&[]);
@@ -164,7 +168,7 @@
         if is_lost || !is_doubtful {
             return is_lost;
         }
-        match self.site.address_of(copy.holder) {
+        match self.site.known.address_of(copy.holder) {
             Some(address) => !self.site.connections.is_alive(address).await,
             None => true,
         }
@@ -172,12 +176,12 @@
 
     fn choose(&self) -> Option<TargetKey> {
         let want = self.source.wish.want(&[]);
-        let targets = self.site.targets();
+        let targets = self.site.known.targets();
         targets.pick_backup(self.source.engine, &want, Instant::now())
     }
 
     async fn order(&self, holder: TargetKey) -> Option<CopyAt> {
-        let target = self.site.address_of(holder)?;
+        let target = self.site.known.address_of(holder)?;
         let body = engine::encode_copy(&self.source.request, target);
         let answer = control::ask(
             &self.site,
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -1,10 +1,10 @@
 //! A stream on its way from engines to its caller.
 
-use std::{collections::VecDeque, pin::pin, time::Duration};
+use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{CopyName, Ended, Event, Events, Next, Patience, TargetHead};
+use celerypond_relay::{CopyName, Ended, Next, Patience, TargetHead};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
@@ -17,6 +17,7 @@
     copies::{Copies, CopyAt, Source},
     lease::Lease,
     listen::{Heard, Listening},
+    passage::Passage,
     reply::Broken,
     run::Run,
 };
@@ -28,13 +29,7 @@
 /// A stream on its way from engines to its caller.
 pub(super) struct Flow {
     pub(super) run: Run,
-    events: Events,
-    /// Whole events that the caller has not had yet.
-    ready: VecDeque<Bytes>,
-    /// The id of the last event that was taken in.
-    last: Option<u64>,
-    /// Events that were passed on.
-    passed: u64,
+    passage: Passage,
     at: Option<Position>,
     /// Whether the last engine that answered had a copy of the run's memory.
     by_copy: bool,
@@ -70,10 +65,7 @@
         let last = headers::read_caller(&run.asked.headers).last_event;
         Self {
             run,
-            events: Events::default(),
-            ready: VecDeque::new(),
-            last,
-            passed: 0,
+            passage: Passage::after(last),
             at: None,
             by_copy: false,
             is_complete: false,
@@ -96,7 +88,7 @@
 
     /// Asks engines until one answers; first the one that holds a copy of the run's memory.
     async fn find(&mut self, mut copy: Option<CopyAt>) -> Result<(), Next> {
-        let mut is_again = self.passed > 0;
+        let mut is_again = self.passage.passed() > 0;
         loop {
             let from = copy.take();
             if is_again && from.is_none() {
@@ -113,7 +105,7 @@
                 Ok(()) => return Ok(()),
                 Err(lost) => lost,
             };
-            self.events.clear();
+            self.passage.drop_rest();
             let next = self.run.ended(&lost.lease, lost.ended);
             if next != Next::Elsewhere {
                 return Err(next);
@@ -123,19 +115,15 @@
     }
 
     /// Asks one engine, and waits for its first event.
-    async fn ask(&mut self, mut lease: Lease, from: Option<CopyAt>) -> Result<(), Lost> {
+    async fn ask(&mut self, mut lease: Lease, from: Option<CopyAt>) -> Result<(), Box<Lost>> {
         let begun = Instant::now();
         let backup = self.backup(lease.key);
-        let reading = self.run.site.targets().reading(lease.key, begun);
+        let reading = self.run.site.known.targets().reading(lease.key, begun);
         let sent = self.send(&mut lease, backup, from.as_ref()).await;
         let by_copy = from.is_some();
-        let kept = |holder| CopyAt {
-            holder,
-            ordered: None,
-        };
         let lost = |lease, ended, holder: Option<TargetKey>| {
-            let copy = holder.map(kept);
-            Err(Lost { lease, ended, copy })
+            let copy = holder.map(CopyAt::of_engine);
+            Err(Box::new(Lost { lease, ended, copy }))
         };
         let opened = match sent {
             Ok(opened) => opened,
@@ -167,7 +155,7 @@
             status = at.opened.status.as_u16(),
             reading,
             with_copy = by_copy,
-            last = self.last,
+            last = self.passage.last(),
             took_ms = begun.elapsed().as_millis() as u64;
             "engine began"
         );
@@ -182,7 +170,7 @@
         backup: Option<TargetKey>,
         from: Option<&CopyAt>,
     ) -> Result<Opened, Ended> {
-        let address = |key| self.run.site.address_of(key);
+        let address = |key| self.run.site.known.address_of(key);
         let resume_from = from.and_then(|copy| match &copy.ordered {
             Some(ordered) => Some(CopyName {
                 address: ordered.from,
@@ -199,7 +187,7 @@
             account: self.run.account.as_ref(),
             left,
             target: &target,
-            last_event: self.last,
+            last_event: self.passage.last(),
             backup: backup.and_then(address),
             resume_from,
         };
@@ -228,12 +216,12 @@
     }
 
     fn patience(&self, key: TargetKey) -> Patience {
-        let reading = self.run.site.targets().reading(key, Instant::now());
+        let reading = self.run.site.known.targets().reading(key, Instant::now());
         Patience::of_stream(reading, self.run.route.gap_aim)
     }
 
     fn backup(&self, main: TargetKey) -> Option<TargetKey> {
-        let table = self.run.site.table.load();
+        let table = self.run.site.known.table();
         let engine = table.service(&self.run.wish.service)?.engine.as_ref()?;
         if !engine.backups || !self.run.kind().may_repeat() {
             return None;
@@ -242,7 +230,7 @@
     }
 
     fn keep_copy(&self, lease: &Lease, first: Option<TargetKey>) -> Option<Copies> {
-        let table = self.run.site.table.load();
+        let table = self.run.site.known.table();
         let engine = table.service(&self.run.wish.service)?.engine.as_ref()?;
         if !engine.copies || !self.run.kind().may_repeat() {
             return first.map(Copies::of_engine);
@@ -261,7 +249,7 @@
         use http_body_util::BodyExt as _;
         let address = at.lease.address;
         let begun = Instant::now();
-        while self.ready.is_empty() && !self.is_complete {
+        while !self.passage.is_ready() && !self.is_complete {
             let most = match is_first {
                 true => self.patience(at.lease.key).first,
                 false => at.patience.gap,
@@ -276,9 +264,9 @@
                 Heard::Dead => return Err(Ended::Dead),
             };
             match frame {
-                Some(Ok(frame)) => self.take_in(&frame)?,
+                Some(Ok(frame)) => self.passage.take_in(&frame)?,
                 Some(Err(_)) => return Err(Ended::Broken),
-                None if self.events.has_rest() => return Err(Ended::Broken),
+                None if self.passage.has_rest() => return Err(Ended::Broken),
                 None => self.is_complete = true,
             }
         }
@@ -289,34 +277,11 @@
         self.run.clock.left(since)
     }
 
-    /// Takes in received bytes; events that the caller has are dropped.
-    fn take_in(&mut self, frame: &Frame<Bytes>) -> Result<(), Ended> {
-        let Some(bytes) = frame.data_ref() else {
-            return Ok(());
-        };
-        self.events.push(bytes);
-        for Event { id, bytes } in self.events.by_ref() {
-            if let (Some(id), Some(last)) = (id, self.last) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return Err(Ended::Foreign);
-                }
-            }
-            self.last = id.or(self.last);
-            self.ready.push_back(bytes);
-        }
-        Ok(())
-    }
-
     /// Returns the next bytes for the caller; nothing at the end.
     pub(super) async fn next(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
         loop {
-            if !self.ready.is_empty() {
-                self.passed += self.ready.len() as u64;
-                let bytes: Vec<Bytes> = self.ready.drain(..).collect();
-                return Some(Ok(Frame::data(join(bytes))));
+            if let Some(bytes) = self.passage.next() {
+                return Some(Ok(Frame::data(bytes)));
             }
             if self.is_complete {
                 self.finish();
@@ -342,7 +307,7 @@
         let copy = at.copies.as_ref().and_then(Copies::at);
         drop(at.opened);
         drop(at.copies);
-        self.events.clear();
+        self.passage.drop_rest();
         let next = self.run.ended(&at.lease, ended);
         drop(at.lease);
         let found = match next {
@@ -361,7 +326,7 @@
         log::info!(
             request = self.run.asked.id.as_str(),
             by_copy = self.by_copy,
-            last = self.last,
+            last = self.passage.last(),
             status = status.map(|status| status.as_u16()),
             failed:? = found.err(),
             took_ms = begun.elapsed().as_millis() as u64;
@@ -380,8 +345,8 @@
         self.run.site.metrics.add(Counter::StreamsComplete, 1);
         log::info!(
             request = self.run.asked.id.as_str(),
-            events = self.passed,
-            last = self.last;
+            events = self.passage.passed(),
+            last = self.passage.last();
             "stream complete"
         );
     }
@@ -399,7 +364,7 @@
             log::info!(
                 request = self.run.asked.id.as_str(),
                 target = at.lease.name.as_str(),
-                events = self.passed;
+                events = self.passage.passed();
                 "caller left its stream"
             );
         }
@@ -415,10 +380,3 @@
     let wait = rand::rng().random_range(Duration::ZERO..SPREAD);
     tokio::time::sleep(wait).await;
 }
-
-fn join(mut parts: Vec<Bytes>) -> Bytes {
-    if parts.len() == 1 {
-        return parts.remove(0);
-    }
-    parts.concat().into()
-}
--- /dev/null
+++ b/daemon/src/relay/knowledge.rs
@@ -0,0 +1,234 @@
+//! What an instance knows of the store, from the store itself or from its peers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+};
+
+use arc_swap::ArcSwap;
+use celerypond_relay::{Change, Config, News, Table, TargetEntry, Targets};
+use celerypond_types::{DataCentre, TargetKey};
+use rand::Rng as _;
+use tokio::{sync::Notify, time::Instant};
+
+/// Where something was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// The store told it.
+    Store,
+    /// The store told it, and had not answered for a while before.
+    StoreRegained,
+    /// Another instance told it.
+    Peer,
+}
+
+/// What an instance knows of the store.
+pub(super) struct Knowledge {
+    table: ArcSwap<Table>,
+    targets: Mutex<Targets>,
+    has_config: AtomicBool,
+    has_targets: AtomicBool,
+    /// The store's revision up to which the targets are known.
+    revision: Mutex<u64>,
+    /// The revision of the store that was known when the configuration came.
+    config_revision: AtomicU64,
+    /// Tells that something is known that was not before.
+    changed: Notify,
+    /// Tells that other instances have to be told of something new.
+    pub(super) told: Notify,
+}
+
+impl Default for Knowledge {
+    fn default() -> Self {
+        let mut targets = Targets::default();
+        targets.lateness = rand::rng().random();
+        Self {
+            table: ArcSwap::default(),
+            targets: Mutex::new(targets),
+            has_config: AtomicBool::new(false),
+            has_targets: AtomicBool::new(false),
+            revision: Mutex::default(),
+            config_revision: AtomicU64::new(0),
+            changed: Notify::new(),
+            told: Notify::new(),
+        }
+    }
+}
+
+impl Knowledge {
+    /// Returns the configuration in force.
+    pub(super) fn table(&self) -> arc_swap::Guard<Arc<Table>> {
+        self.table.load()
+    }
+
+    /// Returns the version of the configuration in force.
+    pub(super) fn version(&self) -> u64 {
+        self.table.load().config().version
+    }
+
+    /// Returns whether configuration and targets are known.
+    pub(super) fn is_complete(&self) -> bool {
+        self.has_config() && self.has_targets()
+    }
+
+    pub(super) fn targets(&self) -> MutexGuard<'_, Targets> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns where a target listens; nothing when it is gone.
+    pub(super) fn address_of(&self, key: TargetKey) -> Option<SocketAddr> {
+        let targets = self.targets();
+        targets.get(key).map(|target| target.entry.address)
+    }
+
+    /// Returns the data centre of a target; nothing when it is gone.
+    pub(super) fn data_centre_of(&self, key: TargetKey) -> Option<DataCentre> {
+        let targets = self.targets();
+        targets
+            .get(key)
+            .map(|target| target.entry.data_centre.clone())
+    }
+
+    /// Returns whether a configuration is known.
+    pub(super) fn has_config(&self) -> bool {
+        self.has_config.load(Relaxed)
+    }
+
+    /// Returns the store's revision up to which the targets are known.
+    pub(super) fn revision(&self) -> u64 {
+        *self.known_revision()
+    }
+
+    /// Returns whether the targets are known.
+    pub(super) fn has_targets(&self) -> bool {
+        self.has_targets.load(Relaxed)
+    }
+
+    /// Puts a configuration in force, unless one of its version or a later one is.
+    ///
+    /// The failure: a store that answers from the past, or a peer that is behind, tells of an older
+    /// version. A caller would see a removed key or route come back. Versions only rise here.
+    pub(super) fn apply(&self, config: Config, source: Source) {
+        let before = self.table.load();
+        let known = before.config().version;
+        if self.has_config() && config.version <= known {
+            return;
+        }
+        let version = config.version;
+        self.table.store(Arc::new(Table::new(config)));
+        self.has_config.store(true, Relaxed);
+        self.config_revision.store(self.revision(), Relaxed);
+        self.told.notify_one();
+        log::info!(version, before = known, source:? = source; "configuration in force");
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in a whole list of targets of the store's revision, unless a later one is known.
+    pub(super) fn list_targets(&self, entries: Vec<TargetEntry>, revision: u64, source: Source) {
+        let mut known = self.known_revision();
+        let is_old = match source {
+            Source::Peer => revision <= *known,
+            _ => revision < *known,
+        };
+        if self.has_targets() && is_old {
+            return;
+        }
+        *known = revision;
+        let now = Instant::now();
+        let mut targets = self.targets();
+        if source == Source::StoreRegained {
+            targets.await_entries(now);
+        }
+        let changes = targets.replace(entries, now);
+        targets.note_list(revision);
+        drop(targets);
+        drop(known);
+        for change in &changes {
+            log::info!(revision, source:? = source, change:? = change; "target changed");
+        }
+        self.has_targets.store(true, Relaxed);
+        self.told.notify_one();
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in what a watch saw up to a revision of the store, unless a later one is known.
+    pub(super) fn change_targets(&self, changes: &[(u64, Change)], revision: u64, source: Source) {
+        let mut known = self.known_revision();
+        if revision <= *known {
+            return;
+        }
+        *known = revision;
+        let now = Instant::now();
+        let mut targets = self.targets();
+        if source == Source::StoreRegained {
+            targets.await_entries(now);
+        }
+        for (at, change) in changes {
+            targets.note_change(*at, change.name());
+            if targets.apply(change, now) {
+                log::info!(revision = *at, source:? = source, change:? = change; "target changed");
+            }
+        }
+        drop(targets);
+        drop(known);
+        self.told.notify_one();
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in the news of another instance.
+    pub(super) fn take_news(&self, news: News) {
+        if let Some(config) = news.config {
+            self.apply(config, Source::Peer);
+        }
+        if news.is_whole {
+            self.list_targets(news.targets, news.revision, Source::Peer);
+        } else {
+            let there = news.targets.into_iter().map(Change::Is);
+            let gone = news.gone.into_iter().map(Change::Gone);
+            let changes: Vec<(u64, Change)> = there
+                .chain(gone)
+                .map(|change| (news.revision, change))
+                .collect();
+            self.change_targets(&changes, news.revision, Source::Peer);
+        }
+        self.targets().miss_all(&news.missing, Instant::now());
+    }
+
+    /// Returns what another instance that knows the targets up to a revision has to be told.
+    pub(super) fn news(&self, since: u64) -> Option<News> {
+        if !self.is_complete() {
+            return None;
+        }
+        let known = self.known_revision();
+        let mut news = self.targets().news(since, *known);
+        drop(known);
+        if news.is_whole || self.config_revision.load(Relaxed) >= since {
+            news.config = Some(self.table.load().config().clone());
+        }
+        Some(news)
+    }
+
+    fn known_revision(&self) -> MutexGuard<'_, u64> {
+        self.revision.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until configuration and targets are known, or until `until`.
+    pub(super) async fn wait_known(&self, until: Instant) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_complete() || tokio::time::timeout_at(until, changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Removes targets whose entries did not come back after the store's return.
+    pub(super) fn drop_missing(&self) {
+        for name in self.targets().drop_missing(Instant::now()) {
+            log::info!(target = name.as_str(), reason = "entry did not come back"; "target gone");
+        }
+    }
+}
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -21,7 +21,7 @@
 impl Lease {
     /// Takes a place for a request; nothing when the target is gone.
     pub(super) fn take(site: &Arc<Site>, key: TargetKey) -> Option<Self> {
-        let mut targets = site.targets();
+        let mut targets = site.known.targets();
         let target = targets.get_mut(key)?;
         target.open += 1;
         Some(Self {
@@ -41,35 +41,38 @@
         tokens: u64,
     ) -> Option<Self> {
         let mut lease = Self::take(site, key)?;
-        lease.stream = site.targets().add_stream(key, part, tokens, Instant::now());
+        lease.stream = site
+            .known
+            .targets()
+            .add_stream(key, part, tokens, Instant::now());
         site.placed.notify_one();
         Some(lease)
     }
 
     /// Takes in a sign of life.
     pub(super) fn answered(&mut self, load: Option<Load>) {
-        if let Some(target) = self.site.targets().get_mut(self.key) {
+        if let Some(target) = self.site.known.targets().get_mut(self.key) {
             target.answered(load, Instant::now());
         }
     }
 
     /// Takes in the result of a request in one piece.
     pub(super) fn note_result(&self, is_good: bool, time: Duration) {
-        let mut targets = self.site.targets();
+        let mut targets = self.site.known.targets();
         targets.note_result(self.key, is_good, time, Instant::now());
     }
 
     /// Takes in that the prompt was read.
     pub(super) fn has_read(&mut self) {
         if let Some(stream) = self.stream {
-            self.site.targets().stream_read(self.key, stream);
+            self.site.known.targets().stream_read(self.key, stream);
             self.site.placed.notify_one();
         }
     }
 
     /// Takes in how the attempt ended.
     pub(super) fn ended(&self, ended: Ended) {
-        if let Some(target) = self.site.targets().get_mut(self.key) {
+        if let Some(target) = self.site.known.targets().get_mut(self.key) {
             target.ended(ended, Instant::now());
         }
         if ended.suspects() {
@@ -88,7 +91,7 @@
     if site.connections.is_alive(address).await {
         return;
     }
-    if let Some(target) = site.targets().get_mut(key) {
+    if let Some(target) = site.known.targets().get_mut(key) {
         target.ended(Ended::Dead, Instant::now());
     }
     site.metrics.add(Counter::TargetsDead, 1);
@@ -98,7 +101,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        let mut targets = self.site.targets();
+        let mut targets = self.site.known.targets();
         if let Some(target) = targets.get_mut(self.key) {
             target.open = target.open.saturating_sub(1);
         }
--- a/daemon/src/relay/listen.rs
+++ b/daemon/src/relay/listen.rs
@@ -29,7 +29,7 @@
     pub(super) fn new(site: &Arc<Site>, lease: &Lease, patience: Patience, is_first: bool) -> Self {
         Self {
             site: Arc::clone(site),
-            data_centre: site.data_centre_of(lease.key),
+            data_centre: site.known.data_centre_of(lease.key),
             alarm: site.alarm.subscribe(),
             ask_after: match is_first {
                 true => patience.ask_first,
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -1,36 +1,19 @@
 //! The instances among themselves.
 
-use std::{
-    net::SocketAddr,
-    sync::{atomic::Ordering::Relaxed, Arc},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_fleet::{
-    accept, choose, Candidate, Event, Gossip, Identity, Incarnation, MemberState, Message, Origin,
-    Outgoing, Peer,
-};
-use celerypond_relay::{News, Settings};
-use celerypond_types::{Attempt, RequestKey, Revision};
-use rand::{rngs::SmallRng, seq::SliceRandom as _, SeedableRng as _};
+use celerypond_fleet::{Event, Gossip, Identity, Incarnation, MemberState, Outgoing};
+use celerypond_relay::Settings;
+use celerypond_types::Revision;
+use rand::{rngs::SmallRng, SeedableRng as _};
 use smol_str::format_smolstr;
-use tarpc::context::Context;
-use tokio::{net::TcpListener, task::JoinSet, time::Instant};
+use tokio::time::Instant;
 
 use super::site::Site;
 
 /// The time between two rounds of gossip. After two failed exchanges a dead instance is no longer
 /// named to callers.
 const ROUND: Duration = Duration::from_millis(500);
-/// The time between two questions to peers for what the store does not tell.
-const ASK_PEERS: Duration = Duration::from_millis(300);
-
-/// How many instances watch the store for all. One may die while the others are told by the second.
-const WATCHERS: usize = 2;
-/// The job for which the instances that watch the store are chosen.
-const WATCH_JOB: &[u8] = b"watch the store";
-/// How often peers are asked in a row before the next word is waited for.
-const ASK_MOST: usize = 4;
 
 /// Makes the gossip of this instance.
 pub(super) fn gossip(settings: &Settings, now: Instant) -> Gossip {
@@ -84,7 +67,11 @@
             () = site.ending.cancelled() => return,
             _ = round.tick() => {}
         }
-        let sends = site.gossip().tick(Instant::now());
+        let sends = {
+            let mut gossip = site.gossip();
+            gossip.raise(Revision(site.known.version()));
+            gossip.tick(Instant::now())
+        };
         deliver(&site, sends);
         after(&site);
     }
@@ -96,7 +83,8 @@
     after(site);
 }
 
-fn after(site: &Arc<Site>) {
+/// Acts on what changed, and pushes what can't wait for the next round.
+pub(super) fn after(site: &Arc<Site>) {
     let (events, sends) = {
         let mut gossip = site.gossip();
         (gossip.events(), gossip.pushes(Instant::now()))
@@ -104,11 +92,10 @@
     deliver(site, sends);
     for event in events {
         match event {
-            Event::Revision(_) => site.changed.notify_waiters(),
             Event::Joined(_) | Event::Suspected(_) | Event::Returned(_) | Event::Forgotten(_) => {
                 log::info!(event:? = event; "membership changed");
             }
-            Event::Brake(_) | Event::Changed(_) | Event::Renumbered => {}
+            Event::Revision(_) | Event::Brake(_) | Event::Changed(_) | Event::Renumbered => {}
         }
     }
 }
@@ -136,179 +123,3 @@
     }
     after(&site);
 }
-
-/// Asks peers for what is not known, until the instance ends.
-///
-/// The failures: an instance starts while the store is away; a word that told of something new was
-/// lost.
-pub(super) async fn follow_peers(site: Arc<Site>) {
-    let mut turn = tokio::time::interval(ASK_PEERS);
-    loop {
-        tokio::select! {
-            () = site.ending.cancelled() => return,
-            _ = turn.tick() => {}
-        }
-        let knows_all = site.has_config() && site.has_targets();
-        let is_behind = site.gossip().facts().revision().0 > site.table.load().config().version;
-        if knows_all && !is_behind {
-            continue;
-        }
-        let mut peers = peers(&site);
-        peers.shuffle(&mut rand::rng());
-        for peer in peers {
-            if ask_peer(&site, peer, 0).await {
-                break;
-            }
-        }
-    }
-}
-
-/// Asks the instance that knows more of the store than this one, if there is one.
-pub(super) fn follow(site: &Arc<Site>) {
-    if site.is_asking.swap(true, Relaxed) {
-        return;
-    }
-    site.tasks.spawn(ask_ahead(Arc::clone(site)));
-}
-
-async fn ask_ahead(site: Arc<Site>) {
-    for _ in 0..ASK_MOST {
-        let (revision, config) = (site.revision(), site.table.load().config().version);
-        let ahead = site.watchers().ahead(revision, config, Instant::now());
-        let Some(peer) = ahead.and_then(|origin| address_of(&site, origin)) else {
-            break;
-        };
-        if !ask_peer(&site, peer, revision).await {
-            break;
-        }
-        if site.revision() == revision && site.table.load().config().version == config {
-            // What changed does not concern the targets; the configuration is asked for whole.
-            ask_peer(&site, peer, 0).await;
-            break;
-        }
-    }
-    site.is_asking.store(false, Relaxed);
-}
-
-fn address_of(site: &Site, origin: u64) -> Option<SocketAddr> {
-    let gossip = site.gossip();
-    let member = gossip.roster().run(Origin(origin))?;
-    member.address.parse().ok()
-}
-
-/// Asks a peer for what is new since a revision; returns whether it told anything.
-async fn ask_peer(site: &Site, peer: SocketAddr, since: u64) -> bool {
-    let told = site.peers.bundle(peer, Revision(since)).await;
-    let Ok(Some(bytes)) = told else {
-        return false;
-    };
-    match News::decode(&bytes) {
-        Ok(news) => {
-            site.take_news(news);
-            true
-        }
-        Err(error) => {
-            log::warn!(peer:% = peer, error:% = error; "a peer's news cannot be read");
-            false
-        }
-    }
-}
-
-/// Takes in whether this instance is among those that watch the store for all.
-///
-/// Instances that know different ones may disagree for a while. Then one more watches, or none that
-/// others hear of, and those watch for themselves.
-pub(super) fn choose_watchers(site: &Site) {
-    let settings = site.settings.load();
-    let gossip = site.gossip();
-    let live = gossip.roster().of_state(MemberState::Live);
-    let mut candidates: Vec<Candidate<'_>> = live
-        .map(|member| Candidate {
-            name: &member.name,
-            data_centre: &member.data_centre,
-        })
-        .collect();
-    if !site.stopping.is_cancelled() {
-        candidates.push(Candidate {
-            name: &settings.instance,
-            data_centre: &settings.data_centre,
-        });
-    }
-    let chosen = choose(WATCH_JOB, &candidates, WATCHERS);
-    let is_chosen = chosen.iter().any(|one| *one.name == settings.instance);
-    if site.is_watcher.swap(is_chosen, Relaxed) != is_chosen {
-        log::info!(is_chosen, live = candidates.len(); "watcher of the store");
-    }
-}
-
-fn peers(site: &Site) -> Vec<SocketAddr> {
-    let settings = site.settings.load();
-    let own = address(&settings);
-    let seeds = settings.seeds.iter();
-    let seeds = seeds.map(|seed| SocketAddr::new(seed.0, own.port()));
-    let gossip = site.gossip();
-    let members = gossip.roster().of_state(MemberState::Live);
-    let members = members.filter_map(|member| member.address.parse().ok());
-    let mut all: Vec<SocketAddr> = seeds.chain(members).filter(|peer| *peer != own).collect();
-    all.sort();
-    all.dedup();
-    all
-}
-
-/// Answers the calls of other instances until the instance ends.
-pub(super) async fn serve(site: Arc<Site>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = site.ending.cancelled() => break,
-            accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted {
-                    let server = Server(Arc::clone(&site));
-                    connections.spawn(async move {
-                        // A peer that goes away in the middle is an ordinary end.
-                        let _ = accept(socket, server.serve()).await;
-                    });
-                }
-            }
-            Some(_) = connections.join_next() => {}
-        }
-    }
-    connections.shutdown().await;
-}
-
-/// Answers the calls of other instances. A relaying instance keeps no records for others, and has
-/// no keyed calls.
-#[derive(Clone)]
-struct Server(Arc<Site>);
-
-impl Peer for Server {
-    async fn exchange(self, _: Context, message: Message) -> Message {
-        let answer = self.0.gossip().receive(message, Instant::now());
-        after(&self.0);
-        answer
-    }
-
-    async fn keep(self, _: Context, _: Vec<u8>) -> Option<Vec<u8>> {
-        None
-    }
-
-    async fn extend(self, _: Context, _: Vec<u8>) {}
-
-    async fn forget(self, _: Context, _: RequestKey, _: Attempt) {}
-
-    async fn kept(self, _: Context, _: RequestKey) -> Option<Vec<u8>> {
-        None
-    }
-
-    async fn bundle(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
-        self.0.news(revision.0).map(|news| news.encode())
-    }
-
-    async fn rollouts(self, _: Context, _: Vec<u8>) -> Vec<u8> {
-        Vec::new()
-    }
-
-    async fn forward(self, _: Context, _: Vec<u8>) -> Vec<u8> {
-        Vec::new()
-    }
-}
--- a/daemon/src/relay/questions.rs
+++ b/daemon/src/relay/questions.rs
@@ -6,13 +6,14 @@
 use http::{header::CONTENT_TYPE, HeaderValue, Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::net::TcpListener;
 
 use super::{
     members,
     reply::{whole, Reply},
     site::Site,
 };
+use crate::listening;
 
 /// How long callers keep an answer of the directory. A short time lets them leave a dead instance
 /// soon; asking costs an instance some tens of microseconds.
@@ -24,20 +25,8 @@
 
 /// Answers questions on a listener until the instance ends.
 pub(super) async fn run(site: Arc<Site>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            () = site.ending.cancelled() => break,
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    let site = Arc::clone(&site);
-                    connections.spawn(serve(site, stream));
-                }
-            }
-            Some(_) = connections.join_next() => {}
-        }
-    }
-    connections.shutdown().await;
+    let ending = site.ending.clone();
+    listening::serve(listener, ending, |stream| serve(Arc::clone(&site), stream)).await;
 }
 
 async fn serve(site: Arc<Site>, stream: tokio::net::TcpStream) {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -70,9 +70,9 @@
             request,
             status,
             why = why.map(|why| format!("{why:?}")),
-            config = site.table.load().config().version,
-            targets_revision = site.revision(),
-            store_lost = site.is_store_lost(),
+            config = site.known.version(),
+            targets_revision = site.known.revision(),
+            store_lost = site.duty.is_lost(),
             took_ms;
             "answered"
         ),
@@ -117,7 +117,7 @@
     let Some(id) = head.request.clone() else {
         return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
-    site.wait_known(start + START_WAIT).await;
+    site.known.wait_known(start + START_WAIT).await;
     let host = request
         .headers()
         .get(HOST)
@@ -132,7 +132,7 @@
         Err(denied) => return deny(denied, &id),
     };
     let clock = Clock::new(start, head.deadline, route.timeout);
-    let limit = site.table.load().config().limits.body_bytes;
+    let limit = site.known.table().config().limits.body_bytes;
     let asked = match read(request, id.clone(), limit).await {
         Ok(asked) => asked,
         Err(status) => return reply::own(status, Some(&id), Reason::BadRequest),
@@ -156,10 +156,10 @@
 
 /// Finds the route and the account; nothing while no configuration is known.
 fn admit(site: &Site, host: &str, path: &str, head: &CallerHead) -> Option<Taken> {
-    if !site.has_config() {
+    if !site.known.has_config() {
         return None;
     }
-    let table: arc_swap::Guard<Arc<Table>> = site.table.load();
+    let table: arc_swap::Guard<Arc<Table>> = site.known.table();
     let taken = table.admit(host, path, head.key.as_deref());
     Some(taken.map(|(route, account)| {
         let account = account.map(|account| account.name.clone());
--- a/daemon/src/relay/revive.rs
+++ b/daemon/src/relay/revive.rs
@@ -32,10 +32,10 @@
             () = site.ending.cancelled() => return,
             () = sleep(LOOK) => {}
         }
-        if !site.is_store_lost() {
+        if !site.duty.is_lost() {
             continue;
         }
-        let dead = site.targets().dead_engines(Instant::now(), STAGGER);
+        let dead = site.known.targets().dead_engines(Instant::now(), STAGGER);
         join_all(dead.into_iter().map(|dead| look(&site, dead))).await;
     }
 }
@@ -47,7 +47,7 @@
     let Some(name) = ask(site, dead.address, path, tokens).await else {
         return;
     };
-    let is_new = site.targets().adopt(dead.hash, &name, Instant::now());
+    let is_new = site.known.targets().adopt(dead.hash, &name, Instant::now());
     if is_new {
         site.metrics.add(Counter::TargetsFound, 1);
         log::info!(target = name.as_str(), before = dead.name.as_str(), source = "engine"; "engine found again");
@@ -58,7 +58,7 @@
 /// Returns the path of the health check and the memory of the service's engines, if an engine at
 /// the address can only be of this service.
 fn may_adopt(site: &Site, dead: &Dead) -> Option<(Uri, u64)> {
-    let table = site.table.load();
+    let table = site.known.table();
     let service = table.only_engines()?;
     if service.name != dead.service {
         return None;
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -84,7 +84,7 @@
 
     /// Takes in the prompt of a request to an engine; plain services read none.
     pub(super) fn take_prompt(&mut self, prompt: Option<&Prompt>) {
-        let table = self.site.table.load();
+        let table = self.site.known.table();
         let engine = table.service(&self.wish.service);
         let engine = engine.and_then(|service| service.engine.as_ref());
         let (Some(prompt), Some(engine)) = (prompt, engine) else {
@@ -113,10 +113,11 @@
         let now = Instant::now();
         let pick = self
             .site
+            .known
             .targets()
             .pick(&self.wish.want(&self.tried), now)?;
         if self.wish.affinity.is_some() {
-            let targets = self.site.targets();
+            let targets = self.site.known.targets();
             let name = targets
                 .get(pick.key)
                 .map(|target| target.entry.name.as_str());
@@ -136,7 +137,7 @@
 
     /// Takes a place at the engine that holds a copy, unless it takes no new work any more.
     pub(super) fn place_at_copy(&mut self, key: TargetKey) -> Option<Lease> {
-        let is_usable = self.site.targets().is_usable(key);
+        let is_usable = self.site.known.targets().is_usable(key);
         is_usable.then(|| self.place_at(key)).flatten()
     }
 
@@ -154,6 +155,7 @@
     /// Chooses the engine that holds a copy of a run's memory.
     pub(super) fn backup_of(&self, main: TargetKey) -> Option<TargetKey> {
         self.site
+            .known
             .targets()
             .pick_backup(main, &self.wish.want(&self.tried), Instant::now())
     }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -13,7 +13,10 @@
     time::{timeout, Instant as Moment},
 };
 
-use super::{board, callers, members, questions, reload, revive, site::Site, stop, watches};
+use super::{
+    board, callers, follow, members, peer_service, questions, reload, revive, site::Site, stop,
+    watches,
+};
 
 /// The time between two looks at idle connections and at targets whose entries are missing.
 const SWEEP: Duration = Duration::from_millis(200);
@@ -80,7 +83,7 @@
         site.tasks.spawn(watches::configuration(Arc::clone(&site)));
         site.tasks.spawn(watches::targets(Arc::clone(&site)));
         site.tasks.spawn(members::run(Arc::clone(&site)));
-        site.tasks.spawn(members::follow_peers(Arc::clone(&site)));
+        site.tasks.spawn(follow::run(Arc::clone(&site)));
         site.tasks.spawn(revive::run(Arc::clone(&site)));
         site.tasks.spawn(sweep(Arc::clone(&site)));
         Ok(Self { site })
@@ -129,7 +132,7 @@
 async fn listen(site: &Arc<Site>) -> Result<(), Report<RelayError>> {
     let settings = site.settings.load_full();
     let peers = bind(members::address(&settings)).await?;
-    site.tasks.spawn(members::serve(Arc::clone(site), peers));
+    site.tasks.spawn(peer_service::run(Arc::clone(site), peers));
     let address = board::address(site);
     let lists = UdpSocket::bind(address).await;
     let lists = lists.change_context(RelayError::Listen(address))?;
@@ -167,7 +170,7 @@
             () = site.ending.cancelled() => return,
             () = tokio::time::sleep(SWEEP) => {
                 site.connections.sweep(Moment::now());
-                site.drop_missing();
+                site.known.drop_missing();
                 report_left_out(&site);
             }
         }
--- /dev/null
+++ b/daemon/src/relay/watch_duty.rs
@@ -0,0 +1,62 @@
+//! Whether this instance watches the store, and when the store last answered it.
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering::Relaxed},
+        Mutex, MutexGuard, PoisonError,
+    },
+    time::Duration,
+};
+
+use celerypond_relay::Watchers;
+use tokio::time::Instant;
+
+/// Whether this instance watches the store, and when the store last answered it.
+#[derive(Default)]
+pub(super) struct WatchDuty {
+    /// What instances that watch the store have said.
+    watchers: Mutex<Watchers>,
+    /// Whether this instance was chosen to watch the store for all.
+    pub(super) is_chosen: AtomicBool,
+    /// Whether the store does not tell of targets at present.
+    is_lost: AtomicBool,
+    /// When the store last answered about the configuration; nothing while it is not watched.
+    pub(super) config_answer: Mutex<Option<Instant>>,
+    /// When the store last answered about targets; nothing while they are not watched.
+    pub(super) targets_answer: Mutex<Option<Instant>>,
+}
+
+impl WatchDuty {
+    pub(super) fn watchers(&self) -> MutexGuard<'_, Watchers> {
+        self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this instance has to watch the store itself.
+    pub(super) fn must_watch(&self) -> bool {
+        let is_chosen = self.is_chosen.load(Relaxed);
+        self.watchers().must_watch(is_chosen, Instant::now())
+    }
+
+    /// Returns whether the store does not tell of targets at present.
+    pub(super) fn is_lost(&self) -> bool {
+        self.is_lost.load(Relaxed)
+    }
+
+    /// Takes in whether the store tells of targets.
+    pub(super) fn set_lost(&self, is_lost: bool) {
+        self.is_lost.store(is_lost, Relaxed);
+    }
+
+    /// Returns how long ago the store last answered this instance, if it watches the store.
+    pub(super) fn age(&self, now: Instant) -> Option<Duration> {
+        let answered = |at: &Mutex<Option<Instant>>| {
+            let at = *at.lock().unwrap_or_else(PoisonError::into_inner);
+            at.map(|at| now.saturating_duration_since(at))
+        };
+        let (config, targets) = (
+            answered(&self.config_answer),
+            answered(&self.targets_answer),
+        );
+        Some(config?.max(targets?))
+    }
+}
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -8,12 +8,13 @@
 use celerypond_adapter::{config, store, target};
 use celerypond_platform::{Changes, Listing, PlatformError, Version};
 use celerypond_relay::{Change, TargetEntry};
+use celerypond_telemetry::Counter;
 use celerypond_types::TargetName;
 use error_stack::Report;
 use rand::Rng as _;
 use tokio::time::{sleep, Instant};
 
-use super::site::{Site, STORE};
+use super::{knowledge::Source, site::Site};
 
 /// How long a watch waits for a change.
 ///
@@ -55,7 +56,7 @@
             }
         },
         lost: |_, _| {},
-        answer: |site| &site.config_answer,
+        answer: |site| &site.duty.config_answer,
     };
     run(&site, kind).await;
 }
@@ -67,7 +68,8 @@
         list: |site, listing| {
             let objects = listing.objects.iter();
             let entries = objects.filter_map(|object| entry(&object.key, &object.value));
-            site.list_targets(entries.collect(), listing.revision.0, STORE);
+            site.known
+                .list_targets(entries.collect(), listing.revision.0, source(site));
         },
         change: |site, changes| {
             let revision = changes.revision.0;
@@ -76,10 +78,11 @@
                 let told = told.map_or_else(|| Change::Gone(name(&change.key)), Change::Is);
                 (change.version.0, told)
             });
-            site.change_targets(&seen.collect::<Vec<_>>(), revision, STORE);
+            site.known
+                .change_targets(&seen.collect::<Vec<_>>(), revision, source(site));
         },
-        lost: Site::set_store_lost,
-        answer: |site| &site.targets_answer,
+        lost: set_lost,
+        answer: |site| &site.duty.targets_answer,
     };
     run(&site, kind).await;
 }
@@ -88,7 +91,7 @@
     let mut since = None;
     let mut is_lost = false;
     while !site.ending.is_cancelled() {
-        if !site.must_watch() {
+        if site.known.is_complete() && !site.duty.must_watch() {
             // Others tell what is new; what they know is newer than what was seen here.
             set(kind, site, None);
             is_lost = false;
@@ -130,6 +133,22 @@
     }
 }
 
+fn set_lost(site: &Site, is_lost: bool) {
+    if is_lost {
+        site.metrics.add(Counter::StoreLosses, 1);
+    }
+    site.duty.set_lost(is_lost);
+}
+
+/// Returns what the store is as a source: its first answer after a time without one may lack entries
+/// that lapsed meanwhile.
+fn source(site: &Site) -> Source {
+    match site.duty.is_lost() {
+        true => Source::StoreRegained,
+        false => Source::Store,
+    }
+}
+
 fn set(kind: Kind, site: &Site, answer: Option<Instant>) {
     let held = (kind.answer)(site);
     *held.lock().unwrap_or_else(PoisonError::into_inner) = answer;
@@ -171,7 +190,7 @@
         return;
     }
     match config::decode(value) {
-        Ok(config) => site.apply(config, STORE),
+        Ok(config) => site.known.apply(config, Source::Store),
         Err(error) => log::error!(error:% = error; "the configuration cannot be read"),
     }
 }
