relay: an engine has 0.8 s beside its reading for a first event

Cause: engines that hang with good health were given up after 2.9 s for a usual prompt, too late to read it elsewhere on time. Failed try, reverted: all instances avoid for 2 s an engine that answered one of them nothing.

--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -31,7 +31,7 @@
 /// How many tokens an engine is taken to read in a millisecond beside others' steps.
 const READ_TOKENS: f64 = 5.0;
 /// What an engine needs for a first event beside its reading.
-const FIRST_SLACK: Duration = Duration::from_millis(1_200);
+const FIRST_SLACK: Duration = Duration::from_millis(800);
 /// The time between two questions during the reading of a prompt.
 const ASK_FIRST: Duration = Duration::from_millis(350);
 
@@ -47,7 +47,7 @@
     /// use celerypond_relay::Patience;
     ///
     /// let patience = Patience::of_stream(5_000, Some(Duration::from_millis(700)));
-    /// assert_eq!(patience.first, Duration::from_millis(2_200));
+    /// assert_eq!(patience.first, Duration::from_millis(1_800));
     /// assert_eq!(patience.gap, Duration::from_millis(420));
     /// ```
     pub fn of_stream(reading: u64, gap_aim: Option<Duration>) -> Self {
