relay: streams wait for engines to return; sends that reached nobody need no budget

Cause: all engines of a service were lost for three seconds, and streams broke within milliseconds, for want of budget (each send to a dead engine took some) or of an engine. A begun stream waits up to 6 s now, a new one up to two fifths of its aim; whoever is refused hears when a target is asked again.

--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -107,7 +107,10 @@
         }
         let may_send = !may_have_run || self.kind.may_repeat();
         let has_room = self.runs < self.attempts && self.refusals < REFUSALS_LIMIT;
-        if may_send && has_room && budget() {
+        // The budget bounds what reaches targets. Where all targets of a data centre are dead, most
+        // sends reach none, and streams would break for want of budget.
+        let has_budget = || ended == Ended::Unsent || budget();
+        if may_send && has_room && has_budget() {
             return Next::Elsewhere;
         }
         match ended {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,7 +33,7 @@
 pub use head::{CallerHead, CopyName, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use left::Clock;
 pub use news::News;
-pub use patience::Patience;
+pub use patience::{Patience, Return};
 pub use place::{Pick, Want};
 pub use quality::{Quality, Tally};
 pub use settings::{Bounds, Listen, Seed, Settings, StoreSettings};
--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -70,3 +70,42 @@
         }
     }
 }
+
+/// How long a stream waits for an engine when none takes it.
+///
+/// The load it answers: all engines of a service are lost at once and are back within seconds. A new
+/// stream can still be on time, and one that was begun would have to be begun anew by its caller.
+pub struct Return {
+    /// The longest wait of a stream without an event so far.
+    pub first: Duration,
+    /// The longest wait of a stream that was begun.
+    pub begun: Duration,
+    /// The time between two looks.
+    pub look: Duration,
+}
+
+/// The part of the aim for the first event that may be spent on waiting for an engine; the rest is for
+/// reading the prompt.
+const RETURN_SHARE: f64 = 0.4;
+/// How long a begun stream waits. Callers leave a stream after a longer pause, and engines start
+/// within a second or two.
+const RETURN_BEGUN: Duration = Duration::from_secs(6);
+/// The time between two looks for an engine.
+const RETURN_LOOK: Duration = Duration::from_millis(200);
+
+impl Return {
+    /// Returns the wait for a route whose first event is to come within `aim`.
+    pub fn of_route(aim: Duration) -> Self {
+        Self {
+            first: aim.mul_f64(RETURN_SHARE),
+            begun: RETURN_BEGUN,
+            look: RETURN_LOOK,
+        }
+    }
+
+    /// Returns whether a stream that has waited so long waits on.
+    pub fn waits_on(&self, waited: Duration, has_begun: bool) -> bool {
+        let most = if has_begun { self.begun } else { self.first };
+        waited + self.look <= most
+    }
+}
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -400,6 +400,17 @@
         target.reading + others
     }
 
+    /// Returns how long it takes until a target of a service is no longer avoided; nothing while one is
+    /// not, or while there is none.
+    pub fn back_in(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let of_service = self.arena.iter();
+        let of_service = of_service.filter(|(_, target)| target.entry.service == *service);
+        let usable = of_service.filter(|(key, _)| self.is_usable(*key));
+        let soonest = usable.map(|(_, target)| target.avoid).min()?;
+        let left = soonest?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns whether new work may go to a target.
     pub fn is_usable(&self, key: TargetKey) -> bool {
         let is_ready = self.arena.get(key).is_some_and(Target::is_ready);
--- a/crates/relay/tests/test_attempts.rs
+++ b/crates/relay/tests/test_attempts.rs
@@ -69,6 +69,14 @@
     assert_eq!(situation(SAFE, runs).next(ended, || false), expected);
 }
 
+/// Many targets take no connection at once. A send that reached none costs the targets nothing, so
+/// the next one needs no budget.
+#[test]
+fn a_send_that_reached_nobody_needs_no_budget() {
+    let next = situation(SAFE, 1).next(Ended::Unsent, || false);
+    assert_eq!(next, Next::Elsewhere);
+}
+
 #[test]
 fn no_more_targets_are_asked_than_the_route_allows() {
     let next = situation(SAFE, 3).next(Ended::Broken, || true);
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{CopyName, Ended, Next, Patience, TargetHead};
+use celerypond_relay::{CopyName, Ended, Next, Patience, Return, TargetHead};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
@@ -86,8 +86,28 @@
         })
     }
 
-    /// Asks engines until one answers; first the one that holds a copy of the run's memory.
-    async fn find(&mut self, mut copy: Option<CopyAt>) -> Result<(), Next> {
+    /// Asks engines until one answers, and waits for one to return when none takes the stream.
+    async fn find(&mut self, copy: Option<CopyAt>) -> Result<(), Next> {
+        let begun = Instant::now();
+        let wait = Return::of_route(self.run.route.aim);
+        let mut copy = copy;
+        loop {
+            let Err((next, is_lack)) = self.ask_all(copy.take()).await else {
+                return Ok(());
+            };
+            let has_begun = self.passage.passed() > 0;
+            let waits_on = is_lack && wait.waits_on(begun.elapsed(), has_begun);
+            if !waits_on || self.run.left() < wait.look * 2 {
+                return Err(next);
+            }
+            tokio::time::sleep(wait.look).await;
+            self.run.begin_again();
+        }
+    }
+
+    /// Asks engines until one answers; first the one that holds a copy of the run's memory. Returns
+    /// what follows otherwise, and whether it is for lack of an engine that takes the stream.
+    async fn ask_all(&mut self, mut copy: Option<CopyAt>) -> Result<(), (Next, bool)> {
         let mut is_again = self.passage.passed() > 0;
         loop {
             let from = copy.take();
@@ -99,7 +119,7 @@
             let at_copy = holder.and_then(|key| self.run.place_at_copy(key));
             let from = from.filter(|_| at_copy.is_some());
             let Some(lease) = at_copy.or_else(|| self.run.place()) else {
-                return Err(self.run.nowhere());
+                return Err((self.run.nowhere(), true));
             };
             let lost = match self.ask(lease, from).await {
                 Ok(()) => return Ok(()),
@@ -108,7 +128,7 @@
             self.passage.drop_rest();
             let next = self.run.ended(&lost.lease, lost.ended);
             if next != Next::Elsewhere {
-                return Err(next);
+                return Err((next, lost.ended.proves_not_run()));
             }
             copy = lost.copy;
         }
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -7,7 +7,7 @@
 use super::{
     attempt::{read_whole, send},
     lease::Lease,
-    reply::{self, Reason, Reply},
+    reply::{self, Reply},
     run::Run,
 };
 
@@ -19,8 +19,7 @@
     let mut failed = None;
     loop {
         let Some(mut lease) = run.place() else {
-            return failed
-                .unwrap_or_else(|| reply::not_run(&run.asked.id, run.left(), Reason::NoTarget));
+            return failed.unwrap_or_else(|| reply::after(Next::NotRun, &run));
         };
         let begun = Instant::now();
         let result = attempt(&run, &mut lease).await;
@@ -36,7 +35,7 @@
         };
         let next = run.ended(&lease, ended);
         if next != Next::Elsewhere {
-            return failed.unwrap_or_else(|| reply::after(next, &run.asked.id, run.left()));
+            return failed.unwrap_or_else(|| reply::after(next, &run));
         }
     }
 }
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -13,6 +13,8 @@
 use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full};
 use thiserror::Error;
 
+use super::run::Run;
+
 /// A stream could not go on. The connection to the caller breaks, so that what it has does not look
 /// complete.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -41,10 +43,12 @@
     TimeOver,
 }
 
-/// When a caller whose request has not run may come back: a failed target is avoided by then.
+/// When a caller whose request has not run may come back, if nothing else is known.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// How long after a target is asked again a caller may come back.
+const COME_BACK_SLACK: Duration = Duration::from_millis(100);
 /// The part of its time that a caller waits at most before it comes back.
-const COME_BACK_SHARE: u32 = 4;
+const COME_BACK_SHARE: u32 = 3;
 
 /// Makes the body of a whole response.
 pub(super) fn whole(bytes: impl Into<Bytes>) -> Body {
@@ -68,8 +72,9 @@
 }
 
 /// Makes the answer to a request that has not run and never will, with when to come back.
-pub(super) fn not_run(id: &str, left: Duration, why: Reason) -> Reply {
-    let wait = COME_BACK.min(left / COME_BACK_SHARE);
+pub(super) fn not_run(id: &str, left: Duration, back: Option<Duration>, why: Reason) -> Reply {
+    let wait = back.map_or(COME_BACK, |back| back + COME_BACK_SLACK);
+    let wait = wait.min(left / COME_BACK_SHARE);
     let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, Some(id), why);
     let seconds = format!("{:.2}", wait.as_secs_f64());
     // Digits and a point can stand in a header.
@@ -80,9 +85,12 @@
 }
 
 /// Makes the final answer that follows the end of the last attempt.
-pub(super) fn after(next: Next, id: &str, left: Duration) -> Reply {
+pub(super) fn after(next: Next, run: &Run) -> Reply {
+    let id = run.asked.id.as_str();
     match next {
-        Next::NotRun | Next::Elsewhere => not_run(id, left, Reason::NoTarget),
+        Next::NotRun | Next::Elsewhere => {
+            not_run(id, run.left(), run.come_back(), Reason::NoTarget)
+        }
         Next::Failed => own(StatusCode::BAD_GATEWAY, Some(id), Reason::Failed),
         Next::Expired => own(StatusCode::GATEWAY_TIMEOUT, Some(id), Reason::TimeOver),
     }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -125,7 +125,12 @@
     let host = host.unwrap_or_default().to_owned();
     let path = request.uri().path().to_owned();
     let Some(taken) = admit(site, &host, &path, &head) else {
-        return reply::not_run(&id, head.deadline.unwrap_or_default(), Reason::NoConfig);
+        return reply::not_run(
+            &id,
+            head.deadline.unwrap_or_default(),
+            None,
+            Reason::NoConfig,
+        );
     };
     let (route, account) = match taken {
         Ok(taken) => taken,
@@ -138,7 +143,7 @@
         Err(status) => return reply::own(status, Some(&id), Reason::BadRequest),
     };
     let Some(service) = choose_service(&route) else {
-        return reply::not_run(&id, clock.left(Instant::now()), Reason::NoTarget);
+        return reply::not_run(&id, clock.left(Instant::now()), None, Reason::NoTarget);
     };
     let mut run = Run::new(site, asked, &route, service, account, clock);
     run.take_prompt(head.prompt.as_ref());
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -160,6 +160,19 @@
             .pick_backup(main, &self.wish.want(&self.tried), Instant::now())
     }
 
+    /// Returns when a caller whose request has not run may come back: when a target that failed a
+    /// moment ago is asked again.
+    pub(super) fn come_back(&self) -> Option<Duration> {
+        let targets = self.site.known.targets();
+        targets.back_in(&self.wish.service, Instant::now())
+    }
+
+    /// Allows targets to be asked once more, after a wait.
+    pub(super) fn begin_again(&mut self) {
+        self.tried.clear();
+        self.refusals = 0;
+    }
+
     /// Returns what follows when no target is left.
     pub(super) const fn nowhere(&self) -> Next {
         match self.runs {
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -19,7 +19,7 @@
             reply::relayed(first.status, &first.headers, body(flow), &first.target)
         }
         Ok(first) => pass_failure(flow, &first).await,
-        Err(next) => reply::after(next, &flow.run.asked.id, flow.run.left()),
+        Err(next) => reply::after(next, &flow.run),
     }
 }
 
@@ -27,7 +27,7 @@
 async fn pass_failure(mut flow: Flow, first: &First) -> Reply {
     let left = flow.run.left();
     let Some(mut opened) = flow.take_opened() else {
-        return reply::after(Next::Failed, &flow.run.asked.id, left);
+        return reply::after(Next::Failed, &flow.run);
     };
     match read_whole(&mut opened.body, left).await {
         Ok(body) => reply::relayed(
@@ -36,7 +36,7 @@
             reply::whole(body),
             &first.target,
         ),
-        Err(_) => reply::after(Next::Failed, &flow.run.asked.id, left),
+        Err(_) => reply::after(Next::Failed, &flow.run),
     }
 }
 
