relay: the first engine that returns does not get all streams

Cause: after the loss of all engines, every stream that waited went to the one that was back first, and its prompts took longer than their callers had. An engine may have as much to read as takes twice the aim; other streams wait for other engines.

--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -32,6 +32,8 @@
 const READ_TOKENS: f64 = 5.0;
 /// What an engine needs for a first event beside its reading.
 const FIRST_SLACK: Duration = Duration::from_millis(800);
+/// How many times the aim for the first event an engine may need for the prompts before a stream's.
+const BACKLOG_AIMS: f64 = 2.0;
 /// The time between two questions during the reading of a prompt.
 const ASK_FIRST: Duration = Duration::from_millis(350);
 
@@ -61,6 +63,13 @@
         }
     }
 
+    /// Returns the most tokens of other prompts that an engine may have to read before a stream whose
+    /// first event is to come within `aim`. Behind more it would be late by twice its aim, and its
+    /// prompt would be read for nothing.
+    pub fn backlog(aim: Duration) -> u64 {
+        (aim.as_secs_f64() * BACKLOG_AIMS * READ_TOKENS * 1_000.0) as u64
+    }
+
     /// Returns the patience with an idempotent request whose response is one piece: the time in
     /// which another target can still answer, or all that is left when no other may be asked.
     pub fn of_request(aim: Duration, left: Duration, may_ask_another: bool) -> Duration {
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -37,6 +37,9 @@
     pub tokens: u64,
     /// The memory of one engine in tokens; nothing for plain services.
     pub capacity: Option<u64>,
+    /// The most tokens of other prompts that an engine may have to read first; nothing for plain
+    /// services.
+    pub backlog: Option<u64>,
 }
 
 /// The chosen target.
@@ -62,9 +65,11 @@
                     .is_none_or(|version| target.1.entry.version == *version)
                 && !want.tried.contains(&target.0)
         };
-        let all: Vec<(TargetKey, &Target)> = self.iter().filter(|target| fits(&target)).collect();
-        let sound = all.iter().filter(|(_, target)| !target.is_avoided(now));
         let loads = Loads::of(self, want, now);
+        let all = self.iter().filter(|target| fits(&target));
+        let all: Vec<(TargetKey, &Target)> =
+            all.filter(|(_, target)| !loads.is_behind(target)).collect();
+        let sound = all.iter().filter(|(_, target)| !target.is_avoided(now));
         let best = sound.min_by(|a, b| loads.compare(a.1, b.1));
         if let Some((key, _)) = best {
             return Some(Pick {
@@ -164,6 +169,19 @@
         )
     }
 
+    /// Returns whether an engine has more to read than a stream can wait for.
+    ///
+    /// The failure: all engines are lost, one is back before the others, and every stream that waits
+    /// goes there. It reads for a minute, and the others are idle.
+    fn is_behind(&self, target: &Target) -> bool {
+        let others = self
+            .taken
+            .get(&target.hash)
+            .map_or(0, |taken| taken.reading);
+        let reading = target.reading + others;
+        self.want.backlog.is_some_and(|most| reading > most)
+    }
+
     /// Returns the larger of the parts of an engine's slots and of its memory that are taken.
     fn crowding(&self, target: &Target, others: &Taken) -> f64 {
         let tokens = target.tokens + others.tokens + self.want.tokens;
--- a/crates/relay/tests/fixture.rs
+++ b/crates/relay/tests/fixture.rs
@@ -97,6 +97,7 @@
             lot: 0,
             tokens: 0,
             capacity: None,
+            backlog: None,
         }
     }
 }
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use celerypond_relay::{Change, Load, PlacementKey, Targets, Want};
+use celerypond_relay::{Change, Load, Patience, PlacementKey, Targets, Want};
 use celerypond_types::{TargetKey, TargetName};
 use tokio::time::Instant;
 
@@ -105,6 +105,30 @@
     }
 }
 
+/// All engines were lost, and one is back before the others. It gets as many prompts as it can read
+/// while their callers wait; the rest waits for the other engines.
+#[test]
+fn the_first_engine_that_returns_does_not_get_all() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    for name in ["mid-0-1", "west-0-1"] {
+        targets.apply(&Change::Gone(TargetName::new(name)), now);
+    }
+    let wanted = Wanted::new();
+    let want = |part| Want {
+        backlog: Some(Patience::backlog(Duration::from_millis(4_500))),
+        ..wanted.stream(part)
+    };
+    let mut placed = 0;
+    for part in 0..50 {
+        if let Some(pick) = targets.pick(&want(part), now) {
+            targets.add_stream(pick.key, part, TOKENS, now).unwrap();
+            placed += 1;
+        }
+    }
+    assert_eq!(placed, 6);
+}
+
 /// An engine's memory is nearly taken. A further stream would have a running one preempted.
 #[test]
 fn a_stream_goes_where_there_is_memory() {
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use celerypond_relay::{Clock, Ended, Next, Prompt, Route, RouteKind, Situation, Want};
+use celerypond_relay::{Clock, Ended, Next, Patience, Prompt, Route, RouteKind, Situation, Want};
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
 use tokio::time::Instant;
@@ -18,6 +18,8 @@
     tokens: u64,
     /// The memory of one engine, in tokens.
     capacity: Option<u64>,
+    /// The most tokens of other prompts that an engine may have to read first.
+    backlog: Option<u64>,
     near: DataCentre,
     lot: u64,
 }
@@ -34,6 +36,7 @@
             lot: self.lot,
             tokens: self.tokens,
             capacity: self.capacity,
+            backlog: self.backlog,
         }
     }
 }
@@ -66,6 +69,7 @@
             affinity: None,
             tokens: 0,
             capacity: None,
+            backlog: None,
             near: site.settings.load().data_centre.clone(),
             lot: rand::random(),
         };
@@ -93,6 +97,7 @@
         self.wish.affinity = prompt.parts.last().map(|part| part.id);
         self.wish.tokens = prompt.tokens_in + prompt.tokens_out;
         self.wish.capacity = Some(engine.tokens);
+        self.wish.backlog = Some(Patience::backlog(self.route.aim));
     }
 
     pub(super) fn left(&self) -> Duration {
