--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -28,8 +28,6 @@
     pub bounds: Bounds,
     /// How many cores the instance has.
     pub cores: usize,
-    /// The descriptors that the process may open.
-    pub descriptors: usize,
 }
 
 /// An instance that a starting one tries first.
@@ -75,6 +73,58 @@
     pub retry_slack: f64,
     /// The longest time for which callers may keep an answer of the directory.
     pub directory_ttl: Duration,
-    /// The share of a service's requests that a version under trial may get.
-    pub expose_share: f64,
+}
+
+/// The part of the shortest bound for which a watch of the store waits. After two of them in a row,
+/// and the calls between, an instance whose watchers are cut off still knows in time.
+const WATCH_SHARE: f64 = 0.4;
+/// The bounds of that wait: shorter ones cost calls, longer ones leave a silent watch unnoticed.
+const WATCH_BOUNDS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+/// The part of the bound of a drain for which entries may be missing after the store's return. What
+/// is left of it is for noticing the end.
+const BACK_SHARE: f64 = 0.85;
+/// The time that targets take to write their entries again after the store's return.
+const BACK_MOST: Duration = Duration::from_secs(2);
+
+impl Bounds {
+    /// Returns how long a watch of the store waits for a change.
+    ///
+    /// A watch may go silent without a sign, and only its end shows that it lives. New versions and
+    /// leaving targets must be obeyed within their bounds, so a silent watch has to be found out
+    /// before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::Bounds;
+    ///
+    /// let bounds = Bounds { drain: Duration::from_secs(2), ..Bounds::default() };
+    /// assert_eq!(bounds.watch_wait(), Duration::from_millis(800));
+    /// ```
+    pub fn watch_wait(&self) -> Duration {
+        let (least, most) = WATCH_BOUNDS;
+        let shortest = self.drain.min(self.config_apply);
+        shortest.mul_f64(WATCH_SHARE).clamp(least, most)
+    }
+
+    /// Returns how long entries of targets may be missing after the store's return.
+    pub fn entries_back(&self) -> Duration {
+        self.drain.mul_f64(BACK_SHARE).min(BACK_MOST)
+    }
+}
+
+impl Default for Bounds {
+    /// The bounds of a small deployment.
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(8),
+            config_apply: Duration::from_secs(2),
+            drain: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            directory_ttl: Duration::from_secs(5),
+        }
+    }
 }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -15,9 +15,6 @@
     PlacementKey, Placements, Quality, Taken, Target, TargetEntry,
 };
 
-/// How long after the store's return the entries of targets that live may be missing. With the time
-/// until the end is noticed it stays below the two seconds in which a leaving target must be left.
-const ENTRIES_BACK: Duration = Duration::from_millis(1_700);
 /// How long after its death an engine is looked for first: it takes about a second to start.
 const REVIVE_FROM: Duration = Duration::from_millis(900);
 /// How long after its death an engine is looked for at most.
@@ -142,12 +139,12 @@
     }
 
     /// Takes in which targets another instance misses after an outage.
-    pub fn miss_all(&mut self, names: &[TargetName], now: Instant) {
+    pub fn miss_all(&mut self, names: &[TargetName], time: Duration, now: Instant) {
         if names.is_empty() {
             return;
         }
         if self.grace.is_none() {
-            self.await_entries(now);
+            self.await_entries(time, now);
         }
         names.iter().for_each(|name| self.miss(name));
     }
@@ -159,8 +156,8 @@
     /// written their entries again, which takes them about two seconds. What is missing after that
     /// is gone. The time begins with the return and not with a removal: a target may also leave by
     /// removing its entry, and must get nothing new two seconds later.
-    pub fn await_entries(&mut self, now: Instant) {
-        self.grace = Some(now + ENTRIES_BACK);
+    pub fn await_entries(&mut self, time: Duration, now: Instant) {
+        self.grace = Some(now + time);
     }
 
     /// Removes targets whose entries did not come back in time; returns their names.
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -5,12 +5,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// How long ago a watcher's last answer of the store may be for others to rely on it.
-///
-/// A watch that waits without a change answers after 0.8 s. With the time between two words, 0.3 s,
-/// and one call, an instance whose watchers are all cut off knows of a change within 1.6 s; new
-/// versions and leaving targets must be obeyed within 2 s.
-const RELIED: Duration = Duration::from_millis(1_100);
+/// How much longer ago than a whole wait of a watch a watcher's last answer of the store may be: the
+/// time between two of its words.
+const SLACK: Duration = Duration::from_millis(300);
 
 /// What an instance that watches the store says to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,34 +38,50 @@
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
-/// let mut watchers = Watchers::default();
+/// let mut watchers = Watchers::new(Duration::from_millis(800));
 /// assert!(watchers.must_watch(false, now));
 /// watchers.hear(Word { origin: 1, revision: 7, config: 2, age_ms: 300 }, now);
 /// assert!(!watchers.must_watch(false, now));
 /// assert_eq!(watchers.ahead(6, 2, now), Some(1));
 /// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Watchers {
     words: HashMap<u64, (Word, Instant)>,
+    /// How long ago the store's last answer to a watcher may be for others to rely on it.
+    relied: Duration,
 }
 
 impl Watchers {
+    /// Knows of no watcher; a watch of the store waits so long for a change.
+    pub fn new(watch_wait: Duration) -> Self {
+        Self {
+            words: HashMap::new(),
+            relied: watch_wait + SLACK,
+        }
+    }
+
     /// Takes in the word of another instance.
     pub fn hear(&mut self, word: Word, now: Instant) {
         self.words.insert(word.origin, (word, now));
-        self.words.retain(|_, word| is_relied_on(word, now));
+        let relied = self.relied;
+        self.words.retain(|_, word| is_relied_on(word, relied, now));
     }
 
     /// Returns whether this instance watches the store: it was chosen, or it hears of no other one
     /// that does.
     pub fn must_watch(&self, is_chosen: bool, now: Instant) -> bool {
-        is_chosen || !self.words.values().any(|word| is_relied_on(word, now))
+        is_chosen
+            || !self
+                .words
+                .values()
+                .any(|word| is_relied_on(word, self.relied, now))
     }
 
     /// Returns an instance that knows more than this revision or this configuration.
     pub fn ahead(&self, revision: u64, config: u64, now: Instant) -> Option<u64> {
-        let relied = self.words.values().filter(|word| is_relied_on(word, now));
+        let words = self.words.values();
+        let relied = words.filter(|word| is_relied_on(word, self.relied, now));
         let ahead = relied.filter(|(word, _)| word.revision > revision || word.config > config);
         ahead
             .max_by_key(|(word, _)| (word.config, word.revision))
@@ -76,7 +89,7 @@
     }
 }
 
-fn is_relied_on((word, heard): &(Word, Instant), now: Instant) -> bool {
+fn is_relied_on((word, heard): &(Word, Instant), relied: Duration, now: Instant) -> bool {
     let age = Duration::from_millis(u64::from(word.age_ms));
-    now.saturating_duration_since(*heard) + age < RELIED
+    now.saturating_duration_since(*heard) + age < relied
 }
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use celerypond_relay::{Board, Change, Config, News, Placement, Placements, Watchers, Word};
+use celerypond_relay::{
+    Board, Bounds, Change, Config, News, Placement, Placements, Watchers, Word,
+};
 use tokio::time::Instant;
 
 use crate::fixture::{engine, key, three_data_centres, TOKENS};
 
+/// How long entries may be missing after the store's return.
+const BACK: Duration = Duration::from_millis(1_700);
+
 fn list(origin: u64, sequence: u64, targets: &[u64]) -> Placements {
     let stream = |target: &u64| Placement {
         target: *target,
@@ -133,7 +138,7 @@
 #[test]
 fn a_watcher_that_hears_nothing_is_not_relied_on() {
     let now = Instant::now();
-    let mut watchers = Watchers::default();
+    let mut watchers = Watchers::new(Duration::from_millis(800));
     let word = |age_ms| Word {
         origin: 1,
         revision: 5,
@@ -152,7 +157,7 @@
 #[test]
 fn only_whoever_knows_more_is_asked() {
     let now = Instant::now();
-    let mut watchers = Watchers::default();
+    let mut watchers = Watchers::new(Duration::from_millis(800));
     for (origin, revision, config) in [(1, 5, 2), (2, 7, 2), (3, 4, 1)] {
         let word = Word {
             origin,
@@ -174,7 +179,7 @@
 fn entries_that_lapsed_with_the_store_have_time_to_come_back() {
     let now = Instant::now();
     let mut targets = three_data_centres(1);
-    targets.await_entries(now);
+    targets.await_entries(BACK, now);
     assert!(targets.replace(Vec::new(), now).is_empty());
     assert_eq!(targets.len(), 3);
     let soon = now + Duration::from_secs(1);
@@ -198,10 +203,30 @@
 fn an_entry_that_is_removed_after_the_return_is_not_kept_for_longer() {
     let now = Instant::now();
     let mut targets = three_data_centres(1);
-    targets.await_entries(now);
+    targets.await_entries(BACK, now);
     let removed = now + Duration::from_millis(1_500);
     let east = engine("east", 0, 1).name;
     targets.apply(&Change::Gone(east.clone()), removed);
     let later = now + Duration::from_secs(2);
     assert_eq!(targets.drop_missing(later), [east]);
 }
+
+/// A deployment obeys leaving targets within half a second. A silent watch must be found out sooner
+/// there, and missing entries have less time.
+#[test]
+fn waits_follow_the_bounds_of_the_deployment() {
+    let strict = Bounds {
+        drain: Duration::from_millis(500),
+        ..Bounds::default()
+    };
+    assert_eq!(strict.watch_wait(), Duration::from_millis(200));
+    assert!(strict.entries_back() < strict.drain);
+    assert_eq!(Bounds::default().entries_back(), BACK);
+    let loose = Bounds {
+        drain: Duration::from_secs(60),
+        config_apply: Duration::from_secs(17),
+        ..Bounds::default()
+    };
+    assert_eq!(loose.watch_wait(), Duration::from_secs(2));
+    assert_eq!(loose.entries_back(), Duration::from_secs(2));
+}
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -6,6 +6,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
     },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -39,10 +40,13 @@
     changed: Notify,
     /// Tells that other instances have to be told of something new.
     pub(super) told: Notify,
+    /// How long entries may be missing after the store's return.
+    entries_back: Duration,
 }
 
-impl Default for Knowledge {
-    fn default() -> Self {
+impl Knowledge {
+    /// Knows nothing; entries may be missing for so long after the store's return.
+    pub(super) fn new(entries_back: Duration) -> Self {
         let mut targets = Targets::default();
         targets.lateness = rand::rng().random();
         Self {
@@ -54,11 +58,10 @@
             config_revision: AtomicU64::new(0),
             changed: Notify::new(),
             told: Notify::new(),
+            entries_back,
         }
     }
-}
 
-impl Knowledge {
     /// Returns the configuration in force.
     pub(super) fn table(&self) -> arc_swap::Guard<Arc<Table>> {
         self.table.load()
@@ -140,7 +143,7 @@
         let now = Instant::now();
         let mut targets = self.targets();
         if source == Source::StoreRegained {
-            targets.await_entries(now);
+            targets.await_entries(self.entries_back, now);
         }
         let changes = targets.replace(entries, now);
         targets.note_list(revision);
@@ -164,7 +167,7 @@
         let now = Instant::now();
         let mut targets = self.targets();
         if source == Source::StoreRegained {
-            targets.await_entries(now);
+            targets.await_entries(self.entries_back, now);
         }
         for (at, change) in changes {
             targets.note_change(*at, change.name());
@@ -194,7 +197,8 @@
                 .collect();
             self.change_targets(&changes, news.revision, Source::Peer);
         }
-        self.targets().miss_all(&news.missing, Instant::now());
+        let mut targets = self.targets();
+        targets.miss_all(&news.missing, self.entries_back, Instant::now());
     }
 
     /// Returns what another instance that knows the targets up to a revision has to be told.
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -82,8 +82,8 @@
             },
         };
         Self {
-            known: Knowledge::default(),
-            duty: WatchDuty::default(),
+            known: Knowledge::new(settings.bounds.entries_back()),
+            duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::default(),
             store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
             retries: retry_budget(&settings),
--- a/daemon/src/relay/watch_duty.rs
+++ b/daemon/src/relay/watch_duty.rs
@@ -12,7 +12,6 @@
 use tokio::time::Instant;
 
 /// Whether this instance watches the store, and when the store last answered it.
-#[derive(Default)]
 pub(super) struct WatchDuty {
     /// What instances that watch the store have said.
     watchers: Mutex<Watchers>,
@@ -27,6 +26,17 @@
 }
 
 impl WatchDuty {
+    /// Makes the duty where a watch of the store waits so long for a change.
+    pub(super) fn new(watch_wait: Duration) -> Self {
+        Self {
+            watchers: Mutex::new(Watchers::new(watch_wait)),
+            is_chosen: AtomicBool::new(false),
+            is_lost: AtomicBool::new(false),
+            config_answer: Mutex::default(),
+            targets_answer: Mutex::default(),
+        }
+    }
+
     pub(super) fn watchers(&self) -> MutexGuard<'_, Watchers> {
         self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -16,11 +16,6 @@
 
 use super::{knowledge::Source, site::Site};
 
-/// How long a watch waits for a change.
-///
-/// A watch may go silent without a sign, and only its end shows that it lives. A drain must be
-/// obeyed within two seconds, so a silent watch has to be found out before.
-const WAIT: Duration = Duration::from_millis(800);
 /// The time between two looks whether this instance has to watch the store.
 const LOOK: Duration = Duration::from_millis(100);
 /// The shortest rest after a failed call; drawn up to three times as long, so that instances whose
@@ -165,7 +160,8 @@
         (kind.list)(site, listing);
         return Ok(revision);
     };
-    let changes = site.store.watch(kind.prefix, since, WAIT).await?;
+    let wait = site.settings.load().bounds.watch_wait();
+    let changes = site.store.watch(kind.prefix, since, wait).await?;
     let revision = changes.revision;
     (kind.change)(site, changes);
     Ok(revision.max(since))
