--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -68,6 +68,14 @@
         self.words.retain(|_, word| is_relied_on(word, relied, now));
     }
 
+    /// Drops the word of an instance that did not answer; it is relied on again after its next one.
+    ///
+    /// The failure: a watcher says that there is something new, and is cut off. Whoever asked it would
+    /// wait for its answer, and ask it again, while another watcher could tell.
+    pub fn forget(&mut self, origin: u64) {
+        self.words.remove(&origin);
+    }
+
     /// Returns whether this instance watches the store: it was chosen, or it hears of no other one
     /// that does.
     pub fn must_watch(&self, is_chosen: bool, now: Instant) -> bool {
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -154,6 +154,29 @@
     assert_eq!(watchers.ahead(0, 0, now), None);
 }
 
+/// A watcher says that there is a new version, and is cut off before it is asked. The other watcher is
+/// asked next, and where there is none, the store.
+#[test]
+fn a_watcher_that_does_not_answer_is_not_waited_for() {
+    let now = Instant::now();
+    let mut watchers = Watchers::new(Duration::from_millis(800));
+    for (origin, config) in [(1, 9), (2, 8)] {
+        let word = Word {
+            origin,
+            revision: 5,
+            config,
+            age_ms: 10,
+        };
+        watchers.hear(word, now);
+    }
+    assert_eq!(watchers.ahead(5, 7, now), Some(1));
+    watchers.forget(1);
+    assert_eq!(watchers.ahead(5, 7, now), Some(2));
+    watchers.forget(2);
+    assert_eq!(watchers.ahead(5, 7, now), None);
+    assert!(watchers.must_watch(false, now));
+}
+
 #[test]
 fn only_whoever_knows_more_is_asked() {
     let now = Instant::now();
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -10,12 +10,14 @@
 use celerypond_relay::News;
 use celerypond_types::Revision;
 use rand::seq::SliceRandom as _;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::{members, site::Site};
 
 /// The time between two questions to peers for what the store does not tell.
 const ASK_PEERS: Duration = Duration::from_millis(300);
+/// How long a peer may take to tell its news; a whole list takes some ten milliseconds.
+const ANSWER: Duration = Duration::from_millis(400);
 /// How many instances watch the store for all. One may die while the others are told by the second.
 const WATCHERS: usize = 2;
 /// The job for which the instances that watch the store are chosen.
@@ -61,12 +63,18 @@
     for _ in 0..ASK_MOST {
         let (revision, config) = (site.known.revision(), site.known.version());
         let ahead = site.duty.watchers().ahead(revision, config, Instant::now());
-        let Some(peer) = ahead.and_then(|origin| address_of(&site, origin)) else {
+        let Some(origin) = ahead else {
             break;
         };
-        if !ask_peer(&site, peer, revision).await {
-            break;
-        }
+        let peer = address_of(&site, origin);
+        let is_told = match peer {
+            Some(peer) => ask_peer(&site, peer, revision).await,
+            None => false,
+        };
+        let (Some(peer), true) = (peer, is_told) else {
+            site.duty.watchers().forget(origin);
+            continue;
+        };
         if site.known.revision() == revision && site.known.version() == config {
             // What changed does not concern the targets; the configuration is asked for whole.
             ask_peer(&site, peer, 0).await;
@@ -84,8 +92,9 @@
 
 /// Asks a peer for what is new since a revision; returns whether it told anything.
 async fn ask_peer(site: &Site, peer: SocketAddr, since: u64) -> bool {
-    let told = site.peers.bundle(peer, Revision(since)).await;
-    let Ok(Some(bytes)) = told else {
+    let told = timeout(ANSWER, site.peers.bundle(peer, Revision(since))).await;
+    let Ok(Ok(Some(bytes))) = told else {
+        log::info!(peer:% = peer, since; "a peer told no news");
         return false;
     };
     match News::decode(&bytes) {
