cli: a call that is known not to have run is not sent again at the last moment

The instance refused the hold and named a time to come back that ended 1.6 ms before the caller's; the client slept, asked again, got no answer in those 1.6 ms, and told its caller that the hold may have run, though the proof of the contrary was at hand. Ruled out: the instance; its answers were refusals in time. Now a call is sent again only if 100 ms are left for it.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -19,6 +19,13 @@
 const SHORT: Duration = Duration::from_secs(3);
 /// The wait before the next try when an instance does not say how long.
 const PAUSE: Duration = Duration::from_millis(200);
+/// The least time that a call must have left to be sent again; a sound instance answers within some
+/// milliseconds, and a busy machine takes tens.
+///
+/// The failure: an instance says that a call has not run and when to come back, which is just before
+/// the caller's time ends. Sent once more, the call gets no answer, and the caller is told that it may
+/// have run. Without that send the caller has the proof that it has not.
+const LEAST_LEFT: Duration = Duration::from_millis(100);
 
 /// The addresses that the system gives out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,7 +147,9 @@
             };
             let pause = pause(error.current_context(), called.key.is_some());
             match pause {
-                Some(pause) if Instant::now() + pause < until => time::sleep(pause).await,
+                Some(pause) if Instant::now() + pause + LEAST_LEFT < until => {
+                    time::sleep(pause).await;
+                }
                 _ => return Err(error),
             }
         }
--- a/cli/tests/instance.rs
+++ b/cli/tests/instance.rs
@@ -2,7 +2,8 @@
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener},
+    iter,
+    net::{SocketAddr, TcpListener, TcpStream},
     process::{Command, Output},
     thread,
 };
@@ -24,27 +25,43 @@
 
 /// Answers one request after the other with `replies`, the last of them for ever.
 pub(crate) fn serve(replies: Vec<(u16, String)>) -> SocketAddr {
+    let last = replies.last().unwrap().clone();
+    listen(replies.into_iter().chain(iter::repeat(last)))
+}
+
+/// Answers one request after the other with `replies`, and those after them not at all.
+pub(crate) fn serve_then_hang(replies: Vec<(u16, String)>) -> SocketAddr {
+    listen(replies.into_iter())
+}
+
+fn listen(mut replies: impl Iterator<Item = (u16, String)> + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
-        let last = replies.last().unwrap().clone();
-        let mut replies = replies.into_iter();
+        let mut hanging = Vec::new();
         for stream in listener.incoming() {
-            let mut reader = BufReader::new(stream.unwrap());
-            let mut length = 0;
-            let mut line = String::new();
-            while reader.read_line(&mut line).unwrap() > 2 {
-                if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
-                    length = value.trim().parse().unwrap();
-                }
-                line.clear();
+            let stream = stream.unwrap();
+            match replies.next() {
+                Some((status, body)) => answer(stream, status, &body),
+                None => hanging.push(stream),
             }
-            reader.read_exact(&mut vec![0; length]).unwrap();
-            let (status, body) = replies.next().unwrap_or_else(|| last.clone());
-            let size = body.len();
-            let reply = format!("HTTP/1.1 {status} x\r\ncontent-length: {size}\r\n\r\n{body}");
-            reader.get_mut().write_all(reply.as_bytes()).unwrap();
         }
     });
     address
 }
+
+fn answer(stream: TcpStream, status: u16, body: &str) {
+    let mut reader = BufReader::new(stream);
+    let mut length = 0;
+    let mut line = String::new();
+    while reader.read_line(&mut line).unwrap() > 2 {
+        if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+        line.clear();
+    }
+    reader.read_exact(&mut vec![0; length]).unwrap();
+    let size = body.len();
+    let reply = format!("HTTP/1.1 {status} x\r\ncontent-length: {size}\r\n\r\n{body}");
+    reader.get_mut().write_all(reply.as_bytes()).unwrap();
+}
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Tests of the command line tool.
 
 mod instance;
+mod test_calls;
 mod test_documents;
 mod test_explain;
 mod test_failures;
