relay: retries are counted for each service over a sliding window, and the slack is shared by the live instances

Now an instance counts requests and repeats of each service over the window that operators set, and takes an equal part of the slack among the instances that it knows (8 at least). Ruled out: refused sends that reach nobody (they need no budget).

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -71,6 +71,8 @@
     pub retry_ratio: f64,
     /// Requests that may be sent once more beyond that share, over all instances.
     pub retry_slack: f64,
+    /// The time over which requests and sends are counted for these two.
+    pub retry_window: Duration,
     /// The longest time for which callers may keep an answer of the directory.
     pub directory_ttl: Duration,
 }
@@ -124,6 +126,7 @@
             drain: Duration::from_secs(2),
             retry_ratio: 0.2,
             retry_slack: 50.0,
+            retry_window: Duration::from_secs(10),
             directory_ttl: Duration::from_secs(5),
         }
     }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -8,3 +8,4 @@
 mod test_lists;
 mod test_placement;
 mod test_quality;
+mod test_retries;
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -63,7 +63,7 @@
         account: Option<AccountName>,
         clock: Clock,
     ) -> Self {
-        site.retries.succeeded();
+        site.retries().requested(&service, Instant::now());
         let wish = Wish {
             service,
             affinity: None,
@@ -186,6 +186,12 @@
         }
     }
 
+    fn may_send_again(&self) -> bool {
+        let instances = self.site.instances();
+        let mut retries = self.site.retries();
+        retries.take(&self.wish.service, instances, Instant::now())
+    }
+
     /// Takes in how an attempt ended and decides what follows.
     pub(super) fn ended(&mut self, lease: &Lease, ended: Ended) -> Next {
         lease.ended(ended);
@@ -201,7 +207,7 @@
             refusals: self.refusals,
             left: self.left(),
         };
-        let next = situation.next(ended, || self.site.retries.take());
+        let next = situation.next(ended, || self.may_send_again());
         log::info!(
             request = self.asked.id.as_str(),
             target = lease.name.as_str(),
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -8,8 +8,7 @@
 use arc_swap::ArcSwap;
 use celerypond_fleet::{Gossip, MemberState};
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::Settings;
-use celerypond_route::RetryBudget;
+use celerypond_relay::{Retries, Settings};
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
@@ -30,9 +29,6 @@
 const STORE_SHARE: f64 = 0.1;
 /// What the names of metrics begin with.
 const METRICS_PREFIX: &str = "celerypond";
-/// The instances that the slack of the retry budget is divided among, while their number is not
-/// known.
-const INSTANCES_GUESS: f64 = 8.0;
 
 /// What all tasks of a relaying instance share.
 pub(super) struct Site {
@@ -41,7 +37,7 @@
     pub(super) duty: WatchDuty,
     pub(super) connections: Connections,
     pub(super) store: Client,
-    pub(super) retries: RetryBudget,
+    retries: Mutex<Retries>,
     pub(super) peers: Peers,
     pub(super) metrics: Metrics,
     pub(super) latencies: Histograms,
@@ -86,7 +82,7 @@
             duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::default(),
             store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
-            retries: retry_budget(&settings),
+            retries: Mutex::new(Retries::new(&settings.bounds)),
             peers: Peers::default(),
             metrics: Metrics::local(),
             latencies: Histograms::default(),
@@ -115,15 +111,23 @@
         self.known.is_complete() && !self.stopping.is_cancelled()
     }
 
+    /// Returns how many instances seem to live, this one included.
+    pub(super) fn instances(&self) -> usize {
+        self.gossip().roster().of_state(MemberState::Live).count() + 1
+    }
+
+    pub(super) fn retries(&self) -> MutexGuard<'_, Retries> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Renders counters, levels and latencies as text.
     pub(super) fn render_metrics(&self) -> String {
-        let members = self.gossip().roster().of_state(MemberState::Live).count() as u64;
         let levels = [
             (Gauge::ConfigVersion, self.known.version()),
             (Gauge::RoutedTargets, self.known.targets().len() as u64),
             (Gauge::OpenRequests, self.open.load(Relaxed)),
             (Gauge::Connections, self.served.len() as u64),
-            (Gauge::LiveInstances, members + 1),
+            (Gauge::LiveInstances, self.instances() as u64),
         ];
         for (gauge, level) in levels {
             self.metrics.set(gauge, level);
@@ -133,13 +137,3 @@
         text
     }
 }
-
-/// Each request adds the allowed share of one more send; the slack is divided among the instances.
-fn retry_budget(settings: &Settings) -> RetryBudget {
-    /// The part of the allowed ratio and slack that is used, so that all instances together stay
-    /// below it when requests are spread unevenly over time.
-    const MARGIN: f64 = 0.7;
-    let per_mille = settings.bounds.retry_ratio * MARGIN * 1_000.0;
-    let slack = (settings.bounds.retry_slack * MARGIN / INSTANCES_GUESS).max(1.0);
-    RetryBudget::new(per_mille as u32, slack as u32, slack as u32)
-}
