relay: the configuration comes from the store, and a watcher gathers changes before it tells of them

While the engines of a data centre die and start again, their entries change each few milliseconds; each change was told at once, all 70 others asked for it, in JSON, and for the whole configuration after a new version. By the sizes (700 bytes of packets a question, 270 a changed entry, 6 KB of configuration) that is 8 MB in 2.4 s over a link that carries 3. Ruled out: the 0.4 s for a peer's answer as the cause; it only made each question that the full link delayed be asked again. Now a watcher's words are at least 2 ms for each live instance apart, the form is dense, and a new version is read from the store by each instance, from a peer where the store does not answer within 0.2 s.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -48,6 +48,9 @@
     /// Returns the bundle in force at the callee, if its revision is at least `revision`.
     async fn bundle(revision: Revision) -> Option<Vec<u8>>;
 
+    /// Returns what changed in the platform's store after a revision of the store; opaque here.
+    async fn changes(since: u64) -> Option<Vec<u8>>;
+
     /// Exchanges what is known of rollouts. Both messages are opaque here.
     async fn rollouts(news: Vec<u8>) -> Vec<u8>;
 
--- a/crates/fleet/tests/test_peer.rs
+++ b/crates/fleet/tests/test_peer.rs
@@ -31,6 +31,10 @@
         Some(vec![1; revision.0 as usize])
     }
 
+    async fn changes(self, _: Context, since: u64) -> Option<Vec<u8>> {
+        Some(since.to_le_bytes().to_vec())
+    }
+
     async fn rollouts(self, _: Context, news: Vec<u8>) -> Vec<u8> {
         news
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,7 +33,7 @@
 pub use event::{Event, Events};
 pub use head::{CallerHead, CopyName, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use left::Clock;
-pub use news::News;
+pub use news::{pack, unpack, News};
 pub use patience::{Patience, Return};
 pub use place::{Pick, Want};
 pub use quality::{Quality, Tally};
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -1,15 +1,13 @@
 //! What one instance tells another of the store.
 
 use celerypond_types::TargetName;
-use serde::{Deserialize, Serialize};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
-use crate::{Config, TargetEntry};
+use crate::TargetEntry;
 
-/// What one instance tells another of the store.
+/// What one instance tells another of the targets in the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct News {
-    /// The configuration, unless the other knows it.
-    pub config: Option<Config>,
     /// The store's revision up to which the targets are told.
     pub revision: u64,
     /// Whether the targets are all there are, and not only those that changed.
@@ -22,19 +20,29 @@
     pub missing: Vec<TargetName>,
 }
 
-impl News {
-    /// Puts the news into bytes.
-    pub fn encode(&self) -> Vec<u8> {
-        // The types have no maps with other keys than text, so this does not fail.
-        serde_json::to_vec(self).unwrap_or_default()
-    }
+/// Puts what instances tell each other into bytes.
+///
+/// All instances ask one at the same moment, over a link that may be narrow, so the form is a dense
+/// one: the entry of a target takes about 90 bytes, and 270 as JSON.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::{pack, unpack, News};
+///
+/// let news = News { revision: 7, ..News::default() };
+/// assert_eq!(unpack::<News>(&pack(&news)).unwrap(), news);
+/// ```
+pub fn pack<T: Serialize>(told: &T) -> Vec<u8> {
+    // The types have neither maps nor sequences of unknown length, so this does not fail.
+    bincode::serialize(told).unwrap_or_default()
+}
 
-    /// Reads news.
-    ///
-    /// # Errors
-    ///
-    /// When the bytes do not have their form.
-    pub fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
-    }
+/// Reads what another instance told.
+///
+/// # Errors
+///
+/// When the bytes do not have their form.
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, bincode::Error> {
+    bincode::deserialize(bytes)
 }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -129,7 +129,6 @@
         let there: Vec<&Target> = there.iter().filter_map(target).collect();
         let missing = self.arena.values().filter(|target| target.is_missing);
         News {
-            config: None,
             revision,
             is_whole,
             targets: there.iter().map(|target| target.entry.clone()).collect(),
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -8,6 +8,12 @@
 /// How much longer ago than a whole wait of a watch a watcher's last answer of the store may be: the
 /// time between two of its words.
 const SLACK: Duration = Duration::from_millis(300);
+/// How long a watcher's link is taken by the questions of one other instance after a word: 2.5 KB of
+/// word, question, answer and their packets, at 10 Mbit/s.
+const LINK_TIME: Duration = Duration::from_millis(2);
+/// The longest time between a change and the word of it; it is a part of the bounds for new
+/// configurations and leaving targets.
+const GAP_MOST: Duration = Duration::from_millis(250);
 
 /// What an instance that watches the store says to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,7 +48,7 @@
 /// assert!(watchers.must_watch(false, now));
 /// watchers.hear(Word { origin: 1, revision: 7, config: 2, age_ms: 300 }, now);
 /// assert!(!watchers.must_watch(false, now));
-/// assert_eq!(watchers.ahead(6, 2, now), Some(1));
+/// assert_eq!(watchers.ahead(6, 2, now).map(|word| word.origin), Some(1));
 /// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
 /// ```
 #[derive(Clone, Debug)]
@@ -61,6 +67,16 @@
         }
     }
 
+    /// Returns the least time between two words of a watcher, where so many instances live.
+    ///
+    /// The failure: the engines of a data centre die and start again, and their entries change each few
+    /// milliseconds. If each change is told at once, all instances ask for it, their questions fill
+    /// the watcher's link for seconds, and nothing else reaches the watcher or leaves it.
+    pub fn word_gap(instances: usize) -> Duration {
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        LINK_TIME.saturating_mul(instances).min(GAP_MOST)
+    }
+
     /// Takes in the word of another instance.
     pub fn hear(&mut self, word: Word, now: Instant) {
         self.words.insert(word.origin, (word, now));
@@ -86,14 +102,14 @@
                 .any(|word| is_relied_on(word, self.relied, now))
     }
 
-    /// Returns an instance that knows more than this revision or this configuration.
-    pub fn ahead(&self, revision: u64, config: u64, now: Instant) -> Option<u64> {
+    /// Returns the word of an instance that knows more than this revision or this configuration.
+    pub fn ahead(&self, revision: u64, config: u64, now: Instant) -> Option<Word> {
         let words = self.words.values();
         let relied = words.filter(|word| is_relied_on(word, self.relied, now));
         let ahead = relied.filter(|(word, _)| word.revision > revision || word.config > config);
         ahead
             .max_by_key(|(word, _)| (word.config, word.revision))
-            .map(|(word, _)| word.origin)
+            .map(|(word, _)| *word)
     }
 }
 
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use celerypond_relay::{
-    Board, Bounds, Change, Config, News, Placement, Placements, Watchers, Word,
+    pack, unpack, Board, Bounds, Change, Config, News, Placement, Placements, Watchers, Word,
 };
 use tokio::time::Instant;
 
@@ -12,6 +12,10 @@
 /// How long entries may be missing after the store's return.
 const BACK: Duration = Duration::from_millis(1_700);
 
+fn origin(word: Option<Word>) -> Option<u64> {
+    word.map(|word| word.origin)
+}
+
 fn list(origin: u64, sequence: u64, targets: &[u64]) -> Placements {
     let stream = |target: &u64| Placement {
         target: *target,
@@ -122,15 +126,31 @@
     assert!(targets.news(2, 6).is_whole);
 }
 
+/// The engines of a data centre die and start again within two seconds, and all 71 instances follow a
+/// watcher with a link of 10 Mbit/s. Told of each change, they would ask for megabytes and fill the link;
+/// gathered, the words, questions and answers take less than two thirds of it.
+#[test]
+fn a_watcher_gathers_changes_before_it_tells_of_them() {
+    /// Word, question and answer of one instance with their packets, and what each change adds.
+    const BYTES: (usize, usize) = (700, 90);
+    let (instances, changes, time) = (71, 120, Duration::from_millis(2_400));
+    let gap = Watchers::word_gap(instances);
+    let words = time.as_micros().div_ceil(gap.as_micros()) as usize;
+    let bytes = instances * (words.min(changes) * BYTES.0 + changes * BYTES.1);
+    let link = time.as_millis() as usize * 1_250;
+    assert!(bytes < link / 3 * 2, "{bytes} of {link}");
+    assert!(Watchers::word_gap(7) < Duration::from_millis(20));
+    assert!(Watchers::word_gap(100_000) < Duration::from_millis(300));
+}
+
 #[test]
 fn news_are_read_as_they_were_written() {
     let targets = three_data_centres(1);
-    let news = News {
-        config: Some(Config::default()),
-        ..targets.news(0, 9)
-    };
-    assert_eq!(News::decode(&news.encode()).unwrap(), news);
-    assert!(News::decode(b"{").is_err());
+    let news = targets.news(0, 9);
+    assert_eq!(unpack::<News>(&pack(&news)).unwrap(), news);
+    assert!(unpack::<News>(b"{").is_err());
+    let config = Config::default();
+    assert_eq!(unpack::<Config>(&pack(&config)).unwrap(), config);
 }
 
 /// A watcher of the store falls silent, or has no answer of the store any more. The others must find
@@ -169,9 +189,9 @@
         };
         watchers.hear(word, now);
     }
-    assert_eq!(watchers.ahead(5, 7, now), Some(1));
+    assert_eq!(origin(watchers.ahead(5, 7, now)), Some(1));
     watchers.forget(1);
-    assert_eq!(watchers.ahead(5, 7, now), Some(2));
+    assert_eq!(origin(watchers.ahead(5, 7, now)), Some(2));
     watchers.forget(2);
     assert_eq!(watchers.ahead(5, 7, now), None);
     assert!(watchers.must_watch(false, now));
@@ -190,8 +210,8 @@
         };
         watchers.hear(word, now);
     }
-    assert_eq!(watchers.ahead(4, 2, now), Some(2));
-    assert_eq!(watchers.ahead(7, 1, now), Some(2));
+    assert_eq!(origin(watchers.ahead(4, 2, now)), Some(2));
+    assert_eq!(origin(watchers.ahead(7, 1, now)), Some(2));
     assert_eq!(watchers.ahead(7, 2, now), None);
 }
 
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -78,6 +78,11 @@
         (force.headline.revision >= revision).then(|| told.encode())
     }
 
+    /// Only instances that relay routed requests follow each other.
+    async fn changes(self, _: Context, _: u64) -> Option<Vec<u8>> {
+        None
+    }
+
     async fn rollouts(self, _: Context, news: Vec<u8>) -> Vec<u8> {
         self.0.rollouts.answer(&self.0, &news)
     }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -107,6 +107,16 @@
         self.judge(to, client.bundle(within(LARGE), revision).await)
     }
 
+    /// Asks for what changed in the platform's store after a revision of the store.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`].
+    pub async fn changes(&self, to: SocketAddr, since: u64) -> Answer<Option<Vec<u8>>> {
+        let client = self.client(to).await?;
+        self.judge(to, client.changes(within(LARGE), since).await)
+    }
+
     /// Passes a keyed call on to the owner of its shard.
     ///
     /// # Errors
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -8,7 +8,7 @@
 };
 
 use celerypond_fleet::MemberState;
-use celerypond_relay::{Placements, Word};
+use celerypond_relay::{Placements, Watchers, Word};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
@@ -45,7 +45,10 @@
     let mut buffer = vec![0; DATAGRAM];
     let mut repeat = tokio::time::interval(REPEAT);
     let mut word = tokio::time::interval(WORD);
+    let mut said = Instant::now();
+    let mut has_news = false;
     loop {
+        let due = said + Watchers::word_gap(site.instances());
         tokio::select! {
             () = site.ending.cancelled() => return,
             received = socket.recv_from(&mut buffer) => {
@@ -57,9 +60,14 @@
                 tokio::time::sleep(GATHER).await;
                 tell(&site, &socket).await;
             }
-            () = site.known.told.notified() => say(&site, &socket).await,
+            () = site.known.told.notified(), if !has_news => has_news = true,
+            () = tokio::time::sleep_until(due), if has_news => {
+                (said, has_news) = (Instant::now(), false);
+                say(&site, &socket).await;
+            }
             _ = word.tick() => {
                 follow::choose_watchers(&site);
+                (said, has_news) = (Instant::now(), false);
                 say(&site, &socket).await;
             }
             _ = repeat.tick() => {
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -7,17 +7,24 @@
 };
 
 use celerypond_fleet::{choose, Candidate, MemberState, Origin};
-use celerypond_relay::News;
+use celerypond_relay::{unpack, Config, News};
 use celerypond_types::Revision;
 use rand::seq::SliceRandom as _;
+use serde::de::DeserializeOwned;
 use tokio::time::{timeout, Instant};
 
-use super::{members, site::Site};
+use super::{knowledge::Source, members, site::Site, watches};
 
 /// The time between two questions to peers for what the store does not tell.
 const ASK_PEERS: Duration = Duration::from_millis(300);
-/// How long a peer may take to tell its news; a whole list takes some ten milliseconds.
+/// How long a peer may take to tell what changed; a whole list takes some ten milliseconds.
 const ANSWER: Duration = Duration::from_millis(400);
+/// How long a peer may take to tell the configuration. One of 300 KB takes a quarter of a second over a
+/// link of 10 Mbit/s, and a peer may be asked by a few at once.
+const ANSWER_CONFIG: Duration = Duration::from_secs(1);
+/// How long the store may take to tell the configuration before a peer is asked as well; it answers
+/// in some milliseconds when it is sound.
+const STORE_FIRST: Duration = Duration::from_millis(200);
 /// How many instances watch the store for all. One may die while the others are told by the second.
 const WATCHERS: usize = 2;
 /// The job for which the instances that watch the store are chosen.
@@ -25,7 +32,7 @@
 /// How often peers are asked in a row before the next word is waited for.
 const ASK_MOST: usize = 4;
 
-/// Asks peers for what is not known, until the instance ends.
+/// Asks for what is not known, until the instance ends.
 ///
 /// The failures: an instance starts while the store is away; a word that told of something new was
 /// lost.
@@ -36,22 +43,25 @@
             () = site.ending.cancelled() => return,
             _ = turn.tick() => {}
         }
-        let knows_all = site.known.is_complete();
-        let is_behind = site.gossip().facts().revision().0 > site.known.version();
-        if knows_all && !is_behind {
+        let version = site.gossip().facts().revision().0;
+        let needs_config = !site.known.has_config() || version > site.known.version();
+        let needs_targets = !site.known.has_targets();
+        if !needs_config && !needs_targets {
             continue;
         }
         let mut peers = peers(&site);
         peers.shuffle(&mut rand::rng());
         for peer in peers {
-            if ask_peer(&site, peer, 0).await {
+            let has_config = !needs_config || ask_config(&site, peer, version).await;
+            let has_targets = !needs_targets || ask_changes(&site, peer, 0).await;
+            if has_config && has_targets {
                 break;
             }
         }
     }
 }
 
-/// Asks the instance that knows more of the store than this one, if there is one.
+/// Asks for what another instance knows of the store and this one does not, if there is such.
 pub(super) fn ask_for_news(site: &Arc<Site>) {
     if site.is_asking.swap(true, Relaxed) {
         return;
@@ -63,50 +73,87 @@
     for _ in 0..ASK_MOST {
         let (revision, config) = (site.known.revision(), site.known.version());
         let ahead = site.duty.watchers().ahead(revision, config, Instant::now());
-        let Some(origin) = ahead else {
+        let Some(word) = ahead else {
             break;
         };
-        let peer = address_of(&site, origin);
-        let is_told = match peer {
-            Some(peer) => ask_peer(&site, peer, revision).await,
-            None => false,
-        };
-        let (Some(peer), true) = (peer, is_told) else {
-            site.duty.watchers().forget(origin);
-            continue;
-        };
-        if site.known.revision() == revision && site.known.version() == config {
-            // What changed does not concern the targets; the configuration is asked for whole.
-            ask_peer(&site, peer, 0).await;
-            break;
+        let peer = address_of(&site, word.origin);
+        let (has_config, has_targets) = tokio::join!(
+            async { word.config <= config || fetch_config(&site, peer, word.config).await },
+            async {
+                match peer {
+                    _ if word.revision <= revision => true,
+                    Some(peer) => ask_changes(&site, peer, revision).await,
+                    None => false,
+                }
+            }
+        );
+        if !(has_config && has_targets) {
+            site.duty.watchers().forget(word.origin);
         }
     }
     site.is_asking.store(false, Relaxed);
 }
 
+/// Takes in a configuration of at least this version from the store, or from a peer where the store
+/// does not answer.
+///
+/// A configuration of a thousand routes is some 300 KB. If all instances of a large fleet took it from
+/// the one that saw it first, they would fill its link for seconds, and the version would be late
+/// everywhere. The store's link is wide, and one call of each instance is cheap beside that.
+async fn fetch_config(site: &Site, peer: Option<SocketAddr>, version: u64) -> bool {
+    let from_peer = async {
+        tokio::time::sleep(STORE_FIRST).await;
+        match peer {
+            Some(peer) => ask_config(site, peer, version).await,
+            None => false,
+        }
+    };
+    tokio::select! {
+        true = watches::read_config(site, version) => true,
+        true = from_peer => true,
+        else => false,
+    }
+}
+
 fn address_of(site: &Site, origin: u64) -> Option<SocketAddr> {
     let gossip = site.gossip();
     let member = gossip.roster().run(Origin(origin))?;
     member.address.parse().ok()
 }
 
-/// Asks a peer for what is new since a revision; returns whether it told anything.
-async fn ask_peer(site: &Site, peer: SocketAddr, since: u64) -> bool {
-    let told = timeout(ANSWER, site.peers.bundle(peer, Revision(since))).await;
-    let Ok(Ok(Some(bytes))) = told else {
-        log::info!(peer:% = peer, since; "a peer told no news");
+/// Asks a peer for a configuration of at least this version; returns whether it told one.
+async fn ask_config(site: &Site, peer: SocketAddr, version: u64) -> bool {
+    let told = timeout(ANSWER_CONFIG, site.peers.bundle(peer, Revision(version))).await;
+    let told = told.ok().and_then(Result::ok).flatten();
+    let Some(config) = read::<Config>(peer, "configuration", told) else {
         return false;
     };
-    match News::decode(&bytes) {
-        Ok(news) => {
-            site.known.take_news(news);
-            true
-        }
-        Err(error) => {
-            log::warn!(peer:% = peer, error:% = error; "a peer's news cannot be read");
-            false
-        }
-    }
+    site.known.apply(config, Source::Peer);
+    true
+}
+
+/// Asks a peer for the changes of targets since a revision; returns whether it told them.
+async fn ask_changes(site: &Site, peer: SocketAddr, since: u64) -> bool {
+    let told = timeout(ANSWER, site.peers.changes(peer, since)).await;
+    let told = told.ok().and_then(Result::ok).flatten();
+    let Some(news) = read::<News>(peer, "targets", told) else {
+        return false;
+    };
+    site.known.take_news(news);
+    true
+}
+
+/// Reads what a peer told, if it told anything.
+fn read<T: DeserializeOwned>(peer: SocketAddr, what: &str, told: Option<Vec<u8>>) -> Option<T> {
+    let Some(bytes) = told else {
+        log::info!(peer:% = peer, what; "a peer told nothing new");
+        return None;
+    };
+    unpack(&bytes)
+        .inspect_err(
+            |error| log::warn!(peer:% = peer, what, error:% = error; "a peer's news cannot be read"),
+        )
+        .ok()
 }
 
 /// Takes in whether this instance is among those that watch the store for all.
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
     },
     time::Duration,
@@ -34,8 +34,6 @@
     has_targets: AtomicBool,
     /// The store's revision up to which the targets are known.
     revision: Mutex<u64>,
-    /// The revision of the store that was known when the configuration came.
-    config_revision: AtomicU64,
     /// Tells that something is known that was not before.
     changed: Notify,
     /// Tells that other instances have to be told of something new.
@@ -55,7 +53,6 @@
             has_config: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
             revision: Mutex::default(),
-            config_revision: AtomicU64::new(0),
             changed: Notify::new(),
             told: Notify::new(),
             entries_back,
@@ -123,7 +120,6 @@
         let version = config.version;
         self.table.store(Arc::new(Table::new(config)));
         self.has_config.store(true, Relaxed);
-        self.config_revision.store(self.revision(), Relaxed);
         self.told.notify_one();
         log::info!(version, before = known, source:? = source; "configuration in force");
         self.changed.notify_waiters();
@@ -181,11 +177,8 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes in the news of another instance.
+    /// Takes in what another instance tells of the targets.
     pub(super) fn take_news(&self, news: News) {
-        if let Some(config) = news.config {
-            self.apply(config, Source::Peer);
-        }
         if news.is_whole {
             self.list_targets(news.targets, news.revision, Source::Peer);
         } else {
@@ -203,16 +196,17 @@
 
     /// Returns what another instance that knows the targets up to a revision has to be told.
     pub(super) fn news(&self, since: u64) -> Option<News> {
-        if !self.is_complete() {
+        if !self.has_targets() {
             return None;
         }
         let known = self.known_revision();
-        let mut news = self.targets().news(since, *known);
-        drop(known);
-        if news.is_whole || self.config_revision.load(Relaxed) >= since {
-            news.config = Some(self.table.load().config().clone());
-        }
-        Some(news)
+        Some(self.targets().news(since, *known))
+    }
+
+    /// Returns the configuration in force if it has at least this version.
+    pub(super) fn config_since(&self, version: u64) -> Option<Arc<Table>> {
+        let table = self.has_config().then(|| self.table.load_full());
+        table.filter(|table| table.config().version >= version)
     }
 
     fn known_revision(&self) -> MutexGuard<'_, u64> {
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use celerypond_fleet::{accept, Message, Peer};
+use celerypond_relay::pack;
 use celerypond_types::{Attempt, RequestKey, Revision};
 use tarpc::context::Context;
 use tokio::{net::TcpListener, time::Instant};
@@ -48,7 +49,12 @@
     }
 
     async fn bundle(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
-        self.0.known.news(revision.0).map(|news| news.encode())
+        let config = self.0.known.config_since(revision.0);
+        config.map(|table| pack(table.config()))
+    }
+
+    async fn changes(self, _: Context, since: u64) -> Option<Vec<u8>> {
+        self.0.known.news(since).map(|news| pack(&news))
     }
 
     async fn rollouts(self, _: Context, _: Vec<u8>) -> Vec<u8> {
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -167,6 +167,18 @@
     Ok(revision.max(since))
 }
 
+/// Reads the configuration once; returns whether it then has at least this version.
+pub(super) async fn read_config(site: &Site, version: u64) -> bool {
+    match site.store.get(store::CONFIG_KEY).await {
+        Ok(object) => take_config(site, &object.key, &object.value),
+        Err(report) => {
+            let error = report.current_context();
+            log::info!(version, error:% = error; "the store told no configuration");
+        }
+    }
+    site.known.version() >= version
+}
+
 async fn rest(site: &Site, error: PlatformError) {
     let least = match error {
         PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
