relay: instances of a large fleet no longer fill each other's links when engines die

Cause of CONFIG ('held on') and of late reservations on the grown fleet: when a data centre's engines die, each instance told its list of streams at each change, with all dead engines and all tallies, to 70 others: by the code up to 2,000 lists of 700 bytes a second each way, 11 Mbit/s over links of 10. Ruled out: the processor alone. Tests: the death of 60 engines, no-connection ends, lists of 7, 71 and 900 instances; the first fails with a third as the bound.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -1,6 +1,6 @@
 //! Where the streams of all instances run.
 
-use std::{collections::HashMap, time::Duration};
+use std::{borrow::Cow, collections::HashMap, time::Duration};
 
 use celerypond_types::TargetName;
 use serde::{Deserialize, Serialize};
@@ -38,11 +38,12 @@
     pub sequence: u64,
     /// The streams.
     pub streams: Vec<Placement>,
-    /// The hashes of the names of targets that took no connection a moment ago.
+    /// The hashes of the names of targets that took no connection a moment ago. A list need not name
+    /// what the one before named.
     pub dead: Vec<u64>,
     /// Engines that were found again under another name.
     pub adopted: Vec<Adoption>,
-    /// What came of requests at targets lately.
+    /// What came of requests at targets lately; empty where there is nothing new to tell.
     pub tallies: Vec<(u64, Tally)>,
 }
 
@@ -89,6 +90,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     lists: HashMap<u64, Heard>,
+    /// What the streams of all lists take. Kept beside them, as each placement asks for it three
+    /// times: with 70 lists of four streams each, a sum made anew took 15 us on one core, and this 0.4.
+    sums: HashMap<u64, Taken>,
     /// Where prompt parts were read last, and when that was heard.
     parts: HashMap<u64, (u64, Instant)>,
 }
@@ -109,13 +113,27 @@
         }
         for stream in &list.streams {
             self.note_part(stream.part, stream.target, now);
+            self.sums.entry(stream.target).or_default().add(stream);
         }
         let heard = Heard {
             sequence: list.sequence,
             at: now,
             streams: list.streams,
         };
-        self.lists.insert(list.origin, heard);
+        if let Some(before) = self.lists.insert(list.origin, heard) {
+            self.take_out(&before.streams);
+        }
+    }
+
+    fn take_out(&mut self, streams: &[Placement]) {
+        for stream in streams {
+            if let Some(taken) = self.sums.get_mut(&stream.target) {
+                taken.remove(stream);
+                if taken.streams == 0 {
+                    self.sums.remove(&stream.target);
+                }
+            }
+        }
     }
 
     /// Notes that a prompt part is at an engine.
@@ -138,23 +156,44 @@
     pub fn sweep(&mut self, now: Instant) {
         let is_kept = |at: Instant| now.saturating_duration_since(at) < PART_TTL;
         self.parts.retain(|_, (_, at)| is_kept(*at));
-        self.lists.retain(|_, heard| is_fresh(heard, now));
+        let stale = self.lists.extract_if(|_, heard| !is_fresh(heard, now));
+        for (_, heard) in stale.collect::<Vec<_>>() {
+            self.take_out(&heard.streams);
+        }
     }
 
     /// Returns what the streams of other instances take of each engine.
-    pub fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
+    pub fn taken(&self, now: Instant) -> Cow<'_, HashMap<u64, Taken>> {
+        if self.lists.values().all(|heard| is_fresh(heard, now)) {
+            return Cow::Borrowed(&self.sums);
+        }
         let mut all: HashMap<u64, Taken> = HashMap::new();
         let lists = self.lists.values().filter(|heard| is_fresh(heard, now));
         for stream in lists.flat_map(|heard| &heard.streams) {
-            let taken = all.entry(stream.target).or_default();
-            let tokens = u64::from(stream.tokens);
-            taken.streams += 1;
-            taken.tokens += tokens;
-            if stream.is_reading {
-                taken.reading += tokens;
-            }
+            all.entry(stream.target).or_default().add(stream);
+        }
+        Cow::Owned(all)
+    }
+}
+
+impl Taken {
+    fn add(&mut self, stream: &Placement) {
+        let tokens = u64::from(stream.tokens);
+        self.streams += 1;
+        self.tokens += tokens;
+        if stream.is_reading {
+            self.reading += tokens;
+        }
+    }
+
+    /// Takes out a stream that was added.
+    fn remove(&mut self, stream: &Placement) {
+        let tokens = u64::from(stream.tokens);
+        self.streams -= 1;
+        self.tokens -= tokens;
+        if stream.is_reading {
+            self.reading -= tokens;
         }
-        all
     }
 }
 
--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -51,6 +51,8 @@
     pub attempts: u32,
     /// Targets that refused it so far.
     pub refusals: u32,
+    /// Targets that took no connection for it so far.
+    pub unreached: u32,
     /// The time left.
     pub left: Duration,
 }
@@ -73,6 +75,12 @@
 /// Refusals after which a caller is told to come back. Each refusal costs the target work, and a
 /// service whose targets refuse this often in a row is full.
 const REFUSALS_LIMIT: u32 = 6;
+/// Targets without a connection after which a caller is answered. They cost no target any work, but up
+/// to a tenth of a second of the caller's time each.
+///
+/// The failure: 60 of 180 engines fall silent, nobody knows yet which, and a stream tries six of them
+/// in a row within half a second. As refusals they would end it, though most engines are idle.
+const UNREACHED_LIMIT: u32 = 20;
 
 impl Situation {
     /// Decides what follows an attempt that ended so; `budget` says whether one more send is
@@ -90,6 +98,7 @@
     ///     runs: 1,
     ///     attempts: 1,
     ///     refusals: 0,
+    ///     unreached: 0,
     ///     left: Duration::from_secs(1),
     /// };
     /// assert_eq!(reservation.next(Ended::Broken, || true), Next::Failed);
@@ -106,7 +115,8 @@
             };
         }
         let may_send = !may_have_run || self.kind.may_repeat();
-        let has_room = self.runs < self.attempts && self.refusals < REFUSALS_LIMIT;
+        let is_full = self.refusals >= REFUSALS_LIMIT || self.unreached >= UNREACHED_LIMIT;
+        let has_room = self.runs < self.attempts && !is_full;
         // The budget bounds what reaches targets. Where all targets of a data centre are dead, most
         // sends reach none, and streams would break for want of budget.
         let has_budget = || ended == Ended::Unsent || budget();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,6 @@
 //! Nothing here does I/O; the time is passed in.
 
 mod access;
-mod addresses;
 mod board;
 mod change_log;
 mod config;
@@ -13,6 +12,7 @@
 mod event;
 mod head;
 mod left;
+mod lists;
 mod news;
 mod patience;
 mod place;
@@ -33,6 +33,7 @@
 pub use event::{Event, Events};
 pub use head::{CallerHead, CopyName, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use left::Clock;
+pub use lists::Lists;
 pub use news::{pack, unpack, News};
 pub use patience::{Patience, Return};
 pub use place::{Pick, Want};
--- /dev/null
+++ b/crates/relay/src/lists.rs
@@ -0,0 +1,84 @@
+//! When an instance tells the others where its streams run.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// The longest time between two whole lists; a lost one is made good by then.
+const REPEAT: Duration = Duration::from_secs(1);
+/// The least time between two lists for each instance that gets them. A list takes some 200 bytes, so
+/// that lists take at most a sixth of a link of 10 Mbit/s each way.
+const GAP: Duration = Duration::from_millis(1);
+/// The longest of these gaps. What is placed by an older list may meet another prompt.
+const GAP_MOST: Duration = Duration::from_millis(250);
+/// The least time between two whole lists for each instance that gets them; a whole one takes up to a
+/// kilobyte while engines die.
+const WHOLE_GAP: Duration = Duration::from_millis(15);
+
+/// When an instance tells the others where its streams run.
+///
+/// The load it answers: the engines of a data centre die, and every instance has streams that begin,
+/// fail and are placed anew many times a second. If each change is told to all at once, 71 instances
+/// send each other 2,000 lists a second and more; their links and processors are full, connections to
+/// sound engines time out, and these are told to be dead as well. The first change after a while is
+/// told at once, those that follow are gathered.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::Lists;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut lists = Lists::new(now);
+/// lists.sent(70, now);
+/// lists.has_news = true;
+/// assert_eq!(lists.due(70), now + Duration::from_millis(70));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Lists {
+    /// Whether something changed since the last list.
+    pub has_news: bool,
+    last: Instant,
+    whole: Instant,
+}
+
+impl Lists {
+    /// Has told nothing; the first list is due at once.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            has_news: true,
+            last: now,
+            whole: now,
+        }
+    }
+
+    /// Returns when the next list is due, where so many instances live.
+    pub fn due(&self, instances: usize) -> Instant {
+        let repeat = self.whole + REPEAT;
+        match self.has_news {
+            true => repeat.min(self.last + times(GAP, instances).min(GAP_MOST)),
+            false => repeat,
+        }
+    }
+
+    /// Takes in that a list is sent now; returns since when changes are to be told, or nothing when all
+    /// is to be told.
+    pub fn sent(&mut self, instances: usize, now: Instant) -> Option<Instant> {
+        let since = self.last;
+        let gap = times(WHOLE_GAP, instances).min(REPEAT);
+        let is_whole = now.saturating_duration_since(self.whole) >= gap;
+        self.has_news = false;
+        self.last = now;
+        if is_whole {
+            self.whole = now;
+        }
+        (!is_whole).then_some(since)
+    }
+}
+
+fn times(time: Duration, instances: usize) -> Duration {
+    time.saturating_mul(u32::try_from(instances).unwrap_or(u32::MAX))
+}
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -1,6 +1,6 @@
 //! Which target runs a request.
 
-use std::{cmp::Ordering, collections::HashMap};
+use std::{borrow::Cow, cmp::Ordering, collections::HashMap};
 
 use celerypond_types::{DataCentre, ServiceName, TargetKey, VersionName};
 use tokio::time::Instant;
@@ -17,6 +17,9 @@
 const SICK: usize = 3;
 /// Fewer avoided targets never make a data centre sick.
 const SICK_LEAST: usize = 2;
+/// So many avoided targets always do. A third of 60 engines would take as many lost streams to find
+/// out; that four of them die within a second each on its own is rare.
+const SICK_MOST: usize = 4;
 
 /// What is wanted of a target.
 #[derive(Clone, Debug)]
@@ -69,11 +72,11 @@
         let all = self.iter().filter(|target| fits(&target));
         let all: Vec<(TargetKey, &Target)> =
             all.filter(|(_, target)| !loads.is_behind(target)).collect();
-        let sound = all.iter().filter(|(_, target)| !target.is_avoided(now));
-        let best = sound.min_by(|a, b| loads.compare(a.1, b.1));
-        if let Some((key, _)) = best {
+        let sound = all.iter().copied();
+        let sound = sound.filter(|(_, target)| !target.is_avoided(now));
+        if let Some(key) = loads.best(sound) {
             return Some(Pick {
-                key: *key,
+                key,
                 is_doubtful: false,
             });
         }
@@ -103,10 +106,7 @@
                 && target.entry.version == home.version
                 && target.entry.data_centre != home.data_centre
         });
-        let loads = Loads::of(self, want, now);
-        others
-            .min_by(|a, b| loads.compare(a.1, b.1))
-            .map(|(key, _)| key)
+        Loads::of(self, want, now).best(others)
     }
 }
 
@@ -114,7 +114,7 @@
 struct Loads<'a> {
     want: &'a Want<'a>,
     /// What streams of other instances take; counted for streams only.
-    taken: HashMap<u64, Taken>,
+    taken: Cow<'a, HashMap<u64, Taken>>,
     /// The hash of the target that has read the request's own prompt part.
     holder: Option<u64>,
     /// Targets that do much worse than their peers; for requests in one piece only.
@@ -128,7 +128,7 @@
     fn of(targets: &'a Targets, want: &'a Want<'a>, now: Instant) -> Self {
         let taken = match want.affinity {
             Some(_) => targets.taken(now),
-            None => HashMap::new(),
+            None => Cow::Owned(HashMap::new()),
         };
         let worse = match want.affinity {
             Some(_) => Vec::new(),
@@ -144,11 +144,16 @@
         }
     }
 
-    fn compare(&self, a: &Target, b: &Target) -> Ordering {
-        match self.want.affinity {
-            Some(affinity) => self.order(affinity, a).cmp(&self.order(affinity, b)),
-            None => self.compare_load(a, b),
-        }
+    /// Returns the target that goes first.
+    fn best<'t>(
+        &self,
+        targets: impl Iterator<Item = (TargetKey, &'t Target)>,
+    ) -> Option<TargetKey> {
+        let best = match self.want.affinity {
+            Some(affinity) => targets.min_by_key(|(_, target)| self.order(affinity, target)),
+            None => targets.min_by(|a, b| self.compare_load(a.1, b.1)),
+        };
+        best.map(|(key, _)| key)
     }
 
     /// Orders engines for a stream: those with room outside of sick data centres, then the one that
@@ -219,30 +224,52 @@
     targets.quality().sick(&hashes, now)
 }
 
-/// Returns the data centres where at least a third of the service's targets are avoided.
+/// The targets of a service in one data centre.
+struct Count<'a> {
+    home: &'a DataCentre,
+    all: usize,
+    avoided: usize,
+}
+
+impl Count<'_> {
+    fn is_sick(&self) -> bool {
+        let enough = self.all.div_ceil(SICK).clamp(SICK_LEAST, SICK_MOST);
+        self.avoided >= enough
+    }
+}
+
+/// Returns the data centres where a third of the service's targets are avoided, or several of many.
 ///
 /// The failure: nearly all engines of a data centre die at once, and each is found out by a stream
-/// or a copy that is lost there. Where two of six do not answer, the others are asked last.
+/// or a copy that is lost there. Those that are not found out yet have lost their streams, so they
+/// look idle and would get all that is placed anew. Where two of six do not answer, or four of
+/// sixty, the others of the data centre are asked last. Where each data centre has so many, it
+/// changes nothing.
 fn sick<'a>(targets: &'a Targets, want: &Want<'_>, now: Instant) -> Vec<&'a DataCentre> {
-    let mut counts: HashMap<&DataCentre, (usize, usize)> = HashMap::new();
+    let mut counts: Vec<Count<'a>> = Vec::new();
     for (key, target) in targets.iter() {
         if target.entry.service != *want.service || !targets.is_usable(key) {
             continue;
         }
-        let (all, avoided) = counts.entry(&target.entry.data_centre).or_default();
-        *all += 1;
-        *avoided += usize::from(target.is_avoided(now));
+        let home = &target.entry.data_centre;
+        let at = counts.iter().position(|count| count.home == home);
+        let at = at.unwrap_or_else(|| {
+            counts.push(Count {
+                home,
+                all: 0,
+                avoided: 0,
+            });
+            counts.len() - 1
+        });
+        counts[at].all += 1;
+        counts[at].avoided += usize::from(target.is_avoided(now));
     }
-    let is_sick = |(all, avoided): (usize, usize)| avoided >= SICK_LEAST && avoided * SICK >= all;
-    let counts = counts.into_iter();
-    counts
-        .filter(|(_, count)| is_sick(*count))
-        .map(|(data_centre, _)| data_centre)
-        .collect()
+    let sick = counts.into_iter().filter(Count::is_sick);
+    sick.map(|count| count.home).collect()
 }
 
 /// An engine that starts again keeps its address, and with it the prompts that go to it first.
 fn rank(affinity: u64, target: &Target) -> u64 {
-    let bytes = format!("{affinity:x} {}", target.entry.address);
-    celerypond_route::hash(bytes.as_bytes())
+    let bytes = [affinity.to_le_bytes(), target.spot.to_le_bytes()];
+    celerypond_route::hash(bytes.as_flattened())
 }
--- a/crates/relay/src/quality.rs
+++ b/crates/relay/src/quality.rs
@@ -124,10 +124,7 @@
     ///
     /// Never all of them: the rest must be able to stand in.
     pub fn sick(&self, targets: &[u64], now: Instant) -> Vec<u64> {
-        let tallies: Vec<(u64, Tally)> = targets
-            .iter()
-            .map(|target| (*target, self.of(*target, now)))
-            .collect();
+        let tallies = self.sums(targets, now);
         let is_sick = |(target, tally): &(u64, Tally)| {
             let mut peers = Tally::default();
             let others = tallies.iter().filter(|(other, _)| other != target);
@@ -145,16 +142,24 @@
         sick
     }
 
-    fn of(&self, target: u64, now: Instant) -> Tally {
-        let mut sum = Tally::default();
-        if let Some((tally, at)) = self.own.get(&target) {
-            sum.add(&tally.scaled(decay(*at, now)));
-        }
+    fn sums(&self, targets: &[u64], now: Instant) -> Vec<(u64, Tally)> {
+        let own = |target: &u64| match self.own.get(target) {
+            Some((tally, at)) => tally.scaled(decay(*at, now)),
+            None => Tally::default(),
+        };
+        let mut sums: Vec<(u64, Tally)> = targets
+            .iter()
+            .map(|target| (*target, own(target)))
+            .collect();
         for (tallies, at) in self.told.values() {
-            let told = tallies.iter().filter(|(told, _)| *told == target);
-            told.for_each(|(_, tally)| sum.add(&tally.scaled(decay(*at, now))));
+            let share = decay(*at, now);
+            for (told, tally) in tallies {
+                if let Some((_, sum)) = sums.iter_mut().find(|(target, _)| target == told) {
+                    sum.add(&tally.scaled(share));
+                }
+            }
         }
-        sum
+        sums
     }
 }
 
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -26,6 +26,8 @@
     pub open: u32,
     /// The hash of its name, by which instances name it to each other.
     pub hash: u64,
+    /// The hash of its address, by which instances order engines for a prompt.
+    pub spot: u64,
     /// Tokens of this instance's prompts that it is reading.
     pub reading: u64,
     /// Tokens of this instance's streams in its memory, at most.
@@ -38,8 +40,12 @@
     pub is_dead: bool,
     /// When it was found dead, here or by another instance.
     pub died: Option<Instant>,
+    /// When it last took no connection of this instance.
+    pub found_dead: Option<Instant>,
     /// Whether it was found by its own word, so that its start is not known.
     pub is_found: bool,
+    /// Whether no later target has taken its address over.
+    pub(crate) owns_address: bool,
     /// Whether its entry is missing after the store's return.
     pub is_missing: bool,
     load: Option<(Load, Instant)>,
@@ -50,6 +56,7 @@
     pub fn new(entry: TargetEntry) -> Self {
         Self {
             hash: celerypond_route::hash(entry.name.as_str().as_bytes()),
+            spot: celerypond_route::hash(entry.address.to_string().as_bytes()),
             entry,
             open: 0,
             reading: 0,
@@ -58,7 +65,9 @@
             avoid: None,
             is_dead: false,
             died: None,
+            found_dead: None,
             is_found: false,
+            owns_address: false,
             is_missing: false,
             load: None,
         }
@@ -83,6 +92,7 @@
         self.is_dead |= matches!(ended, Ended::Unsent | Ended::Dead);
         if self.is_dead {
             self.died.get_or_insert(now);
+            self.found_dead = Some(now);
         }
         let base = if self.is_dead { AVOID_DEAD } else { AVOID };
         let times = 1 << self.failures.min(4).saturating_sub(1);
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -1,6 +1,7 @@
 //! All targets that are known.
 
 use std::{
+    borrow::Cow,
     collections::{HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
@@ -11,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    addresses::Addresses, change_log::ChangeLog, streams::Streams, Adoption, Board, News,
-    PlacementKey, Placements, Quality, Taken, Target, TargetEntry,
+    change_log::ChangeLog, streams::Streams, Adoption, Board, News, PlacementKey, Placements,
+    Quality, Taken, Target, TargetEntry,
 };
 
 /// How long after its death an engine is looked for first: it takes about a second to start.
@@ -59,7 +60,6 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     names: HashMap<TargetName, TargetKey>,
-    addresses: Addresses,
     /// Streams of this instance.
     streams: Streams,
     board: Board,
@@ -258,15 +258,27 @@
         }
     }
 
-    /// Returns the list of this instance's streams for the others.
-    pub fn placements(&self, origin: u64, sequence: u64, now: Instant) -> Placements {
+    /// Returns the list of this instance's streams for the others, with all else that they are to
+    /// know, or with what was found since a moment.
+    pub fn placements(
+        &self,
+        origin: u64,
+        sequence: u64,
+        since: Option<Instant>,
+        now: Instant,
+    ) -> Placements {
+        let is_told = |at: Instant| since.is_some_and(|since| at < since);
+        let adopted = self.adopted.iter().filter(|(_, at)| !is_told(*at));
         Placements {
             origin,
             sequence,
             streams: self.streams.all().collect(),
-            dead: self.dead(now).collect(),
-            adopted: self.adopted.iter().map(|(told, _)| told.clone()).collect(),
-            tallies: self.quality.tallies(now),
+            dead: self.dead(now, is_told).collect(),
+            adopted: adopted.map(|(told, _)| told.clone()).collect(),
+            tallies: match since {
+                Some(_) => Vec::new(),
+                None => self.quality.tallies(now),
+            },
         }
     }
 
@@ -325,17 +337,19 @@
         true
     }
 
-    fn dead(&self, now: Instant) -> impl Iterator<Item = u64> + '_ {
-        let targets = self.arena.values();
-        targets
-            .filter(move |target| target.is_dead && target.is_avoided(now))
+    fn dead(&self, now: Instant, is_told: impl Fn(Instant) -> bool) -> impl Iterator<Item = u64> {
+        let dead = self.arena.values();
+        let dead = dead.filter(move |target| target.is_dead && target.is_avoided(now));
+        dead.filter(move |target| !target.found_dead.is_some_and(&is_told))
             .map(|target| target.hash)
     }
 
     /// Takes in the list of another instance.
     pub fn hear(&mut self, mut list: Placements, now: Instant) {
         let tallies = std::mem::take(&mut list.tallies);
-        self.quality.hear(list.origin, tallies, now);
+        if !tallies.is_empty() {
+            self.quality.hear(list.origin, tallies, now);
+        }
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
@@ -347,16 +361,26 @@
 
     /// Returns whether no later target has taken the address over.
     pub(crate) fn owns_address(&self, key: TargetKey) -> bool {
-        let target = self.arena.get(key);
-        target.is_some_and(|target| self.addresses.owner(target.entry.address) == Some(key))
+        self.arena
+            .get(key)
+            .is_some_and(|target| target.owns_address)
     }
 
     /// Gives an address to the latest target that has it.
+    ///
+    /// The failure: an engine dies and starts again under another name. Its old entry stays in the
+    /// store for some heartbeats, and what is sent to it is refused; a copy that was to be found there
+    /// is lost.
     fn settle_address(&mut self, address: SocketAddr) {
         let at = self.arena.iter();
         let at = at.filter(|(_, target)| target.entry.address == address);
-        let at = at.map(|(key, target)| (key, target.entry.born));
-        self.addresses.settle(address, at);
+        let owner = at.max_by_key(|(_, target)| target.entry.born);
+        let owner = owner.map(|(key, _)| key);
+        for (key, target) in &mut self.arena {
+            if target.entry.address == address {
+                target.owns_address = owner == Some(key);
+            }
+        }
     }
 
     /// Drops the lists of instances that have been silent for long.
@@ -382,7 +406,7 @@
         self.board.holder(part, now)
     }
 
-    pub(crate) fn taken(&self, now: Instant) -> HashMap<u64, Taken> {
+    pub(crate) fn taken(&self, now: Instant) -> Cow<'_, HashMap<u64, Taken>> {
         self.board.taken(now)
     }
 
--- a/crates/relay/tests/test_attempts.rs
+++ b/crates/relay/tests/test_attempts.rs
@@ -16,6 +16,7 @@
         runs,
         attempts: 3,
         refusals: 0,
+        unreached: 0,
         left: Duration::from_secs(1),
     }
 }
@@ -56,6 +57,18 @@
     assert_eq!(situation(kind, 1).next(ended, || true), Next::Elsewhere);
 }
 
+/// A third of 180 engines falls silent. A stream tries several of them in a row, which have refused
+/// nothing, before it finds one that lives. Where nobody can be reached at all, it ends.
+#[test]
+fn targets_that_take_no_connection_are_not_full() {
+    let after = |unreached| Situation {
+        unreached,
+        ..situation(RESUMABLE, 1)
+    };
+    assert_eq!(after(12).next(Ended::Unsent, || true), Next::Elsewhere);
+    assert_eq!(after(20).next(Ended::Unsent, || true), Next::Failed);
+}
+
 /// All targets fail at once, and each failed request would be sent again. The budget ends that, and
 /// the caller hears at once.
 #[rstest]
--- a/crates/relay/tests/test_death.rs
+++ b/crates/relay/tests/test_death.rs
@@ -6,7 +6,7 @@
 use celerypond_types::TargetName;
 use tokio::time::Instant;
 
-use crate::fixture::{engine, home, key, name, three_data_centres, Wanted};
+use crate::fixture::{engine, home, key, name, three_data_centres, Wanted, TOKENS};
 
 const AT_ONCE: Duration = Duration::ZERO;
 
@@ -22,7 +22,7 @@
     let dead = name(&here, first);
     let at = key(&there, &dead);
     there.get_mut(at).unwrap().ended(Ended::Dead, now);
-    here.hear(there.placements(1, 1, now), now);
+    here.hear(there.placements(1, 1, None, now), now);
     assert_ne!(here.pick(&wanted.stream(1), now).unwrap().key, first);
     let later = now + Duration::from_secs(2);
     assert_eq!(here.pick(&wanted.stream(1), later).unwrap().key, first);
@@ -48,6 +48,30 @@
     }
 }
 
+/// All 60 engines of a data centre fall silent, and four of them were found out. The others have lost
+/// their streams and look idle; what is placed now must not try them one after the other.
+#[test]
+fn idle_engines_of_a_large_data_centre_that_died_get_nothing() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(60);
+    for n in 0..60_u64 {
+        for data_centre in ["east", "mid"] {
+            let at = key(&targets, &format!("{data_centre}-{n}-1"));
+            let stream = targets.add_stream(at, 1_000 + n, TOKENS, now);
+            targets.stream_read(at, stream.unwrap());
+        }
+    }
+    for n in 0..4 {
+        let at = key(&targets, &format!("west-{n}-1"));
+        targets.get_mut(at).unwrap().ended(Ended::Unsent, now);
+    }
+    let wanted = Wanted::new();
+    for part in 0..50 {
+        let pick = targets.pick(&wanted.stream(part), now).unwrap();
+        assert_ne!(home(&targets, pick.key), "west");
+    }
+}
+
 /// All engines of a data centre can go at once, so a copy in the same one is lost with its run.
 #[test]
 fn a_copy_is_in_another_data_centre() {
@@ -119,7 +143,7 @@
     assert!(here.is_usable(key(&here, "anew")));
     assert!(!here.is_usable(old));
     assert!(here.dead_engines(later, AT_ONCE).is_empty());
-    there.hear(here.placements(1, 1, later), later);
+    there.hear(here.placements(1, 1, None, later), later);
     assert!(there.is_usable(key(&there, "anew")));
     // The store's own entry, which alone tells the start, does not end what runs there.
     let new = key(&here, "anew");
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use celerypond_relay::{
-    pack, unpack, Board, Bounds, Change, Config, News, Placement, Placements, Watchers, Word,
+    pack, unpack, Board, Bounds, Change, Config, Ended, Lists, News, Placement, Placements,
+    Watchers, Word,
 };
+use rstest::rstest;
 use tokio::time::Instant;
 
 use crate::fixture::{engine, key, three_data_centres, TOKENS};
@@ -101,7 +103,7 @@
     targets.remove_stream(at, stream);
     targets.remove_stream(at, stream);
     assert_eq!(targets.get(at).unwrap().tokens, 0);
-    assert!(targets.placements(1, 1, now).streams.is_empty());
+    assert!(targets.placements(1, 1, None, now).streams.is_empty());
 }
 
 /// Another instance knows the targets up to a revision. It gets what changed since, or all when that
@@ -153,6 +155,57 @@
     assert_eq!(unpack::<Config>(&pack(&config)).unwrap(), config);
 }
 
+/// A target's engine dies, and lists follow each other quickly. Each dead engine is told once at once,
+/// and again with all else in the next whole list, by which a lost one is made good.
+#[test]
+fn what_was_told_is_not_told_again_at_once() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let at = key(&targets, "east-0-1");
+    targets.get_mut(at).unwrap().ended(Ended::Dead, now);
+    targets.note_result(at, true, Duration::from_millis(50), now);
+    let later = now + Duration::from_millis(1);
+    assert_eq!(targets.placements(1, 1, Some(now), later).dead.len(), 1);
+    let next = targets.placements(1, 2, Some(later), later);
+    assert!(next.dead.is_empty() && next.tallies.is_empty());
+    let whole = targets.placements(1, 3, None, later);
+    assert_eq!((whole.dead.len(), whole.tallies.len()), (1, 1));
+}
+
+/// The engines of a data centre die, and the streams of an instance change each two milliseconds for a
+/// second. Among 71 instances each list goes to 70, so they are gathered; among 7 they are hardly
+/// late. A change after a quiet while is told at once.
+#[rstest]
+#[case::small(7, 100, 150, 8)]
+#[case::grown(71, 12, 15, 1)]
+#[case::large(900, 3, 5, 1)]
+fn lists_are_gathered_where_many_get_them(
+    #[case] instances: usize,
+    #[case] least: usize,
+    #[case] most: usize,
+    #[case] whole: usize,
+) {
+    let start = Instant::now();
+    let mut lists = Lists::new(start);
+    let (mut sent, mut wholes) = (0, 0);
+    for step in 0..500 {
+        let now = start + Duration::from_millis(2) * step;
+        lists.has_news = true;
+        if lists.due(instances) <= now {
+            sent += 1;
+            wholes += usize::from(lists.sent(instances, now).is_none());
+        }
+    }
+    assert!((least..=most).contains(&sent), "{sent}");
+    assert!(
+        (whole.saturating_sub(1)..=whole + 1).contains(&wholes),
+        "{wholes}"
+    );
+    let quiet = start + Duration::from_secs(2);
+    lists.has_news = true;
+    assert!(lists.due(instances) <= quiet);
+}
+
 /// A watcher of the store falls silent, or has no answer of the store any more. The others must find
 /// out, and watch for themselves, before two seconds are over.
 #[test]
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -46,7 +46,7 @@
     let lists: Vec<_> = all
         .iter()
         .enumerate()
-        .map(|(origin, targets)| targets.placements(origin as u64, sequence, now))
+        .map(|(origin, targets)| targets.placements(origin as u64, sequence, None, now))
         .collect();
     for (origin, targets) in all.iter_mut().enumerate() {
         let others = lists.iter().filter(|list| list.origin != origin as u64);
@@ -83,7 +83,7 @@
         let read_at = key(&first, &format!("mid-{}-1", part % 4));
         first.add_stream(read_at, part, 100, now).unwrap();
     }
-    second.hear(first.placements(1, 1, now), now);
+    second.hear(first.placements(1, 1, None, now), now);
     let later = now + Duration::from_secs(5);
     for part in 0..40 {
         let at = second.pick(&wanted.stream(part), later).unwrap().key;
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -8,14 +8,12 @@
 };
 
 use celerypond_fleet::MemberState;
-use celerypond_relay::{Placements, Watchers, Word};
+use celerypond_relay::{Lists, Placements, Watchers, Word};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
 use super::{follow, site::Site};
 
-/// The longest time between two lists; a lost one is made good by then.
-const REPEAT: Duration = Duration::from_secs(1);
 /// How long changes are gathered before a list is sent. Streams begin and end in groups when
 /// engines are lost.
 const GATHER: Duration = Duration::from_micros(200);
@@ -43,7 +41,7 @@
 /// Sends and hears lists until the instance ends.
 pub(super) async fn run(site: Arc<Site>, socket: UdpSocket) {
     let mut buffer = vec![0; DATAGRAM];
-    let mut repeat = tokio::time::interval(REPEAT);
+    let mut lists = Lists::new(Instant::now());
     let mut word = tokio::time::interval(WORD);
     let mut said = Instant::now();
     let mut has_news = false;
@@ -56,9 +54,10 @@
                     hear(&site, &buffer[..len]);
                 }
             }
-            () = site.placed.notified() => {
+            () = site.placed.notified(), if !lists.has_news => lists.has_news = true,
+            () = tokio::time::sleep_until(lists.due(site.instances())) => {
                 tokio::time::sleep(GATHER).await;
-                tell(&site, &socket).await;
+                tell(&site, &socket, &mut lists).await;
             }
             () = site.known.told.notified(), if !has_news => has_news = true,
             () = tokio::time::sleep_until(due), if has_news => {
@@ -70,10 +69,6 @@
                 (said, has_news) = (Instant::now(), false);
                 say(&site, &socket).await;
             }
-            _ = repeat.tick() => {
-                site.known.targets().sweep(Instant::now());
-                tell(&site, &socket).await;
-            }
         }
     }
 }
@@ -89,16 +84,24 @@
     }
 }
 
-async fn tell(site: &Site, socket: &UdpSocket) {
+async fn tell(site: &Site, socket: &UdpSocket, lists: &mut Lists) {
     let sequence = site.sequence.fetch_add(1, Relaxed) + 1;
     let (origin, peers) = peers(site);
-    let list = site
-        .known
-        .targets()
-        .placements(origin, sequence, Instant::now());
+    let now = Instant::now();
+    let since = lists.sent(peers.len() + 1, now);
+    let list = list(site, origin, sequence, since);
     send(socket, &peers, &Datagram::Streams(list)).await;
 }
 
+fn list(site: &Site, origin: u64, sequence: u64, since: Option<Instant>) -> Placements {
+    let now = Instant::now();
+    let mut targets = site.known.targets();
+    if since.is_none() {
+        targets.sweep(now);
+    }
+    targets.placements(origin, sequence, since, now)
+}
+
 /// Says what is known of the store, if this instance watches it.
 async fn say(site: &Site, socket: &UdpSocket) {
     let Some(age) = site.duty.age(Instant::now()) else {
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -52,6 +52,7 @@
     tried: Vec<TargetKey>,
     runs: u32,
     refusals: u32,
+    unreached: u32,
 }
 
 impl Run {
@@ -83,6 +84,7 @@
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
+            unreached: 0,
         }
     }
 
@@ -176,6 +178,7 @@
     pub(super) fn begin_again(&mut self) {
         self.tried.clear();
         self.refusals = 0;
+        self.unreached = 0;
     }
 
     /// Returns what follows when no target is left.
@@ -198,13 +201,17 @@
         self.site.metrics.add(Counter::AttemptsEnded, 1);
         if ended.proves_not_run() {
             self.runs -= 1;
-            self.refusals += 1;
+        }
+        match ended {
+            Ended::Unsent => self.unreached += 1,
+            _ => self.refusals += u32::from(ended.proves_not_run()),
         }
         let situation = Situation {
             kind: self.route.kind,
             runs: self.runs,
             attempts: self.route.attempts,
             refusals: self.refusals,
+            unreached: self.unreached,
             left: self.left(),
         };
         let next = situation.next(ended, || self.may_send_again());
@@ -214,6 +221,7 @@
             ended:? = ended,
             runs = self.runs,
             refusals = self.refusals,
+            unreached = self.unreached,
             left_ms = self.left().as_millis() as u64,
             next:? = next;
             "attempt ended"
