relay: orders to move a service to another version are driven and reported

Cause: orders were not read; all versions of a service shared its traffic, so a bad one got its part from its first moment, and no order ever ended. One instance (the first choice among the live ones) looks for orders each second, decides four times a second and tells all; the others send it what they saw. A version gets a small share for half of the order's time, then what is left of the allowed exposure, all requests only when it is called good; after the word the old targets stop. The odds are those of the product's rollouts (one copy). Without a word of the driver for 1.5 s the old versions serve; a version that comes beside others waits 3 s for its order. Ruled out: all requests at the new version before the word, so that nothing is under way at the old targets: a fault that shows late would break the bound.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -191,6 +191,18 @@
         Ok(all)
     }
 
+    /// Lists objects under `prefix` as they were some moments ago; a cheap way to look for what is
+    /// seldom there. There must be no more than a page of them.
+    ///
+    /// # Errors
+    ///
+    /// A failure of the call.
+    pub async fn list_stale(&self, prefix: &str) -> Result<Listing> {
+        let call = Call::ListStale(prefix);
+        let answer = self.object_call(&call, Bytes::new()).await?;
+        Ok((self.dialect.listing)(prefix, &answer.body)?)
+    }
+
     /// Waits up to `wait` for a change under `prefix` after the revision `since`.
     ///
     /// # Errors
@@ -311,7 +323,9 @@
 impl Call<'_> {
     const fn kind(&self) -> CallKind {
         match self {
-            Self::Get(_) | Self::List { .. } | Self::Watch { .. } => CallKind::Read,
+            Self::Get(_) | Self::List { .. } | Self::ListStale(_) | Self::Watch { .. } => {
+                CallKind::Read
+            }
             Self::Create(_) | Self::Update(..) | Self::Delete(..) => CallKind::Write,
         }
     }
--- a/crates/platform/src/dialect.rs
+++ b/crates/platform/src/dialect.rs
@@ -21,6 +21,9 @@
         /// The most objects that the page may have.
         limit: usize,
     },
+    /// Lists the first page of objects under a prefix as they were a moment ago, where the store has a
+    /// cheaper way for that.
+    ListStale(&'a str),
     /// Waits up to `wait` for a change under `prefix` after the revision `since`.
     Watch {
         /// What the keys begin with.
--- a/crates/platform/src/own.rs
+++ b/crates/platform/src/own.rs
@@ -32,6 +32,10 @@
             let path = format!("/v1/objects?prefix={prefix}&after={after}&limit={limit}");
             (Method::GET, path, None)
         }
+        Call::ListStale(prefix) => {
+            let path = format!("/v1/objects?prefix={}&after=", escape(prefix));
+            (Method::GET, path, None)
+        }
         Call::Watch {
             prefix,
             since,
--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -31,6 +31,12 @@
         matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected)
     }
 
+    /// Returns whether the end may be the fault of the version that the target runs. Targets die and
+    /// are cut off whatever their version.
+    pub const fn blames_version(self) -> bool {
+        matches!(self, Self::Failed(_) | Self::Foreign | Self::Silent)
+    }
+
     /// Returns whether the target itself is likely to be down.
     pub const fn suspects(self) -> bool {
         matches!(
--- /dev/null
+++ b/crates/relay/src/evidence.rs
@@ -0,0 +1,176 @@
+//! What became of requests at the old and the new version of a service.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use celerypond_rollout::{odds, Seen};
+use celerypond_types::VersionName;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// The odds at which a version is called bad; lower ones take back good versions when all targets
+/// fail for a moment.
+const ODDS: f64 = 1e4;
+/// The odds from which a version is not called good.
+const DOUBT: f64 = 30.0;
+/// Failures up to this rate are never held against a version.
+const FLOOR: f64 = 0.005;
+/// An answer is slow that takes so many times as long as the old version usually does on its route.
+const SLOW: f64 = 3.0;
+/// Answers of the old version by which its usual time is known.
+const USUAL_LEAST: u32 = 8;
+/// The weight of one answer in the usual time.
+const USUAL_WEIGHT: f64 = 0.05;
+/// How long what an instance reported counts without a new report; then it is gone, and what it saw
+/// is kept by nobody.
+const REPORT_TTL: Duration = Duration::from_secs(60);
+
+/// Answers of one version on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answers {
+    /// All answers.
+    pub all: u32,
+    /// Those that failed.
+    pub bad: u32,
+    /// Those that took much longer than usual.
+    pub slow: u32,
+}
+
+impl Answers {
+    const fn failed(self) -> Seen {
+        Seen {
+            hits: self.bad as u64,
+            tried: self.all as u64,
+        }
+    }
+
+    const fn slowed(self) -> Seen {
+        Seen {
+            hits: self.slow as u64,
+            tried: self.all as u64,
+        }
+    }
+
+    const fn add(&mut self, other: Self) {
+        self.all += other.all;
+        self.bad += other.bad;
+        self.slow += other.slow;
+    }
+}
+
+/// The answers of both versions on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair {
+    /// Of the versions before.
+    pub old: Answers,
+    /// Of the version that the order names.
+    pub new: Answers,
+}
+
+impl Pair {
+    fn add(&mut self, other: Self) {
+        self.old.add(other.old);
+        self.new.add(other.new);
+    }
+
+    /// Returns the odds that the new version is bad, by failures or by slowness.
+    fn odds(&self) -> f64 {
+        let worse = |new: Seen, old: Seen| odds(new, old, old, FLOOR);
+        let failures = worse(self.new.failed(), self.old.failed());
+        failures.max(worse(self.new.slowed(), self.old.slowed()))
+    }
+}
+
+/// What one instance has seen of an order; all counts only grow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The run of the instance.
+    pub origin: u64,
+    /// The version that the order names.
+    pub version: VersionName,
+    /// The answers by the hash of their route's name.
+    pub routes: Vec<(u64, Pair)>,
+}
+
+/// What became of requests at the old and the new version of a service, as all instances saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    own: BTreeMap<u64, Pair>,
+    /// The usual time of the old version by route, in seconds, and of how many answers.
+    usual: HashMap<u64, (f64, u32)>,
+    told: HashMap<u64, (Report, Instant)>,
+}
+
+impl Evidence {
+    /// Adds an answer on a route.
+    pub fn add(&mut self, route: u64, is_new: bool, is_bad: bool, time: Duration) {
+        let took = time.as_secs_f64();
+        let (usual, count) = self.usual.entry(route).or_insert((took, 0));
+        let is_slow = *count >= USUAL_LEAST && took > *usual * SLOW;
+        if !is_new && !is_bad {
+            *usual += (took - *usual) * USUAL_WEIGHT.max(1.0 / f64::from(*count + 1));
+            *count += 1;
+        }
+        let pair = self.own.entry(route).or_default();
+        let answers = if is_new { &mut pair.new } else { &mut pair.old };
+        answers.add(Answers {
+            all: 1,
+            bad: u32::from(is_bad),
+            slow: u32::from(is_slow),
+        });
+    }
+
+    /// Returns what this instance saw.
+    pub fn report(&self, origin: u64, version: &VersionName) -> Report {
+        Report {
+            origin,
+            version: version.clone(),
+            routes: self
+                .own
+                .iter()
+                .map(|(route, pair)| (*route, *pair))
+                .collect(),
+        }
+    }
+
+    /// Takes in what another instance saw; it replaces what that instance told before.
+    pub fn hear(&mut self, report: Report, now: Instant) {
+        self.told.insert(report.origin, (report, now));
+        self.told
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REPORT_TTL);
+    }
+
+    /// Returns all answers, over all routes.
+    pub fn sum(&self) -> Pair {
+        let mut sum = Pair::default();
+        self.routes().values().for_each(|pair| sum.add(*pair));
+        sum
+    }
+
+    /// Returns whether the new version is very likely bad on one route or over all of them.
+    pub fn is_bad(&self) -> bool {
+        self.odds() > ODDS
+    }
+
+    /// Returns whether the new version is likelier bad than good, though not for sure.
+    pub fn is_doubtful(&self) -> bool {
+        self.odds() > DOUBT
+    }
+
+    fn odds(&self) -> f64 {
+        let routes = self.routes();
+        let odds = routes.values().map(Pair::odds);
+        odds.fold(self.sum().odds(), f64::max)
+    }
+
+    fn routes(&self) -> BTreeMap<u64, Pair> {
+        let mut all = self.own.clone();
+        let told = self.told.values().flat_map(|(report, _)| &report.routes);
+        for (route, pair) in told {
+            all.entry(*route).or_default().add(*pair);
+        }
+        all
+    }
+}
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -2,10 +2,10 @@
 
 use std::{borrow::Cow, cmp::Ordering, collections::HashMap};
 
-use celerypond_types::{DataCentre, ServiceName, TargetKey, VersionName};
+use celerypond_types::{DataCentre, ServiceName, TargetKey};
 use tokio::time::Instant;
 
-use crate::{Taken, Target, Targets};
+use crate::{Choice, Taken, Target, Targets};
 
 /// The part of an engine's slots or memory beyond which it takes streams only when all are so full:
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
@@ -26,8 +26,8 @@
 pub struct Want<'a> {
     /// The service.
     pub service: &'a ServiceName,
-    /// The version of its software; nothing when any will do.
-    pub version: Option<&'a VersionName>,
+    /// The versions of its software that will do.
+    pub choice: &'a Choice,
     /// The data centre of this instance, which goes first where all else is equal.
     pub near: &'a DataCentre,
     /// Targets that were tried already.
@@ -63,9 +63,7 @@
         let fits = |target: &&(TargetKey, &Target)| {
             self.is_usable(target.0)
                 && target.1.entry.service == *want.service
-                && want
-                    .version
-                    .is_none_or(|version| target.1.entry.version == *version)
+                && want.choice.allows(&target.1.entry.version)
                 && !want.tried.contains(&target.0)
         };
         let loads = Loads::of(self, want, now);
@@ -73,7 +71,9 @@
         let all: Vec<(TargetKey, &Target)> =
             all.filter(|(_, target)| !loads.is_behind(target)).collect();
         let sound = all.iter().copied();
-        let sound = sound.filter(|(_, target)| !target.is_avoided(now));
+        let is_ordered = matches!(want.choice, Choice::Only(_));
+        let is_held = |target: &Target| !is_ordered && self.is_held(target, now);
+        let sound = sound.filter(|(_, target)| !target.is_avoided(now) && !is_held(target));
         if let Some(key) = loads.best(sound) {
             return Some(Pick {
                 key,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -73,6 +73,10 @@
     pub retry_slack: f64,
     /// The time over which requests and sends are counted for these two.
     pub retry_window: Duration,
+    /// The share of a service's requests that a version may get while its order runs.
+    pub expose_share: f64,
+    /// Requests that it may get beyond that share.
+    pub expose_slack: f64,
     /// The longest time for which callers may keep an answer of the directory.
     pub directory_ttl: Duration,
 }
@@ -127,6 +131,8 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
+            expose_share: 0.1,
+            expose_slack: 50.0,
             directory_ttl: Duration::from_secs(5),
         }
     }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use celerypond_types::{ServiceName, TargetKey, TargetName};
+use celerypond_types::{ServiceName, TargetKey, TargetName, VersionName};
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
@@ -23,6 +23,10 @@
 /// How long others are told of an engine that was found again.
 const ADOPTION_TTL: Duration = Duration::from_secs(5);
 
+/// How long a version that is new at its service gets no request without an order. Its targets are
+/// there before its order is known, which takes about a second and a quarter.
+const HOLD: Duration = Duration::from_secs(3);
+
 /// An engine that was found dead.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dead {
@@ -64,6 +68,8 @@
     streams: Streams,
     board: Board,
     quality: Quality,
+    /// Until when versions that came to a service beside others get no request without an order.
+    held: HashMap<(ServiceName, VersionName), Instant>,
     /// Engines that were found again, and when.
     adopted: Vec<(Adoption, Instant)>,
     /// Until when entries that are missing may come back.
@@ -88,17 +94,27 @@
             .collect();
         let gone = gone.into_iter().map(Change::Gone);
         let there = entries.into_iter().map(Change::Is);
-        gone.chain(there)
+        let is_first = self.names.is_empty();
+        let changes: Vec<Change> = gone
+            .chain(there)
             .collect::<Vec<Change>>()
             .into_iter()
             .filter(|change| self.apply(change, now))
-            .collect()
+            .collect();
+        if is_first {
+            // Which of several versions is the new one cannot be told from the first list.
+            self.held.clear();
+        }
+        changes
     }
 
     /// Takes in one change; returns whether it told anything new.
     pub fn apply(&mut self, change: &Change, now: Instant) -> bool {
         match change {
-            Change::Is(entry) => self.put(entry),
+            Change::Is(entry) => {
+                self.hold(entry, now);
+                self.put(entry)
+            }
             Change::Gone(name) if self.grace.is_some_and(|until| now < until) => {
                 self.miss(name);
                 false
@@ -189,6 +205,30 @@
         true
     }
 
+    /// Holds a version back that comes to a service beside others.
+    ///
+    /// The failure: operators start targets of a bad version and order it a moment later. Until the order
+    /// is known it would get as many requests as the old one.
+    fn hold(&mut self, entry: &TargetEntry, now: Instant) {
+        let of_service = self.arena.values().map(|target| &target.entry);
+        let mut of_service = of_service.filter(|known| known.service == entry.service);
+        let is_first = of_service.clone().next().is_none();
+        if is_first || of_service.any(|known| known.version == entry.version) {
+            return;
+        }
+        let key = (entry.service.clone(), entry.version.clone());
+        self.held.insert(key, now + HOLD);
+    }
+
+    /// Returns whether a target's version gets no request without an order.
+    pub(crate) fn is_held(&self, target: &Target, now: Instant) -> bool {
+        if self.held.is_empty() {
+            return false;
+        }
+        let key = (target.entry.service.clone(), target.entry.version.clone());
+        self.held.get(&key).is_some_and(|until| *until > now)
+    }
+
     fn put(&mut self, entry: &TargetEntry) -> bool {
         let known = self.names.get(&entry.name).copied();
         let Some(target) = known.and_then(|key| self.arena.get_mut(key)) else {
@@ -387,6 +427,7 @@
     pub fn sweep(&mut self, now: Instant) {
         self.board.sweep(now);
         self.quality.sweep(now);
+        self.held.retain(|_, until| *until > now);
         let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
         self.adopted.retain(|(_, at)| is_news(*at));
     }
--- /dev/null
+++ b/crates/relay/src/versions.rs
@@ -0,0 +1,172 @@
+//! Which versions of each service take requests.
+
+use std::{collections::HashMap, time::Duration};
+
+use celerypond_rollout::Splitter;
+use celerypond_types::{ServiceName, VersionName};
+use tokio::time::Instant;
+
+use crate::{Evidence, Phase, Report, Stage};
+
+/// How long a share holds without a word of the instance that drives the order. It tells its stage four
+/// times a second.
+const STAGE_TTL: Duration = Duration::from_millis(1_500);
+
+/// The versions that may take a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Choice {
+    /// Any version.
+    #[default]
+    Any,
+    /// This version, or another one where it has no target left.
+    Only(VersionName),
+    /// Any but this version.
+    Not(VersionName),
+}
+
+impl Choice {
+    /// Returns whether a version may take the request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Choice;
+    ///
+    /// assert!(Choice::Any.allows(&"v1".into()));
+    /// assert!(!Choice::Not("v2".into()).allows(&"v2".into()));
+    /// ```
+    pub fn allows(&self, version: &VersionName) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Not(not) => version != not,
+        }
+    }
+
+    /// Returns what may take the request when no target of the choice is left.
+    pub fn fallback(&self) -> Option<Self> {
+        match self {
+            Self::Only(version) => Some(Self::Not(version.clone())),
+            Self::Any | Self::Not(_) => None,
+        }
+    }
+}
+
+/// Which versions of each service take requests, as this instance was told.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::{Choice, Order, Phase, Stage, Versions};
+/// use tokio::time::Instant;
+///
+/// let order = Order { service: "shop".into(), version: "v2".into(), time: Duration::from_secs(12) };
+/// let mut versions = Versions::default();
+/// let now = Instant::now();
+/// versions.hear(Stage { order, phase: Phase::TakenBack, age_ms: 0 }, now);
+/// assert_eq!(versions.choose(&"shop".into(), now), Choice::Not("v2".into()));
+/// assert_eq!(versions.choose(&"desk".into(), now), Choice::Any);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Versions {
+    services: HashMap<ServiceName, Acting>,
+}
+
+#[derive(Clone, Debug)]
+struct Acting {
+    stage: Stage,
+    heard: Instant,
+    splitter: Splitter,
+    evidence: Evidence,
+}
+
+impl Versions {
+    /// Takes in how far an order has come; an order that has ended stays so.
+    pub fn hear(&mut self, stage: Stage, now: Instant) {
+        let service = stage.order.service.clone();
+        let known = self.services.get_mut(&service);
+        match known.filter(|known| known.stage.order.version == stage.order.version) {
+            Some(known) => {
+                known.heard = now;
+                if !known.stage.phase.is_ended() {
+                    known.stage = stage;
+                }
+            }
+            None => {
+                let acting = Acting {
+                    stage,
+                    heard: now,
+                    splitter: Splitter::default(),
+                    evidence: Evidence::default(),
+                };
+                self.services.insert(service, acting);
+            }
+        }
+    }
+
+    /// Chooses the versions that may take the next request for a service.
+    ///
+    /// The failure: the instance that drives an order dies while a bad version has a share. Without a
+    /// word of it the old versions take all requests, until the next instance drives the order.
+    pub fn choose(&mut self, service: &ServiceName, now: Instant) -> Choice {
+        let Some(acting) = self.services.get_mut(service) else {
+            return Choice::Any;
+        };
+        let version = acting.stage.order.version.clone();
+        let is_fresh = now.saturating_duration_since(acting.heard) < STAGE_TTL;
+        match acting.stage.phase {
+            Phase::Completed => Choice::Only(version),
+            Phase::Running { share } if is_fresh && acting.splitter.take(share) => {
+                Choice::Only(version)
+            }
+            Phase::Running { .. } | Phase::TakenBack => Choice::Not(version),
+        }
+    }
+
+    /// Chooses the versions that may take a request once more. One that failed at a version on trial
+    /// goes back to the others.
+    pub fn choose_again(&self, service: &ServiceName) -> Choice {
+        let Some(acting) = self.services.get(service) else {
+            return Choice::Any;
+        };
+        let version = acting.stage.order.version.clone();
+        match acting.stage.phase {
+            Phase::Completed => Choice::Only(version),
+            Phase::Running { .. } | Phase::TakenBack => Choice::Not(version),
+        }
+    }
+
+    /// Adds an answer of a version on a route, while an order runs.
+    pub fn add(
+        &mut self,
+        service: &ServiceName,
+        version: &VersionName,
+        route: u64,
+        is_bad: bool,
+        time: Duration,
+    ) {
+        if let Some(acting) = self.services.get_mut(service) {
+            let is_new = *version == acting.stage.order.version;
+            acting.evidence.add(route, is_new, is_bad, time);
+        }
+    }
+
+    /// Returns what this instance saw of orders that run.
+    pub fn reports(&self, origin: u64) -> Vec<(ServiceName, Report)> {
+        let running = self.services.iter();
+        let running = running.filter(|(_, acting)| !acting.stage.phase.is_ended());
+        running
+            .map(|(service, acting)| {
+                let version = &acting.stage.order.version;
+                (service.clone(), acting.evidence.report(origin, version))
+            })
+            .collect()
+    }
+
+    /// Returns the stages that are known, for an instance that begins to drive orders.
+    pub fn stages(&self) -> impl Iterator<Item = &Stage> {
+        self.services.values().map(|acting| &acting.stage)
+    }
+}
--- a/crates/relay/tests/fixture.rs
+++ b/crates/relay/tests/fixture.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use celerypond_relay::{Change, Presence, TargetEntry, Targets, Want};
+use celerypond_relay::{Change, Choice, Presence, TargetEntry, Targets, Want};
 use celerypond_types::{DataCentre, ServiceName, TargetKey, TargetName, VersionName};
 use tokio::time::Instant;
 
@@ -90,7 +90,7 @@
     pub(crate) fn request<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
         Want {
             service: &self.service,
-            version: None,
+            choice: &Choice::Any,
             near: &self.near,
             tried,
             affinity: None,
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -9,3 +9,4 @@
 mod test_placement;
 mod test_quality;
 mod test_retries;
+mod test_rollouts;
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use celerypond_relay::{Change, Load, Patience, PlacementKey, Targets, Want};
+use celerypond_relay::{Change, Choice, Load, Patience, PlacementKey, TargetEntry, Targets, Want};
 use celerypond_types::{TargetKey, TargetName};
 use tokio::time::Instant;
 
-use crate::fixture::{key, three_data_centres, Wanted, TOKENS};
+use crate::fixture::{engine, key, three_data_centres, Wanted, TOKENS};
 
 /// Replays streams that arrive at several instances, and returns the most prompts that were read at
 /// one engine at a time. A prompt takes `reading` to be read.
@@ -196,6 +196,34 @@
     assert!(targets.pick(&wanted.request(&all), now).is_none());
 }
 
+/// Operators start targets of another version, and order it a moment later. Until the order is known it
+/// gets nothing; where nobody orders it, it serves like the others after a while. A service that begins
+/// with it waits for nothing.
+#[test]
+fn a_version_that_comes_beside_others_waits_for_its_order() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    let new = TargetEntry {
+        version: "v2".into(),
+        ..engine("east", 9, 2)
+    };
+    targets.apply(&Change::Is(new), now);
+    let new = key(&targets, "east-9-2");
+    let wanted = Wanted::new();
+    let gets = |targets: &Targets, at| {
+        let mut picks = (0..60).map(|part| targets.pick(&wanted.stream(part), at).unwrap().key);
+        picks.any(|key| key == new)
+    };
+    assert!(!gets(&targets, now));
+    assert!(gets(&targets, now + Duration::from_secs(4)));
+    let choice = Choice::Only("v2".into());
+    let ordered = Want {
+        choice: &choice,
+        ..wanted.stream(1)
+    };
+    assert_eq!(targets.pick(&ordered, now).unwrap().key, new);
+}
+
 /// All targets failed a moment ago. Refusing everything would be worse than asking the one whose
 /// time is over first.
 #[test]
--- /dev/null
+++ b/crates/relay/tests/test_rollouts.rs
@@ -0,0 +1,233 @@
+//! Orders to move a service to another version, good and bad ones.
+
+use std::time::Duration;
+
+use celerypond_relay::{
+    Bounds, Choice, Evidence, Fleet, Order, Phase, Report, Rollout, Stage, Versions,
+};
+use celerypond_types::{ServiceName, VersionName};
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// The time between two decisions.
+const TURN: Duration = Duration::from_millis(250);
+const TIME: Duration = Duration::from_secs(12);
+const ENOUGH: Fleet = Fleet { new: 6, old: 6 };
+
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// A part of its answers are failures from a part of the order's time on.
+    Fails {
+        rate: f64,
+        from: f64,
+    },
+    /// It fails on the rarest route only.
+    OneRoute,
+    /// It takes five times as long.
+    Slow,
+    /// It fails once it gets more than so large a share.
+    UnderLoad(f64),
+}
+
+impl Fault {
+    fn strikes(self, route: u64, at: f64, share: f64, rng: &mut SmallRng) -> bool {
+        match self {
+            Self::None | Self::Slow => false,
+            Self::Fails { rate, from } => at >= from && rng.random_bool(rate),
+            Self::OneRoute => route == 2 && rng.random_bool(0.7),
+            Self::UnderLoad(most) => share > most && rng.random_bool(0.4),
+        }
+    }
+}
+
+fn order() -> Order {
+    Order {
+        service: ServiceName::new("shop"),
+        version: VersionName::new("v2"),
+        time: TIME,
+    }
+}
+
+fn report(evidence: &Evidence, origin: u64) -> Report {
+    evidence.report(origin, &VersionName::new("v2"))
+}
+
+/// What a replay came to.
+struct Outcome {
+    phase: Phase,
+    /// Requests during the order's time, and those of them that the version got.
+    all: u32,
+    new: u32,
+}
+
+/// Plays an order at so many requests a second.
+fn play(rate: f64, fault: Fault, seed: u64) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut rollout = Rollout::new(order(), Duration::ZERO, start);
+    let mut seen = Evidence::default();
+    let mut versions = Versions::default();
+    let (mut all, mut new, mut due) = (0, 0, 0.0);
+    for turn in 0..TIME.as_millis() / TURN.as_millis() {
+        let now = start + TURN * turn as u32;
+        rollout.evidence.hear(report(&seen, 1), now);
+        rollout.phase = rollout.next(&Bounds::default(), ENOUGH, now);
+        let stage = Stage {
+            order: order(),
+            phase: rollout.phase,
+            age_ms: rollout.age(now).as_millis() as u32,
+        };
+        versions.hear(stage, now);
+        let share = match rollout.phase {
+            Phase::Running { share } => f64::from(share) / 1e6,
+            Phase::Completed => 1.0,
+            Phase::TakenBack => 0.0,
+        };
+        due += rate * TURN.as_secs_f64();
+        while due >= 1.0 {
+            due -= 1.0;
+            all += 1;
+            let route = [0, 0, 0, 1, 1, 2][rng.random_range(0..6)];
+            let is_new = versions.choose(&order().service, now) == Choice::Only("v2".into());
+            let at = now.duration_since(start).as_secs_f64() / TIME.as_secs_f64();
+            let is_bad = match is_new {
+                true => fault.strikes(route, at, share, &mut rng),
+                false => rng.random_bool(0.004),
+            };
+            let usual = rng.random_range(0.03..0.1);
+            let slower = if is_new && fault == Fault::Slow {
+                5.0
+            } else {
+                1.0
+            };
+            seen.add(
+                route,
+                is_new,
+                is_bad,
+                Duration::from_secs_f64(usual * slower),
+            );
+            new += u32::from(is_new);
+        }
+    }
+    Outcome {
+        phase: rollout.phase,
+        all,
+        new,
+    }
+}
+
+/// Operators order a version that is good. It must have all requests within the order's time, with few
+/// and with many requests.
+#[rstest]
+fn a_good_version_is_completed_in_time(#[values(5.0, 14.0, 100.0, 300.0)] rate: f64) {
+    for seed in 0..40 {
+        let outcome = play(rate, Fault::None, seed);
+        assert_eq!(outcome.phase, Phase::Completed, "seed {seed}");
+    }
+}
+
+/// Operators order a version that is bad: at once, later, on one route, by slowness, or under load. It
+/// is taken back, and however late its fault shows, it got no more than a tenth of the requests
+/// and the slack.
+#[rstest]
+#[case::at_once(Fault::Fails { rate: 0.3, from: 0.0 })]
+#[case::seldom(Fault::Fails { rate: 0.15, from: 0.0 })]
+#[case::later(Fault::Fails { rate: 0.4, from: 0.4 })]
+#[case::one_route(Fault::OneRoute)]
+#[case::slow(Fault::Slow)]
+#[case::under_load(Fault::UnderLoad(0.09))]
+fn a_bad_version_is_taken_back_and_gets_few_requests(
+    #[case] fault: Fault,
+    #[values(100.0, 300.0)] rate: f64,
+) {
+    for seed in 0..40 {
+        let outcome = play(rate, fault, seed);
+        assert_eq!(outcome.phase, Phase::TakenBack, "seed {seed}");
+        let allowed = f64::from(outcome.all) * 0.1 + 50.0;
+        assert!(
+            f64::from(outcome.new) <= allowed,
+            "seed {seed}: {}",
+            outcome.new
+        );
+    }
+}
+
+/// The version's targets never come, or too few of them. The old targets would stop at the word that it
+/// is done, so it is not said.
+#[rstest]
+#[case::none(Fleet { new: 0, old: 6 })]
+#[case::few(Fleet { new: 2, old: 6 })]
+fn a_version_without_targets_for_all_requests_is_not_completed(#[case] fleet: Fleet) {
+    let start = Instant::now();
+    let mut rollout = Rollout::new(order(), Duration::ZERO, start);
+    let mut seen = Evidence::default();
+    for _ in 0..200 {
+        seen.add(0, true, false, Duration::from_millis(50));
+        seen.add(0, false, false, Duration::from_millis(50));
+    }
+    rollout.evidence.hear(report(&seen, 1), start);
+    let late = start + TIME.mul_f64(0.9);
+    let phase = rollout.next(&Bounds::default(), fleet, late);
+    assert!(matches!(phase, Phase::Running { .. }), "{phase:?}");
+    let over = rollout.next(&Bounds::default(), fleet, start + TIME);
+    assert_eq!(over, Phase::TakenBack);
+}
+
+/// The instance that drives an order dies while the version has a share, and the others hear nothing.
+/// The version gets nothing more until they do; an end that was told stays.
+#[test]
+fn without_a_word_of_the_driver_the_old_versions_serve() {
+    let now = Instant::now();
+    let service = ServiceName::new("shop");
+    let mut versions = Versions::default();
+    let stage = |phase| Stage {
+        order: order(),
+        phase,
+        age_ms: 100,
+    };
+    versions.hear(stage(Phase::Running { share: 1_000_000 }), now);
+    let soon = now + Duration::from_secs(1);
+    let late = now + Duration::from_secs(2);
+    assert_eq!(versions.choose(&service, soon), Choice::Only("v2".into()));
+    assert_eq!(versions.choose(&service, late), Choice::Not("v2".into()));
+    versions.hear(stage(Phase::TakenBack), late);
+    versions.hear(stage(Phase::Running { share: 1_000_000 }), late);
+    assert_eq!(versions.choose(&service, late), Choice::Not("v2".into()));
+}
+
+/// A request failed at the version on trial. It is sent again, and a second failure there would be the
+/// trial's fault alone.
+#[test]
+fn what_failed_at_a_version_on_trial_goes_back_to_the_others() {
+    let now = Instant::now();
+    let service = ServiceName::new("shop");
+    let mut versions = Versions::default();
+    let phase = Phase::Running { share: 1_000_000 };
+    versions.hear(
+        Stage {
+            order: order(),
+            phase,
+            age_ms: 0,
+        },
+        now,
+    );
+    assert_eq!(versions.choose_again(&service), Choice::Not("v2".into()));
+}
+
+/// Reports are sums of one instance each. A later one replaces the one before, and those of several
+/// instances add up.
+#[test]
+fn reports_of_all_instances_add_up() {
+    let now = Instant::now();
+    let mut own = Evidence::default();
+    let mut all = Evidence::default();
+    for _ in 0..3 {
+        own.add(0, true, true, Duration::ZERO);
+        all.hear(report(&own, 1), now);
+        all.hear(report(&own, 2), now);
+    }
+    assert_eq!((all.sum().new.all, all.sum().new.bad), (6, 6));
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -33,6 +33,7 @@
 pub use judge::Judge;
 pub use move_record::MoveRecord;
 pub use moves::{moves, shares, Candidate, Move};
+pub use odds::{odds, Seen};
 pub use plan::{local_ppm, plan, Demand, Stage, StageStep, MAX_WITNESSES, STEPS};
 pub use rank::{is_watcher, rank, witnesses, WATCHERS_PER_CENTRE};
 pub use record::{
--- a/crates/rollout/src/odds.rs
+++ b/crates/rollout/src/odds.rs
@@ -15,9 +15,11 @@
 
 /// Hits among trials.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Seen {
-    pub(crate) hits: u64,
-    pub(crate) tried: u64,
+pub struct Seen {
+    /// How many showed a fault.
+    pub hits: u64,
+    /// How many there were.
+    pub tried: u64,
 }
 
 impl Seen {
@@ -37,8 +39,19 @@
 ///
 /// It is a Bayes factor over the rate of the base, which is that of the past or, with the chance
 /// [`TROUBLE`], any other. A mere estimate from the few trials that a high share leaves to the base
-/// would call the new version bad whenever the base is lucky while something hits both.
-pub(crate) fn odds(new: Seen, base: Seen, past: Seen, floor: f64) -> f64 {
+/// would call the new version bad whenever the base is lucky while something hits both. `past` gives the
+/// usual rate of the base, and `floor` a rate that is never held against the new version.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_rollout::{odds, Seen};
+///
+/// let base = Seen { hits: 1, tried: 400 };
+/// assert!(odds(Seen { hits: 6, tried: 20 }, base, base, 0.005) > 1e4);
+/// assert!(odds(Seen { hits: 1, tried: 20 }, base, base, 0.005) < 1e4);
+/// ```
+pub fn odds(new: Seen, base: Seen, past: Seen, floor: f64) -> f64 {
     if new.hits == 0 {
         return 0.0;
     }
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -23,6 +23,7 @@
 mod reply;
 mod request;
 mod revive;
+mod rollouts;
 mod run;
 mod site;
 mod start;
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -8,7 +8,8 @@
 };
 
 use celerypond_fleet::MemberState;
-use celerypond_relay::{Lists, Placements, Watchers, Word};
+use celerypond_relay::{Lists, Placements, Report, Stage, Watchers, Word};
+use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
@@ -25,11 +26,15 @@
 
 /// What instances tell each other by datagram; what is lost is told again.
 #[derive(Serialize, Deserialize)]
-enum Datagram {
+pub(super) enum Datagram {
     /// Where streams run.
     Streams(Placements),
     /// What is known of the store.
     Word(Word),
+    /// How far an order to move a service has come.
+    Stage(Stage),
+    /// What was seen of such an order.
+    Report(ServiceName, Report),
 }
 
 /// Returns where instances send their lists.
@@ -39,7 +44,7 @@
 }
 
 /// Sends and hears lists until the instance ends.
-pub(super) async fn run(site: Arc<Site>, socket: UdpSocket) {
+pub(super) async fn run(site: Arc<Site>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM];
     let mut lists = Lists::new(Instant::now());
     let mut word = tokio::time::interval(WORD);
@@ -80,6 +85,8 @@
             site.duty.watchers().hear(word, Instant::now());
             follow::ask_for_news(site);
         }
+        Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage),
+        Ok(Datagram::Report(service, report)) => site.rollouts.hear_report(&service, report),
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
 }
@@ -118,7 +125,7 @@
 }
 
 /// What cannot be sent is left out: the next datagram says the same and more.
-async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
+pub(super) async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
     match bincode::serialize(datagram) {
         Ok(bytes) if bytes.len() <= DATAGRAM => {
             for peer in peers {
@@ -130,7 +137,7 @@
     }
 }
 
-fn peers(site: &Site) -> (u64, Vec<SocketAddr>) {
+pub(super) fn peers(site: &Site) -> (u64, Vec<SocketAddr>) {
     let gossip = site.gossip();
     let members = gossip.roster().of_state(MemberState::Live);
     let peers = members.filter_map(|member| member.address.parse().ok());
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -167,6 +167,7 @@
                 return lost(at.lease, ended, backup);
             }
             at.lease.has_read();
+            self.run.note(&at.lease, at.opened.status, begun.elapsed());
             at.copies = self.keep_copy(&at.lease, backup);
         }
         log::info!(
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -6,8 +6,8 @@
     time::Duration,
 };
 
-use celerypond_fleet::{choose, Candidate, MemberState, Origin};
-use celerypond_relay::{unpack, Config, News};
+use celerypond_fleet::{choose, Candidate, Gossip, MemberState, Origin};
+use celerypond_relay::{unpack, Config, News, Settings};
 use celerypond_types::Revision;
 use rand::seq::SliceRandom as _;
 use serde::de::DeserializeOwned;
@@ -163,8 +163,33 @@
 pub(super) fn choose_watchers(site: &Site) {
     let settings = site.settings.load();
     let gossip = site.gossip();
+    let candidates = candidates(site, &settings, &gossip);
+    let chosen = choose(WATCH_JOB, &candidates, WATCHERS);
+    let is_chosen = chosen.iter().any(|one| *one.name == settings.instance);
+    if site.duty.is_chosen.swap(is_chosen, Relaxed) != is_chosen {
+        log::info!(is_chosen, live = candidates.len(); "watcher of the store");
+    }
+}
+
+/// Returns where the instance is that drives orders of rollouts; nothing when it is this one.
+///
+/// While instances disagree, two may drive. Each tells its stage, an end that was told stays, and
+/// the store takes the write of one of them.
+pub(super) fn driver(site: &Site) -> Option<SocketAddr> {
+    let settings = site.settings.load();
+    let gossip = site.gossip();
+    let candidates = candidates(site, &settings, &gossip);
+    let chosen = choose(WATCH_JOB, &candidates, 1);
+    let driver = chosen.first()?.name;
+    let mut live = gossip.roster().of_state(MemberState::Live);
+    let driver = live.find(|member| member.name == *driver)?;
+    driver.address.parse().ok()
+}
+
+/// Returns the instances that seem to live and are not stopping, this one included.
+fn candidates<'a>(site: &Site, settings: &'a Settings, gossip: &'a Gossip) -> Vec<Candidate<'a>> {
     let live = gossip.roster().of_state(MemberState::Live);
-    let mut candidates: Vec<Candidate<'_>> = live
+    let mut candidates: Vec<Candidate<'a>> = live
         .map(|member| Candidate {
             name: &member.name,
             data_centre: &member.data_centre,
@@ -176,11 +201,7 @@
             data_centre: &settings.data_centre,
         });
     }
-    let chosen = choose(WATCH_JOB, &candidates, WATCHERS);
-    let is_chosen = chosen.iter().any(|one| *one.name == settings.instance);
-    if site.duty.is_chosen.swap(is_chosen, Relaxed) != is_chosen {
-        log::info!(is_chosen, live = candidates.len(); "watcher of the store");
-    }
+    candidates
 }
 
 fn peers(site: &Site) -> Vec<SocketAddr> {
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -4,7 +4,7 @@
 
 use celerypond_relay::{Ended, Load, PlacementKey};
 use celerypond_telemetry::Counter;
-use celerypond_types::{TargetKey, TargetName};
+use celerypond_types::{TargetKey, TargetName, VersionName};
 use tokio::time::Instant;
 
 use super::site::Site;
@@ -15,6 +15,7 @@
     pub(super) key: TargetKey,
     pub(super) name: TargetName,
     pub(super) address: SocketAddr,
+    pub(super) version: VersionName,
     stream: Option<PlacementKey>,
 }
 
@@ -29,6 +30,7 @@
             key,
             name: target.entry.name.clone(),
             address: target.entry.address,
+            version: target.entry.version.clone(),
             stream: None,
         })
     }
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -25,7 +25,10 @@
         let result = attempt(&run, &mut lease).await;
         note(&lease, &result, begun);
         let ended = match result {
-            Ok(reply) if is_final(&run, &reply) => return reply,
+            Ok(reply) if is_final(&run, &reply) => {
+                run.note(&lease, reply.status(), begun.elapsed());
+                return reply;
+            }
             Ok(reply) => {
                 let status = reply.status().as_u16();
                 failed = Some(reply);
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -2,9 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use celerypond_relay::{Clock, Ended, Next, Patience, Prompt, Route, RouteKind, Situation, Want};
+use celerypond_relay::{
+    Choice, Clock, Ended, Next, Patience, Pick, Prompt, Route, RouteKind, Situation, Want,
+};
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
+use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{attempt::Asked, lease::Lease, site::Site};
@@ -20,6 +23,8 @@
     capacity: Option<u64>,
     /// The most tokens of other prompts that an engine may have to read first.
     backlog: Option<u64>,
+    /// The versions that may run it.
+    choice: Choice,
     near: DataCentre,
     lot: u64,
 }
@@ -29,7 +34,7 @@
     pub(super) fn want<'a>(&'a self, tried: &'a [TargetKey]) -> Want<'a> {
         Want {
             service: &self.service,
-            version: None,
+            choice: &self.choice,
             near: &self.near,
             tried,
             affinity: self.affinity,
@@ -65,8 +70,10 @@
         clock: Clock,
     ) -> Self {
         site.retries().requested(&service, Instant::now());
+        let choice = site.rollouts.versions().choose(&service, Instant::now());
         let wish = Wish {
             service,
+            choice,
             affinity: None,
             tokens: 0,
             capacity: None,
@@ -118,11 +125,11 @@
     /// Takes a place at the best target that was not tried yet.
     pub(super) fn place(&mut self) -> Option<Lease> {
         let now = Instant::now();
-        let pick = self
-            .site
-            .known
-            .targets()
-            .pick(&self.wish.want(&self.tried), now)?;
+        if !self.tried.is_empty() {
+            let versions = self.site.rollouts.versions();
+            self.wish.choice = versions.choose_again(&self.wish.service);
+        }
+        let pick = self.pick(now)?;
         if self.wish.affinity.is_some() {
             let targets = self.site.known.targets();
             let name = targets
@@ -142,6 +149,29 @@
         self.place_at(pick.key)
     }
 
+    /// Chooses a target of the versions that may run the request, or of others where those have none
+    /// left and it is allowed.
+    fn pick(&mut self, now: Instant) -> Option<Pick> {
+        let targets = self.site.known.targets();
+        let pick = targets.pick(&self.wish.want(&self.tried), now);
+        if pick.is_some() {
+            return pick;
+        }
+        self.wish.choice = self.wish.choice.fallback()?;
+        targets.pick(&self.wish.want(&self.tried), now)
+    }
+
+    /// Takes in that a target gave the answer that its caller gets.
+    pub(super) fn note(&self, lease: &Lease, status: StatusCode, took: Duration) {
+        self.note_version(lease, status.is_server_error(), took);
+    }
+
+    fn note_version(&self, lease: &Lease, is_bad: bool, took: Duration) {
+        let mut versions = self.site.rollouts.versions();
+        let route = celerypond_route::hash(self.route.name.as_bytes());
+        versions.add(&self.wish.service, &lease.version, route, is_bad, took);
+    }
+
     /// Takes a place at the engine that holds a copy, unless it takes no new work any more.
     pub(super) fn place_at_copy(&mut self, key: TargetKey) -> Option<Lease> {
         let is_usable = self.site.known.targets().is_usable(key);
@@ -198,6 +228,9 @@
     /// Takes in how an attempt ended and decides what follows.
     pub(super) fn ended(&mut self, lease: &Lease, ended: Ended) -> Next {
         lease.ended(ended);
+        if ended.blames_version() {
+            self.note_version(lease, true, Duration::ZERO);
+        }
         self.site.metrics.add(Counter::AttemptsEnded, 1);
         if ended.proves_not_run() {
             self.runs -= 1;
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -17,7 +17,9 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{connections::Connections, knowledge::Knowledge, watch_duty::WatchDuty};
+use super::{
+    connections::Connections, knowledge::Knowledge, rollouts::Rollouts, watch_duty::WatchDuty,
+};
 use crate::peers::Peers;
 
 /// How long a call of the store may take; an answer takes milliseconds when it is sound.
@@ -39,6 +41,7 @@
     pub(super) store: Client,
     retries: Mutex<Retries>,
     pub(super) peers: Peers,
+    pub(super) rollouts: Rollouts,
     pub(super) metrics: Metrics,
     pub(super) latencies: Histograms,
     /// Requests that are being answered.
@@ -84,6 +87,7 @@
             store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
             retries: Mutex::new(Retries::new(&settings.bounds)),
             peers: Peers::default(),
+            rollouts: Rollouts::default(),
             metrics: Metrics::local(),
             latencies: Histograms::default(),
             open: AtomicU64::new(0),
@@ -116,6 +120,11 @@
         self.gossip().roster().of_state(MemberState::Live).count() + 1
     }
 
+    /// Returns the run of this instance, by which others know it.
+    pub(super) fn origin(&self) -> u64 {
+        self.gossip().origin().0
+    }
+
     pub(super) fn retries(&self) -> MutexGuard<'_, Retries> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    board, callers, follow, members, peer_service, questions, reload, revive, site::Site, stop,
-    watches,
+    board, callers, follow, members, peer_service, questions, reload, revive, rollouts, site::Site,
+    stop, watches,
 };
 
 /// The time between two looks at idle connections and at targets whose entries are missing.
@@ -136,6 +136,9 @@
     let address = board::address(site);
     let lists = UdpSocket::bind(address).await;
     let lists = lists.change_context(RelayError::Listen(address))?;
+    let lists = Arc::new(lists);
+    site.tasks
+        .spawn(rollouts::run(Arc::clone(site), Arc::clone(&lists)));
     site.tasks.spawn(board::run(Arc::clone(site), lists));
     let listen = settings.listen;
     let asked = [listen.ready, listen.directory, listen.metrics];
