--- /dev/null
+++ b/crates/relay/src/revival.rs
@@ -0,0 +1,95 @@
+//! Engines that die and start again.
+
+use std::{net::SocketAddr, time::Duration};
+
+use celerypond_types::{ServiceName, TargetName};
+use tokio::time::Instant;
+
+use crate::{Adoption, Target, TargetEntry, Targets};
+
+/// How long after its death an engine is looked for first: it takes about a second to start.
+const REVIVE_FROM: Duration = Duration::from_millis(900);
+/// How long after its death an engine is looked for at most.
+const REVIVE_UNTIL: Duration = Duration::from_secs(10);
+
+/// An engine that was found dead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dead {
+    /// Its name.
+    pub name: TargetName,
+    /// The hash of its name.
+    pub hash: u64,
+    /// The service that it belonged to.
+    pub service: ServiceName,
+    /// Where it listened.
+    pub address: SocketAddr,
+}
+
+impl Targets {
+    /// Returns engines that were found dead and may have started again. Each instance gets them at
+    /// its own time, up to `stagger` after the others.
+    pub fn dead_engines(&self, now: Instant, stagger: Duration) -> Vec<Dead> {
+        let late = stagger.mul_f64(self.lateness);
+        let is_due = |target: &Target| {
+            let died = target.died.map(|died| now.saturating_duration_since(died));
+            died.is_some_and(|since| (REVIVE_FROM + late..REVIVE_UNTIL).contains(&since))
+        };
+        let dead = self.arena.iter();
+        dead.filter(|(key, target)| is_due(target) && self.owns_address(*key))
+            .map(|(_, target)| Dead {
+                name: target.entry.name.clone(),
+                hash: target.hash,
+                service: target.entry.service.clone(),
+                address: target.entry.address,
+            })
+            .collect()
+    }
+
+    /// Takes in that the engine that had a name, of this hash, answers under another or the same
+    /// name; returns whether that was news.
+    pub fn adopt(&mut self, before: u64, name: &TargetName, now: Instant) -> bool {
+        let old = self.arena.iter().find(|(_, target)| target.hash == before);
+        let Some((key, old)) = old else {
+            return false;
+        };
+        if old.entry.name == *name {
+            if let Some(target) = self.arena.get_mut(key) {
+                target.answered(None, now);
+            }
+            return true;
+        }
+        if self.names.contains_key(name) {
+            return false;
+        }
+        let entry = TargetEntry {
+            name: name.clone(),
+            // Later than the start that it follows, and earlier than any that the store will tell.
+            born: old.entry.born.map(|born| born + 1),
+            ..old.entry.clone()
+        };
+        let address = entry.address;
+        let mut found = Target::new(entry);
+        found.is_found = true;
+        let key = self.arena.insert(found);
+        self.names.insert(name.clone(), key);
+        self.settle_address(address);
+        let told = Adoption {
+            before,
+            name: name.clone(),
+        };
+        self.adopted.push((told, now));
+        true
+    }
+
+    /// Returns the hashes of engines that this instance found dead and that `is_told` does not leave out.
+    pub(crate) fn dead(
+        &self,
+        now: Instant,
+        is_told: impl Fn(Instant) -> bool,
+    ) -> impl Iterator<Item = u64> {
+        let dead = self.arena.values();
+        let dead = dead.filter(move |target| target.is_dead && target.is_avoided(now));
+        dead.filter(move |target| !target.found_dead.is_some_and(&is_told))
+            .map(|target| target.hash)
+    }
+}
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -16,30 +16,9 @@
     Quality, Taken, Target, TargetEntry,
 };
 
-/// How long after its death an engine is looked for first: it takes about a second to start.
-const REVIVE_FROM: Duration = Duration::from_millis(900);
-/// How long after its death an engine is looked for at most.
-const REVIVE_UNTIL: Duration = Duration::from_secs(10);
 /// How long others are told of an engine that was found again.
 const ADOPTION_TTL: Duration = Duration::from_secs(5);
 
-/// How long a version that is new at its service gets no request without an order. Its targets are
-/// there before its order is known, which takes about a second and a quarter.
-const HOLD: Duration = Duration::from_secs(3);
-
-/// An engine that was found dead.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Dead {
-    /// Its name.
-    pub name: TargetName,
-    /// The hash of its name.
-    pub hash: u64,
-    /// The service that it belonged to.
-    pub service: ServiceName,
-    /// Where it listened.
-    pub address: SocketAddr,
-}
-
 /// A change in the list of targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -62,16 +41,16 @@
 /// All targets that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
-    arena: SlotMap<TargetKey, Target>,
-    names: HashMap<TargetName, TargetKey>,
+    pub(crate) arena: SlotMap<TargetKey, Target>,
+    pub(crate) names: HashMap<TargetName, TargetKey>,
     /// Streams of this instance.
     streams: Streams,
     board: Board,
     quality: Quality,
     /// Until when versions that came to a service beside others get no request without an order.
-    held: HashMap<(ServiceName, VersionName), Instant>,
+    pub(crate) held: HashMap<(ServiceName, VersionName), Instant>,
     /// Engines that were found again, and when.
-    adopted: Vec<(Adoption, Instant)>,
+    pub(crate) adopted: Vec<(Adoption, Instant)>,
     /// Until when entries that are missing may come back.
     grace: Option<Instant>,
     /// The changes since a revision of the store, in order.
@@ -205,30 +184,6 @@
         true
     }
 
-    /// Holds a version back that comes to a service beside others.
-    ///
-    /// The failure: operators start targets of a bad version and order it a moment later. Until the order
-    /// is known it would get as many requests as the old one.
-    fn hold(&mut self, entry: &TargetEntry, now: Instant) {
-        let of_service = self.arena.values().map(|target| &target.entry);
-        let mut of_service = of_service.filter(|known| known.service == entry.service);
-        let is_first = of_service.clone().next().is_none();
-        if is_first || of_service.any(|known| known.version == entry.version) {
-            return;
-        }
-        let key = (entry.service.clone(), entry.version.clone());
-        self.held.insert(key, now + HOLD);
-    }
-
-    /// Returns whether a target's version gets no request without an order.
-    pub(crate) fn is_held(&self, target: &Target, now: Instant) -> bool {
-        if self.held.is_empty() {
-            return false;
-        }
-        let key = (target.entry.service.clone(), target.entry.version.clone());
-        self.held.get(&key).is_some_and(|until| *until > now)
-    }
-
     fn put(&mut self, entry: &TargetEntry) -> bool {
         let known = self.names.get(&entry.name).copied();
         let Some(target) = known.and_then(|key| self.arena.get_mut(key)) else {
@@ -330,68 +285,6 @@
         }
     }
 
-    /// Returns engines that were found dead and may have started again. Each instance gets them at
-    /// its own time, up to `stagger` after the others.
-    pub fn dead_engines(&self, now: Instant, stagger: Duration) -> Vec<Dead> {
-        let late = stagger.mul_f64(self.lateness);
-        let is_due = |target: &Target| {
-            let died = target.died.map(|died| now.saturating_duration_since(died));
-            died.is_some_and(|since| (REVIVE_FROM + late..REVIVE_UNTIL).contains(&since))
-        };
-        let dead = self.arena.iter();
-        dead.filter(|(key, target)| is_due(target) && self.owns_address(*key))
-            .map(|(_, target)| Dead {
-                name: target.entry.name.clone(),
-                hash: target.hash,
-                service: target.entry.service.clone(),
-                address: target.entry.address,
-            })
-            .collect()
-    }
-
-    /// Takes in that the engine that had a name, of this hash, answers under another or the same
-    /// name; returns whether that was news.
-    pub fn adopt(&mut self, before: u64, name: &TargetName, now: Instant) -> bool {
-        let old = self.arena.iter().find(|(_, target)| target.hash == before);
-        let Some((key, old)) = old else {
-            return false;
-        };
-        if old.entry.name == *name {
-            if let Some(target) = self.arena.get_mut(key) {
-                target.answered(None, now);
-            }
-            return true;
-        }
-        if self.names.contains_key(name) {
-            return false;
-        }
-        let entry = TargetEntry {
-            name: name.clone(),
-            // Later than the start that it follows, and earlier than any that the store will tell.
-            born: old.entry.born.map(|born| born + 1),
-            ..old.entry.clone()
-        };
-        let address = entry.address;
-        let mut found = Target::new(entry);
-        found.is_found = true;
-        let key = self.arena.insert(found);
-        self.names.insert(name.clone(), key);
-        self.settle_address(address);
-        let told = Adoption {
-            before,
-            name: name.clone(),
-        };
-        self.adopted.push((told, now));
-        true
-    }
-
-    fn dead(&self, now: Instant, is_told: impl Fn(Instant) -> bool) -> impl Iterator<Item = u64> {
-        let dead = self.arena.values();
-        let dead = dead.filter(move |target| target.is_dead && target.is_avoided(now));
-        dead.filter(move |target| !target.found_dead.is_some_and(&is_told))
-            .map(|target| target.hash)
-    }
-
     /// Takes in the list of another instance.
     pub fn hear(&mut self, mut list: Placements, now: Instant) {
         let tallies = std::mem::take(&mut list.tallies);
@@ -419,7 +312,7 @@
     /// The failure: an engine dies and starts again under another name. Its old entry stays in the
     /// store for some heartbeats, and what is sent to it is refused; a copy that was to be found there
     /// is lost.
-    fn settle_address(&mut self, address: SocketAddr) {
+    pub(crate) fn settle_address(&mut self, address: SocketAddr) {
         let at = self.arena.iter();
         let at = at.filter(|(_, target)| target.entry.address == address);
         let owner = at.max_by_key(|(_, target)| target.entry.born);
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -258,9 +258,8 @@
             let end = now + self.run.left();
             let look = wait.look(self.patience(key).first, now);
             let look = look.filter(|_| now < end).ok_or(Ended::Silent)?;
-            match timeout_at(look.min(end), heard.as_mut()).await {
-                Ok(heard) => return heard.said(),
-                Err(_) => {}
+            if let Ok(heard) = timeout_at(look.min(end), heard.as_mut()).await {
+                return heard.said();
             }
         }
     }
