--- a/crates/rollout/src/odds.rs
+++ b/crates/rollout/src/odds.rs
@@ -37,8 +37,8 @@
 
 /// Returns how much likelier it is that the new version is bad than that it is as good as its base.
 ///
-/// It is a Bayes factor over the rate of the base, which is that of the past or, with the chance
-/// [`TROUBLE`], any other. A mere estimate from the few trials that a high share leaves to the base
+/// It is a Bayes factor over the rate of the base, which is that of the past or, with a chance
+/// of 2 %, any other. A mere estimate from the few trials that a high share leaves to the base
 /// would call the new version bad whenever the base is lucky while something hits both. `past` gives the
 /// usual rate of the base, and `floor` a rate that is never held against the new version.
 ///
