soak: the platform's words of its fleet stand in the stand-ins

Settings, requests and the answers to the platform's own questions moved to the stand-ins, where the tests of whole instances use them as well (one copy). Only tests change.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -8,9 +8,9 @@
 };
 
 use celerypond_standins::{
-    answers::{end, events, last_event, ok, signed},
-    caller::{ask, request, Got},
-    forms::{config, entry},
+    answers::{end, events, last_event, ok, own},
+    caller::{ask, routed, Got},
+    forms::{config, entry, settings, SETTINGS_VARIABLE},
     store::Store,
     target::{Act, Seen, Target},
 };
@@ -31,6 +31,10 @@
 const STOP: Duration = Duration::from_secs(4);
 /// The port for callers, at each instance.
 const PORT: u16 = 8_740;
+/// The port for the question whether it is ready.
+const READY: u16 = 8_749;
+/// The first port for other instances.
+const PEERS: u16 = 7_410;
 
 /// Instances as processes, with stand-ins around them.
 pub(crate) struct Fleet {
@@ -117,24 +121,12 @@
 
 /// Makes a request for a response in one piece.
 pub(crate) fn plain(line: &str, id: &str) -> Vec<u8> {
-    let headers = [
-        ("Request-Id", id),
-        ("Key", "k1"),
-        ("Request-Deadline", "2000"),
-    ];
-    request(line, &headers, "")
+    routed(line, id, 2_000, id)
 }
 
 /// Makes a request for a stream.
 pub(crate) fn stream(id: &str) -> Vec<u8> {
-    let headers = [
-        ("Request-Id", id),
-        ("Key", "k1"),
-        ("Request-Deadline", "8000"),
-        ("Token-Counts", "800,40"),
-        ("Prompt-Prefix", &format!("aa:100,{id}:700")),
-    ];
-    request("POST /draft/1", &headers, "")
+    routed("POST /draft/1", id, 8_000, id)
 }
 
 fn address(n: usize) -> SocketAddr {
@@ -147,14 +139,9 @@
     format!("127.1.{block}.{}", n + 1)
 }
 
-/// What a target does: orders for copies fail, and it says who it is.
 fn answer(seen: &Seen, name: &str) -> Vec<Act> {
-    if seen.line.contains("/celerypond/") {
-        return vec![Act::Send(signed(seen.id(), "404 Not Found", ""))];
-    }
-    if seen.line.contains("/health") {
-        let reply = format!("HTTP/1.1 200 OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n");
-        return vec![Act::Send(reply.into_bytes())];
+    if let Some(acts) = own(seen, name) {
+        return acts;
     }
     if seen.line.contains("/draft/") {
         let mut acts = events(seen, last_event(seen) + 1..=EVENTS, GAP);
@@ -173,14 +160,8 @@
 impl Process {
     fn start(n: usize, files: &tempfile::TempDir, store: SocketAddr) -> Self {
         let file = files.path().join(format!("{n}.conf"));
-        let own = ip(n);
         let seeds: Vec<String> = (0..INSTANCES).map(|n| format!("{}:1", ip(n))).collect();
-        let text = format!(
-            "node=soak-{n}\nzone=zone-{n}\nip={own}\nlisten.front={own}:{PORT}\nlisten.ready={own}:8749\n\
-             internalPorts=7410,7415\nseeds={}\nplatform.address={store}\nplatform.readsPerS=4000\n\
-             platform.writesPerS=400\nbounds.graceS=3\nbounds.retryBudgetRatio=0.8\nbounds.budgetSlack=400\n",
-            seeds.join(",")
-        );
+        let text = settings(&ip(n), [PORT, READY, PEERS], &seeds.join(","), store);
         std::fs::write(&file, text).unwrap();
         let child = spawn(&file);
         Self { child, file }
@@ -241,7 +222,7 @@
         .open(file.with_extension("log"));
     Command::new(program)
         .arg("--relay")
-        .env("CELERYPOND_CONFIG", file)
+        .env(SETTINGS_VARIABLE, file)
         .stdout(log.map_or_else(|_| Stdio::null(), Stdio::from))
         .spawn()
         .unwrap()
--- a/daemon/tests/soak/record.rs
+++ b/daemon/tests/soak/record.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use celerypond_standins::caller::Got;
+use celerypond_standins::{answers::own, caller::Got};
 
 use crate::fleet::{Fleet, EVENTS};
 
@@ -32,7 +32,7 @@
     pub(crate) fn check(&self, fleet: &Fleet) -> Vec<String> {
         let mut runs: HashMap<String, usize> = HashMap::new();
         for seen in fleet.targets.iter().flat_map(|target| target.seen()) {
-            if !seen.line.contains("/health") && !seen.line.contains("/celerypond/") {
+            if own(&seen, "").is_none() {
                 *runs.entry(seen.id().to_owned()).or_default() += 1;
             }
         }
@@ -74,7 +74,7 @@
 }
 
 fn plain_fault(id: &str, got: &Got) -> Option<&'static str> {
-    if got.header("request-id") != id || got.header("server-stamp").is_empty() {
+    if !got.is_answer_to(id) {
         return Some("another request's answer, or unsigned");
     }
     // One that ends early does not look complete.
