--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::{Sends, Tally};
+use crate::{Rest, Sends, Tally};
 
 /// How long an instance's list holds without a new one. Lists are sent again each second, so three
 /// of them were lost, or the instance is gone and its streams with it.
@@ -45,6 +45,8 @@
     pub adopted: Vec<Adoption>,
     /// What came of requests at targets lately; empty where there is nothing new to tell.
     pub tallies: Vec<(u64, Tally)>,
+    /// How long connections may rest; empty where there is nothing new to tell.
+    pub rests: Vec<Rest>,
     /// What the instance sent to each service lately.
     pub sends: Vec<Sends>,
 }
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns the hash of its service's name, by which instances name services to each other.
+    pub(crate) fn service_hash(&self) -> u64 {
+        celerypond_route::hash(self.entry.service.as_str().as_bytes())
+    }
+
     /// Returns whether new work may go to it.
     pub fn is_ready(&self) -> bool {
         self.entry.presence == Presence::Ready
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     change_log::ChangeLog, streams::Streams, Adoption, Board, News, PlacementKey, Placements,
-    Quality, Taken, Target, TargetEntry,
+    Quality, Rests, Taken, Target, TargetEntry,
 };
 
 /// How long others are told of an engine that was found again.
@@ -47,6 +47,7 @@
     streams: Streams,
     board: Board,
     quality: Quality,
+    rests: Rests,
     /// Until when versions that came to a service beside others get no request without an order.
     pub(crate) held: HashMap<(ServiceName, VersionName), Instant>,
     /// Engines that were found again, and when.
@@ -281,6 +282,10 @@
                 Some(_) => Vec::new(),
                 None => self.quality.tallies(now),
             },
+            rests: match since {
+                Some(_) => Vec::new(),
+                None => self.rests.told(now),
+            },
             sends: Vec::new(),
         }
     }
@@ -291,6 +296,7 @@
         if !tallies.is_empty() {
             self.quality.hear(list.origin, tallies, now);
         }
+        self.rests.hear(&list.rests, now);
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
@@ -340,6 +346,20 @@
         }
     }
 
+    /// Takes in that what was sent to a target was reset at once, on a connection that had rested for so
+    /// long; returns whether that is news.
+    pub fn connection_lost(&mut self, key: TargetKey, rested: Duration, now: Instant) -> bool {
+        let service = self.arena.get(key).map(Target::service_hash);
+        service.is_some_and(|service| self.rests.lost(service, rested, now))
+    }
+
+    /// Returns how long a connection to a target may rest before something is sent on it; nothing where
+    /// none was lost by resting.
+    pub fn rest(&self, key: TargetKey, now: Instant) -> Option<Duration> {
+        let target = self.arena.get(key)?;
+        self.rests.most(target.service_hash(), now)
+    }
+
     pub(crate) const fn quality(&self) -> &Quality {
         &self.quality
     }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -8,5 +8,6 @@
 mod test_lists;
 mod test_placement;
 mod test_quality;
+mod test_rests;
 mod test_retries;
 mod test_rollouts;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -10,7 +10,15 @@
 use hyper::body::Incoming;
 use tokio::time::{timeout, Instant};
 
-use super::{connections::Sender, lease::Lease, site::Site};
+use super::{
+    connections::{Kept, Sender},
+    lease::Lease,
+    site::Site,
+};
+
+/// How soon a connection that was forgotten is reset after something was sent on it: a way there and back,
+/// and the wait for a processor share.
+const RESET_AT_ONCE: Duration = Duration::from_millis(30);
 
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
@@ -57,7 +65,8 @@
     let until = Instant::now() + limit;
     let mut request = make_request(asked, head);
     loop {
-        let mut sender = sender(site, lease).await?;
+        let Kept { mut sender, rested } = connection(site, lease).await?;
+        let begun = Instant::now();
         let response = match tokio::time::timeout_at(until, sender.try_send_request(request)).await
         {
             Ok(Ok(response)) => response,
@@ -67,7 +76,12 @@
                     request = unsent;
                     continue;
                 }
-                None => return Err(Ended::Broken),
+                None => {
+                    if begun.elapsed() < RESET_AT_ONCE {
+                        lease.connection_lost(rested);
+                    }
+                    return Err(Ended::Broken);
+                }
             },
             Err(_) => return Err(Ended::Silent),
         };
@@ -75,12 +89,19 @@
     }
 }
 
-async fn sender(site: &Site, lease: &Lease) -> Result<Sender, Ended> {
-    if let Some(sender) = site.connections.take(lease.address, Instant::now()) {
-        return Ok(sender);
+/// Returns a connection to the target, a kept one if there is one.
+async fn connection(site: &Site, lease: &Lease) -> Result<Kept, Ended> {
+    let now = Instant::now();
+    let most = site.known.targets().rest(lease.key, now);
+    if let Some(kept) = site.connections.take(lease.address, most, now) {
+        return Ok(kept);
     }
     let connected = site.connections.connect(lease.address).await;
-    connected.map_err(|_| Ended::Unsent)
+    let sender = connected.map_err(|_| Ended::Unsent)?;
+    Ok(Kept {
+        sender,
+        rested: Duration::ZERO,
+    })
 }
 
 fn make_request(asked: &Asked, head: &TargetHead<'_>) -> Request<Full<Bytes>> {
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -36,9 +36,17 @@
 
 struct Idle {
     sender: Sender,
+    since: Instant,
     until: Instant,
 }
 
+/// A kept connection that is used again.
+pub(super) struct Kept {
+    pub(super) sender: Sender,
+    /// How long nothing went over it.
+    pub(super) rested: Duration,
+}
+
 /// Connections to targets, kept for further requests.
 #[derive(Default)]
 pub(super) struct Connections {
@@ -47,13 +55,23 @@
 }
 
 impl Connections {
-    /// Takes an idle connection, the last one that was used.
-    pub(super) fn take(&self, address: SocketAddr, now: Instant) -> Option<Sender> {
+    /// Takes an idle connection, the last one that was used, unless it has rested for longer than `most`.
+    pub(super) fn take(
+        &self,
+        address: SocketAddr,
+        most: Option<Duration>,
+        now: Instant,
+    ) -> Option<Kept> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
         while let Some(connection) = kept.pop() {
-            if connection.until > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+            let rested = now.saturating_duration_since(connection.since);
+            let is_stale = connection.until <= now || most.is_some_and(|most| rested > most);
+            if !is_stale && connection.sender.is_ready() {
+                return Some(Kept {
+                    sender: connection.sender,
+                    rested,
+                });
             }
         }
         idle.remove(&address);
@@ -79,6 +97,7 @@
         }
         kept.push(Idle {
             sender,
+            since: now,
             until: now + time,
         });
     }
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -66,6 +66,21 @@
         targets.note_result(self.key, is_good, time, Instant::now());
     }
 
+    /// Takes in that what was sent was reset at once, on a connection that had rested for so long.
+    pub(super) fn connection_lost(&self, rested: Duration) {
+        let mut targets = self.site.known.targets();
+        if !targets.connection_lost(self.key, rested, Instant::now()) {
+            return;
+        }
+        let most = targets.rest(self.key, Instant::now());
+        log::info!(
+            target = self.name.as_str(),
+            rested_ms = rested.as_millis() as u64,
+            most_ms = most.map(|most| most.as_millis() as u64);
+            "connections rest for less"
+        );
+    }
+
     /// Takes in that the prompt was read.
     pub(super) fn has_read(&mut self) {
         if let Some(stream) = self.stream {
