--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -36,6 +36,13 @@
 /// hundred where the store is away.
 const START_WAIT: Duration = Duration::from_millis(500);
 
+/// When a caller may come back to an instance that knows no configuration after that time.
+///
+/// The failure: all instances start anew while the store is away, so nobody can tell them anything. Callers come
+/// back after a third of a second, most of them once only, and are refused for good; outages last seconds. A
+/// draft that is read from then on still begins within some four seconds.
+const START_BACK: Duration = Duration::from_secs(2);
+
 /// Answers a caller's request.
 pub(super) async fn answer(
     site: Arc<Site>,
@@ -127,8 +134,10 @@
     let Some(taken) = admit(site, &host, &path, &head) else {
         return reply::not_run(
             &id,
-            head.deadline.unwrap_or_default(),
-            None,
+            head.deadline
+                .unwrap_or_default()
+                .saturating_sub(start.elapsed()),
+            Some(START_BACK),
             Reason::NoConfig,
         );
     };
