relay: instances that start ask peers for targets only where the store does not answer

Cause: where a fleet starts at once, each asked peers for all targets beside the store. Lists of 90 KB (1,000 engines) and 270 KB (3,000) filled links of 10 Mbit/s; those that came later than 0.4 s were asked for again elsewhere.

--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{atomic::Ordering::Relaxed, Arc},
+    sync::{atomic::Ordering::Relaxed, Arc, PoisonError},
     time::Duration,
 };
 
@@ -17,6 +17,8 @@
 
 /// The time between two questions to peers for what the store does not tell.
 const ASK_PEERS: Duration = Duration::from_millis(300);
+/// How long the store may take to tell an instance that starts anything before peers are asked as well.
+const STORE_START: Duration = Duration::from_millis(150);
 /// How long a peer may take to tell what changed; a whole list takes some ten milliseconds.
 const ANSWER: Duration = Duration::from_millis(400);
 /// How long a peer may take to tell the configuration. One of 300 KB takes a quarter of a second over a
@@ -33,7 +35,8 @@
 /// The failures: an instance starts while the store is away; a word that told of something new was
 /// lost.
 pub(super) async fn run(site: Arc<Site>) {
-    let mut turn = tokio::time::interval(ASK_PEERS);
+    let begun = Instant::now() + STORE_START;
+    let mut turn = tokio::time::interval_at(begun, ASK_PEERS);
     loop {
         tokio::select! {
             () = site.ending.cancelled() => return,
@@ -43,13 +46,29 @@
         let mut peers = peers(&site);
         peers.shuffle(&mut rand::rng());
         if !site.known.is_complete() {
-            ask_for_all(&site, &peers).await;
+            if !store_answers(&site) {
+                ask_for_all(&site, &peers).await;
+            }
         } else if version > site.known.version() {
             fetch_config(&site, peers.first().copied(), version).await;
         }
     }
 }
 
+/// Returns whether the store answers this instance, so that what it does not know yet is under way.
+///
+/// The failure: a large fleet starts at once. If each asks peers beside the store, the lists of targets that
+/// they send each other fill their links, and the store's list comes late as well.
+fn store_answers(site: &Site) -> bool {
+    let answer = *site
+        .duty
+        .config_answer
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let wait = site.settings.load().bounds.watch_wait();
+    answer.is_some_and(|at| at.elapsed() < wait + STORE_START)
+}
+
 /// Asks peers until one has told what is not known. The store is asked all the while by the watches.
 async fn ask_for_all(site: &Site, peers: &[SocketAddr]) {
     for peer in peers {
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -145,10 +145,12 @@
         targets.note_list(revision);
         drop(targets);
         drop(known);
-        for change in &changes {
+        let is_first = !self.has_targets.swap(true, Relaxed);
+        log::info!(revision, source:? = source, is_first, changed = changes.len(); "targets listed");
+        // All are news to an instance that starts, and thousands of lines would hold it up.
+        for change in changes.iter().filter(|_| !is_first) {
             log::info!(revision, source:? = source, change:? = change; "target changed");
         }
-        self.has_targets.store(true, Relaxed);
         self.told.notify_one();
         self.changed.notify_waiters();
     }
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -1,6 +1,10 @@
 //! The instances among themselves.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{atomic::Ordering::Relaxed, Arc},
+    time::Duration,
+};
 
 use celerypond_fleet::{Event, Gossip, Identity, Incarnation, MemberState, Outgoing};
 use celerypond_relay::Settings;
@@ -76,6 +80,10 @@
         };
         deliver(&site, sends);
         after(&site);
+        // Once a round, as many are met at once where a fleet starts.
+        if site.has_changed.swap(false, Relaxed) {
+            fleet::refresh(&site);
+        }
     }
 }
 
@@ -104,7 +112,7 @@
         }
     }
     if has_changed {
-        fleet::refresh(site);
+        site.has_changed.store(true, Relaxed);
     }
 }
 
