--- a/daemon/tests/soak/faults.rs
+++ b/daemon/tests/soak/faults.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Undo {
     Restart(usize),
+    RestartAll,
     /// The run that was told to stop; an overlapping kill may have replaced it since.
     RestartWhenEnded(usize, u32),
     Continue(usize),
@@ -21,13 +22,18 @@
     Store,
 }
 
-/// Injects faults for so long, and undoes all of them.
-pub(crate) async fn inject(fleet: &mut Fleet, rng: &mut SmallRng, time: Duration) {
+/// How many kinds of faults there are, and how many of them seeds had at first.
+const KINDS: u32 = 14;
+const FIRST_KINDS: u32 = 11;
+
+/// Injects faults for so long, and undoes all of them; `is_wide` asks for all kinds.
+pub(crate) async fn inject(fleet: &mut Fleet, rng: &mut SmallRng, time: Duration, is_wide: bool) {
+    let kinds = if is_wide { KINDS } else { FIRST_KINDS };
     let end = Instant::now() + time;
     let mut open: Vec<(Instant, Undo)> = Vec::new();
     while Instant::now() < end {
         let lasts = Duration::from_millis(rng.random_range(100..1_500));
-        if let Some(undo) = begin(fleet, rng) {
+        if let Some(undo) = begin(fleet, rng, kinds) {
             open.push((Instant::now() + lasts, undo));
         }
         sleep(Duration::from_millis(rng.random_range(50..500))).await;
@@ -43,11 +49,11 @@
     }
 }
 
-fn begin(fleet: &mut Fleet, rng: &mut SmallRng) -> Option<Undo> {
+fn begin(fleet: &mut Fleet, rng: &mut SmallRng, kinds: u32) -> Option<Undo> {
     let instance = rng.random_range(0..fleet.processes.len());
     let target = rng.random_range(0..fleet.links.len());
     let delay = Duration::from_millis(rng.random_range(20..400));
-    match rng.random_range(0..11) {
+    match rng.random_range(0..kinds) {
         0 => {
             fleet.processes[instance].signal(Signal::KILL);
             Some(Undo::Restart(instance))
@@ -80,10 +86,25 @@
             fleet.store.set_mode(Mode::Down);
             Some(Undo::Store)
         }
-        _ => {
+        10 => {
             fleet.store.compact();
             None
         }
+        11 => {
+            fleet
+                .processes
+                .iter_mut()
+                .for_each(|process| process.signal(Signal::KILL));
+            Some(Undo::RestartAll)
+        }
+        12 => {
+            fleet.processes[instance].signal(Signal::HUP);
+            None
+        }
+        _ => {
+            fleet.change_config();
+            None
+        }
     }
 }
 
@@ -95,6 +116,7 @@
 async fn finish(fleet: &mut Fleet, undo: Undo) {
     match undo {
         Undo::Restart(n) => restart(fleet, n),
+        Undo::RestartAll => (0..fleet.processes.len()).for_each(|n| restart(fleet, n)),
         Undo::RestartWhenEnded(n, run) => {
             let process = &mut fleet.processes[n];
             if process.id() == run {
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -19,8 +19,8 @@
 
 use crate::proxy::Proxy;
 
-/// Instances of the soak; each has a loopback address of its own.
-pub(crate) const INSTANCES: usize = 3;
+/// Seeds that each instance knows at most, as on the platform.
+const SEEDS: usize = 3;
 /// Events of a whole stream.
 pub(crate) const EVENTS: u64 = 40;
 /// The pause before each event.
@@ -42,12 +42,15 @@
     pub(crate) store_link: Proxy,
     pub(crate) targets: Vec<Target>,
     pub(crate) links: Vec<Proxy>,
+    /// Each has a loopback address of its own.
     pub(crate) processes: Vec<Process>,
+    /// The version of the configuration in the store.
+    version: u64,
     _files: tempfile::TempDir,
 }
 
 impl Fleet {
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start(instances: usize) -> Self {
         let store = Store::start().await.unwrap();
         let store_link = Proxy::start(store.server.address).await;
         store.put("config/main", &config(1));
@@ -64,7 +67,7 @@
             links.push(link);
         }
         let files = tempfile::tempdir().unwrap();
-        let processes = (0..INSTANCES)
+        let processes = (0..instances)
             .map(|n| Process::start(n, &files, store_link.address))
             .collect();
         let fleet = Self {
@@ -73,6 +76,7 @@
             targets,
             links,
             processes,
+            version: 1,
             _files: files,
         };
         let late = fleet.wait_serving().await;
@@ -82,7 +86,13 @@
 
     /// Returns where callers connect.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        (0..INSTANCES).map(address).collect()
+        (0..self.processes.len()).map(address).collect()
+    }
+
+    /// Puts the next version of the configuration into the store.
+    pub(crate) fn change_config(&mut self) {
+        self.version += 1;
+        self.store.put("config/main", &config(self.version));
     }
 
     /// Waits until all instances serve; returns those that did not in time.
@@ -160,7 +170,7 @@
 impl Process {
     fn start(n: usize, files: &tempfile::TempDir, store: SocketAddr) -> Self {
         let file = files.path().join(format!("{n}.conf"));
-        let seeds: Vec<String> = (0..INSTANCES).map(|n| format!("{}:1", ip(n))).collect();
+        let seeds: Vec<String> = (0..SEEDS).map(|n| format!("{}:1", ip(n))).collect();
         let text = settings(&ip(n), [PORT, READY, PEERS], &seeds.join(","), store);
         std::fs::write(&file, text).unwrap();
         let child = spawn(&file);
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! A randomized soak of real processes with faults from outside.
 //!
-//! `SOAK_FROM` and `SOAK_SEEDS` name the first seed and how many are run; without them a short run of
-//! fixed seeds is made. Seeds that ever failed stay in [`KEPT`].
+//! `SOAK_FROM` and `SOAK_SEEDS` name the first seed and how many are run, `SOAK_INSTANCES` how many processes;
+//! without them a short run of fixed seeds with three is made. Seeds that ever failed stay in [`KEPT`].
 
 mod callers;
 mod faults;
@@ -21,12 +21,19 @@
 ///   target was left to ask.
 const KEPT: [u64; 1] = [1029];
 /// Seeds of the short run.
-const SHORT: [u64; 2] = [1, 2];
+const SHORT: [u64; 3] = [1, 2, WIDE];
+/// Seeds below have the first faults only, so that kept ones stay as they were.
+const WIDE: u64 = 10_000;
+/// Instances of a run that names no number.
+const INSTANCES: usize = 3;
 /// How long faults are injected under one seed.
 const FAULTS: Duration = Duration::from_secs(5);
 
+fn number(name: &str) -> Option<u64> {
+    env::var(name).ok().and_then(|text| text.parse().ok())
+}
+
 fn seeds() -> Vec<u64> {
-    let number = |name| env::var(name).ok().and_then(|text| text.parse().ok());
     match number("SOAK_SEEDS") {
         Some(count) => {
             let from: u64 = number("SOAK_FROM").unwrap_or_default();
@@ -36,18 +43,19 @@
     }
 }
 
-/// Callers ask, keep their connections and ask again, while instances are killed, stopped and paused, and
-/// while connections to targets and the store are delayed, reset, cut one way or silenced, in
+/// Callers ask, keep their connections and ask again, while instances are killed, stopped and paused, one or
+/// all at once, while the configuration changes, and while connections to targets and the store are delayed, reset, cut one way or silenced, in
 /// overlapping turns. No caller may get a wrong, a torn or another's answer, nothing that may run once
 /// runs twice, a refusal is true, and when the faults are over every instance serves.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults_from_outside() {
+    let instances = number("SOAK_INSTANCES").map_or(INSTANCES, |n| n as usize);
     for seed in seeds() {
         let mut rng = SmallRng::seed_from_u64(seed);
         let record = Record::default();
-        let mut fleet = Fleet::start().await;
+        let mut fleet = Fleet::start(instances).await;
         let callers = Callers::start(&fleet, &record, seed);
-        faults::inject(&mut fleet, &mut rng, FAULTS).await;
+        faults::inject(&mut fleet, &mut rng, FAULTS, seed >= WIDE).await;
         callers.stop().await;
         let late = fleet.wait_serving().await;
         let faults = record.check(&fleet);
