relay: instances call a store that is away ever more seldom, but for the chosen watchers

Cause: while the store is away nobody hears of a watcher, so all 71 instances call it every 0.2 s, for two kinds each. Test: a_store_that_is_away_is_called_seldom_but_by_the_watchers (5,700 calls in the doc are those of such an outage at 0.2 s).

--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -12,3 +12,4 @@
 mod test_rests;
 mod test_retries;
 mod test_rollouts;
+mod test_store_rest;
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -1,13 +1,14 @@
 //! What the store tells: the configuration and the targets.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    ops::RangeInclusive,
+    sync::{atomic::Ordering::Relaxed, Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use celerypond_adapter::{config, store, target};
 use celerypond_platform::{Changes, Listing, PlatformError, Version};
-use celerypond_relay::{Change, TargetEntry, Watchers};
+use celerypond_relay::{Change, StoreRest, TargetEntry, Watchers};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetName;
 use error_stack::Report;
@@ -18,9 +19,6 @@
 
 /// The time between two looks whether this instance has to watch the store.
 const LOOK: Duration = Duration::from_millis(100);
-/// The shortest rest after a failed call; drawn up to three times as long, so that instances whose
-/// calls failed together do not come back together.
-const REST: Duration = Duration::from_millis(100);
 
 /// One kind of object that is watched.
 #[derive(Clone, Copy)]
@@ -100,6 +98,7 @@
     let mut must_list = false;
     let mut is_lost = false;
     let mut gathered = Duration::ZERO;
+    let mut failed = StoreRest::default();
     while !site.ending.is_cancelled() {
         if site.known.is_complete() && !site.duty.must_watch() {
             // Others tell what is new; what they know is newer than what was seen here.
@@ -122,6 +121,7 @@
         match step {
             Ok(revision) => {
                 must_list = false;
+                failed.answered();
                 since = Some(revision);
                 set(kind, site, Some(Instant::now()));
                 if std::mem::take(&mut is_lost) {
@@ -146,7 +146,8 @@
                     log::warn!(kind = kind.prefix, error:% = error; "store lost");
                 }
                 must_list |= error == PlatformError::Malformed;
-                rest(site, error).await;
+                let is_relied_on = site.duty.is_chosen.load(Relaxed) || !site.known.is_complete();
+                rest(site, error, failed.failed(is_relied_on)).await;
             }
         }
     }
@@ -226,14 +227,14 @@
     site.known.version() >= version
 }
 
-async fn rest(site: &Site, error: PlatformError) {
+async fn rest(site: &Site, error: PlatformError, bounds: RangeInclusive<Duration>) {
     let least = match error {
         PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
             retry_after.min(Duration::from_secs(1))
         }
         _ => Duration::ZERO,
     };
-    let drawn = rand::rng().random_range(REST..=REST * 3);
+    let drawn = rand::rng().random_range(bounds);
     tokio::select! {
         () = site.ending.cancelled() => {}
         () = sleep(least + drawn) => {}
