--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod listen;
 mod members;
+mod order_store;
 mod passage;
 mod peer_service;
 mod plain;
--- /dev/null
+++ b/daemon/src/relay/order_store.rs
@@ -0,0 +1,120 @@
+//! Orders to move services, as the store holds them, and what is said of them there.
+
+use celerypond_adapter::rollout;
+use celerypond_platform::{Listing, PlatformError, Version};
+use celerypond_relay::{Order, Phase};
+use celerypond_types::VersionName;
+use smol_str::SmolStr;
+
+use super::site::Site;
+
+/// An order in the store, with what was said of it.
+pub(super) struct Found {
+    pub(super) key: SmolStr,
+    /// The version of the order's object.
+    pub(super) version: Version,
+    pub(super) order: Order,
+    pub(super) said: Option<Phase>,
+}
+
+/// How far an order has come, where the store does not say so yet.
+pub(super) struct Word {
+    /// The key of the order.
+    pub(super) key: SmolStr,
+    /// The version of the order's object that is known.
+    pub(super) before: Version,
+    /// The version that the order moves the service to.
+    pub(super) target: VersionName,
+    pub(super) phase: Phase,
+}
+
+/// What came of a word.
+pub(super) struct Written {
+    /// The version of the order's object.
+    pub(super) version: Version,
+    /// What the store says now; nothing where that is not known.
+    pub(super) said: Option<Phase>,
+}
+
+/// Returns the orders that the store holds; nothing where it does not answer.
+pub(super) async fn find(site: &Site) -> Option<Vec<Found>> {
+    match site.store.list_stale(rollout::ORDERS_PREFIX).await {
+        Ok(listing) => Some(read(&listing)),
+        Err(report) => {
+            let error = report.current_context();
+            log::info!(error:% = error; "the store told no orders");
+            None
+        }
+    }
+}
+
+fn read(listing: &Listing) -> Vec<Found> {
+    let objects = listing.objects.iter();
+    let specs = objects.filter(|object| !is_status(&object.key));
+    specs
+        .filter_map(|object| {
+            let order = rollout::decode(&object.value)
+                .inspect_err(|error| log::warn!(key = object.key.as_str(), error:% = error; "order not used"))
+                .ok()?;
+            let key = rollout::status_key(&object.key);
+            let status = listing.objects.iter().find(|status| status.key == key);
+            let said = status.and_then(|status| rollout::decode_status(&status.value).ok());
+            // What was said of an earlier order of the service says nothing of this one.
+            let said = said.filter(|(version, _)| *version == order.version);
+            Some(Found {
+                key: object.key.clone(),
+                version: object.version,
+                order,
+                said: said.map(|(_, phase)| phase),
+            })
+        })
+        .collect()
+}
+
+fn is_status(key: &str) -> bool {
+    key.matches('/').count() > 1
+}
+
+/// Says in the store how far an order has come.
+///
+/// A write whose answer was lost may have been done; the next turn reads the object and writes the same
+/// words again, which changes nothing.
+pub(super) async fn say(site: &Site, word: &Word) -> Written {
+    let status = rollout::status_key(&word.key);
+    let value = rollout::encode_status(&word.target, word.phase);
+    match site.store.update(&status, word.before, value.into()).await {
+        Ok(version) => Written {
+            version,
+            said: Some(word.phase),
+        },
+        Err(report) => {
+            let error = *report.current_context();
+            log::warn!(key = word.key.as_str(), phase:? = word.phase, error:% = error; "order not reported");
+            Written {
+                version: current(site, word, error).await,
+                said: None,
+            }
+        }
+    }
+}
+
+/// Returns the version of the order's object after a write that failed.
+async fn current(site: &Site, word: &Word, error: PlatformError) -> Version {
+    match error {
+        PlatformError::Conflict | PlatformError::Ambiguous => {
+            let found = site.store.get(&word.key).await;
+            found.map_or(word.before, |object| object.version)
+        }
+        _ => word.before,
+    }
+}
+
+/// Returns whether the store says this of an order. It does not say what share a version has.
+pub(super) const fn is_said(said: Option<Phase>, phase: Phase) -> bool {
+    matches!(
+        (said, phase),
+        (Some(Phase::Running { .. }), Phase::Running { .. })
+            | (Some(Phase::Completed), Phase::Completed)
+            | (Some(Phase::TakenBack), Phase::TakenBack)
+    )
+}
--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -7,8 +7,7 @@
     time::Duration,
 };
 
-use celerypond_adapter::rollout;
-use celerypond_platform::{Listing, PlatformError, Version};
+use celerypond_platform::Version;
 use celerypond_relay::{Fleet, Order, Phase, Report, Rollout, Stage, Versions};
 use celerypond_telemetry::Counter;
 use celerypond_types::ServiceName;
@@ -18,6 +17,7 @@
 use super::{
     board::{self, Datagram},
     fleet,
+    order_store::{self, is_said, Found, Word},
     site::Site,
 };
 
@@ -47,12 +47,15 @@
     said: Option<Phase>,
 }
 
-/// An order in the store, with what was said of it.
-struct Found {
-    key: SmolStr,
-    version: Version,
-    order: Order,
-    said: Option<Phase>,
+impl Driven {
+    fn word(&self) -> Word {
+        Word {
+            key: self.key.clone(),
+            before: self.version,
+            target: self.rollout.order.version.clone(),
+            phase: self.rollout.phase,
+        }
+    }
 }
 
 impl Rollouts {
@@ -104,7 +107,9 @@
             None => {
                 if looked.is_none_or(|at| at.elapsed() >= LOOK) {
                     looked = Some(Instant::now());
-                    look(&site).await;
+                    if let Some(found) = order_store::find(&site).await {
+                        take_in(&site, found);
+                    }
                 }
                 drive(&site, &socket).await;
             }
@@ -119,44 +124,6 @@
     }
 }
 
-/// Takes in the orders that the store holds.
-async fn look(site: &Site) {
-    match site.store.list_stale(rollout::ORDERS_PREFIX).await {
-        Ok(listing) => take_in(site, read(&listing)),
-        Err(report) => {
-            let error = report.current_context();
-            log::info!(error:% = error; "the store told no orders");
-        }
-    }
-}
-
-fn read(listing: &Listing) -> Vec<Found> {
-    let objects = listing.objects.iter();
-    let specs = objects.filter(|object| !is_status(&object.key));
-    specs
-        .filter_map(|object| {
-            let order = rollout::decode(&object.value)
-                .inspect_err(|error| log::warn!(key = object.key.as_str(), error:% = error; "order not used"))
-                .ok()?;
-            let key = rollout::status_key(&object.key);
-            let status = listing.objects.iter().find(|status| status.key == key);
-            let said = status.and_then(|status| rollout::decode_status(&status.value).ok());
-            // What was said of an earlier order of the service says nothing of this one.
-            let said = said.filter(|(version, _)| *version == order.version);
-            Some(Found {
-                key: object.key.clone(),
-                version: object.version,
-                order,
-                said: said.map(|(_, phase)| phase),
-            })
-        })
-        .collect()
-}
-
-fn is_status(key: &str) -> bool {
-    key.matches('/').count() > 1
-}
-
 fn take_in(site: &Site, found: Vec<Found>) {
     let now = Instant::now();
     let known: Vec<Stage> = site.rollouts.versions().stages().cloned().collect();
@@ -264,63 +231,24 @@
 }
 
 /// Says in the store how far each order has come, where the store does not say so yet.
-///
-/// A write whose answer was lost may have been done; the next turn reads the object and writes the same
-/// words again, which changes nothing.
 async fn say(site: &Site) {
-    let unsaid: Vec<(ServiceName, SmolStr, Version, Vec<u8>, Phase)> = {
+    let unsaid: Vec<(ServiceName, Word)> = {
         let driven = lock(&site.rollouts.driven);
         let unsaid = driven
             .iter()
             .filter(|(_, driven)| !is_said(driven.said, driven.rollout.phase));
-        unsaid
-            .map(|(service, driven)| {
-                let phase = driven.rollout.phase;
-                let value = rollout::encode_status(&driven.rollout.order.version, phase);
-                let key = driven.key.clone();
-                (service.clone(), key, driven.version, value, phase)
-            })
-            .collect()
+        let words = unsaid.map(|(service, driven)| (service.clone(), driven.word()));
+        words.collect()
     };
-    for (service, key, before, value, phase) in unsaid {
-        let status = rollout::status_key(&key);
-        let written = site.store.update(&status, before, value.into()).await;
-        let (version, said) = match written {
-            Ok(version) => (version, Some(phase)),
-            Err(report) => {
-                let error = *report.current_context();
-                log::warn!(service = service.as_str(), phase:? = phase, error:% = error; "order not reported");
-                (current(site, &key, before, error).await, None)
-            }
-        };
+    for (service, word) in unsaid {
+        let written = order_store::say(site, &word).await;
         if let Some(driven) = lock(&site.rollouts.driven).get_mut(&service) {
-            driven.version = version;
-            driven.said = said.or(driven.said);
-        }
-    }
-}
-
-/// Returns the version of the order's object after a write that failed.
-async fn current(site: &Site, key: &str, before: Version, error: PlatformError) -> Version {
-    match error {
-        PlatformError::Conflict | PlatformError::Ambiguous => {
-            let found = site.store.get(key).await;
-            found.map_or(before, |object| object.version)
+            driven.version = written.version;
+            driven.said = written.said.or(driven.said);
         }
-        _ => before,
     }
 }
 
-/// The store does not say what share a version has.
-const fn is_said(said: Option<Phase>, phase: Phase) -> bool {
-    matches!(
-        (said, phase),
-        (Some(Phase::Running { .. }), Phase::Running { .. })
-            | (Some(Phase::Completed), Phase::Completed)
-            | (Some(Phase::TakenBack), Phase::TakenBack)
-    )
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
