--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -19,6 +19,11 @@
 /// How long others are told of an engine that was found again.
 const ADOPTION_TTL: Duration = Duration::from_secs(5);
 
+/// The most engines found again that one list tells of, the last ones.
+///
+/// The failure: the store is away, a thousand engines start again, and each is found. A list that names them all
+/// is longer than a datagram may be; it is not sent, and others take all streams in it for ended.
+const ADOPTIONS_MOST: usize = 128;
 /// The most notes that wait to be told; they fit into one datagram. Older ones are left out: their prompts were
 /// most likely read.
 const NOTES_MOST: usize = 64;
@@ -302,7 +307,8 @@
         now: Instant,
     ) -> Placements {
         let is_told = |at: Instant| since.is_some_and(|since| at < since);
-        let adopted = self.adopted.iter().filter(|(_, at)| !is_told(*at));
+        let adopted = self.adopted.iter().rev().take(ADOPTIONS_MOST);
+        let adopted = adopted.filter(|(_, at)| !is_told(*at));
         Placements {
             origin,
             sequence,
--- a/crates/relay/tests/test_groups.rs
+++ b/crates/relay/tests/test_groups.rs
@@ -95,3 +95,18 @@
     }
     assert!(all[0].take_notes().is_empty());
 }
+
+/// The store is away, and a thousand engines die and start again; one instance finds them all by their own word.
+/// A list that named them all would not fit into a datagram, and the instance's streams would seem ended.
+#[test]
+fn a_list_stays_short_where_a_thousand_engines_were_found_again() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(250);
+    let dead: Vec<u64> = targets.iter().map(|(_, target)| target.hash).collect();
+    for (n, hash) in dead.into_iter().enumerate() {
+        let name = format!("i-found-{n}").as_str().into();
+        assert!(targets.adopt(hash, &name, now));
+    }
+    let list = targets.placements(1, 1, None, now);
+    assert!(celerypond_relay::pack(&list).len() < 8 << 10);
+}
