--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -3,9 +3,8 @@
 /// The group of instances to which this one belongs, among equal groups that divide the engines.
 ///
 /// The load it answers: each instance tells others where its streams run, so that no two prompts meet at one
-/// engine. If all tell all, what an instance sends and hears grows with the fleet: at 300 instances 150 KB
-/// a second, and half of all that is earned goes on bytes between data centres. In a group that uses
-/// engines of its own it stays as it is at some tens of instances. Engines of other groups are used
+/// engine. If all tell all, what an instance sends and hears grows with the fleet, most of it between
+/// data centres. In a group that uses engines of its own it stays as it is at some tens of instances. Engines of other groups are used
 /// where none of the own ones has room.
 ///
 /// # Examples
--- a/crates/relay/src/lists.rs
+++ b/crates/relay/src/lists.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 
 /// The longest time between two whole lists; a lost one is made good by then.
-const REPEAT: Duration = Duration::from_secs(1);
+pub(crate) const REPEAT: Duration = Duration::from_secs(1);
 /// The least time between two lists for each instance that gets them. A list takes some 200 bytes, so
 /// that lists take at most a sixth of a link of 10 Mbit/s each way.
-const GAP: Duration = Duration::from_millis(1);
+pub(crate) const GAP: Duration = Duration::from_millis(1);
 /// The longest of these gaps. What is placed by an older list may meet another prompt.
 const GAP_MOST: Duration = Duration::from_millis(250);
 /// The time over which streams are placed again, in gaps between lists.
@@ -91,33 +91,6 @@
     }
 }
 
-/// When an instance tells those of other groups which prompts it sent where.
-///
-/// The load it answers: instances of a large fleet die, and their callers come to others, mostly of other groups.
-/// Those do not hear where streams run; they are told of each prompt once, when its stream has begun, so that
-/// it is not read again elsewhere.
-#[derive(Clone, Copy, Debug)]
-pub struct Notes {
-    last: Instant,
-}
-
-impl Notes {
-    /// Has told nothing.
-    pub fn new(now: Instant) -> Self {
-        Self { last: now }
-    }
-
-    /// Returns whether what was gathered is told now to so many others, and takes that in.
-    pub fn take(&mut self, others: usize, now: Instant) -> bool {
-        let gap = times(GAP, others).min(REPEAT);
-        let is_due = others > 0 && now.saturating_duration_since(self.last) >= gap;
-        if is_due {
-            self.last = now;
-        }
-        is_due
-    }
-}
-
-fn times(time: Duration, instances: usize) -> Duration {
+pub(crate) fn times(time: Duration, instances: usize) -> Duration {
     time.saturating_mul(u32::try_from(instances).unwrap_or(u32::MAX))
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -161,26 +161,33 @@
         targets: impl Iterator<Item = (TargetKey, &'t Target)>,
     ) -> Option<TargetKey> {
         let best = match self.want.affinity {
-            Some(affinity) => {
-                let mut first: Vec<_> = targets
-                    .map(|(key, target)| (self.order(affinity, target), key, target))
-                    .collect();
-                if first.len() > CHOICES {
-                    first.select_nth_unstable_by_key(CHOICES - 1, |(order, ..)| *order);
-                    first.truncate(CHOICES);
-                }
-                let best = first.into_iter();
-                let best =
-                    best.min_by_key(|(order, _, target)| (order.0, self.load(target), order.1));
-                best.map(|(_, key, target)| (key, target))
-            }
+            Some(affinity) => self.best_engine(affinity, targets),
             None => targets.min_by(|a, b| self.compare_load(a.1, b.1)),
         };
         best.map(|(key, _)| key)
     }
 
-    /// Orders engines for a stream: those with room outside of sick data centres, then the one that has read the
-    /// prompt, then those of the own group, then by the order that all instances share.
+    /// Returns the engine that goes first for a stream: the least loaded of the first few in their order.
+    fn best_engine<'t>(
+        &self,
+        affinity: u64,
+        engines: impl Iterator<Item = (TargetKey, &'t Target)>,
+    ) -> Option<(TargetKey, &'t Target)> {
+        let ordered = engines.map(|(key, engine)| (self.order(affinity, engine), key, engine));
+        let mut first: Vec<_> = ordered.collect();
+        if first.len() > CHOICES {
+            first.select_nth_unstable_by_key(CHOICES - 1, |(order, ..)| *order);
+            first.truncate(CHOICES);
+        }
+        let best = first
+            .into_iter()
+            .min_by_key(|((class, rank), _, engine)| (*class, self.load(engine), *rank));
+        best.map(|(_, key, engine)| (key, engine))
+    }
+
+    /// Orders engines for a stream: by their class, those with room outside of sick data centres, then the one
+    /// that has read the prompt, then those of the own group; within a class by the rank that all instances
+    /// share.
     fn order(&self, affinity: u64, target: &Target) -> ((bool, bool, bool, bool), u64) {
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
         let is_full = self.crowding(target, &others) > CROWDED;
--- a/daemon/src/relay/order_store.rs
+++ b/daemon/src/relay/order_store.rs
@@ -18,7 +18,7 @@
 }
 
 /// How far an order has come, where the store does not say so yet.
-pub(super) struct Word {
+pub(super) struct Unsaid {
     /// The key of the order.
     pub(super) key: SmolStr,
     /// The version of the order's object that is known.
@@ -28,7 +28,7 @@
     pub(super) phase: Phase,
 }
 
-/// What came of a word.
+/// What came of a unsaid.
 pub(super) struct Written {
     /// The version of the order's object.
     pub(super) version: Version,
@@ -79,19 +79,23 @@
 ///
 /// A write whose answer was lost may have been done; the next turn reads the object and writes the same
 /// words again, which changes nothing.
-pub(super) async fn say(site: &Site, word: &Word) -> Written {
-    let status = rollout::status_key(&word.key);
-    let value = rollout::encode_status(&word.target, word.phase);
-    match site.store.update(&status, word.before, value.into()).await {
+pub(super) async fn say(site: &Site, unsaid: &Unsaid) -> Written {
+    let status = rollout::status_key(&unsaid.key);
+    let value = rollout::encode_status(&unsaid.target, unsaid.phase);
+    match site
+        .store
+        .update(&status, unsaid.before, value.into())
+        .await
+    {
         Ok(version) => Written {
             version,
-            said: Some(word.phase),
+            said: Some(unsaid.phase),
         },
         Err(report) => {
             let error = *report.current_context();
-            log::warn!(key = word.key.as_str(), phase:? = word.phase, error:% = error; "order not reported");
+            log::warn!(key = unsaid.key.as_str(), phase:? = unsaid.phase, error:% = error; "order not reported");
             Written {
-                version: current(site, word, error).await,
+                version: current(site, unsaid, error).await,
                 said: None,
             }
         }
@@ -99,13 +103,13 @@
 }
 
 /// Returns the version of the order's object after a write that failed.
-async fn current(site: &Site, word: &Word, error: PlatformError) -> Version {
+async fn current(site: &Site, unsaid: &Unsaid, error: PlatformError) -> Version {
     match error {
         PlatformError::Conflict | PlatformError::Ambiguous => {
-            let found = site.store.get(&word.key).await;
-            found.map_or(word.before, |object| object.version)
+            let found = site.store.get(&unsaid.key).await;
+            found.map_or(unsaid.before, |object| object.version)
         }
-        _ => word.before,
+        _ => unsaid.before,
     }
 }
 
--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -17,7 +17,7 @@
 use super::{
     board::{self, Datagram},
     fleet,
-    order_store::{self, is_said, Found, Word},
+    order_store::{self, is_said, Found, Unsaid},
     site::Site,
 };
 
@@ -48,8 +48,8 @@
 }
 
 impl Driven {
-    fn word(&self) -> Word {
-        Word {
+    fn unsaid(&self) -> Unsaid {
+        Unsaid {
             key: self.key.clone(),
             before: self.version,
             target: self.rollout.order.version.clone(),
@@ -232,16 +232,16 @@
 
 /// Says in the store how far each order has come, where the store does not say so yet.
 async fn say(site: &Site) {
-    let unsaid: Vec<(ServiceName, Word)> = {
+    let all: Vec<(ServiceName, Unsaid)> = {
         let driven = lock(&site.rollouts.driven);
         let unsaid = driven
             .iter()
             .filter(|(_, driven)| !is_said(driven.said, driven.rollout.phase));
-        let words = unsaid.map(|(service, driven)| (service.clone(), driven.word()));
-        words.collect()
+        let unsaid = unsaid.map(|(service, driven)| (service.clone(), driven.unsaid()));
+        unsaid.collect()
     };
-    for (service, word) in unsaid {
-        let written = order_store::say(site, &word).await;
+    for (service, unsaid) in all {
+        let written = order_store::say(site, &unsaid).await;
         if let Some(driven) = lock(&site.rollouts.driven).get_mut(&service) {
             driven.version = written.version;
             driven.said = written.said.or(driven.said);
