relay: each caller is told of 64 instances of its own, and all instances of a large fleet get callers

Cause: an answer of the directory has place for 64 addresses, and each instance named itself and the first 63 of its roster. At 71 instances seven, and at 300 more than two hundred, were named by themselves alone. Ruled out: a draw for each answer (callers leave connections to what a new answer leaves out). Test: all_instances_of_a_large_fleet_get_callers.

--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_access;
 mod test_attempts;
 mod test_death;
+mod test_entries;
 mod test_events;
 mod test_groups;
 mod test_lists;
--- a/daemon/src/relay/questions.rs
+++ b/daemon/src/relay/questions.rs
@@ -1,8 +1,9 @@
 //! Questions beside requests: whether the instance is ready, which addresses to use, and counters.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 use celerypond_adapter::directory;
+use celerypond_relay::entries;
 use http::{header::CONTENT_TYPE, HeaderValue, Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -30,8 +31,12 @@
 }
 
 async fn serve(site: Arc<Site>, stream: tokio::net::TcpStream) {
+    // Who has no address any more is gone as well.
+    let Ok(caller) = stream.peer_addr() else {
+        return;
+    };
     let service = service_fn(move |request| {
-        let reply = answer(&site, &request);
+        let reply = answer(&site, &request, caller.ip());
         async { Ok::<Reply, Infallible>(reply) }
     });
     let connection = http1::Builder::new()
@@ -42,11 +47,11 @@
     let _ = connection.await;
 }
 
-fn answer(site: &Site, request: &Request<Incoming>) -> Reply {
+fn answer(site: &Site, request: &Request<Incoming>, caller: IpAddr) -> Reply {
     match request.uri().path() {
         directory::READY_PATH if site.is_ready() => plain(StatusCode::OK),
         directory::READY_PATH => plain(StatusCode::SERVICE_UNAVAILABLE),
-        directory::DIRECTORY_PATH => addresses(site),
+        directory::DIRECTORY_PATH => addresses(site, caller),
         METRICS_PATH => Response::new(whole(site.render_metrics())),
         _ => plain(StatusCode::NOT_FOUND),
     }
@@ -59,12 +64,12 @@
 }
 
 /// An instance that knows nobody to name says so, and the caller asks another one.
-fn addresses(site: &Site) -> Reply {
-    let mut found: Vec<SocketAddr> = members::addresses(site);
+fn addresses(site: &Site, caller: IpAddr) -> Reply {
+    let found = members::addresses(site);
     if found.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE);
     }
-    found.truncate(directory::ADDRESSES_MOST);
+    let found = entries(caller, found, directory::ADDRESSES_MOST);
     let ttl = DIRECTORY_TTL.min(site.settings.load().bounds.directory_ttl);
     let mut reply = Response::new(whole(directory::encode(&found, ttl)));
     let json = HeaderValue::from_static("application/json");
