--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -24,9 +24,6 @@
 /// How long a peer may take to tell the configuration. One of 300 KB takes a quarter of a second over a
 /// link of 10 Mbit/s, and a peer may be asked by a few at once.
 const ANSWER_CONFIG: Duration = Duration::from_secs(1);
-/// How long the store may take to tell the configuration before a peer is asked as well; it answers
-/// in some milliseconds when it is sound.
-const STORE_FIRST: Duration = Duration::from_millis(200);
 /// How often peers are asked in a row before the next word is waited for.
 const ASK_MOST: usize = 4;
 
@@ -114,23 +111,23 @@
 }
 
 /// Takes in a configuration of at least this version from the store, or from a peer where the store
-/// does not answer.
+/// does not tell it.
 ///
 /// A configuration of a thousand routes is some 300 KB. If all instances of a large fleet took it from
 /// the one that saw it first, they would fill its link for seconds, and the version would be late
 /// everywhere. The store's link is wide, and one call of each instance is cheap beside that.
+///
+/// The failure: such versions follow each other within a second, and an instance fetches them twice at a time, and
+/// from a peer as well. Its own link of 10 Mbit/s is full, each call runs into its timeout and is made
+/// again, and the instance stays behind by seconds. So one is fetched at a time, from one place.
 async fn fetch_config(site: &Site, peer: Option<SocketAddr>, version: u64) -> bool {
-    let from_peer = async {
-        tokio::time::sleep(STORE_FIRST).await;
-        match peer {
-            Some(peer) => ask_config(site, peer, version).await,
-            None => false,
-        }
-    };
-    tokio::select! {
-        true = watches::read_config(site, version) => true,
-        true = from_peer => true,
-        else => false,
+    let _turn = site.fetching.lock().await;
+    if site.known.version() >= version || watches::read_config(site, version).await {
+        return true;
+    }
+    match peer {
+        Some(peer) => ask_config(site, peer, version).await,
+        None => false,
     }
 }
 
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -67,6 +67,8 @@
     gossip: Mutex<Gossip>,
     /// What this instance makes of the fleet.
     pub(super) fleet: ArcSwap<Fleet>,
+    /// Held while a configuration is fetched.
+    pub(super) fetching: tokio::sync::Mutex<()>,
     /// Whether members came or went since the fleet was worked out.
     pub(super) has_changed: AtomicBool,
     /// Whether a peer is being asked for news.
@@ -107,6 +109,7 @@
             served: TaskTracker::new(),
             gossip: Mutex::new(gossip),
             fleet: ArcSwap::default(),
+            fetching: tokio::sync::Mutex::default(),
             has_changed: AtomicBool::new(false),
             is_asking: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
