relay, docs: comments give measured figures where worked-out ones stood

Found on reading the change again: 5,700 calls of a store that is away, full links of the watchers, 270 MB of lists and links filled at 100 instances were worked out or inferred, not measured. Comments and pages only; no line of code changes.

--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -10,8 +10,8 @@
 const WATCH_JOB: &[u8] = b"watch the store";
 /// The job for which the instances that tell others of their data centre are chosen.
 const TELL_JOB: &[u8] = b"tell the data centre";
-/// The largest fleet in which the watchers tell all others themselves. With 300 instances before 3,000
-/// engines the links of the watchers, of 10 Mbit/s, were full: each of the 300 asks for what changed.
+/// The largest fleet in which the watchers tell all others themselves; each of the others asks them for what
+/// changed, over links of 10 Mbit/s.
 const FLAT_MOST: usize = 100;
 /// How many instances one that tells its data centre tells, about; each is told by two.
 const TOLD: usize = 20;
--- a/crates/relay/src/store_rest.rs
+++ b/crates/relay/src/store_rest.rs
@@ -11,8 +11,9 @@
 /// When an instance calls the store again that did not answer.
 ///
 /// The load it answers: the store is away for all, so that no watcher is heard of and each instance watches for
-/// itself. Where calls are refused at once, 71 instances made 5,700 calls in eight seconds, each of them
-/// paid for. Those that were chosen to watch go on to call often, and tell the others of the store's return;
+/// itself, with a call each 0.2 s where calls are refused at once. Each call is paid for: with 71 instances a day
+/// with two outages of 8 and 6.4 s had 7,835 calls without longer rests and 3,302 with them, one play each.
+/// Those that were chosen to watch go on to call often, and tell the others of the store's return;
 /// so does one that knows nothing yet, as nobody else is served by it.
 ///
 /// # Examples
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -55,7 +55,8 @@
 /// Returns whether the store answers this instance, so that what it does not know yet is under way.
 ///
 /// The failure: a large fleet starts at once. If each asks peers beside the store, the lists of targets that
-/// they send each other fill their links, and the store's list comes late as well.
+/// they send each other take their links from the store's. At 300 instances before 3,000 engines the
+/// busiest one carried 1,630 kB/s so, and 578 kB/s since peers are left alone and tell two others at a time.
 fn store_answers(site: &Site) -> bool {
     let answer = *site
         .duty
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -109,7 +109,7 @@
             continue;
         }
         // The failure: the watchers of a large fleet die, and all that they told watch for themselves. If each
-        // began with a list, 300 instances before 3,000 engines would fetch 270 MB of what they know.
+        // began with a list, all would fetch at once what they know, some 300 bytes for each target.
         let from = match must_list {
             true => None,
             false => since.max((kind.told)(site)),
