relay: running streams leave engines that read, and gather at a few

Cause: a step beside the reading of a prompt takes some eight times as long, so every prompt holds up all streams of its engine for about a second.

A stream moves by the engine's own order once its prompt is read, and later when a prompt comes to its engine, if it is then done half a second sooner: by what is read there, the engine's own pace (learnt from the events and told to the others), the streams beside, and whether it keeps one of the last engines from prompts. New prompts weigh the streams that they would hold up. A stream that will move has no copy made from the start; one whose move fails goes on where it ran; after a death the engine that it left is asked before others.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -49,6 +49,8 @@
     pub rests: Vec<Rest>,
     /// What the instance sent to each service lately.
     pub sends: Vec<Sends>,
+    /// How fast engines make events; empty where there is nothing new to tell.
+    pub paces: Vec<(u64, f32)>,
 }
 
 /// A prompt part and the engine that it was sent to.
@@ -74,6 +76,8 @@
 pub struct Taken {
     /// Streams that run or are read.
     pub streams: u32,
+    /// Streams whose prompts are being read.
+    pub prompts: u32,
     /// Tokens of prompts that are being read.
     pub reading: u64,
     /// Tokens in memory, at most.
@@ -205,6 +209,7 @@
         self.streams += 1;
         self.tokens += tokens;
         if stream.is_reading {
+            self.prompts += 1;
             self.reading += tokens;
         }
     }
@@ -215,6 +220,7 @@
         self.streams -= 1;
         self.tokens -= tokens;
         if stream.is_reading {
+            self.prompts -= 1;
             self.reading -= tokens;
         }
     }
--- /dev/null
+++ b/crates/relay/src/history.rs
@@ -0,0 +1,124 @@
+//! What the streams of each service were like lately.
+
+use std::collections::{HashMap, VecDeque};
+
+use celerypond_types::ServiceName;
+
+/// The streams of a service that are remembered.
+const REMEMBERED: usize = 64;
+/// So many must be known before anything is concluded.
+const LEAST_KNOWN: usize = 5;
+/// The part of answers that are shorter than what counts as short.
+const SHORT: f64 = 0.1;
+/// The part of readings that are slower than what counts as fast. Those beyond it found a part of their
+/// prompt already read.
+const FAST: f64 = 0.75;
+
+/// What the streams of each service were like lately: how many events they had, and how fast prompts
+/// were read.
+///
+/// The load it answers: requests name the most tokens of an answer, and answers end where they end.
+/// Whether a caller that comes back with a few seconds left can still be served follows from what was
+/// seen of others.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::History;
+/// use celerypond_types::ServiceName;
+///
+/// let writer = ServiceName::new("writer");
+/// let mut history = History::default();
+/// (100..120).for_each(|events| history.add_answer(&writer, events));
+/// assert_eq!(history.events_left(&writer, 50), Some(60.0));
+/// assert_eq!(history.events_least(&writer, 50), Some(52.0));
+/// assert_eq!(history.events_least(&writer, 200), Some(0.0));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    services: HashMap<ServiceName, Past>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Past {
+    /// Events of whole answers.
+    lengths: Recent,
+    /// Prompt tokens that were read in a millisecond, the wait for the engine included.
+    rates: Recent,
+}
+
+impl History {
+    /// Takes in that an answer is complete.
+    pub fn add_answer(&mut self, service: &ServiceName, events: u64) {
+        self.past(service).lengths.add(events as f64);
+    }
+
+    /// Takes in that a prompt was read at an engine that read nothing else.
+    pub fn add_reading(&mut self, service: &ServiceName, tokens: u64, took_ms: f64) {
+        if took_ms > 0.0 {
+            self.past(service).rates.add(tokens as f64 / took_ms);
+        }
+    }
+
+    /// Returns how many events an answer usually has after its event `last`; nothing where too few
+    /// answers are known.
+    pub fn events_left(&self, service: &ServiceName, last: u64) -> Option<f64> {
+        self.left(service, last, 0.5)
+    }
+
+    /// Returns how many events a short answer has after its event `last`.
+    pub fn events_least(&self, service: &ServiceName, last: u64) -> Option<f64> {
+        self.left(service, last, SHORT)
+    }
+
+    /// Returns how many prompt tokens a fast engine reads in a millisecond.
+    pub fn read_rate(&self, service: &ServiceName) -> Option<f64> {
+        self.services.get(service)?.rates.quantile(FAST, 0.0)
+    }
+
+    fn left(&self, service: &ServiceName, last: u64, part: f64) -> Option<f64> {
+        let lengths = &self.services.get(service)?.lengths;
+        let last = last as f64;
+        if !lengths.is_known() {
+            return None;
+        }
+        let whole = lengths.quantile(part, last);
+        Some(whole.map_or(0.0, |whole| whole - last))
+    }
+
+    fn past(&mut self, service: &ServiceName) -> &mut Past {
+        self.services.entry(service.clone()).or_default()
+    }
+}
+
+/// The last values of a measure.
+#[derive(Clone, Debug, Default)]
+struct Recent {
+    values: VecDeque<f64>,
+}
+
+impl Recent {
+    fn add(&mut self, value: f64) {
+        if self.values.len() == REMEMBERED {
+            self.values.pop_front();
+        }
+        self.values.push_back(value);
+    }
+
+    fn is_known(&self) -> bool {
+        self.values.len() >= LEAST_KNOWN
+    }
+
+    /// Returns the value that a part of those above `over` are below; nothing where none is above or too
+    /// few are known.
+    fn quantile(&self, part: f64, over: f64) -> Option<f64> {
+        if !self.is_known() {
+            return None;
+        }
+        let above = self.values.iter().copied().filter(|value| *value > over);
+        let mut above: Vec<f64> = above.collect();
+        above.sort_by(f64::total_cmp);
+        let at = (above.len() as f64 * part) as usize;
+        above.get(at.min(above.len().saturating_sub(1))).copied()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pace.rs
@@ -0,0 +1,140 @@
+//! How fast engines make the events of streams.
+
+use std::{collections::HashMap, time::Duration};
+
+use tokio::time::Instant;
+
+/// Events over which a pace is taken: a quarter of a second, so that the gaps between single events,
+/// which come in groups, do not count.
+const EVENTS: u32 = 8;
+/// How long a pace holds against a slower one. An engine that turns slow is known to be so after it.
+const FRESH: Duration = Duration::from_secs(2);
+/// How long a pace is remembered without a new one. Engines keep their hardware when they start again.
+const KEPT: Duration = Duration::from_secs(120);
+
+/// How fast each engine makes events when it does nothing else.
+///
+/// The load it answers: a third of the engines is a third slower than the others, and the reading of
+/// prompts slows every engine for a second at a time. Of the paces seen lately the fastest counts, so
+/// what the reading of prompts costs is left out, and what is left is the engine's own.
+///
+/// # Examples
+///
+/// ```
+/// use celerypond_relay::Paces;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut paces = Paces::default();
+/// paces.add(1, 120.0, now);
+/// paces.add(1, 28.0, now);
+/// paces.add(1, 90.0, now);
+/// assert_eq!(paces.of(1), Some(28.0));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Paces {
+    /// By the hash of the engine's address.
+    known: HashMap<u64, Known>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    event_ms: f32,
+    at: Instant,
+    /// When this instance saw it itself.
+    own: Option<Instant>,
+}
+
+impl Paces {
+    /// Takes in how many milliseconds an engine took for each event.
+    pub fn add(&mut self, spot: u64, event_ms: f32, now: Instant) {
+        self.take(spot, event_ms, Some(now), now);
+    }
+
+    /// Returns how many milliseconds an engine takes for each event; nothing where that is not known.
+    pub fn of(&self, spot: u64) -> Option<f32> {
+        self.known.get(&spot).map(|known| known.event_ms)
+    }
+
+    /// Returns what this instance saw lately, for the others.
+    pub fn told(&self, now: Instant) -> Vec<(u64, f32)> {
+        let is_own = |known: &Known| {
+            let own = known.own;
+            own.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
+        };
+        let own = self.known.iter().filter(|(_, known)| is_own(known));
+        own.map(|(spot, known)| (*spot, known.event_ms)).collect()
+    }
+
+    /// Takes in what another instance saw.
+    pub fn hear(&mut self, told: &[(u64, f32)], now: Instant) {
+        for (spot, event_ms) in told {
+            self.take(*spot, *event_ms, None, now);
+        }
+    }
+
+    /// Drops what is too old to count.
+    pub fn sweep(&mut self, now: Instant) {
+        self.known
+            .retain(|_, known| now.saturating_duration_since(known.at) < KEPT);
+    }
+
+    fn take(&mut self, spot: u64, event_ms: f32, own: Option<Instant>, now: Instant) {
+        if !event_ms.is_finite() || event_ms <= 0.0 {
+            return;
+        }
+        let fresh = Known {
+            event_ms,
+            at: now,
+            own,
+        };
+        let known = self.known.entry(spot).or_insert(fresh);
+        let is_old = now.saturating_duration_since(known.at) >= FRESH;
+        if event_ms <= known.event_ms || is_old {
+            *known = fresh;
+        }
+    }
+}
+
+/// Measures the pace of one stream.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::Pace;
+/// use tokio::time::Instant;
+///
+/// let begin = Instant::now();
+/// let mut pace = Pace::new(begin);
+/// assert_eq!(pace.add(4, begin + Duration::from_millis(100)), None);
+/// assert_eq!(pace.add(4, begin + Duration::from_millis(240)), Some(30.0));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    since: Instant,
+    events: u32,
+}
+
+impl Pace {
+    /// Begins with an event.
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            events: 0,
+        }
+    }
+
+    /// Takes in events; returns the milliseconds for each of the last ones when there are enough.
+    pub fn add(&mut self, events: u32, now: Instant) -> Option<f32> {
+        self.events += events;
+        if self.events < EVENTS {
+            return None;
+        }
+        let took = now.saturating_duration_since(self.since);
+        let event_ms = took.as_secs_f32() * 1_000.0 / self.events as f32;
+        *self = Self::new(now);
+        Some(event_ms)
+    }
+}
--- a/crates/relay/src/patience.rs
+++ b/crates/relay/src/patience.rs
@@ -53,7 +53,7 @@
     /// assert_eq!(patience.gap, Duration::from_millis(420));
     /// ```
     pub fn of_stream(reading: u64, gap_aim: Option<Duration>) -> Self {
-        let reading = Duration::from_secs_f64(reading as f64 / READ_TOKENS / 1_000.0);
+        let reading = Self::reading(reading);
         let gap_aim = gap_aim.unwrap_or(GAP_DEFAULT);
         Self {
             first: reading + FIRST_SLACK,
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns how long an engine takes to read so many tokens.
+    pub fn reading(tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / READ_TOKENS / 1_000.0)
+    }
+
     /// Returns the most tokens of other prompts that an engine may have to read before a stream whose
     /// first event is to come within `aim`. Behind more it would be late by twice its aim, and its
     /// prompt would be read for nothing.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,8 +11,8 @@
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
 const CROWDED: f64 = 0.6;
 
-/// How many running streams weigh as much as half a prompt that is being read.
-const READING_WEIGHT: u64 = 2;
+/// How much more the time of streams that are held up weighs than the wait of a prompt: they pause, or move.
+const RUNNING_WEIGHT: u64 = 2;
 /// The engines, first in the order that all instances share, of which a stream takes the least loaded.
 ///
 /// The failure: 60 of 180 engines die, 32 streams are placed anew within a third of a second, and the one
@@ -120,7 +120,7 @@
 }
 
 /// What is known of the targets' loads at one moment.
-struct Loads<'a> {
+pub(crate) struct Loads<'a> {
     want: &'a Want<'a>,
     /// What streams of other instances take; counted for streams only.
     taken: Cow<'a, HashMap<u64, Taken>>,
@@ -135,7 +135,7 @@
 }
 
 impl<'a> Loads<'a> {
-    fn of(targets: &'a Targets, want: &'a Want<'a>, now: Instant) -> Self {
+    pub(crate) fn of(targets: &'a Targets, want: &'a Want<'a>, now: Instant) -> Self {
         let taken = match want.affinity {
             Some(_) => targets.taken(now),
             None => Cow::Owned(HashMap::new()),
@@ -200,14 +200,31 @@
         (class, rank(affinity, target))
     }
 
-    /// Returns what an engine has to do before and beside a stream: what it reads, in steps of half a prompt,
-    /// and the streams that run.
-    fn load(&self, target: &Target) -> u64 {
+    /// Returns all that instances have at an engine.
+    pub(crate) fn work(&self, target: &Target) -> Taken {
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
-        let reading = target.reading + others.reading;
+        Taken {
+            streams: target.open + others.streams,
+            prompts: target.prompts + others.prompts,
+            reading: target.reading + others.reading,
+            tokens: target.tokens + others.tokens,
+        }
+    }
+
+    /// Returns what a prompt costs at an engine, in steps of half a prompt: the wait for what is read
+    /// before it, and for each stream that runs there the time of its own reading, which holds the
+    /// stream up.
+    fn load(&self, target: &Target) -> u64 {
+        let work = self.work(target);
+        let running = u64::from(work.streams.saturating_sub(work.prompts));
         let step = (self.want.tokens / 2).max(1);
-        let streams = u64::from(target.open + others.streams);
-        reading / step * READING_WEIGHT + streams
+        (work.reading + running * self.want.tokens * RUNNING_WEIGHT) / step
+    }
+
+    /// Returns whether an engine has room for one more stream beside the copies of others' runs.
+    pub(crate) fn has_room(&self, target: &Target) -> bool {
+        let others = self.taken.get(&target.hash).copied().unwrap_or_default();
+        self.crowding(target, &others) <= CROWDED
     }
 
     /// Orders engines for a copy: those with room outside of sick data centres, those of the own group, then
@@ -249,7 +266,7 @@
         memory.max(slots)
     }
 
-    fn is_sick(&self, target: &Target) -> bool {
+    pub(crate) fn is_sick(&self, target: &Target) -> bool {
         self.sick.contains(&&target.entry.data_centre)
     }
 
--- /dev/null
+++ b/crates/relay/src/relocate.rs
@@ -0,0 +1,177 @@
+//! Where a stream runs on once its prompt was read.
+
+use std::collections::HashMap;
+
+use celerypond_types::{DataCentre, TargetKey};
+use tokio::time::Instant;
+
+use crate::{place::Loads, Patience, Target, Targets, Want};
+
+/// What a stream must gain by going on at another engine, in milliseconds. The move itself takes some
+/// ten of them, and what is copied takes memory and room on the way.
+const LEAST_GAIN_MS: f64 = 500.0;
+/// The part by which each further stream of a batch slows an engine's steps.
+const BATCH_SLOWER: f64 = 0.02;
+/// How many times as long a step takes beside the reading of a prompt.
+const READING_SLOWER: f64 = 8.0;
+/// The part of the prompts that an engine reads now that is still to be read, as far as is known of
+/// them: each counts as a whole one until it was read.
+const STILL_TO_READ: f64 = 0.6;
+/// What an engine in another data centre than the instance must be better by, in milliseconds: events
+/// and prompt travel between the two.
+const FAR_MS: f64 = 100.0;
+/// What it costs others that a stream keeps the last free engines from prompts, as a part of the time for
+/// which it does.
+const OPENED_SHARE: f64 = 0.3;
+/// How many engines are left free for each one that reads. Prompts come in groups.
+const FREE_EACH: u32 = 2;
+/// The events that a stream is taken to have left where nothing is known of its length.
+const EVENTS_LEFT: f64 = 100.0;
+/// The time for an event where it is known of no engine, in milliseconds.
+const EVENT_MS: f64 = 35.0;
+
+/// What a running stream has ahead of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ahead {
+    /// Events that are still to come, as far as is known.
+    pub events: f64,
+}
+
+impl Default for Ahead {
+    fn default() -> Self {
+        Self {
+            events: EVENTS_LEFT,
+        }
+    }
+}
+
+/// An engine at which a stream would be done sooner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Better {
+    /// Its key.
+    pub key: TargetKey,
+    /// What the stream needs where it is, in milliseconds.
+    pub here_ms: f64,
+    /// What it needs there, in milliseconds.
+    pub there_ms: f64,
+    /// Tokens that are read where it is.
+    pub reading: u64,
+    /// Streams that run where it is, itself left out.
+    pub beside: u32,
+}
+
+impl Targets {
+    /// Returns the engine at which a running stream would be done sooner, so much that it is worth a
+    /// move; nothing where it runs well.
+    ///
+    /// The load it answers: while an engine reads a prompt, all streams beside it are eight times as
+    /// slow, for a second each time. Where each engine both reads and runs, every stream meets other
+    /// prompts, takes half as long again, and whatever dies meanwhile hits more streams. So streams leave
+    /// the engines that read, and gather at a few, where they cost each other little; the rest stays free
+    /// for prompts. How many gather follows from how many engines read: as long as as many are free,
+    /// a stream may have one for itself.
+    pub fn better_engine(
+        &self,
+        at: TargetKey,
+        want: &Want<'_>,
+        ahead: Ahead,
+        now: Instant,
+    ) -> Option<Better> {
+        let home = self.get(at)?;
+        let loads = Loads::of(self, want, now);
+        let view = View::new(self, &loads, at, want, ahead);
+        let fits = |key: TargetKey, target: &Target| {
+            key != at
+                && self.is_usable(key)
+                && target.entry.service == *want.service
+                && target.entry.version == home.entry.version
+                && !want.tried.contains(&key)
+                && !target.is_avoided(now)
+                && !loads.is_sick(target)
+                && loads.has_room(target)
+        };
+        let others = self.iter().filter(|(key, target)| fits(*key, target));
+        let costs = others.map(|(key, target)| (view.cost_ms(target, false), key));
+        let (cost, key) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let here_ms = view.cost_ms(home, true);
+        let work = loads.work(home);
+        (cost + LEAST_GAIN_MS < here_ms).then_some(Better {
+            key,
+            here_ms,
+            there_ms: cost,
+            reading: work.reading,
+            beside: work.streams.saturating_sub(1),
+        })
+    }
+}
+
+/// What is known of the engines of a service when a stream may move.
+struct View<'a> {
+    loads: &'a Loads<'a>,
+    paces: HashMap<u64, f64>,
+    /// The time for an event at an engine of which it is not known.
+    usual_ms: f64,
+    ahead: Ahead,
+    near: &'a DataCentre,
+    /// Whether fewer engines are free than read.
+    is_scarce: bool,
+}
+
+impl<'a> View<'a> {
+    fn new(
+        targets: &Targets,
+        loads: &'a Loads<'a>,
+        at: TargetKey,
+        want: &'a Want<'_>,
+        ahead: Ahead,
+    ) -> Self {
+        let of_service = targets.iter().filter(|(key, target)| {
+            target.entry.service == *want.service && targets.is_usable(*key)
+        });
+        let (mut free, mut reading) = (0, 0);
+        let mut paces = HashMap::new();
+        for (key, target) in of_service {
+            let work = loads.work(target);
+            let own = u32::from(key == at);
+            free += u32::from(work.streams <= own);
+            reading += u32::from(work.prompts > 0);
+            if let Some(pace) = targets.paces().of(target.spot) {
+                paces.insert(target.spot, f64::from(pace));
+            }
+        }
+        let mut known: Vec<f64> = paces.values().copied().collect();
+        known.sort_by(f64::total_cmp);
+        let usual_ms = known.get(known.len() / 2).copied().unwrap_or(EVENT_MS);
+        Self {
+            loads,
+            paces,
+            usual_ms,
+            ahead,
+            near: want.near,
+            is_scarce: free <= reading * FREE_EACH,
+        }
+    }
+
+    /// Returns the time that the stream needs at an engine, and what it takes from prompts to come.
+    fn cost_ms(&self, engine: &Target, is_here: bool) -> f64 {
+        let work = self.loads.work(engine);
+        let running = work
+            .streams
+            .saturating_sub(work.prompts + u32::from(is_here));
+        let event_ms = self.paces.get(&engine.spot).copied();
+        let event_ms = event_ms.unwrap_or(self.usual_ms);
+        let run_ms = self.ahead.events * event_ms * (1.0 + BATCH_SLOWER * f64::from(running));
+        let wait = Patience::reading(work.reading).as_secs_f64() * 1_000.0;
+        let beside_ms = (wait * STILL_TO_READ).min(run_ms * (READING_SLOWER - 1.0));
+        // The last engines without streams are left to prompts, which would hold up the streams elsewhere.
+        let opened_ms = match running {
+            0 if self.is_scarce => run_ms * OPENED_SHARE,
+            _ => 0.0,
+        };
+        let far_ms = match engine.entry.data_centre == *self.near {
+            true => 0.0,
+            false => FAR_MS,
+        };
+        run_ms + beside_ms + opened_ms + far_ms
+    }
+}
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -28,7 +28,9 @@
     pub hash: u64,
     /// The hash of its address, by which instances order engines for a prompt.
     pub spot: u64,
-    /// Tokens of this instance's prompts that it is reading.
+    /// Prompts of this instance that it is reading.
+    pub prompts: u32,
+    /// Tokens of these prompts.
     pub reading: u64,
     /// Tokens of this instance's streams in its memory, at most.
     pub tokens: u64,
@@ -59,6 +61,7 @@
             spot: celerypond_route::hash(entry.address.to_string().as_bytes()),
             entry,
             open: 0,
+            prompts: 0,
             reading: 0,
             tokens: 0,
             failures: 0,
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     address_book::AddressBook, change_log::ChangeLog, streams::Streams, Adoption, Board, Group,
-    News, Note, PlacementKey, Placements, Quality, Rests, Taken, Target, TargetEntry,
+    History, News, Note, Paces, PlacementKey, Placements, Quality, Rests, Taken, Target,
+    TargetEntry,
 };
 
 /// How long others are told of an engine that was found again.
@@ -60,6 +61,9 @@
     board: Board,
     quality: Quality,
     rests: Rests,
+    paces: Paces,
+    /// What streams were like lately.
+    pub history: History,
     /// Until when versions that came to a service beside others get no request without an order.
     pub(crate) held: HashMap<(ServiceName, VersionName), Instant>,
     /// Engines that were found again, and when.
@@ -268,6 +272,7 @@
             part,
             target: target.hash,
         });
+        target.prompts += 1;
         target.reading += tokens;
         target.tokens += tokens;
         Some(self.streams.add(target.hash, part, tokens))
@@ -284,6 +289,7 @@
     pub fn stream_read(&mut self, key: TargetKey, stream: PlacementKey) {
         let read = self.streams.has_read(stream);
         if let (Some(tokens), Some(target)) = (read, self.arena.get_mut(key)) {
+            target.prompts = target.prompts.saturating_sub(1);
             target.reading = target.reading.saturating_sub(tokens);
         }
     }
@@ -324,6 +330,10 @@
                 None => self.rests.told(now),
             },
             sends: Vec::new(),
+            paces: match since {
+                Some(_) => Vec::new(),
+                None => self.paces.told(now),
+            },
         }
     }
 
@@ -334,6 +344,7 @@
             self.quality.hear(list.origin, tallies, now);
         }
         self.rests.hear(&list.rests, now);
+        self.paces.hear(&list.paces, now);
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
@@ -382,6 +393,7 @@
     pub fn sweep(&mut self, now: Instant) {
         self.board.sweep(now);
         self.quality.sweep(now);
+        self.paces.sweep(now);
         self.held.retain(|_, until| *until > now);
         let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
         self.adopted.retain(|(_, at)| is_news(*at));
@@ -408,6 +420,17 @@
         self.rests.most(target.service_hash(), now)
     }
 
+    /// Takes in how long an engine took for each event of a stream lately, in milliseconds.
+    pub fn note_pace(&mut self, key: TargetKey, event_ms: f32, now: Instant) {
+        if let Some(target) = self.arena.get(key) {
+            self.paces.add(target.spot, event_ms, now);
+        }
+    }
+
+    pub(crate) const fn paces(&self) -> &Paces {
+        &self.paces
+    }
+
     pub(crate) const fn quality(&self) -> &Quality {
         &self.quality
     }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_lists;
 mod test_placement;
 mod test_quality;
+mod test_relocation;
 mod test_rests;
 mod test_retries;
 mod test_rollouts;
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -87,6 +87,8 @@
         RoutedExpired = "relay.expired",
         /// Attempts at targets that ended without a response to pass on.
         AttemptsEnded = "relay.attempts_ended",
+        /// Streams that were moved to another engine while they ran.
+        StreamsMoved = "relay.streams_moved",
         /// Streams that went on at the holder of a copy.
         ResumedByCopy = "relay.resumed_by_copy",
         /// Streams that went on at an engine that had to read them anew.
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -22,6 +22,7 @@
 mod plain;
 mod questions;
 mod reload;
+mod relocation;
 mod reply;
 mod request;
 mod revive;
--- a/daemon/src/relay/copies.rs
+++ b/daemon/src/relay/copies.rs
@@ -17,6 +17,8 @@
 
 /// The time between two looks whether the holder of a copy still lives.
 const LOOK: Duration = Duration::from_millis(200);
+/// How long a run may be without any copy before the first one is ordered.
+const FIRST_ORDER: Duration = Duration::from_millis(50);
 /// The time between two orders to copy what is new. What is generated meanwhile, some 25 tokens, is
 /// read anew in a few milliseconds.
 const REFRESH: Duration = Duration::from_millis(800);
@@ -121,12 +123,18 @@
 impl Work {
     async fn run(self: Arc<Self>) {
         let mut refreshed = Instant::now();
+        // A run without a copy needs one at once, one that moves at its first event does not.
+        let mut wait = match get(&self.at) {
+            Some(_) => LOOK,
+            None => FIRST_ORDER,
+        };
         loop {
             tokio::select! {
                 () = self.over.cancelled() => return,
                 () = self.site.ending.cancelled() => return,
-                () = sleep(LOOK) => {}
+                () = sleep(wait) => {}
             }
+            wait = LOOK;
             let copy = get(&self.at);
             let is_lost = match &copy {
                 Some(copy) => self.is_lost(copy).await,
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{CopyName, Ended, FirstWait, Lists, Next, Patience, Return, TargetHead};
+use celerypond_relay::{
+    CopyName, Ended, FirstWait, Lists, Next, Pace, Patience, Return, TargetHead,
+};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{TargetKey, TargetName};
 use http::{HeaderMap, StatusCode};
@@ -18,6 +20,7 @@
     lease::Lease,
     listen::{Heard, Listening},
     passage::Passage,
+    relocation,
     reply::Broken,
     run::Run,
 };
@@ -25,10 +28,10 @@
 /// A stream on its way from engines to its caller.
 pub(super) struct Flow {
     pub(super) run: Run,
-    passage: Passage,
-    at: Option<Position>,
+    pub(super) passage: Passage,
+    pub(super) at: Option<Position>,
     /// Whether the last engine that answered had a copy of the run's memory.
-    by_copy: bool,
+    pub(super) by_copy: bool,
     is_complete: bool,
 }
 
@@ -40,12 +43,15 @@
 }
 
 /// Where a stream runs.
-struct Position {
-    lease: Lease,
-    opened: Opened,
+pub(super) struct Position {
+    pub(super) lease: Lease,
+    pub(super) opened: Opened,
     patience: Patience,
     /// The copy of the run's memory; nothing where engines make none.
-    copies: Option<Copies>,
+    pub(super) copies: Option<Copies>,
+    /// When it is next asked whether the stream runs well here.
+    pub(super) look: Instant,
+    pace: Pace,
 }
 
 /// An attempt that ended, and what is left of it.
@@ -77,7 +83,7 @@
     /// Asks engines until one has sent a first event, or its failure is to be passed on.
     pub(super) async fn begin(&mut self) -> Result<First, Next> {
         let begun = Instant::now();
-        self.find(None, true).await?;
+        self.find(Vec::new(), true).await?;
         let latencies = &self.run.site.latencies;
         latencies.add(Latency::FirstEvent, begun.elapsed());
         let at = self.at.as_ref().ok_or(Next::Failed)?;
@@ -89,16 +95,19 @@
     }
 
     /// Asks engines until one answers, and waits for one to return when none takes the stream, or for
-    /// budget when that is used up.
-    async fn find(&mut self, copy: Option<CopyAt>, may_ask: bool) -> Result<(), Next> {
+    /// budget when that is used up. Engines that hold a copy of the run's memory go first.
+    pub(super) async fn find(
+        &mut self,
+        mut copies: Vec<CopyAt>,
+        may_ask: bool,
+    ) -> Result<(), Next> {
         let begun = Instant::now();
-        let mut copy = copy;
         let mut lack = (!may_ask).then_some(Next::Failed);
         loop {
             if let Some(next) = lack.take() {
                 self.wait_to_ask(begun, next).await?;
             }
-            match self.ask_all(copy.take()).await {
+            match self.ask_all(std::mem::take(&mut copies)).await {
                 Ok(()) => return Ok(()),
                 Err(none) if !none.is_lack => return Err(none.next),
                 Err(none) => lack = Some(none.next),
@@ -125,19 +134,21 @@
         }
     }
 
-    /// Asks engines until one answers; first the one that holds a copy of the run's memory.
-    async fn ask_all(&mut self, mut copy: Option<CopyAt>) -> Result<(), Nobody> {
+    /// Asks engines until one answers; first those that hold a copy of the run's memory.
+    async fn ask_all(&mut self, copies: Vec<CopyAt>) -> Result<(), Nobody> {
+        let mut copies = copies.into_iter();
         let mut is_again = self.passage.passed() > 0;
         loop {
-            let from = copy.take();
-            if is_again && from.is_none() {
+            let at_copy = self.place_at_copy(&mut copies);
+            if is_again && at_copy.is_none() {
                 self.spread_out().await;
             }
             is_again = true;
-            let holder = from.as_ref().map(|copy| copy.holder);
-            let at_copy = holder.and_then(|key| self.run.place_at_copy(key));
-            let from = from.filter(|_| at_copy.is_some());
-            let Some(lease) = at_copy.or_else(|| self.run.place()) else {
+            let (lease, from) = match at_copy {
+                Some((lease, copy)) => (Some(lease), Some(copy)),
+                None => (self.run.place(), None),
+            };
+            let Some(lease) = lease else {
                 return Err(Nobody {
                     next: self.run.nowhere(),
                     is_lack: true,
@@ -162,10 +173,21 @@
         }
     }
 
+    /// Takes a place at the next engine that holds a copy and takes new work.
+    fn place_at_copy(
+        &mut self,
+        copies: &mut impl Iterator<Item = CopyAt>,
+    ) -> Option<(Lease, CopyAt)> {
+        copies.find_map(|copy| Some((self.run.place_at_copy(copy.holder)?, copy)))
+    }
+
     /// Asks one engine, and waits for its first event.
     async fn ask(&mut self, mut lease: Lease, from: Option<CopyAt>) -> Result<(), Box<Lost>> {
         let begun = Instant::now();
-        let backup = self.backup(lease.key);
+        let backup = match self.will_move(lease.key, from.as_ref()) {
+            true => None,
+            false => self.backup(lease.key),
+        };
         let reading = self.run.site.known.targets().reading(lease.key, begun);
         let sent = self.send(&mut lease, backup, from.as_ref()).await;
         let by_copy = from.is_some();
@@ -186,12 +208,21 @@
             opened,
             patience,
             copies: None,
+            look: match by_copy {
+                true => Instant::now() + relocation::REST,
+                false => Instant::now(),
+            },
+            pace: Pace::new(Instant::now()),
         };
         if is_success {
             if let Err(ended) = self.read(&mut at, true).await {
                 return lost(at.lease, ended);
             }
             at.lease.has_read();
+            if !by_copy {
+                self.run.note_reading(reading, begun.elapsed());
+            }
+            at.pace = Pace::new(Instant::now());
             self.run.note(&at.lease, at.opened.status, begun.elapsed());
             at.copies = self.keep_copy(&at.lease, backup);
         }
@@ -321,7 +352,13 @@
                 }
             };
             match frame {
-                Some(Ok(frame)) => self.passage.take_in(&frame)?,
+                Some(Ok(frame)) => {
+                    let events = self.passage.take_in(&frame)?;
+                    if let Some(event_ms) = at.pace.add(events, Instant::now()) {
+                        let mut targets = self.run.site.known.targets();
+                        targets.note_pace(at.lease.key, event_ms, Instant::now());
+                    }
+                }
                 Some(Err(_)) => return Err(Ended::Broken),
                 None if self.passage.has_rest() => return Err(Ended::Broken),
                 None => self.is_complete = true,
@@ -344,6 +381,12 @@
                 self.finish();
                 return None;
             }
+            if !self.relocate().await {
+                return Some(Err(Broken));
+            }
+            if self.passage.is_ready() {
+                continue;
+            }
             let mut at = self.at.take()?;
             match self.read(&mut at, false).await {
                 Ok(()) => self.at = Some(at),
@@ -361,18 +404,19 @@
     /// The connection to the lost engine is closed first: two engines must not work on one request.
     async fn go_on(&mut self, at: Position, ended: Ended) -> bool {
         let begun = Instant::now();
-        let copy = at.copies.as_ref().and_then(Copies::at);
+        let copies = at.copies.as_ref().and_then(Copies::at);
+        let copies: Vec<CopyAt> = copies.into_iter().collect();
         drop(at.opened);
         drop(at.copies);
         self.passage.drop_rest();
         let next = self.run.ended(&at.lease, ended);
         drop(at.lease);
         let found = match next {
-            Next::Elsewhere => self.find(copy, true).await,
-            Next::Later => self.find(copy, false).await,
+            Next::Elsewhere => self.find(copies, true).await,
+            Next::Later => self.find(copies, false).await,
             next => Err(next),
         };
-        let status = self.at.as_ref().map(|at| at.opened.status);
+        let is_well = self.is_well();
         let site = &self.run.site;
         site.latencies.add(Latency::Resume, begun.elapsed());
         let counter = match (&found, self.by_copy) {
@@ -385,12 +429,18 @@
             request = self.run.asked.id.as_str(),
             by_copy = self.by_copy,
             last = self.passage.last(),
-            status = status.map(|status| status.as_u16()),
+            is_well,
             failed:? = found.err(),
             took_ms = begun.elapsed().as_millis() as u64;
             "stream goes on"
         );
-        found.is_ok() && status.is_some_and(|status| status.is_success())
+        found.is_ok() && is_well
+    }
+
+    /// Returns whether the engine at which the stream runs answered with success.
+    pub(super) fn is_well(&self) -> bool {
+        let at = self.at.as_ref();
+        at.is_some_and(|at| at.opened.status.is_success())
     }
 
     fn finish(&mut self) {
@@ -400,6 +450,9 @@
                 copies.finish();
             }
         }
+        if let Some(last) = self.passage.last() {
+            self.run.note_length(last);
+        }
         self.run.site.metrics.add(Counter::StreamsComplete, 1);
         log::info!(
             request = self.run.asked.id.as_str(),
--- a/daemon/src/relay/passage.rs
+++ b/daemon/src/relay/passage.rs
@@ -53,15 +53,16 @@
         self.events.clear();
     }
 
-    /// Takes in received bytes; events that the caller has are dropped.
+    /// Takes in received bytes; events that the caller has are dropped. Returns how many events are new.
     ///
     /// # Errors
     ///
     /// `Foreign` when an event is left out.
-    pub(super) fn take_in(&mut self, frame: &Frame<Bytes>) -> Result<(), Ended> {
+    pub(super) fn take_in(&mut self, frame: &Frame<Bytes>) -> Result<u32, Ended> {
         let Some(bytes) = frame.data_ref() else {
-            return Ok(());
+            return Ok(0);
         };
+        let mut events = 0;
         self.events.push(bytes);
         for Event { id, bytes } in self.events.by_ref() {
             if let (Some(id), Some(last)) = (id, self.last) {
@@ -74,8 +75,9 @@
             }
             self.last = id.or(self.last);
             self.ready.push_back(bytes);
+            events += 1;
         }
-        Ok(())
+        Ok(events)
     }
 
     /// Takes out what is to be passed on.
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerypond_relay::{
-    Choice, Clock, Ended, Next, Patience, Pick, Prompt, Route, RouteKind, Situation, Want,
+    Ahead, Choice, Clock, Ended, Next, Patience, Pick, Prompt, Route, RouteKind, Situation, Want,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
@@ -19,6 +19,8 @@
     affinity: Option<u64>,
     /// Tokens that it takes at most.
     tokens: u64,
+    /// Tokens of its prompt.
+    prompt: u64,
     /// The memory of one engine, in tokens.
     capacity: Option<u64>,
     /// The most tokens of other prompts that an engine may have to read first.
@@ -55,6 +57,8 @@
     pub(super) clock: Clock,
     pub(super) wish: Wish,
     tried: Vec<TargetKey>,
+    /// Engines that the run has left, the last one at the end. They have read its prompt.
+    left_at: Vec<TargetKey>,
     runs: u32,
     refusals: u32,
     unreached: u32,
@@ -78,6 +82,7 @@
             choice,
             affinity: None,
             tokens: 0,
+            prompt: 0,
             capacity: None,
             backlog: None,
             near: site.settings.load().data_centre.clone(),
@@ -91,6 +96,7 @@
             clock,
             wish,
             tried: Vec::new(),
+            left_at: Vec::new(),
             runs: 0,
             refusals: 0,
             unreached: 0,
@@ -107,6 +113,7 @@
             return;
         };
         self.wish.affinity = prompt.parts.last().map(|part| part.id);
+        self.wish.prompt = prompt.tokens_in;
         self.wish.tokens = prompt.tokens_in + prompt.tokens_out;
         self.wish.capacity = Some(engine.tokens);
         self.wish.backlog = Some(Patience::backlog(self.route.aim));
@@ -128,6 +135,9 @@
     /// Takes a place at the best target that was not tried yet.
     pub(super) fn place(&mut self) -> Option<Lease> {
         let now = Instant::now();
+        if let Some(lease) = self.place_at_left(now) {
+            return Some(lease);
+        }
         if !self.tried.is_empty() {
             let versions = self.site.rollouts.versions();
             self.wish.choice = versions.choose_again(&self.wish.service);
@@ -152,6 +162,22 @@
         self.place_at(pick.key)
     }
 
+    /// Takes a place at an engine that the run has left and that is not likely to be dead. The prompt
+    /// need not be read there again.
+    fn place_at_left(&mut self, now: Instant) -> Option<Lease> {
+        while let Some(key) = self.left_at.pop() {
+            let targets = self.site.known.targets();
+            let want = self.wish.want(&self.tried);
+            let is_avoided = targets.get(key).is_none_or(|target| target.is_avoided(now));
+            if is_avoided || !targets.is_usable(key) || targets.is_doubtful(key, &want, now) {
+                continue;
+            }
+            drop(targets);
+            return self.place_at(key);
+        }
+        None
+    }
+
     /// Chooses a target of the versions that may run the request, or of others where those have none
     /// left and it is allowed.
     fn pick(&mut self, now: Instant) -> Option<Pick> {
@@ -178,7 +204,42 @@
     /// Takes a place at the engine that holds a copy, unless it takes no new work any more.
     pub(super) fn place_at_copy(&mut self, key: TargetKey) -> Option<Lease> {
         let is_usable = self.site.known.targets().is_usable(key);
-        is_usable.then(|| self.place_at(key)).flatten()
+        let mut lease = is_usable.then(|| self.place_at(key)).flatten()?;
+        // Nearly nothing is read there, so streams beside it need not give way.
+        lease.has_read();
+        Some(lease)
+    }
+
+    /// Takes in that the answer is complete.
+    pub(super) fn note_length(&self, events: u64) {
+        let mut targets = self.site.known.targets();
+        targets.history.add_answer(&self.wish.service, events);
+    }
+
+    /// Takes in how long the prompt took at an engine that had so many tokens to read, this stream's
+    /// among them. Where it read others before, it tells nothing.
+    pub(super) fn note_reading(&self, reading: u64, took: Duration) {
+        if reading > self.wish.tokens {
+            return;
+        }
+        let mut targets = self.site.known.targets();
+        let history = &mut targets.history;
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        history.add_reading(&self.wish.service, self.wish.prompt, took_ms);
+    }
+
+    /// Returns what the stream has ahead of it after its event `last`.
+    pub(super) fn ahead(&self, last: u64) -> Ahead {
+        let targets = self.site.known.targets();
+        let left = targets.history.events_left(&self.wish.service, last);
+        left.map_or_else(Ahead::default, |events| Ahead { events })
+    }
+
+    /// Takes in that the run leaves a target for another one, at which it is the same run.
+    pub(super) fn moves(&mut self, from: TargetKey) {
+        self.runs = self.runs.saturating_sub(1);
+        self.tried.retain(|key| *key != from);
+        self.left_at.push(from);
     }
 
     /// Takes a place at a target.
