relay: a stopping instance with too few others goes on to serve short calls while it drains

Cause: an instance that stops took new connections for a fifth of its grace, whoever else was there. Stopped one after the other, faster than drafts of 5 to 8 s drain, all instances of a fleet were closed at once.

It goes on to take callers while it drains and fewer than half as many others take them as stop; what is sure to end within the grace is served, the rest is told at once that it has not run. Where nobody else is live, the directory names the instance itself. Ruled out: waiting for the end of the grace without work (it starts anew the sooner).

--- /dev/null
+++ b/crates/relay/src/stop.rs
@@ -0,0 +1,86 @@
+//! What a planned stop still takes.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// The part of the grace for which all new callers are taken: callers keep an answer of the directory for
+/// a while, and what they begin then must end within the grace.
+const ACCEPT_SHARE: u32 = 5;
+/// How long before the end of the grace callers are cut off: background work has to end and lines
+/// have to be written, or the process is killed with them.
+const BEFORE_KILL: Duration = Duration::from_millis(350);
+/// How many times its usual load an instance may get when others leave.
+const LOAD_MOST: usize = 3;
+
+/// The other instances of a fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    /// Those that take callers.
+    pub live: usize,
+    /// Those that are stopping.
+    pub leaving: usize,
+}
+
+impl Others {
+    /// Returns whether those that take callers can take those of all that leave, this instance among them.
+    pub const fn are_enough(self) -> bool {
+        self.live * (LOAD_MOST - 1) > self.leaving
+    }
+}
+
+/// A planned stop under way.
+///
+/// The load it answers: instances are stopped one after the other, faster than they drain, so that all of
+/// them stop at once. If each takes no callers after the first part of its grace, there is no connection to
+/// be had for seconds. A stopping instance that knows too few others goes on to take callers as long as it
+/// drains, serves what is sure to end in time, and refuses the rest.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::{Others, Stop};
+/// use tokio::time::Instant;
+///
+/// let begun = Instant::now();
+/// let stop = Stop::new(begun, Duration::from_secs(8));
+/// let later = begun + Duration::from_secs(3);
+/// assert!(!stop.takes_callers(Others { live: 6, leaving: 0 }, later));
+/// assert!(stop.takes_callers(Others { live: 0, leaving: 6 }, later));
+/// assert!(stop.admits(Duration::from_secs(1), later));
+/// assert!(!stop.admits(Duration::from_secs(25), later));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    begun: Instant,
+    grace: Duration,
+}
+
+impl Stop {
+    /// Begins to stop.
+    pub const fn new(begun: Instant, grace: Duration) -> Self {
+        Self { begun, grace }
+    }
+
+    /// Returns when callers that are still served are cut off.
+    pub fn end(&self) -> Instant {
+        self.begun + self.grace.saturating_sub(BEFORE_KILL)
+    }
+
+    /// Returns whether all new callers are taken, whoever else is there.
+    pub fn takes_all(&self, now: Instant) -> bool {
+        now < self.begun + self.grace / ACCEPT_SHARE
+    }
+
+    /// Returns whether new callers are taken.
+    pub fn takes_callers(&self, others: Others, now: Instant) -> bool {
+        self.takes_all(now) || (!others.are_enough() && now < self.end())
+    }
+
+    /// Returns whether a request that takes `longest` at most is served. What would be cut off is not begun.
+    pub fn admits(&self, longest: Duration, now: Instant) -> bool {
+        self.takes_all(now) || now + longest <= self.end()
+    }
+}
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -15,4 +15,5 @@
 mod test_rests;
 mod test_retries;
 mod test_rollouts;
+mod test_stop;
 mod test_store_rest;
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_fleet::{Event, Gossip, Identity, Incarnation, MemberState, Outgoing};
-use celerypond_relay::Settings;
+use celerypond_relay::{Others, Settings};
 use celerypond_types::Revision;
 use rand::{rngs::SmallRng, SeedableRng as _};
 use smol_str::format_smolstr;
@@ -59,8 +59,22 @@
     let others = gossip.roster().of_state(MemberState::Live);
     let others = others.filter_map(|member| member.address.parse::<SocketAddr>().ok());
     let others = others.map(|address| SocketAddr::new(address.ip(), own.port()));
-    let own = site.is_ready().then_some(own);
-    own.into_iter().chain(others).collect()
+    let mut found: Vec<SocketAddr> = others.collect();
+    // Where all stop at once, those that still take callers are all that there is.
+    if site.is_ready() || (found.is_empty() && site.takes_callers()) {
+        found.insert(0, own);
+    }
+    found
+}
+
+/// Returns what is known of the other instances.
+pub(super) fn others(site: &Site) -> Others {
+    let gossip = site.gossip();
+    let count = |state| gossip.roster().of_state(state).count();
+    Others {
+        live: count(MemberState::Live),
+        leaving: count(MemberState::Leaving),
+    }
 }
 
 /// Takes the turns of gossip until the instance ends.
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -39,6 +39,8 @@
     NoTarget,
     /// It has not run, and what is left of its time is too short to serve it.
     TooLate,
+    /// The instance stops before the request would be done.
+    Stopping,
     /// The last attempt failed, and the request may have run.
     Failed,
     /// The time of the caller or of the route was over.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::headers;
-use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Stop, Table};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
@@ -151,6 +151,11 @@
         Ok(asked) => asked,
         Err(status) => return reply::own(status, Some(&id), Reason::BadRequest),
     };
+    let now = Instant::now();
+    let is_stopping = |stop: &Stop| !stop.admits(clock.left(now), now);
+    if site.stop.load().as_deref().is_some_and(is_stopping) {
+        return reply::not_run(&id, clock.left(now), None, Reason::Stopping);
+    }
     let Some(service) = choose_service(&route) else {
         return reply::not_run(&id, clock.left(Instant::now()), None, Reason::NoTarget);
     };
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -5,10 +5,10 @@
     Mutex, MutexGuard, PoisonError,
 };
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::{Retries, Settings};
+use celerypond_relay::{Retries, Settings, Stop};
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
@@ -55,6 +55,8 @@
     pub(super) alarm: watch::Sender<Option<DataCentre>>,
     /// No more callers are wanted.
     pub(super) stopping: CancellationToken,
+    /// The planned stop, if one is under way.
+    pub(super) stop: ArcSwapOption<Stop>,
     /// No new connections are taken.
     pub(super) closed: CancellationToken,
     /// Connections of callers are cut off.
@@ -102,6 +104,7 @@
             sequence: AtomicU64::new(0),
             alarm: watch::Sender::default(),
             stopping: CancellationToken::new(),
+            stop: ArcSwapOption::empty(),
             closed: CancellationToken::new(),
             killed: CancellationToken::new(),
             ending: CancellationToken::new(),
@@ -125,6 +128,11 @@
         self.known.is_complete() && !self.stopping.is_cancelled()
     }
 
+    /// Returns whether connections of callers are taken, as they are for a while when it stops.
+    pub(super) fn takes_callers(&self) -> bool {
+        self.known.is_complete() && !self.closed.is_cancelled()
+    }
+
     /// Returns how many instances seem to live, this one included.
     pub(super) fn instances(&self) -> usize {
         self.fleet.load().size
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -2,30 +2,49 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::{sleep_until, timeout_at, Instant};
+use celerypond_relay::Stop;
+use tokio::time::{sleep, timeout_at, Instant};
 
 use super::{members, site::Site};
 
-/// The part of the grace for which new connections are still taken: callers keep an answer of the
-/// directory for a while, and what they begin then must end within the grace.
-const ACCEPT_SHARE: u32 = 5;
-/// How long before the end of the grace callers are cut off: background work has to end and lines
-/// have to be written, or the process is killed with them.
-const BEFORE_KILL: Duration = Duration::from_millis(350);
+/// The time between two looks whether others take callers.
+const LOOK: Duration = Duration::from_millis(50);
 
-/// Stops the instance: it takes no new callers, and what runs ends within the grace.
+/// Stops the instance: it takes no new callers as soon as others do, and what runs ends within the grace.
 pub(super) async fn run(site: &Arc<Site>) {
-    let begun = Instant::now();
     let grace = site.settings.load().bounds.grace;
+    let stop = Stop::new(Instant::now(), grace);
     log::info!(grace_ms = grace.as_millis() as u64, open = site.served.len(); "stopping");
+    site.stop.store(Some(Arc::new(stop)));
     site.stopping.cancel();
     members::leave(site);
-    sleep_until(begun + grace / ACCEPT_SHARE).await;
+    take_callers(site, &stop).await;
     site.closed.cancel();
     site.served.close();
-    let end = begun + grace.saturating_sub(BEFORE_KILL);
-    let is_done = timeout_at(end, site.served.wait()).await.is_ok();
+    let is_done = timeout_at(stop.end(), site.served.wait()).await.is_ok();
     log::info!(is_done, open = site.served.len(); "stopped");
     site.killed.cancel();
     site.ending.cancel();
 }
+
+/// Waits until no more callers are taken: at first all are, and then as long as others are too few and
+/// something is still served. An instance that has nothing left to do starts anew the sooner.
+async fn take_callers(site: &Site, stop: &Stop) {
+    let mut is_alone = false;
+    loop {
+        let now = Instant::now();
+        let others = members::others(site);
+        let has_work = !site.served.is_empty();
+        let is_needed = has_work && stop.takes_callers(others, now);
+        let is_over = !stop.takes_all(now);
+        if is_over && !is_needed {
+            log::info!(live = others.live, leaving = others.leaving, has_work; "no more callers");
+            return;
+        }
+        if is_over && !is_alone {
+            is_alone = true;
+            log::info!(live = others.live, leaving = others.leaving; "too few others take callers");
+        }
+        sleep(LOOK).await;
+    }
+}
