--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -69,6 +69,13 @@
         self.begun + self.grace.saturating_sub(BEFORE_KILL)
     }
 
+    /// Returns when a caller that is not admitted may come back; nothing where others take callers now. An
+    /// answer that begins within `aim` is on time, and half of that is left for it.
+    pub fn come_back(&self, others: Others, aim: Duration, now: Instant) -> Option<Duration> {
+        let left = self.end().saturating_duration_since(now);
+        (others.live == 0).then(|| left.min(aim / 2))
+    }
+
     /// Returns whether all new callers are taken, whoever else is there.
     pub fn takes_all(&self, now: Instant) -> bool {
         now < self.begun + self.grace / ACCEPT_SHARE
--- a/crates/relay/tests/test_stop.rs
+++ b/crates/relay/tests/test_stop.rs
@@ -106,3 +106,23 @@
         }
     }
 }
+
+/// All instances stop. Who is not admitted comes back when this one may be there again, though so soon that
+/// the answer can still be on time; where others take callers, that is at once.
+#[test]
+fn callers_come_back_when_an_instance_may_be_there() {
+    let begun = Instant::now();
+    let stop = Stop::new(begun, GRACE);
+    let aim = Duration::from_millis(4_500);
+    let alone = Others {
+        live: 0,
+        leaving: 6,
+    };
+    let early = begun + Duration::from_secs(2);
+    assert_eq!(stop.come_back(alone, aim, early), Some(aim / 2));
+    let late = stop.end() - Duration::from_millis(700);
+    let back = stop.come_back(alone, aim, late);
+    assert_eq!(back, Some(Duration::from_millis(700)));
+    let others = Others { live: 2, ..alone };
+    assert_eq!(stop.come_back(others, aim, early), None);
+}
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::headers;
-use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Stop, Table};
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
@@ -22,7 +22,7 @@
 
 use super::{
     attempt::Asked,
-    plain,
+    members, plain,
     reply::{self, Reason, Reply},
     run::Run,
     site::Site,
@@ -152,9 +152,10 @@
         Err(status) => return reply::own(status, Some(&id), Reason::BadRequest),
     };
     let now = Instant::now();
-    let is_stopping = |stop: &Stop| !stop.admits(clock.left(now), now);
-    if site.stop.load().as_deref().is_some_and(is_stopping) {
-        return reply::not_run(&id, clock.left(now), None, Reason::Stopping);
+    let stop = site.stop.load_full();
+    if let Some(stop) = stop.filter(|stop| !stop.admits(clock.left(now), now)) {
+        let back = stop.come_back(members::others(site), route.aim, now);
+        return reply::not_run(&id, clock.left(now), back, Reason::Stopping);
     }
     let Some(service) = choose_service(&route) else {
         return reply::not_run(&id, clock.left(Instant::now()), None, Reason::NoTarget);
