relay: moves of streams use at most half of the bound on repeats

Cause: a moved stream arrives once more at its service, and the operator bounds such arrivals. Moves are taken from the bound that all instances share and stop at half of it.

--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -14,6 +14,8 @@
 /// The part of the allowed share and slack that is used. Instances that have just started know too
 /// few others, and divide the slack among too few.
 const MARGIN: f64 = 0.85;
+/// The share of the bound that sends may use that can be left out.
+const SPARE: f64 = 0.5;
 /// The instances among which the slack is divided at least; one that has just started knows of none.
 const INSTANCES_LEAST: usize = 8;
 /// The parts of a window that are counted on their own.
@@ -122,13 +124,32 @@
     /// Takes one more send, unless too many were taken within the window; `instances` is how many
     /// share the slack.
     pub fn take(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
+        self.take_of(1.0, service, instances, now)
+    }
+
+    /// Takes one more send that can be left out, as the move of a stream that runs. What is sent again for want
+    /// of an answer finds a part of the bound left: when engines die, all their streams need one send each
+    /// at once, and would break for those that others only gained by.
+    pub fn take_spare(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
+        self.take_of(SPARE, service, instances, now)
+    }
+
+    /// Takes one more send, unless that exceeds a share of what is allowed.
+    fn take_of(
+        &mut self,
+        share: f64,
+        service: &ServiceName,
+        instances: usize,
+        now: Instant,
+    ) -> bool {
         self.slice(service, now);
         let own = self.own(service);
         let instances = instances.max(INSTANCES_LEAST);
         let known = (self.told.len() + 1).min(instances);
         let slack = self.slack * known as f64 / instances as f64;
         let (requests, repeats) = self.all(own);
-        let left = f64::from(requests) * self.ratio + slack - f64::from(repeats);
+        let allowed = f64::from(requests) * self.ratio + slack;
+        let left = allowed * share - f64::from(repeats);
         let Some(counts) = self.services.get_mut(service) else {
             return false;
         };
--- a/crates/relay/tests/test_retries.rs
+++ b/crates/relay/tests/test_retries.rs
@@ -126,3 +126,32 @@
     assert!(retries.take(&service, 71, past));
     assert!(!retries.take(&service, 900, past + WINDOW * 2));
 }
+
+/// Streams move whenever that pays, and then a third of the engines dies. All that was moved has used no more
+/// than half of the bound, so each stream that lost its engine is sent again.
+#[test]
+fn moves_leave_half_of_the_bound_to_what_needs_it() {
+    let bounds = Bounds {
+        retry_ratio: 0.8,
+        retry_slack: 150.0,
+        ..Bounds::default()
+    };
+    let mut retries = Retries::new(&bounds);
+    let (service, begin) = (ServiceName::new("writer"), Instant::now());
+    let (mut moved, mut sent) = (0, 0);
+    for step in 0..200 {
+        let now = begin + Duration::from_millis(50) * step;
+        retries.requested(&service, now);
+        moved += u32::from(retries.take_spare(&service, 1, now));
+        moved += u32::from(retries.take_spare(&service, 1, now));
+    }
+    for step in 200..220 {
+        let now = begin + Duration::from_millis(50) * step;
+        sent += u32::from(retries.take(&service, 1, now));
+        sent += u32::from(retries.take(&service, 1, now));
+    }
+    let allowed = 200.0 * 0.8 + 150.0 / 8.0;
+    assert!(moved > 20, "{moved}");
+    assert!(f64::from(moved) <= allowed / 2.0, "{moved}");
+    assert_eq!(sent, 40);
+}
--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -56,6 +56,9 @@
         let Some(better) = self.better_engine(from) else {
             return true;
         };
+        if !self.run.may_move() {
+            return true;
+        }
         let to = better.key;
         match self.order(from, &better).await {
             Moved::Stopped { handle, is_copied } => {
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -335,6 +335,13 @@
         }
     }
 
+    /// Returns whether the budget has a send that can be left out.
+    pub(super) fn may_move(&self) -> bool {
+        let instances = self.site.instances();
+        let mut retries = self.site.retries();
+        retries.take_spare(&self.wish.service, instances, Instant::now())
+    }
+
     fn may_send_again(&self) -> bool {
         let instances = self.site.instances();
         let mut retries = self.site.retries();
