--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -114,6 +114,10 @@
 }
 
 impl Line {
+    pub(crate) const fn at_ms(&self) -> i64 {
+        self.at_ms
+    }
+
     fn is_of(&self, request: &str) -> bool {
         self.value("request") == Some(request)
     }
@@ -129,14 +133,14 @@
         CONTEXT.contains(&self.message.as_str()) || is_of_target()
     }
 
-    fn value(&self, name: &str) -> Option<&str> {
+    pub(crate) fn value(&self, name: &str) -> Option<&str> {
         self.values.get(name)?.as_str()
     }
 }
 
 /// Reads the lines of a source. What stands before the JSON of a line may end with the name of the
 /// instance, as where the lines of several are collected.
-fn lines<'a>(source: &'a Source<'_>) -> impl Iterator<Item = Line> + 'a {
+pub(crate) fn lines<'a>(source: &'a Source<'_>) -> impl Iterator<Item = Line> + 'a {
     source.text.lines().filter_map(|text| {
         let (before, json) = text.split_at(text.find('{')?);
         let form: Form = serde_json::from_str(json).ok()?;
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -62,6 +62,13 @@
             /// Files of log lines, one or several an instance.
             repeated files: PathBuf
         }
+        /// Counts what became of routed requests and when, from the log lines of instances.
+        cmd losses {
+            /// Seconds of a row; 2 if it is left out.
+            optional --part part: u64
+            /// Files of log lines, one or several an instance.
+            repeated files: PathBuf
+        }
         /// Lists the addresses that callers should use.
         cmd entries {}
         /// Generates an answer.
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -5,10 +5,12 @@
 mod error;
 mod explain;
 mod generation;
+mod losses;
 mod reply;
 
 pub use client::{Client, Entries, EntryAddress};
 pub use error::{ClientError, Problem};
 pub use explain::{explain, ExplainError, Line, Source, Story};
 pub use generation::{Ended, Generation, Prompt, Token};
+pub use losses::{losses, Fate, Loss};
 pub use reply::{Called, Response};
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -41,6 +41,7 @@
         CelerypondCmd::Status(_) => operator::status(&context).await,
         CelerypondCmd::History(_) => operator::history(&context).await,
         CelerypondCmd::Explain(explain) => stories::explain(&context, &explain),
+        CelerypondCmd::Losses(losses) => stories::losses(&context, &losses),
         CelerypondCmd::Entries(_) => caller::entries(&context).await,
         CelerypondCmd::Generate(generate) => caller::generate(&context, generate).await,
         CelerypondCmd::Call(call) => caller::call(&context, call).await,
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -5,4 +5,5 @@
 mod test_documents;
 mod test_explain;
 mod test_failures;
+mod test_losses;
 mod test_waiting;
