--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -107,8 +107,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     lists: HashMap<u64, Heard>,
-    /// What the streams of all lists take. Kept beside them, as each placement asks for it three
-    /// times: with 70 lists of four streams each, a sum made anew took 15 us on one core, and this 0.4.
+    /// What the streams of all lists take. Kept beside them, as each placement asks for it three times
+    /// and a sum of all lists takes most of a placement's time.
     sums: HashMap<u64, Taken>,
     /// Where prompt parts were read last, and when that was heard.
     parts: HashMap<u64, (u64, Instant)>,
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -41,8 +41,7 @@
 /// and sent once more. All instances together may add a share of a service's requests and a slack
 /// in any window. Each instance counts its own requests and repeats over a sliding window, and tells
 /// the others, so that all use one bound: where a few instances have most of the lost streams, their
-/// equal parts would not do (33 of 274 lost streams broke for want of them at 71 instances, counted
-/// in the lines of one day). In the time in which others may not know of it yet an instance takes no
+/// equal parts would not do, and lost streams would break for want of them. In the time in which others may not know of it yet an instance takes no
 /// more than its part of what is left, so that together they do not take it twice. An instance that
 /// hears of no other one has its equal part. Services are counted apart: a plain service has many more
 /// requests than engines have, and would allow their repeats.
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -220,8 +220,7 @@
         let lost = |lease, ended| Err(Box::new(Lost { lease, ended }));
         let opened = match sent {
             Ok(opened) => opened,
-            // An engine that dies while it reads has copied too little: of 218 such copies 4 were taken,
-            // 180 were refused and 29 fell silent, counted in the lines of one day.
+            // An engine that dies while it reads has copied too little; nearly all holders refuse to go on.
             Err(ended) => return lost(lease, ended),
         };
         if opened.status.is_server_error() && self.run.kind().may_repeat() {
