relay: moves have a bound of their own, a part of that on repeats

Each instance bounds its moves by three quarters of the operator's bound, by its own requests and its equal part of the slack; repeats have the whole bound again. A stream is sent without a copy only while the bound has a move for it.

--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -14,8 +14,8 @@
 /// The part of the allowed share and slack that is used. Instances that have just started know too
 /// few others, and divide the slack among too few.
 const MARGIN: f64 = 0.85;
-/// The share of the bound that sends may use that can be left out.
-const SPARE: f64 = 0.75;
+/// The share of the bound on repeats that moves of running streams may reach, counted apart.
+const MOVES_SHARE: f64 = 0.75;
 /// The instances among which the slack is divided at least; one that has just started knows of none.
 const INSTANCES_LEAST: usize = 8;
 /// The parts of a window that are counted on their own.
@@ -41,9 +41,9 @@
 /// and sent once more. All instances together may add a share of a service's requests and a slack
 /// in any window. Each instance counts its own requests and repeats over a sliding window, and tells
 /// the others, so that all use one bound: where a few instances have most of the lost streams, their
-/// equal parts would not do, and lost streams would break for want of them. In the time in which others may not know of it yet an instance takes no
-/// more than its part of what is left, so that together they do not take it twice. An instance that
-/// hears of no other one has its equal part. Services are counted apart: a plain service has many more
+/// equal parts would not do, and lost streams would break for want of them. In the time in which others
+/// may not know of it yet an instance takes no more than its part of what is left, so that together they
+/// do not take it twice. An instance that hears of no other one has its equal part. Services are counted apart: a plain service has many more
 /// requests than engines have, and would allow their repeats.
 ///
 /// # Examples
@@ -97,6 +97,18 @@
         }
     }
 
+    /// Bounds the moves of running streams. A move is no repeat, as the run goes on, though it arrives at its
+    /// service once more. Each instance bounds its own by its own requests and its equal part of the
+    /// slack, and none is taken from what is sent again for want of an answer: when engines die, all their
+    /// streams need one send each at once, and would break for those that others only gained by.
+    pub fn of_moves(bounds: &Bounds) -> Self {
+        Self::new(&Bounds {
+            retry_ratio: bounds.retry_ratio * MOVES_SHARE,
+            retry_slack: bounds.retry_slack * MOVES_SHARE,
+            ..*bounds
+        })
+    }
+
     /// Counts a request of a caller for a service.
     pub fn requested(&mut self, service: &ServiceName, now: Instant) {
         self.slice(service, now).requests += 1;
@@ -123,33 +135,23 @@
     /// Takes one more send, unless too many were taken within the window; `instances` is how many
     /// share the slack.
     pub fn take(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
-        self.take_of(1.0, service, instances, now)
-    }
-
-    /// Takes one more send that can be left out, as the move of a stream that runs. What is sent again for want
-    /// of an answer finds a part of the bound left: when engines die, all their streams need one send each
-    /// at once, and would break for those that others only gained by.
-    pub fn take_spare(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
-        self.take_of(SPARE, service, instances, now)
+        let is_allowed = self.allows(service, instances, now);
+        if is_allowed {
+            self.slice(service, now).repeats += 1;
+        }
+        is_allowed
     }
 
-    /// Takes one more send, unless that exceeds a share of what is allowed.
-    fn take_of(
-        &mut self,
-        share: f64,
-        service: &ServiceName,
-        instances: usize,
-        now: Instant,
-    ) -> bool {
+    /// Returns whether one more send would be taken now.
+    pub fn allows(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
         self.slice(service, now);
         let own = self.own(service);
         let instances = instances.max(INSTANCES_LEAST);
         let known = (self.told.len() + 1).min(instances);
         let slack = self.slack * known as f64 / instances as f64;
         let (requests, repeats) = self.all(own);
-        let allowed = f64::from(requests) * self.ratio + slack;
-        let left = allowed * share - f64::from(repeats);
-        let Some(counts) = self.services.get_mut(service) else {
+        let left = f64::from(requests) * self.ratio + slack - f64::from(repeats);
+        let Some(counts) = self.services.get(service) else {
             return false;
         };
         // A part counts while any of it is so late.
@@ -158,11 +160,7 @@
         let unknown = counts.iter().filter(is_late);
         let unknown = f64::from(unknown.map(|slice| slice.repeats).sum::<u32>());
         let part = (left + unknown) / known as f64;
-        let is_allowed = left >= 1.0 && unknown + 1.0 <= part;
-        if let (true, Some(last)) = (is_allowed, counts.back_mut()) {
-            last.repeats += 1;
-        }
-        is_allowed
+        left >= 1.0 && unknown + 1.0 <= part
     }
 
     fn own(&self, service: &ServiceName) -> Sends {
--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -56,7 +56,7 @@
         let Some(better) = self.better_engine(from) else {
             return true;
         };
-        if !self.run.may_move() {
+        if !self.run.take_move() {
             return true;
         }
         let to = better.key;
@@ -81,7 +81,7 @@
     /// Returns whether a stream will leave an engine as soon as its prompt is read there, by what is known
     /// now. The copy that the engine would keep from the start is then made in vain.
     pub(super) fn will_move(&self, at: TargetKey, copy: Option<&CopyAt>) -> bool {
-        copy.is_none() && self.better_engine(at).is_some()
+        copy.is_none() && self.run.may_move() && self.better_engine(at).is_some()
     }
 
     /// Returns the engine that the stream should move to.
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -79,6 +79,7 @@
         clock: Clock,
     ) -> Self {
         site.retries().requested(&service, Instant::now());
+        site.moves().requested(&service, Instant::now());
         let choice = site.rollouts.versions().choose(&service, Instant::now());
         let wish = Wish {
             service,
@@ -335,11 +336,18 @@
         }
     }
 
-    /// Returns whether the budget has a send that can be left out.
+    /// Returns whether the stream could be moved now, by the bound on moves.
     pub(super) fn may_move(&self) -> bool {
         let instances = self.site.instances();
-        let mut retries = self.site.retries();
-        retries.take_spare(&self.wish.service, instances, Instant::now())
+        let mut moves = self.site.moves();
+        moves.allows(&self.wish.service, instances, Instant::now())
+    }
+
+    /// Takes a move of the stream; returns whether the bound allows it.
+    pub(super) fn take_move(&self) -> bool {
+        let instances = self.site.instances();
+        let mut moves = self.site.moves();
+        moves.take(&self.wish.service, instances, Instant::now())
     }
 
     fn may_send_again(&self) -> bool {
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -41,6 +41,7 @@
     pub(super) connections: Connections,
     pub(super) store: Client,
     retries: Mutex<Retries>,
+    moves: Mutex<Retries>,
     pub(super) peers: Peers,
     pub(super) rollouts: Rollouts,
     pub(super) metrics: Metrics,
@@ -95,6 +96,7 @@
             connections: Connections::default(),
             store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
             retries: Mutex::new(Retries::new(&settings.bounds)),
+            moves: Mutex::new(Retries::of_moves(&settings.bounds)),
             peers: Peers::default(),
             rollouts: Rollouts::default(),
             metrics: Metrics::local(),
@@ -147,6 +149,11 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what bounds the moves of running streams.
+    pub(super) fn moves(&self) -> MutexGuard<'_, Retries> {
+        self.moves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Renders counters, levels and latencies as text.
     pub(super) fn render_metrics(&self) -> String {
         let levels = [
