relay: streams that move at once do not meet at the one best engine; moves have the whole bound, apart

Cause: at 61 instances streams move within the time that lists take to tell of it (61 ms and more), and all chose the one cheapest engine. Among engines that differ by no more than a quarter of a second the prompt's own order decides. And a quarter of the bound left over meant four moves in ten seconds for an instance with five drafts: the rest stayed beside prompts.

--- a/crates/relay/src/relocate.rs
+++ b/crates/relay/src/relocate.rs
@@ -5,11 +5,20 @@
 use celerypond_types::{DataCentre, TargetKey};
 use tokio::time::Instant;
 
-use crate::{place::Loads, Patience, Target, Targets, Want};
+use crate::{
+    place::{rank, Loads},
+    Patience, Target, Targets, Want,
+};
 
 /// What a stream must gain by going on at another engine, in milliseconds. The move itself takes some
 /// ten of them, and what is copied takes memory and room on the way.
 const LEAST_GAIN_MS: f64 = 500.0;
+/// Engines that differ by no more than this, in milliseconds, are as good as each other, and the prompt's own
+/// order decides.
+///
+/// The failure: many instances move streams within the time that their lists take to tell of it. All choose
+/// the one best engine, which then runs more streams than its memory holds.
+const NEARLY_MS: f64 = 250.0;
 /// The part by which each further stream of a batch slows an engine's steps.
 const BATCH_SLOWER: f64 = 0.02;
 /// How many times as long a step takes beside the reading of a prompt.
@@ -91,8 +100,16 @@
                 && loads.has_room(target)
         };
         let others = self.iter().filter(|(key, target)| fits(*key, target));
-        let costs = others.map(|(key, target)| (view.cost_ms(target, false), key));
-        let (cost, key) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let costs = others.map(|(key, target)| (view.cost_ms(target, false), key, target));
+        let costs: Vec<(f64, TargetKey, &Target)> = costs.collect();
+        let least = costs
+            .iter()
+            .map(|(cost, ..)| *cost)
+            .min_by(f64::total_cmp)?;
+        let is_near = |(cost, ..): &&(f64, TargetKey, &Target)| *cost <= least + NEARLY_MS;
+        let affinity = want.affinity.unwrap_or_default();
+        let nearly = costs.iter().filter(is_near);
+        let (cost, key, _) = *nearly.min_by_key(|(_, _, target)| rank(affinity, target))?;
         let here_ms = view.cost_ms(home, true);
         let work = loads.work(home);
         (cost + LEAST_GAIN_MS < here_ms).then_some(Better {
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -14,8 +14,6 @@
 /// The part of the allowed share and slack that is used. Instances that have just started know too
 /// few others, and divide the slack among too few.
 const MARGIN: f64 = 0.85;
-/// The share of the bound on repeats that moves of running streams may reach, counted apart.
-const MOVES_SHARE: f64 = 0.75;
 /// The instances among which the slack is divided at least; one that has just started knows of none.
 const INSTANCES_LEAST: usize = 8;
 /// The parts of a window that are counted on their own.
@@ -97,18 +95,6 @@
         }
     }
 
-    /// Bounds the moves of running streams. A move is no repeat, as the run goes on, though it arrives at its
-    /// service once more. Each instance bounds its own by its own requests and its equal part of the
-    /// slack, and none is taken from what is sent again for want of an answer: when engines die, all their
-    /// streams need one send each at once, and would break for those that others only gained by.
-    pub fn of_moves(bounds: &Bounds) -> Self {
-        Self::new(&Bounds {
-            retry_ratio: bounds.retry_ratio * MOVES_SHARE,
-            retry_slack: bounds.retry_slack * MOVES_SHARE,
-            ..*bounds
-        })
-    }
-
     /// Counts a request of a caller for a service.
     pub fn requested(&mut self, service: &ServiceName, now: Instant) {
         self.slice(service, now).requests += 1;
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -41,6 +41,9 @@
     pub(super) connections: Connections,
     pub(super) store: Client,
     retries: Mutex<Retries>,
+    /// Bounds the moves of running streams as repeats are, but apart. A move is no repeat, as the run goes on. Were
+    /// it taken from the same bound, streams that lose their engines would break for those that others only
+    /// gained by. Each instance has its equal part, as none tells of its moves.
     moves: Mutex<Retries>,
     pub(super) peers: Peers,
     pub(super) rollouts: Rollouts,
@@ -96,7 +99,7 @@
             connections: Connections::default(),
             store: Client::speaking(&store, celerypond_adapter::store::DIALECT),
             retries: Mutex::new(Retries::new(&settings.bounds)),
-            moves: Mutex::new(Retries::of_moves(&settings.bounds)),
+            moves: Mutex::new(Retries::new(&settings.bounds)),
             peers: Peers::default(),
             rollouts: Rollouts::default(),
             metrics: Metrics::local(),
