relay: lines and counters of each transfer of a configuration

A failed call for a configuration left one line, "the platform is down", for a refusal, a silent store and a transfer that ran out of time alike, and "a peer told nothing new" for a peer that had none and one that did not answer in time. The hypotheses of the incident could not be told apart. Each call for a configuration now writes its source, the version wanted and known, the bytes received and the time taken; a failed watch writes the same. Counters: relay.config_fetches, relay.config_fetch_failures, relay.config_bytes; gauge: relay.config_newest. No decision changes.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -21,8 +21,8 @@
     own::OWN,
     path::escape,
     pool::{Lost, Pool},
-    Budget, CallKind, Changes, InstanceList, Listing, Object, PlatformError, Rates, Settled,
-    Version,
+    Budget, CallKind, Changes, InstanceList, Listing, Object, PlatformError, Rates, Received,
+    Settled, Version,
 };
 
 /// The largest value of an object, in bytes.
@@ -62,6 +62,7 @@
     pool: Pool,
     budget: Arc<Mutex<Budget>>,
     dialect: Dialect,
+    received: Received,
 }
 
 impl Client {
@@ -80,9 +81,22 @@
             pool: Pool::new(settings.connect),
             budget: Arc::new(Mutex::new(budget)),
             dialect,
+            received: Received::default(),
         }
     }
 
+    /// Returns a client with the same connections and budget that counts for itself what arrives.
+    ///
+    /// The count begins anew with each call, so one call is made at a time.
+    pub fn counting(&self) -> (Self, Received) {
+        let received = Received::default();
+        let client = Self {
+            received: received.clone(),
+            ..self.clone()
+        };
+        (client, received)
+    }
+
     /// Changes the share of this instance.
     pub fn set_rates(&self, rates: Rates) {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
@@ -300,6 +314,8 @@
             .body(Full::new(body))
             .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))?;
         let turn = self.turn.load(Relaxed);
+        self.received.reset();
+        let collect = async |response| collect(response, &self.received).await;
         let answer = self.pool.call(request, limit, collect).await;
         let is_down = |answer: &std::result::Result<Answer, PlatformError>| matches!(answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE);
         if answer.as_ref().map_or(true, is_down) {
@@ -368,8 +384,15 @@
     }
 }
 
-async fn collect(response: Response<Incoming>) -> std::result::Result<Answer, PlatformError> {
+async fn collect(
+    response: Response<Incoming>,
+    received: &Received,
+) -> std::result::Result<Answer, PlatformError> {
     let (parts, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
+        received.add(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
     let body = Limited::new(body, ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| match error.is::<LengthLimitError>() {
         true => PlatformError::TooLarge,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 mod own;
 mod path;
 mod pool;
+mod received;
 mod settled;
 
 pub use budget::{Budget, CallKind, Rates};
@@ -21,4 +22,5 @@
 pub use error::PlatformError;
 pub use instances::{Instance, InstanceList, Presence, Target};
 pub use object::{Change, Changes, Listing, Object, Version};
+pub use received::Received;
 pub use settled::Settled;
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -102,6 +102,12 @@
         LINK_TIME.saturating_mul(told).min(GAP_MOST)
     }
 
+    /// Returns the newest version of the configuration of which a word is relied on.
+    pub fn newest_config(&self) -> u64 {
+        let words = self.words.values();
+        words.map(|(word, _)| word.config).max().unwrap_or_default()
+    }
+
     /// Takes in the word of another instance.
     pub fn hear(&mut self, word: Word, now: Instant) {
         self.words.insert(word.origin, (word, now));
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -105,6 +105,12 @@
         TargetsFound = "relay.targets_found",
         /// Times that the store did not answer after it had.
         StoreLosses = "relay.store_losses",
+        /// Configurations taken from the store or from another instance.
+        ConfigFetches = "relay.config_fetches",
+        /// Calls for a configuration that brought none.
+        ConfigFetchFailures = "relay.config_fetch_failures",
+        /// Bytes received by calls for configurations, those that failed included.
+        ConfigBytes = "relay.config_bytes",
         /// Log lines that were left out.
         LinesLeftOut = "log.lines_left_out",
     }
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -23,6 +23,8 @@
         Connections = "front.connections",
         /// The version of the configuration in force for routed requests.
         ConfigVersion = "relay.config_version",
+        /// The newest version of the configuration that this instance has heard of.
+        ConfigNewest = "relay.config_newest",
         /// Targets that routed requests may go to.
         RoutedTargets = "relay.targets",
         /// Milliseconds since the store last told of targets.
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -140,8 +140,19 @@
 
 /// Asks a peer for a configuration of at least this version; returns whether it told one.
 async fn ask_config(site: &Site, peer: SocketAddr, version: u64) -> bool {
+    let begun = Instant::now();
     let told = timeout(ANSWER_CONFIG, site.peers.bundle(peer, Revision(version))).await;
+    let is_answered = matches!(told, Ok(Ok(_)));
     let told = told.ok().and_then(Result::ok).flatten();
+    log::info!(
+        source:% = peer,
+        wanted = version,
+        known = site.known.version(),
+        is_answered,
+        received = told.as_ref().map_or(0, Vec::len),
+        took_ms = begun.elapsed().as_millis() as u64;
+        "configuration fetched"
+    );
     let Some(config) = read::<Config>(peer, "configuration", told) else {
         return false;
     };
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -148,6 +148,13 @@
         self.fleet.load().group.len() + 1
     }
 
+    /// Returns the newest version of the configuration that this instance has heard of.
+    pub(super) fn newest_config(&self) -> u64 {
+        let gossip = self.gossip().facts().revision().0;
+        let watchers = self.duty.watchers().newest_config();
+        gossip.max(watchers).max(self.known.version())
+    }
+
     pub(super) fn retries(&self) -> MutexGuard<'_, Retries> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -161,6 +168,7 @@
     pub(super) fn render_metrics(&self) -> String {
         let levels = [
             (Gauge::ConfigVersion, self.known.version()),
+            (Gauge::ConfigNewest, self.newest_config()),
             (Gauge::RoutedTargets, self.known.targets().len() as u64),
             (Gauge::OpenRequests, self.open.load(Relaxed)),
             (Gauge::Connections, self.served.len() as u64),
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::{config, store, target};
-use celerypond_platform::{Changes, Listing, PlatformError, Version};
+use celerypond_platform::{Changes, Client, Listing, PlatformError, Received, Version};
 use celerypond_relay::{Change, StoreRest, TargetEntry, Watchers};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetName;
@@ -99,6 +99,7 @@
     let mut is_lost = false;
     let mut gathered = Duration::ZERO;
     let mut failed = StoreRest::default();
+    let (store, received) = site.store.counting();
     while !site.ending.is_cancelled() {
         if site.known.is_complete() && !site.duty.must_watch() {
             // Others tell what is new; what they know is newer than what was seen here.
@@ -114,9 +115,10 @@
             true => None,
             false => since.max((kind.told)(site)),
         };
+        let begun = Instant::now();
         let step = tokio::select! {
             () = site.ending.cancelled() => return,
-            step = step(site, kind, from, gathered) => step,
+            step = step(site, &store, kind, from, gathered) => step,
         };
         match step {
             Ok(revision) => {
@@ -141,6 +143,14 @@
                     must_list = true;
                     continue;
                 }
+                log::info!(
+                    kind = kind.prefix,
+                    since = from.map(|from| from.0),
+                    error:% = error,
+                    received = received.bytes(),
+                    took_ms = begun.elapsed().as_millis() as u64;
+                    "watch failed"
+                );
                 if !std::mem::replace(&mut is_lost, true) {
                     (kind.lost)(site, true);
                     log::warn!(kind = kind.prefix, error:% = error; "store lost");
@@ -190,13 +200,14 @@
 
 async fn step(
     site: &Site,
+    store: &Client,
     kind: Kind,
     since: Option<Version>,
     gathered: Duration,
 ) -> Result<Version, Report<PlatformError>> {
     let Some(since) = since else {
         let begun = Instant::now();
-        let listing = site.store.list_all(kind.prefix).await?;
+        let listing = store.list_all(kind.prefix).await?;
         site.latencies.add(Latency::Store, begun.elapsed());
         let revision = listing.revision;
         (kind.list)(site, listing);
@@ -205,7 +216,7 @@
     // Others rely on an answer of the store within this time.
     let wait = site.settings.load().bounds.watch_wait();
     let wait = wait.saturating_sub(gathered);
-    let changes = site.store.watch(kind.prefix, since, wait).await?;
+    let changes = store.watch(kind.prefix, since, wait).await?;
     let revision = changes.revision;
     (kind.change)(site, changes);
     Ok(revision.max(since))
@@ -214,19 +225,47 @@
 /// Reads the configuration once; returns whether it then has at least this version.
 pub(super) async fn read_config(site: &Site, version: u64) -> bool {
     let begun = Instant::now();
-    match site.store.get(store::CONFIG_KEY).await {
-        Ok(object) => {
-            site.latencies.add(Latency::Store, begun.elapsed());
-            take_config(site, &object.key, &object.value);
-        }
-        Err(report) => {
-            let error = report.current_context();
-            log::info!(version, error:% = error; "the store told no configuration");
-        }
+    let (store, received) = site.store.counting();
+    let object = store.get(store::CONFIG_KEY).await;
+    let error = object
+        .as_ref()
+        .err()
+        .map(|report| *report.current_context());
+    note_fetch(site, "store", version, error, &received, begun);
+    if let Ok(object) = object {
+        site.latencies.add(Latency::Store, begun.elapsed());
+        take_config(site, &object.key, &object.value);
     }
     site.known.version() >= version
 }
 
+/// Counts a call for a configuration and writes its line.
+fn note_fetch(
+    site: &Site,
+    source: &str,
+    wanted: u64,
+    error: Option<PlatformError>,
+    received: &Received,
+    begun: Instant,
+) {
+    let bytes = received.bytes();
+    let counter = match error {
+        None => Counter::ConfigFetches,
+        Some(_) => Counter::ConfigFetchFailures,
+    };
+    site.metrics.add(counter, 1);
+    site.metrics.add(Counter::ConfigBytes, bytes);
+    log::info!(
+        source,
+        wanted,
+        known = site.known.version(),
+        error = error.map(|error| error.to_string()),
+        received = bytes,
+        took_ms = begun.elapsed().as_millis() as u64;
+        "configuration fetched"
+    );
+}
+
 async fn rest(site: &Site, error: PlatformError, bounds: RangeInclusive<Duration>) {
     let least = match error {
         PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
