--- a/daemon/tests/soak/faults.rs
+++ b/daemon/tests/soak/faults.rs
@@ -2,12 +2,12 @@
 
 use std::{os::unix::process::ExitStatusExt as _, time::Duration};
 
-use celerypond_standins::store::Mode;
+use celerypond_standins::{proxy::Link, store::Mode};
 use rand::{rngs::SmallRng, Rng as _};
 use rustix::process::Signal;
 use tokio::time::{sleep, Instant};
 
-use crate::{fleet::Fleet, proxy::Link};
+use crate::fleet::Fleet;
 
 /// What is undone when a fault is over.
 #[derive(Clone, Copy, Debug)]
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -17,7 +17,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::proxy::Proxy;
+use celerypond_standins::proxy::Proxy;
 
 /// Seeds that each instance knows at most, as on the platform.
 const SEEDS: usize = 3;
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -6,7 +6,6 @@
 mod callers;
 mod faults;
 mod fleet;
-mod proxy;
 mod record;
 
 use std::{env, time::Duration};
