platform: the timeout of a call is for each part of its answer, not for the whole

Callers saw requests handled by a configuration that had been replaced more than the bound before. Cause: the client gave a call 0.7 s for its whole answer. A configuration of 800 KB takes 0.65 s of a link of 10 Mbit/s that carries nothing else; with anything beside it the call ended in the middle, and the next one began again from the first byte.

Now the head of the answer has the timeout, and so has each pause in its body; a body that keeps arriving may take ten times as long, so a connection that delivers a byte now and then still ends. A silent store is found out as soon as before.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,24 +11,23 @@
 
 use bytes::Bytes;
 use error_stack::Report;
-use http::{header::RETRY_AFTER, request::Builder, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http::{header::RETRY_AFTER, request::Builder, Method, Request, StatusCode};
+use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::{
     dialect::{Answer, Call, Dialect},
     own::OWN,
     path::escape,
-    pool::{Lost, Pool},
+    pool::{Limits, Lost, Pool},
     Budget, CallKind, Changes, InstanceList, Listing, Object, PlatformError, Rates, Received,
     Settled, Version,
 };
 
 /// The largest value of an object, in bytes.
 const VALUE_BYTES: usize = 1 << 20;
-/// The largest answer that is read, in bytes.
-const ANSWER_BYTES: usize = 64 << 20;
+/// How many times the timeout of a call the body of its answer may take.
+const BODY_TIMEOUTS: u32 = 10;
 /// How many objects one call of a list asks for.
 const PAGE: usize = 500;
 /// When to come back if the platform does not say.
@@ -43,7 +42,8 @@
     pub addresses: Vec<SocketAddr>,
     /// How long a connection may take.
     pub connect: Duration,
-    /// How long a call may take, its connection included; a watch has its wait on top.
+    /// How long the head of an answer may take, the connection included, and each pause in its body. A watch has its
+    /// wait on top. A body that keeps arriving may take ten times as long.
     pub timeout: Duration,
     /// The share of this instance.
     pub rates: Rates,
@@ -51,8 +51,8 @@
 
 /// A client of the platform; a clone shares its connections and its budget.
 ///
-/// Every call ends within its timeout. A connection whose answer did not arrive in time is closed
-/// and never used again, see [`Settings::timeout`].
+/// Every call ends, see [`Settings::timeout`]. A connection whose answer did not arrive in time is closed and
+/// never used again.
 #[derive(Clone, Debug)]
 pub struct Client {
     addresses: Arc<[SocketAddr]>,
@@ -314,16 +314,20 @@
             .body(Full::new(body))
             .map_err(|error| Report::new(error).change_context(PlatformError::Malformed))?;
         let turn = self.turn.load(Relaxed);
+        let limits = Limits {
+            head: limit,
+            pause: self.timeout,
+            body: self.timeout * BODY_TIMEOUTS,
+        };
         self.received.reset();
-        let collect = async |response| collect(response, &self.received).await;
-        let answer = self.pool.call(request, limit, collect).await;
-        let is_down = |answer: &std::result::Result<Answer, PlatformError>| matches!(answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE);
-        if answer.as_ref().map_or(true, is_down) {
+        let answer = self.pool.call(request, limits, &self.received).await;
+        let is_down =
+            matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE);
+        if answer.is_err() || is_down {
             self.turn_from(turn);
         }
         answer
             .map_err(|lost| no_answer(kind, lost))
-            .and_then(|answer| answer.map_err(|error| cut_off(kind, error)))
             .and_then(|answer| answer.check(kind))
             .map_err(Report::new)
     }
@@ -384,39 +388,12 @@
     }
 }
 
-async fn collect(
-    response: Response<Incoming>,
-    received: &Received,
-) -> std::result::Result<Answer, PlatformError> {
-    let (parts, body) = response.into_parts();
-    let body = body.map_frame(|frame| {
-        received.add(frame.data_ref().map_or(0, Bytes::len));
-        frame
-    });
-    let body = Limited::new(body, ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
-        true => PlatformError::TooLarge,
-        false => PlatformError::Down,
-    })?;
-    Ok(Answer {
-        status: parts.status,
-        headers: parts.headers,
-        body: body.to_bytes(),
-    })
-}
-
-/// A lost connection proves nothing about a write unless it was never made.
+/// A call without an answer proves nothing about a write unless nothing was sent.
 const fn no_answer(kind: CallKind, lost: Lost) -> PlatformError {
     match (kind, lost) {
-        (CallKind::Write, Lost::Sent) => PlatformError::Ambiguous,
-        (CallKind::Read, _) | (CallKind::Write, Lost::Unsent) => PlatformError::Down,
-    }
-}
-
-/// An answer that broke off came after the write was processed, in a way that was not read.
-const fn cut_off(kind: CallKind, error: PlatformError) -> PlatformError {
-    match kind {
-        CallKind::Write => PlatformError::Ambiguous,
-        CallKind::Read => error,
+        (_, Lost::Unsent) => PlatformError::Down,
+        (CallKind::Write, _) => PlatformError::Ambiguous,
+        (CallKind::Read, Lost::TooLarge) => PlatformError::TooLarge,
+        (CallKind::Read, Lost::Broken | Lost::Silent) => PlatformError::Down,
     }
 }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -3,17 +3,22 @@
 use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use bytes::{Bytes, BytesMut};
+use http::Request;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use tokio::time::timeout;
+
+use crate::{dialect::Answer, Received};
 
 type Connections = legacy::Client<HttpConnector, Full<Bytes>>;
 
+/// The largest answer that is read, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
 /// How long a connection without a call is kept.
 const IDLE: Duration = Duration::from_secs(20);
 /// The most connections without a call that are kept.
@@ -31,13 +36,28 @@
     connect: Duration,
 }
 
-/// A call that had no answer in time or lost its connection.
+/// How long the parts of one call may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Until the head of the answer is there, the connection included.
+    pub(crate) head: Duration,
+    /// Between two parts of its body.
+    pub(crate) pause: Duration,
+    /// For the whole body.
+    pub(crate) body: Duration,
+}
+
+/// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Lost {
     /// No connection could be made, so nothing was sent.
     Unsent,
-    /// The request may have been sent.
-    Sent,
+    /// The connection broke; the request may have been processed.
+    Broken,
+    /// Nothing arrived in time; the request may have been processed.
+    Silent,
+    /// The answer is larger than allowed.
+    TooLarge,
 }
 
 impl Pool {
@@ -48,23 +68,19 @@
         }
     }
 
-    /// Sends `request`, and reads its answer by `read`, within `limit`.
-    pub(crate) async fn call<T>(
+    /// Sends `request` and reads its answer; `received` counts what arrives.
+    pub(crate) async fn call(
         &self,
         request: Request<Full<Bytes>>,
-        limit: Duration,
-        read: impl AsyncFnOnce(Response<Incoming>) -> T,
-    ) -> Result<T, Lost> {
+        limits: Limits,
+        received: &Received,
+    ) -> Result<Answer, Lost> {
         let connections = self.current.load_full();
-        let exchange = async { Ok(read(connections.request(request).await?).await) };
-        match tokio::time::timeout(limit, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(lost(&error)),
-            Err(_elapsed) => {
-                self.replace(&connections);
-                Err(Lost::Sent)
-            }
+        let answer = exchange(&connections, request, limits, received).await;
+        if matches!(answer, Err(Lost::Silent)) {
+            self.replace(&connections);
         }
+        answer
     }
 
     fn replace(&self, silent: &Arc<Connections>) {
@@ -74,11 +90,51 @@
     }
 }
 
+async fn exchange(
+    connections: &Connections,
+    request: Request<Full<Bytes>>,
+    limits: Limits,
+    received: &Received,
+) -> Result<Answer, Lost> {
+    let response = timeout(limits.head, connections.request(request)).await;
+    let response = response.map_err(|_| Lost::Silent)?;
+    let (parts, body) = response.map_err(|error| lost(&error))?.into_parts();
+    let body = timeout(limits.body, collect(body, limits.pause, received)).await;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.map_err(|_| Lost::Silent)??,
+    })
+}
+
+/// Reads a body to its end.
+///
+/// The limit is on the pause between two parts: a limit on the whole body would end each transfer that is larger
+/// than the link carries within it, and the next call would begin again from the first byte.
+async fn collect(body: Incoming, pause: Duration, received: &Received) -> Result<Bytes, Lost> {
+    let mut body = Limited::new(body, ANSWER_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(pause, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Lost::Silent)? else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+            true => Lost::TooLarge,
+            false => Lost::Broken,
+        })?;
+        if let Some(data) = frame.data_ref() {
+            received.add(data.len());
+            bytes.extend_from_slice(data);
+        }
+    }
+}
+
 fn lost(error: &legacy::Error) -> Lost {
     if error.is_connect() {
         Lost::Unsent
     } else {
-        Lost::Sent
+        Lost::Broken
     }
 }
 
--- a/crates/platform/tests/server.rs
+++ b/crates/platform/tests/server.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Reply {
     Send(String),
     Late(Duration, String),
+    /// Sends the text in pieces, with this pause before each.
+    Trickle(Duration, Vec<String>),
     Silent,
     Close,
     SendClose(String),
@@ -88,6 +90,12 @@
                 tokio::time::sleep(wait).await;
                 _ = stream.write_all(text.as_bytes()).await;
             }
+            Reply::Trickle(pause, pieces) => {
+                for piece in pieces {
+                    tokio::time::sleep(pause).await;
+                    _ = stream.write_all(piece.as_bytes()).await;
+                }
+            }
             Reply::Silent => std::future::pending().await,
             Reply::Close => return,
             Reply::SendClose(text) => {
--- a/crates/platform/tests/test_connections.rs
+++ b/crates/platform/tests/test_connections.rs
@@ -67,3 +67,34 @@
         assert_eq!(platform.get("k").await.unwrap().version, Version(5));
     }
 }
+
+fn trickle(pause: Duration, pieces: usize) -> Reply {
+    let body = "x".repeat(pieces);
+    let head = text("200 OK", "etag: \"5\"\r\n", &body);
+    let head = head.trim_end_matches('x').to_owned();
+    let pieces = std::iter::repeat_n("x".to_owned(), pieces);
+    Reply::Trickle(pause, [head].into_iter().chain(pieces).collect())
+}
+
+// Guards against a transfer over a narrow link that is given up in the middle and begun again for ever.
+#[tokio::test]
+async fn answer_that_keeps_arriving_is_read_to_its_end() {
+    let pause = TIMEOUT / 3;
+    let server = Server::start(move |_, _, _| trickle(pause, 9)).await;
+    let platform = client(server.address, PLENTY);
+    let (counting, received) = platform.counting();
+    let object = counting.get("k").await.unwrap();
+    assert_eq!((object.value.len(), received.bytes()), (9, 9));
+}
+
+// Guards against a connection that delivers a byte now and then and holds up its caller for good.
+#[tokio::test]
+async fn answer_that_never_ends_is_given_up() {
+    let pause = TIMEOUT / 3;
+    let server = Server::start(move |_, _, _| trickle(pause, 1_000)).await;
+    let platform = client(server.address, PLENTY);
+    let begun = tokio::time::Instant::now();
+    let error = platform.get("k").await.unwrap_err();
+    assert_eq!(*error.current_context(), PlatformError::Down);
+    assert!(begun.elapsed() < TIMEOUT * 15);
+}
