relay: one task makes all transfers of a configuration, and watches go on from what is known

Callers saw requests handled by a configuration that had been replaced more than the bound before.

- One task brings the configuration up to date.
It watches, or fetches what others know; while a transfer is under way none is begun.
A watch that does not begin to tell of a version that others know within 0.4 s is given up for a fetch.
- Instances that take up the watch go on from the revision at which their version was last seen, which watchers' words now tell.
- Other instances are asked where the store does not begin to answer, drawn anew each time, and each sends two large answers at a time.

Watches of targets are a module of their own now; the half of Watchers::ahead about configurations moved to Freshness, with tests there.

--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -24,6 +24,8 @@
     pub revision: u64,
     /// The version of the configuration that it knows.
     pub config: u64,
+    /// A revision of the store at which that was the newest version; 0 where none is known.
+    pub config_revision: u64,
     /// The time since the store's last answer to it, in milliseconds.
     pub age_ms: u32,
 }
@@ -46,9 +48,9 @@
 /// let now = Instant::now();
 /// let mut watchers = Watchers::new(Duration::from_millis(800));
 /// assert!(watchers.must_watch(false, now));
-/// watchers.hear(Word { origin: 1, revision: 7, config: 2, age_ms: 300 }, now);
+/// watchers.hear(Word { origin: 1, revision: 7, config: 2, config_revision: 6, age_ms: 300 }, now);
 /// assert!(!watchers.must_watch(false, now));
-/// assert_eq!(watchers.ahead(6, 2, now).map(|word| word.origin), Some(1));
+/// assert_eq!(watchers.ahead(6, now).map(|word| word.origin), Some(1));
 /// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
 /// ```
 #[derive(Clone, Debug)]
@@ -102,12 +104,6 @@
         LINK_TIME.saturating_mul(told).min(GAP_MOST)
     }
 
-    /// Returns the newest version of the configuration of which a word is relied on.
-    pub fn newest_config(&self) -> u64 {
-        let words = self.words.values();
-        words.map(|(word, _)| word.config).max().unwrap_or_default()
-    }
-
     /// Takes in the word of another instance.
     pub fn hear(&mut self, word: Word, now: Instant) {
         self.words.insert(word.origin, (word, now));
@@ -133,13 +129,14 @@
                 .any(|word| is_relied_on(word, self.relied(), now))
     }
 
-    /// Returns the word of an instance that knows more than this revision or this configuration.
-    pub fn ahead(&self, revision: u64, config: u64, now: Instant) -> Option<Word> {
+    /// Returns the word of the instance that knows the targets up to the highest revision, if that is more
+    /// than this one.
+    pub fn ahead(&self, revision: u64, now: Instant) -> Option<Word> {
         let words = self.words.values();
         let relied = words.filter(|word| is_relied_on(word, self.relied(), now));
-        let ahead = relied.filter(|(word, _)| word.revision > revision || word.config > config);
+        let ahead = relied.filter(|(word, _)| word.revision > revision);
         ahead
-            .max_by_key(|(word, _)| (word.config, word.revision))
+            .max_by_key(|(word, _)| word.revision)
             .map(|(word, _)| *word)
     }
 }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_death;
 mod test_entries;
 mod test_events;
+mod test_freshness;
 mod test_groups;
 mod test_lists;
 mod test_placement;
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -226,6 +226,7 @@
         origin: 1,
         revision: 5,
         config: 2,
+        config_revision: 5,
         age_ms,
     };
     watchers.hear(word(850), now);
@@ -234,29 +235,30 @@
     assert!(watchers.must_watch(false, now + Duration::from_millis(300)));
     watchers.hear(word(1_200), now);
     assert!(watchers.must_watch(false, now));
-    assert_eq!(watchers.ahead(0, 0, now), None);
+    assert_eq!(watchers.ahead(0, now), None);
 }
 
-/// A watcher says that there is a new version, and is cut off before it is asked. The other watcher is
+/// A watcher says that targets have changed, and is cut off before it is asked. The other watcher is
 /// asked next, and where there is none, the store.
 #[test]
 fn a_watcher_that_does_not_answer_is_not_waited_for() {
     let now = Instant::now();
     let mut watchers = Watchers::new(Duration::from_millis(800));
-    for (origin, config) in [(1, 9), (2, 8)] {
+    for (origin, revision) in [(1, 9), (2, 8)] {
         let word = Word {
             origin,
-            revision: 5,
-            config,
+            revision,
+            config: 5,
+            config_revision: 4,
             age_ms: 10,
         };
         watchers.hear(word, now);
     }
-    assert_eq!(origin(watchers.ahead(5, 7, now)), Some(1));
+    assert_eq!(origin(watchers.ahead(7, now)), Some(1));
     watchers.forget(1);
-    assert_eq!(origin(watchers.ahead(5, 7, now)), Some(2));
+    assert_eq!(origin(watchers.ahead(7, now)), Some(2));
     watchers.forget(2);
-    assert_eq!(watchers.ahead(5, 7, now), None);
+    assert_eq!(watchers.ahead(7, now), None);
     assert!(watchers.must_watch(false, now));
 }
 
@@ -264,18 +266,19 @@
 fn only_whoever_knows_more_is_asked() {
     let now = Instant::now();
     let mut watchers = Watchers::new(Duration::from_millis(800));
-    for (origin, revision, config) in [(1, 5, 2), (2, 7, 2), (3, 4, 1)] {
+    for (origin, revision) in [(1, 5), (2, 7), (3, 4)] {
         let word = Word {
             origin,
             revision,
-            config,
+            config: 2,
+            config_revision: 4,
             age_ms: 10,
         };
         watchers.hear(word, now);
     }
-    assert_eq!(origin(watchers.ahead(4, 2, now)), Some(2));
-    assert_eq!(origin(watchers.ahead(7, 1, now)), Some(2));
-    assert_eq!(watchers.ahead(7, 2, now), None);
+    assert_eq!(origin(watchers.ahead(4, now)), Some(2));
+    assert_eq!(origin(watchers.ahead(6, now)), Some(2));
+    assert_eq!(watchers.ahead(7, now), None);
 }
 
 /// The store was away for long and comes back with an empty list, as all entries have lapsed. The
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod board;
 mod callers;
+mod config_sync;
 mod connections;
 mod control;
 mod copies;
@@ -32,6 +33,7 @@
 mod site;
 mod start;
 mod stop;
+mod store_rest;
 mod stream;
 mod watch_duty;
 mod watches;
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use celerypond_relay::{Lists, Note, Notes, Placements, Report, Stage, Watchers, Word};
+use celerypond_relay::{
+    Lists, Note, Notes, Observation, Placements, Report, Stage, Watchers, Word,
+};
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
@@ -84,16 +86,28 @@
             site.known.targets().hear(list, now);
         }
         Ok(Datagram::Notes(notes)) => site.known.targets().hear_notes(&notes, Instant::now()),
-        Ok(Datagram::Word(word)) => {
-            site.duty.watchers().hear(word, Instant::now());
-            follow::ask_for_news(site);
-        }
+        Ok(Datagram::Word(word)) => hear_word(site, word),
         Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage),
         Ok(Datagram::Report(service, report)) => site.rollouts.hear_report(&service, report),
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
 }
 
+fn hear_word(site: &Arc<Site>, word: Word) {
+    let now = Instant::now();
+    let age = Duration::from_millis(word.age_ms.into());
+    site.duty.watchers().hear(word, now);
+    site.known.observe(Observation {
+        version: word.config,
+        revision: word.config_revision,
+        at: now.checked_sub(age).unwrap_or(now),
+    });
+    if word.config > site.known.version() {
+        site.newer_config.notify_one();
+    }
+    follow::ask_for_news(site);
+}
+
 async fn tell(site: &Site, socket: &UdpSocket, lists: &mut Lists) {
     let sequence = site.sequence.fetch_add(1, Relaxed) + 1;
     let fleet = site.fleet.load_full();
@@ -144,6 +158,7 @@
         origin: fleet.origin,
         revision,
         config,
+        config_revision: site.known.config_revision().unwrap_or_default(),
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     };
     send(socket, &fleet.told, &Datagram::Word(word)).await;
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use celerypond_relay::{Change, Config, News, Table, TargetEntry, Targets};
+use celerypond_relay::{Change, Config, Freshness, News, Observation, Table, TargetEntry, Targets};
 use celerypond_types::{DataCentre, TargetKey};
 use rand::Rng as _;
 use tokio::{sync::Notify, time::Instant};
@@ -29,6 +29,7 @@
 /// What an instance knows of the store.
 pub(super) struct Knowledge {
     table: ArcSwap<Table>,
+    freshness: Mutex<Freshness>,
     targets: Mutex<Targets>,
     has_config: AtomicBool,
     has_targets: AtomicBool,
@@ -49,6 +50,7 @@
         targets.lateness = rand::rng().random();
         Self {
             table: ArcSwap::default(),
+            freshness: Mutex::default(),
             targets: Mutex::new(targets),
             has_config: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
@@ -69,6 +71,23 @@
         self.table.load().config().version
     }
 
+    /// Returns how recent the configuration in force is.
+    pub(super) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in which configuration the store was seen to hold.
+    pub(super) fn observe(&self, seen: Observation) {
+        self.freshness().observe(seen);
+    }
+
+    /// Returns a revision of the store at which the configuration in force was the newest one, if that is known.
+    pub(super) fn config_revision(&self) -> Option<u64> {
+        self.freshness().revision()
+    }
+
     /// Returns whether configuration and targets are known.
     pub(super) fn is_complete(&self) -> bool {
         self.has_config() && self.has_targets()
@@ -119,6 +138,7 @@
         }
         let version = config.version;
         self.table.store(Arc::new(Table::new(config)));
+        self.freshness().hold(version);
         self.has_config.store(true, Relaxed);
         self.told.notify_one();
         log::info!(version, before = known, source:? = source; "configuration in force");
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -5,29 +5,30 @@
 use celerypond_fleet::{accept, Message, Peer};
 use celerypond_relay::pack;
 use celerypond_types::{Attempt, RequestKey, Revision};
+use serde::Serialize;
 use tarpc::context::Context;
 use tokio::{net::TcpListener, sync::Semaphore, time::Instant};
 
 use super::{members, site::Site};
 use crate::listening;
 
-/// How many others are told all targets at a time.
+/// How many transfers of all targets or of a configuration go to other instances at a time.
 ///
-/// The failure: a large fleet starts at once, and whoever has the list of targets is asked for it by many. A list
-/// of 3,000 engines takes a quarter of a second of a link of 10 Mbit/s; several at once are each too late
-/// for those who asked, who then ask the next one, and all links are full of lists that nobody waits for.
-const WHOLE_LISTS: usize = 2;
-/// How long a byte of a list takes the link, about 8 Mbit/s; by that its turn is over.
+/// The failure: many ask one instance at once, and each answer takes a part of a second of a narrow link. Several at
+/// once are all too late for those who asked, who then ask the next one, and all links are full of answers that nobody
+/// waits for.
+const TRANSFERS: usize = 2;
+/// How long a byte of a transfer takes a link of about 8 Mbit/s; by that its turn is over.
 const LINK_BYTE: Duration = Duration::from_micros(1);
 
 /// Answers the calls of other instances until the instance ends.
 pub(super) async fn run(site: Arc<Site>, listener: TcpListener) {
     let ending = site.ending.clone();
-    let lists = Arc::new(Semaphore::new(WHOLE_LISTS));
+    let transfers = Arc::new(Semaphore::new(TRANSFERS));
     listening::serve(listener, ending, |socket| {
         let server = Server {
             site: Arc::clone(&site),
-            lists: Arc::clone(&lists),
+            transfers: Arc::clone(&transfers),
         };
         async move {
             // A peer that goes away in the middle is an ordinary end.
@@ -42,7 +43,21 @@
 #[derive(Clone)]
 struct Server {
     site: Arc<Site>,
-    lists: Arc<Semaphore>,
+    transfers: Arc<Semaphore>,
+}
+
+impl Server {
+    /// Packs a large answer, unless as many as the link carries are under way.
+    fn transfer<T: Serialize>(&self, told: &T) -> Option<Vec<u8>> {
+        let turn = Arc::clone(&self.transfers).try_acquire_owned().ok()?;
+        let bytes = pack(told);
+        let time = LINK_BYTE.saturating_mul(u32::try_from(bytes.len()).unwrap_or(u32::MAX));
+        self.site.tasks.spawn(async move {
+            tokio::time::sleep(time).await;
+            drop(turn);
+        });
+        Some(bytes)
+    }
 }
 
 impl Peer for Server {
@@ -65,23 +80,16 @@
     }
 
     async fn bundle(self, _: Context, revision: Revision) -> Option<Vec<u8>> {
-        let config = self.site.known.config_since(revision.0);
-        config.map(|table| pack(table.config()))
+        let table = self.site.known.config_since(revision.0)?;
+        self.transfer(table.config())
     }
 
     async fn changes(self, _: Context, since: u64) -> Option<Vec<u8>> {
         let news = self.site.known.news(since)?;
-        if !news.is_whole {
-            return Some(pack(&news));
+        match news.is_whole {
+            true => self.transfer(&news),
+            false => Some(pack(&news)),
         }
-        let turn = self.lists.try_acquire_owned().ok()?;
-        let bytes = pack(&news);
-        let time = LINK_BYTE.saturating_mul(u32::try_from(bytes.len()).unwrap_or(u32::MAX));
-        self.site.tasks.spawn(async move {
-            tokio::time::sleep(time).await;
-            drop(turn);
-        });
-        Some(bytes)
     }
 
     async fn rollouts(self, _: Context, _: Vec<u8>) -> Vec<u8> {
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -73,8 +73,8 @@
     gossip: Mutex<Gossip>,
     /// What this instance makes of the fleet.
     pub(super) fleet: ArcSwap<Fleet>,
-    /// Held while a configuration is fetched.
-    pub(super) fetching: tokio::sync::Mutex<()>,
+    /// Tells that other instances know a newer configuration.
+    pub(super) newer_config: Notify,
     /// Whether members came or went since the fleet was worked out.
     pub(super) has_changed: AtomicBool,
     /// Whether a peer is being asked for news.
@@ -117,7 +117,7 @@
             served: TaskTracker::new(),
             gossip: Mutex::new(gossip),
             fleet: ArcSwap::default(),
-            fetching: tokio::sync::Mutex::default(),
+            newer_config: Notify::new(),
             has_changed: AtomicBool::new(false),
             is_asking: AtomicBool::new(false),
             settings: ArcSwap::from_pointee(settings),
@@ -151,8 +151,8 @@
     /// Returns the newest version of the configuration that this instance has heard of.
     pub(super) fn newest_config(&self) -> u64 {
         let gossip = self.gossip().facts().revision().0;
-        let watchers = self.duty.watchers().newest_config();
-        gossip.max(watchers).max(self.known.version())
+        let observed = self.known.freshness().newest();
+        gossip.max(observed).max(self.known.version())
     }
 
     pub(super) fn retries(&self) -> MutexGuard<'_, Retries> {
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -13,8 +13,8 @@
 };
 
 use super::{
-    board, callers, fleet, follow, members, peer_service, questions, reload, revive, rollouts,
-    site::Site, stop, watches,
+    board, callers, config_sync, fleet, follow, members, peer_service, questions, reload, revive,
+    rollouts, site::Site, stop, watches,
 };
 
 /// The time between two looks at idle connections and at targets whose entries are missing.
@@ -77,8 +77,8 @@
             version = env!("CARGO_PKG_VERSION");
             "started"
         );
-        site.tasks.spawn(watches::configuration(Arc::clone(&site)));
-        site.tasks.spawn(watches::targets(Arc::clone(&site)));
+        site.tasks.spawn(config_sync::run(Arc::clone(&site)));
+        site.tasks.spawn(watches::run(Arc::clone(&site)));
         site.tasks.spawn(members::run(Arc::clone(&site)));
         site.tasks.spawn(follow::run(Arc::clone(&site)));
         site.tasks.spawn(revive::run(Arc::clone(&site)));
--- a/daemon/src/relay/watch_duty.rs
+++ b/daemon/src/relay/watch_duty.rs
@@ -11,6 +11,8 @@
 use celerypond_relay::Watchers;
 use tokio::time::Instant;
 
+use super::knowledge::Knowledge;
+
 /// Whether this instance watches the store, and when the store last answered it.
 pub(super) struct WatchDuty {
     /// What instances that watch the store have said.
@@ -20,9 +22,9 @@
     /// Whether the store does not tell of targets at present.
     is_lost: AtomicBool,
     /// When the store last answered about the configuration; nothing while it is not watched.
-    pub(super) config_answer: Mutex<Option<Instant>>,
+    config_answer: Mutex<Option<Instant>>,
     /// When the store last answered about targets; nothing while they are not watched.
-    pub(super) targets_answer: Mutex<Option<Instant>>,
+    targets_answer: Mutex<Option<Instant>>,
 }
 
 impl WatchDuty {
@@ -38,7 +40,7 @@
     }
 
     pub(super) fn watchers(&self) -> MutexGuard<'_, Watchers> {
-        self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.watchers)
     }
 
     /// Returns whether this instance has to watch the store itself.
@@ -57,10 +59,31 @@
         self.is_lost.store(is_lost, Relaxed);
     }
 
+    /// Takes in when the store answered about the configuration; nothing while it is not watched.
+    pub(super) fn set_config_answer(&self, at: Option<Instant>) {
+        *lock(&self.config_answer) = at;
+    }
+
+    /// Takes in when the store answered about targets; nothing while they are not watched.
+    pub(super) fn set_targets_answer(&self, at: Option<Instant>) {
+        *lock(&self.targets_answer) = at;
+    }
+
+    /// Returns whether others, or this instance's own callers, depend on its calls of the store.
+    pub(super) fn is_relied_on(&self, known: &Knowledge) -> bool {
+        self.is_chosen.load(Relaxed) || !known.is_complete()
+    }
+
+    /// Returns whether the store answered about the configuration within this time.
+    pub(super) fn store_answers_within(&self, time: Duration) -> bool {
+        let answer = *lock(&self.config_answer);
+        answer.is_some_and(|at| at.elapsed() < time)
+    }
+
     /// Returns how long ago the store last answered this instance, if it watches the store.
     pub(super) fn age(&self, now: Instant) -> Option<Duration> {
         let answered = |at: &Mutex<Option<Instant>>| {
-            let at = *at.lock().unwrap_or_else(PoisonError::into_inner);
+            let at = *lock(at);
             at.map(|at| now.saturating_duration_since(at))
         };
         let (config, targets) = (
@@ -70,3 +93,7 @@
         Some(config?.max(targets?))
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
