relay: requests are refused where the configuration may have been superseded for longer than the bound

An instance that missed a version went on to serve by the old one for as long as it missed it: nothing tied serving to the age of what it knew. Making transfers quick mends what was seen and not the class; a slow, cut-off or restarted instance has other ways to miss one.

Now each instance keeps when the version in force was last seen to be the newest one, by its own watch or by watchers' words, which tell it. A version that was the newest within nine tenths of the bound cannot have been acknowledged as superseded for longer than the bound. Beyond that, requests are refused with 503 and a short Retry-After, over a connection that closes, if a newer version is known and others reach the store (Superseded), or if nobody has been heard for as long (Isolated). The instance is not ready meanwhile. Where others are heard and nobody tells of a newer version, the store is away for all, nothing can be acknowledged, and requests are served as before.

Watchers also tell the others when a transfer begins and not when it is done, so these fetch at the same time.

--- a/crates/platform/src/received.rs
+++ b/crates/platform/src/received.rs
@@ -5,6 +5,8 @@
     Arc,
 };
 
+use tokio::sync::Notify;
+
 /// The bytes of the answer to the call under way, or to the last one; clones share the count.
 ///
 /// It tells a transfer that is slow from one that never began; see [`Client::counting`].
@@ -20,19 +22,38 @@
 ///
 /// [`Client::counting`]: crate::Client::counting
 #[derive(Clone, Debug, Default)]
-pub struct Received(Arc<AtomicU64>);
+pub struct Received(Arc<Count>);
+
+#[derive(Debug, Default)]
+struct Count {
+    bytes: AtomicU64,
+    added: Notify,
+}
 
 impl Received {
     /// Returns the bytes of the body that have arrived.
     pub fn bytes(&self) -> u64 {
-        self.0.load(Relaxed)
+        self.0.bytes.load(Relaxed)
+    }
+
+    /// Waits until more than so many bytes of the body have arrived.
+    pub async fn exceeds(&self, bytes: u64) {
+        loop {
+            let added = self.0.added.notified();
+            if self.bytes() > bytes {
+                return;
+            }
+            added.await;
+        }
     }
 
-    pub(crate) fn reset(&self) {
-        self.0.store(0, Relaxed);
+    /// Begins the count anew, as each call does.
+    pub fn reset(&self) {
+        self.0.bytes.store(0, Relaxed);
     }
 
     pub(crate) fn add(&self, bytes: usize) {
-        self.0.fetch_add(bytes as u64, Relaxed);
+        self.0.bytes.fetch_add(bytes as u64, Relaxed);
+        self.0.added.notify_waiters();
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -55,7 +55,7 @@
 pub use event::{Event, Events};
 pub use evidence::{Answers, Evidence, Pair, Report};
 pub use first_wait::FirstWait;
-pub use freshness::Freshness;
+pub use freshness::{Freshness, Stale};
 pub use group::Group;
 pub use head::{CallerHead, CopyName, Load, Part, Prompt, TargetAnswer, TargetHead};
 pub use history::History;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -89,6 +89,9 @@
 /// The part of the bound of a drain for which entries may be missing after the store's return. What
 /// is left of it is for noticing the end.
 const BACK_SHARE: f64 = 0.85;
+/// The part of the bound of a configuration after which a superseded one is no longer served by; what is left of it
+/// is for words on their way.
+const STALE_SHARE: f64 = 0.9;
 /// The time that targets take to write their entries again after the store's return.
 const BACK_MOST: Duration = Duration::from_secs(2);
 
@@ -115,6 +118,23 @@
         shortest.mul_f64(WATCH_SHARE).clamp(least, most)
     }
 
+    /// Returns for how long requests are served by a configuration after it was last known to be the newest one, where
+    /// a newer one is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::Bounds;
+    ///
+    /// let bounds = Bounds { config_apply: Duration::from_secs(2), ..Bounds::default() };
+    /// assert_eq!(bounds.stale_limit(), Duration::from_millis(1_800));
+    /// ```
+    pub fn stale_limit(&self) -> Duration {
+        self.config_apply.mul_f64(STALE_SHARE)
+    }
+
     /// Returns how long entries of targets may be missing after the store's return.
     pub fn entries_back(&self) -> Duration {
         self.drain.mul_f64(BACK_SHARE).min(BACK_MOST)
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -26,6 +26,10 @@
     pub config: u64,
     /// A revision of the store at which that was the newest version; 0 where none is known.
     pub config_revision: u64,
+    /// The time since that was last seen to be the newest version, in milliseconds.
+    pub config_age_ms: u32,
+    /// Whether a newer version is being transferred to it.
+    pub is_superseded: bool,
     /// The time since the store's last answer to it, in milliseconds.
     pub age_ms: u32,
 }
@@ -48,7 +52,16 @@
 /// let now = Instant::now();
 /// let mut watchers = Watchers::new(Duration::from_millis(800));
 /// assert!(watchers.must_watch(false, now));
-/// watchers.hear(Word { origin: 1, revision: 7, config: 2, config_revision: 6, age_ms: 300 }, now);
+/// let word = Word {
+///     origin: 1,
+///     revision: 7,
+///     config: 2,
+///     config_revision: 6,
+///     config_age_ms: 300,
+///     is_superseded: false,
+///     age_ms: 300,
+/// };
+/// watchers.hear(word, now);
 /// assert!(!watchers.must_watch(false, now));
 /// assert_eq!(watchers.ahead(6, now).map(|word| word.origin), Some(1));
 /// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use celerypond_relay::{Freshness, Observation};
+use celerypond_relay::{Freshness, Observation, Stale};
 use tokio::time::Instant;
 
+/// For how long a superseded version may be served by.
+const LIMIT: Duration = Duration::from_secs(2);
+
 fn seen(version: u64, revision: u64, at: Instant) -> Observation {
     Observation {
         version,
@@ -17,7 +20,7 @@
 #[test]
 fn watch_goes_on_where_the_version_in_force_was_last_seen() {
     let now = Instant::now();
-    let mut freshness = Freshness::default();
+    let mut freshness = Freshness::new(now);
     freshness.observe(seen(2, 40, now));
     freshness.hold(2);
     for step in 1..20 {
@@ -30,12 +33,12 @@
 #[test]
 fn watch_begins_before_a_version_that_is_not_in_force() {
     let now = Instant::now();
-    let mut freshness = Freshness::default();
+    let mut freshness = Freshness::new(now);
     freshness.observe(seen(2, 40, now));
     freshness.hold(2);
     freshness.observe(seen(3, 52, now));
     freshness.observe(seen(3, 60, now));
-    assert_eq!((freshness.newest(), freshness.revision()), (3, Some(40)));
+    assert_eq!((freshness.newest(now), freshness.revision()), (3, Some(40)));
     freshness.hold(3);
     assert_eq!(freshness.revision(), Some(60));
 }
@@ -44,23 +47,151 @@
 #[test]
 fn older_observations_change_nothing() {
     let now = Instant::now();
-    let mut freshness = Freshness::default();
+    let mut freshness = Freshness::new(now);
     freshness.observe(seen(3, 52, now));
     freshness.hold(3);
     freshness.observe(seen(2, 40, now));
     freshness.observe(seen(3, 50, now));
-    assert_eq!((freshness.newest(), freshness.revision()), (3, Some(52)));
+    assert_eq!((freshness.newest(now), freshness.revision()), (3, Some(52)));
 }
 
 // Guards against a watch from nowhere after a peer told the configuration of which no revision is known.
 #[test]
 fn version_that_only_a_peer_told_has_no_revision() {
     let now = Instant::now();
-    let mut freshness = Freshness::default();
+    let mut freshness = Freshness::new(now);
     freshness.hold(4);
-    assert_eq!((freshness.newest(), freshness.revision()), (4, None));
+    assert_eq!((freshness.newest(now), freshness.revision()), (4, None));
     freshness.observe(seen(4, 0, now));
     assert_eq!(freshness.revision(), None);
     freshness.observe(seen(4, 70, now));
     assert_eq!(freshness.revision(), Some(70));
 }
+
+/// Holds a version that was the newest one at `now`, and knows other instances.
+fn current(now: Instant) -> Freshness {
+    let mut freshness = Freshness::new(now);
+    freshness.observe(seen(2, 40, now));
+    freshness.hold(2);
+    freshness.set_others(true);
+    freshness
+}
+
+// Guards against an instance whose transfer of a newer version does not end, and that serves by the old one meanwhile.
+#[test]
+fn superseded_version_is_served_by_until_the_limit_only() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let mut stale = Vec::new();
+    for step in 0..30 {
+        let at = now + Duration::from_millis(100) * step;
+        freshness.heard(at);
+        freshness.observe(seen(3, 52, at));
+        stale.push(freshness.stale(LIMIT, at));
+    }
+    assert!(stale[..=20].iter().all(Option::is_none));
+    assert!(stale[21..]
+        .iter()
+        .all(|stale| *stale == Some(Stale::Superseded)));
+    freshness.hold(3);
+    assert_eq!(freshness.stale(LIMIT, now + Duration::from_secs(3)), None);
+}
+
+// Guards against an instance that always lags one version behind and serves by each for longer than the limit.
+#[test]
+fn each_of_many_versions_is_served_by_until_the_limit_only() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    for step in 1..40_u64 {
+        let at = now + Duration::from_millis(300) * step as u32;
+        freshness.heard(at);
+        freshness.observe(seen(2 + step, 40 + step, at));
+        // The version before is in force by now, and was the newest one until a moment ago.
+        freshness.hold(1 + step);
+        freshness.observe(seen(1 + step, 39 + step, at));
+        assert_eq!(freshness.stale(LIMIT, at), None);
+        assert_eq!(
+            freshness.stale(LIMIT, at + LIMIT + Duration::from_millis(1)),
+            Some(Stale::Isolated)
+        );
+    }
+}
+
+// Guards against a restarted instance that takes an old version from a peer that is behind itself.
+#[test]
+fn version_that_was_never_seen_as_the_newest_is_not_served_by_once_a_newer_one_is_known() {
+    let now = Instant::now();
+    let mut freshness = Freshness::new(now);
+    freshness.hold(2);
+    assert_eq!(freshness.stale(LIMIT, now), None);
+    freshness.observe(seen(3, 52, now));
+    assert_eq!(freshness.stale(LIMIT, now), Some(Stale::Superseded));
+}
+
+// Guards against a fleet that refuses all callers since one instance saw a version and is gone with the store.
+#[test]
+fn version_that_nobody_tells_of_any_more_is_not_waited_for() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    freshness.observe(seen(3, 52, now + Duration::from_secs(1)));
+    let soon = now + Duration::from_millis(2_500);
+    freshness.heard(soon);
+    assert_eq!(freshness.stale(LIMIT, soon), Some(Stale::Superseded));
+    let later = now + Duration::from_millis(3_100);
+    freshness.heard(later);
+    assert_eq!(freshness.stale(LIMIT, later), None);
+}
+
+// Guards against an instance that is cut off from all and cannot hear of a newer version.
+#[test]
+fn instance_that_hears_nobody_does_not_serve() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let later = now + LIMIT + Duration::from_millis(1);
+    assert_eq!(freshness.stale(LIMIT, later), Some(Stale::Isolated));
+    freshness.set_others(false);
+    assert_eq!(freshness.stale(LIMIT, later), None);
+}
+
+// Guards against instances that stop serving since the store is away for all of them.
+#[test]
+fn instance_that_hears_others_serves_without_the_store() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let later = now + 100 * LIMIT;
+    freshness.heard(later);
+    assert_eq!(freshness.stale(LIMIT, later), None);
+}
+
+// Guards against an instance that serves by a superseded version for as long as the transfer of the next one takes.
+#[test]
+fn version_that_is_being_transferred_supersedes() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let later = now + Duration::from_secs(3);
+    freshness.heard(later);
+    freshness.observe_newer(2, later);
+    assert_eq!(freshness.newest(later), 3);
+    assert_eq!(freshness.stale(LIMIT, later), Some(Stale::Superseded));
+    freshness.observe(seen(9, 52, later));
+    freshness.hold(9);
+    assert_eq!(
+        (freshness.newest(later), freshness.stale(LIMIT, later)),
+        (9, None)
+    );
+}
+
+// Guards against a fleet that refuses, and fetches without end, since an answer of the store was long without telling of
+// a newer version.
+#[test]
+fn transfer_that_brought_nothing_new_is_forgotten() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    freshness.observe_newer(2, now);
+    freshness.settle(now - Duration::from_millis(1));
+    assert_eq!(freshness.newest(now), 3);
+    freshness.settle(now);
+    assert_eq!(freshness.newest(now), 2);
+    freshness.observe_newer(2, now);
+    assert_eq!(freshness.newest(now + Duration::from_secs(2)), 2);
+}
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -81,6 +81,8 @@
         RoutedDenied = "relay.denied",
         /// Routed requests that were told that they have not run.
         RoutedRefused = "relay.refused",
+        /// Routed requests that were refused as the configuration in force may be superseded.
+        RoutedStale = "relay.stale",
         /// Routed requests that failed and may have run.
         RoutedFailed = "relay.failed",
         /// Routed requests whose time was over.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -25,6 +25,8 @@
         ConfigVersion = "relay.config_version",
         /// The newest version of the configuration that this instance has heard of.
         ConfigNewest = "relay.config_newest",
+        /// Milliseconds since the configuration in force was last known to be the newest one.
+        ConfigAge = "relay.config_age_ms",
         /// Targets that routed requests may go to.
         RoutedTargets = "relay.targets",
         /// Milliseconds since the store last told of targets.
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -54,6 +54,7 @@
             () = site.ending.cancelled() => return,
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((len, _)) = received {
+                    site.known.heard(Instant::now());
                     hear(&site, &buffer[..len]);
                 }
             }
@@ -95,14 +96,17 @@
 
 fn hear_word(site: &Arc<Site>, word: Word) {
     let now = Instant::now();
-    let age = Duration::from_millis(word.age_ms.into());
+    let before = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
     site.duty.watchers().hear(word, now);
     site.known.observe(Observation {
         version: word.config,
         revision: word.config_revision,
-        at: now.checked_sub(age).unwrap_or(now),
+        at: before(word.config_age_ms).unwrap_or(now),
     });
-    if word.config > site.known.version() {
+    if word.is_superseded {
+        site.known.freshness().observe_newer(word.config, now);
+    }
+    if site.newest_config() > site.known.version() {
         site.newer_config.notify_one();
     }
     follow::ask_for_news(site);
@@ -154,16 +158,23 @@
     let Some(age) = site.duty.age(now).or_else(heard) else {
         return;
     };
+    let freshness = site.known.freshness().clone();
     let word = Word {
         origin: fleet.origin,
         revision,
         config,
-        config_revision: site.known.config_revision().unwrap_or_default(),
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        config_revision: freshness.revision().unwrap_or_default(),
+        config_age_ms: millis(freshness.age(now).unwrap_or(Duration::MAX)),
+        is_superseded: site.known.is_receiving.load(Relaxed),
+        age_ms: millis(age),
     };
     send(socket, &fleet.told, &Datagram::Word(word)).await;
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// What cannot be sent is left out: the next datagram says the same and more.
 pub(super) async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
     match bincode::serialize(datagram) {
--- a/daemon/src/relay/config_sync.rs
+++ b/daemon/src/relay/config_sync.rs
@@ -3,7 +3,12 @@
 //! One task makes all transfers of an instance, one after the other: two of them share its link, and each is then as
 //! late as both together.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{atomic::Ordering::Relaxed, Arc, OnceLock},
+    time::Duration,
+};
 
 use celerypond_adapter::{config, store};
 use celerypond_platform::{Changes, Client, Listing, Object, PlatformError, Received, Version};
@@ -24,6 +29,12 @@
 const STORE_START: Duration = Duration::from_millis(150);
 /// How long a watch may take to begin to tell of a version that other instances know.
 const WATCH_LAG: Duration = Duration::from_millis(200);
+/// The largest answer of a watch that tells of no change, in bytes.
+const EMPTY_ANSWER: u64 = 256;
+/// A watch that the store held for so long had nothing to tell when it began.
+const WATCH_HELD: Duration = Duration::from_millis(50);
+/// How often the others are told that a transfer is still under way.
+const TRANSFER_POLL: Duration = Duration::from_millis(200);
 /// The time between two rounds of questions to other instances.
 const PEER_ROUND: Duration = Duration::from_millis(300);
 /// How many instances are asked in one round.
@@ -104,9 +115,11 @@
             }
             return;
         }
+        let before = site.known.version();
         match self.fetch().await {
-            Ok(_) if !self.is_behind() => self.rest.answered(),
-            Ok(_) => sleep(WATCH_POLL).await,
+            Ok(_) if site.known.version() > before || !self.is_behind() => self.rest.answered(),
+            // What others know is not to be had yet.
+            Ok(_) => sleep(*self.rest.failed(false).start()).await,
             Err(error) => rest(site, error, self.rest.failed(true)).await,
         }
     }
@@ -128,15 +141,49 @@
     async fn watch(&mut self, since: u64) -> Result<Told, PlatformError> {
         let wait = self.site.settings.load().bounds.watch_wait();
         let begun = Instant::now();
+        let answered = OnceLock::new();
+        // What the call before has received must not be taken for the beginning of this answer.
+        self.received.reset();
         let changes = tokio::select! {
             changes = self.store.watch(store::CONFIG_PREFIX, Version(since), wait) => changes,
             () = self.watch_lags() => return self.fetch().await,
+            never = self.announce(since, begun, &answered) => match never {},
         };
+        self.site.known.is_receiving.store(false, Relaxed);
         let changes = changes.map_err(|report| *report.current_context())?;
-        self.take_changes(changes, begun);
+        self.take_changes(
+            changes,
+            answered.get().copied().unwrap_or_else(Instant::now),
+        );
         Ok(Told::ByStore)
     }
 
+    /// Notes when a watch begins to tell of a newer version, and tells the others at once that there is one.
+    ///
+    /// They fetch it while the transfer here goes on; told afterwards, they would be later by that time.
+    async fn announce(
+        &self,
+        since: u64,
+        begun: Instant,
+        answered: &OnceLock<Instant>,
+    ) -> Infallible {
+        self.received.exceeds(EMPTY_ANSWER).await;
+        let now = *answered.get_or_init(Instant::now);
+        let known = &self.site.known;
+        if now.saturating_duration_since(begun) > WATCH_HELD {
+            // The store held the watch as it had nothing to tell until now.
+            self.observe(Version(since), now);
+        }
+        let version = known.version();
+        known.freshness().observe_newer(version, now);
+        known.is_receiving.store(true, Relaxed);
+        known.told.notify_one();
+        loop {
+            sleep(TRANSFER_POLL).await;
+            known.freshness().observe_newer(version, Instant::now());
+        }
+    }
+
     /// Waits until other instances know a version of which the watch under way does not begin to tell.
     async fn watch_lags(&self) {
         loop {
@@ -191,24 +238,23 @@
             apply(self.site, &object.key, &object.value);
         }
         self.observe(listing.revision, begun);
+        self.site.known.freshness().settle(begun);
     }
 
-    fn take_changes(&self, changes: Changes, begun: Instant) {
-        let at = match changes.changes.is_empty() {
-            true => Instant::now(),
-            false => begun,
-        };
+    fn take_changes(&self, changes: Changes, at: Instant) {
         for change in changes.changes {
             if let Some(value) = change.value {
                 apply(self.site, &change.key, &value);
             }
         }
         self.observe(changes.revision, at);
+        self.site.known.freshness().settle(Instant::now());
     }
 
     fn take_object(&self, object: &Object, begun: Instant) {
         apply(self.site, &object.key, &object.value);
         self.observe(object.version, begun);
+        self.site.known.freshness().settle(begun);
     }
 
     /// Takes in that the version in force is the newest one that can be read at this revision of the store.
@@ -218,6 +264,7 @@
             revision: revision.0,
             at,
         });
+        self.site.known.heard(Instant::now());
     }
 
     fn answered(&mut self) {
@@ -320,7 +367,10 @@
         return false;
     };
     match unpack::<Config>(&bytes) {
-        Ok(config) => site.known.apply(config, Source::Peer),
+        Ok(config) => {
+            site.known.heard(Instant::now());
+            site.known.apply(config, Source::Peer);
+        }
         Err(error) => {
             log::warn!(peer:% = peer, error:% = error; "a peer's configuration cannot be read");
             return false;
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -30,6 +30,8 @@
 pub(super) struct Knowledge {
     table: ArcSwap<Table>,
     freshness: Mutex<Freshness>,
+    /// Whether the store is telling this instance of a newer configuration.
+    pub(super) is_receiving: AtomicBool,
     targets: Mutex<Targets>,
     has_config: AtomicBool,
     has_targets: AtomicBool,
@@ -50,7 +52,8 @@
         targets.lateness = rand::rng().random();
         Self {
             table: ArcSwap::default(),
-            freshness: Mutex::default(),
+            freshness: Mutex::new(Freshness::new(Instant::now())),
+            is_receiving: AtomicBool::new(false),
             targets: Mutex::new(targets),
             has_config: AtomicBool::new(false),
             has_targets: AtomicBool::new(false),
@@ -83,6 +86,11 @@
         self.freshness().observe(seen);
     }
 
+    /// Takes in that the store or another instance was heard.
+    pub(super) fn heard(&self, now: Instant) {
+        self.freshness().heard(now);
+    }
+
     /// Returns a revision of the store at which the configuration in force was the newest one, if that is known.
     pub(super) fn config_revision(&self) -> Option<u64> {
         self.freshness().revision()
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{Denied, Next};
+use celerypond_relay::{Denied, Next, Stale};
 use celerypond_types::TargetName;
 use http::{
     header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER},
@@ -31,6 +31,8 @@
     Relayed(TargetName),
     /// No configuration is known yet.
     NoConfig,
+    /// The configuration in force may have been superseded for too long.
+    Stale(Stale),
     /// No route matches, or no account has the key.
     Denied(Denied),
     /// The request itself has a fault.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::headers;
-use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Stale, Table};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
@@ -78,6 +78,7 @@
             status,
             why = why.map(|why| format!("{why:?}")),
             config = site.known.version(),
+            newest_config = site.newest_config(),
             targets_revision = site.known.revision(),
             store_lost = site.duty.is_lost(),
             took_ms;
@@ -125,6 +126,9 @@
         return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     site.known.wait_known(start + START_WAIT).await;
+    if let Some(stale) = site.stale() {
+        return refuse_stale(site, stale, &id, &head, start);
+    }
     let host = request
         .headers()
         .get(HOST)
@@ -187,6 +191,23 @@
     }))
 }
 
+/// Refuses a request that other instances serve by a newer configuration; its caller goes there at once, and comes
+/// back over a new connection.
+fn refuse_stale(
+    site: &Site,
+    stale: Stale,
+    id: &SmolStr,
+    head: &CallerHead,
+    start: Instant,
+) -> Reply {
+    site.metrics.add(Counter::RoutedStale, 1);
+    let left = head.deadline.unwrap_or_default();
+    let left = left.saturating_sub(start.elapsed());
+    let mut reply = reply::not_run(id, left, Some(Duration::ZERO), Reason::Stale(stale));
+    reply::close_after(&mut reply);
+    reply
+}
+
 fn deny(denied: Denied, id: &SmolStr) -> Reply {
     let status = match denied {
         Denied::NoRoute => StatusCode::NOT_FOUND,
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::{Retries, Settings, Stop};
+use celerypond_relay::{Retries, Settings, Stale, Stop};
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
@@ -130,7 +130,13 @@
 
     /// Returns whether requests can be served.
     pub(super) fn is_ready(&self) -> bool {
-        self.known.is_complete() && !self.stopping.is_cancelled()
+        self.known.is_complete() && !self.stopping.is_cancelled() && self.stale().is_none()
+    }
+
+    /// Returns why requests cannot be served by the configuration in force.
+    pub(super) fn stale(&self) -> Option<Stale> {
+        let limit = self.settings.load().bounds.stale_limit();
+        self.known.freshness().stale(limit, Instant::now())
     }
 
     /// Returns whether connections of callers are taken, as they are for a while when it stops.
@@ -151,7 +157,7 @@
     /// Returns the newest version of the configuration that this instance has heard of.
     pub(super) fn newest_config(&self) -> u64 {
         let gossip = self.gossip().facts().revision().0;
-        let observed = self.known.freshness().newest();
+        let observed = self.known.freshness().newest(Instant::now());
         gossip.max(observed).max(self.known.version())
     }
 
@@ -178,6 +184,10 @@
             let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             self.metrics.set(Gauge::TargetsAge, age);
         }
+        if let Some(age) = self.known.freshness().age(Instant::now()) {
+            let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            self.metrics.set(Gauge::ConfigAge, age);
+        }
         for (gauge, level) in levels {
             self.metrics.set(gauge, level);
         }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_relay::Settings;
+use celerypond_relay::{Settings, Stale};
 use celerypond_telemetry::Counter;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
@@ -154,6 +154,7 @@
 }
 
 async fn sweep(site: Arc<Site>) {
+    let mut was_stale = None;
     loop {
         tokio::select! {
             () = site.ending.cancelled() => return,
@@ -161,6 +162,7 @@
                 site.connections.sweep(Instant::now());
                 site.known.drop_missing();
                 report_left_out(&site);
+                report_stale(&site, &mut was_stale);
             }
         }
     }
@@ -173,3 +175,19 @@
         log::warn!(count; "lines left out, more than the bound");
     }
 }
+
+/// Writes a line when requests begin to be refused for the age of the configuration, and when that ends.
+fn report_stale(site: &Site, was: &mut Option<Stale>) {
+    let stale = site.stale();
+    if std::mem::replace(was, stale) == stale {
+        return;
+    }
+    let age = site.known.freshness().age(Instant::now());
+    log::warn!(
+        stale = stale.map(|stale| format!("{stale:?}")),
+        config = site.known.version(),
+        newest = site.newest_config(),
+        age_ms = age.map(|age| age.as_millis() as u64);
+        "staleness of the configuration changed"
+    );
+}
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -109,6 +109,7 @@
         self.rest.answered();
         self.since = Some(revision);
         site.duty.set_targets_answer(Some(Instant::now()));
+        site.known.heard(Instant::now());
         if std::mem::take(&mut self.is_lost) {
             site.duty.set_lost(false);
             log::info!(kind = store::TARGETS_PREFIX, revision = revision.0; "store regained");
