--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -9,8 +9,7 @@
 /// How many of the newest versions are remembered.
 const VERSIONS: usize = 16;
 
-/// How long it counts that the store began to tell of a version that is not yet known; it is repeated while the
-/// transfer goes on.
+/// How long a transfer counts as under way after it was last reported.
 const NEWER_TTL: Duration = Duration::from_secs(1);
 
 /// Why requests cannot be served by the configuration in force.
@@ -18,7 +17,7 @@
 pub enum Stale {
     /// A newer version is known, and it may have been acknowledged longer ago than the limit.
     Superseded,
-    /// Neither the store nor another instance has been heard for longer than the limit.
+    /// There was no contact with the store or another instance for longer than the limit.
     Isolated,
 }
 
@@ -32,11 +31,11 @@
 /// How recent the configuration in force is, by what the store or its watchers were seen to hold.
 ///
 /// A version that was the newest one within the limit cannot have been superseded for longer. Where that is not
-/// known, two cases are told apart. If others reach the store and know a newer version, or nobody is heard at all,
-/// requests are refused, since other instances can serve them. If others are heard and nobody tells of a newer
-/// version, the store is away for all: nothing can be acknowledged, and requests are served.
+/// known, there are two cases. If a watcher of the store reports a newer version, or there is no contact with anyone,
+/// requests are refused, since other instances can serve them. If there is contact with others and no report of a newer
+/// version, the store is unavailable to all: nothing can be acknowledged, and requests are served.
 ///
-/// Instances that are cut off together from the store and from all others look to each other as if the store were away.
+/// Instances that are partitioned together from the store and all others cannot tell this from an unavailable store.
 ///
 /// # Examples
 ///
@@ -66,25 +65,25 @@
     seen: Vec<Observation>,
     /// A version that is being transferred, here or elsewhere.
     newer: Option<Newer>,
-    /// When the store or another instance was last heard.
+    /// The last contact with the store or another instance.
     contact: Instant,
     /// Whether there are other instances that could serve.
-    has_others: bool,
+    has_peers: bool,
 }
 
 impl Freshness {
-    /// Has nothing in force, and knows no other instances.
+    /// Returns the state of an instance with nothing in force and no peers.
     pub const fn new(now: Instant) -> Self {
         Self {
             held: 0,
             seen: Vec::new(),
             newer: None,
             contact: now,
-            has_others: false,
+            has_peers: false,
         }
     }
 
-    /// Takes in what the store was seen to hold.
+    /// Records what the store was seen to hold.
     pub fn observe(&mut self, seen: Observation) {
         let place = self
             .seen
@@ -102,7 +101,7 @@
         }
     }
 
-    /// Takes in that the store began to tell of a version above this one, whose number is not yet known.
+    /// Records that a version above this one is being transferred, whose number is not yet known.
     pub fn observe_newer(&mut self, above: u64, at: Instant) {
         let is_news = |known: Newer| (above, at) > (known.above, known.at);
         if self.newer.is_none_or(is_news) {
@@ -110,9 +109,10 @@
         }
     }
 
-    /// Takes in that the store was asked at this moment or later, and told all that it has.
-    pub fn settle(&mut self, asked: Instant) {
-        self.newer = self.newer.filter(|newer| newer.at > asked);
+    /// Records that a read of the store that began at this moment is complete. Transfers reported before have brought
+    /// their version by then, or none.
+    pub fn confirm_read(&mut self, begun: Instant) {
+        self.newer = self.newer.filter(|newer| newer.at > begun);
     }
 
     /// Returns whether a version is being transferred that is not in force.
@@ -122,19 +122,19 @@
         newer.is_some_and(|newer| is_recent(newer.at))
     }
 
-    /// Takes in that a version is in force now.
+    /// Records which version is in force.
     pub const fn hold(&mut self, version: u64) {
         self.held = version;
     }
 
-    /// Takes in that the store or another instance was heard.
-    pub fn heard(&mut self, now: Instant) {
+    /// Records a contact with the store or another instance.
+    pub fn record_contact(&mut self, now: Instant) {
         self.contact = self.contact.max(now);
     }
 
-    /// Takes in whether there are other instances, reachable or not, that have not said that they leave.
-    pub const fn set_others(&mut self, has_others: bool) {
-        self.has_others = has_others;
+    /// Sets whether there are other instances, reachable or not, that have not announced their leaving.
+    pub const fn set_has_peers(&mut self, has_peers: bool) {
+        self.has_peers = has_peers;
     }
 
     /// Returns the newest version that is known of, which has at least this number.
@@ -144,7 +144,7 @@
         observed.max(begun)
     }
 
-    /// Returns a revision of the store at which the version in force was the newest one; a watch from there tells
+    /// Returns a revision of the store at which the version in force was the newest one; a watch from there reports
     /// each later one.
     pub fn revision(&self) -> Option<u64> {
         let revision = self.verified().map(|verified| verified.revision);
@@ -161,10 +161,11 @@
     /// after it was superseded.
     pub fn stale(&self, limit: Duration, now: Instant) -> Option<Stale> {
         let is_recent = |at| now.saturating_duration_since(at) <= limit;
-        if self.has_others && !is_recent(self.contact) {
+        if self.has_peers && !is_recent(self.contact) {
             return Some(Stale::Isolated);
         }
-        // Whoever told of the newer version may have lost the store since, or be gone with it.
+        // A report that is not repeated is not relied on: its watcher may have died with the only copy of the version
+        // while the store is unavailable.
         let newer = self.seen.last().filter(|seen| seen.version > self.held);
         let is_superseded =
             newer.is_some_and(|seen| is_recent(seen.at)) || self.is_newer_begun(now);
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -6,18 +6,18 @@
 use tokio::time::Instant;
 
 /// How much longer ago than a whole wait of a watch a watcher's last answer of the store may be: the
-/// time between two of its words.
+/// time between two of its notices.
 const SLACK: Duration = Duration::from_millis(300);
-/// How long a watcher's link is taken by the questions of one other instance after a word: 2.5 KB of
-/// word, question, answer and their packets, at 10 Mbit/s.
+/// How long a watcher's link is taken by the questions of one other instance after a notice: 2.5 KB of
+/// notice, question, answer and their packets, at 10 Mbit/s.
 const LINK_TIME: Duration = Duration::from_millis(2);
-/// The longest time between a change and the word of it; it is a part of the bounds for new
+/// The longest time between a change and the notice of it; it is a part of the bounds for new
 /// configurations and leaving targets.
 const GAP_MOST: Duration = Duration::from_millis(250);
 
-/// What an instance that watches the store says to the others.
+/// What an instance that watches the store reports to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Notice {
     /// The run of the instance.
     pub origin: u64,
     /// The store's revision up to which it knows the targets.
@@ -34,7 +34,7 @@
     pub age_ms: u32,
 }
 
-/// What instances that watch the store have said.
+/// What instances that watch the store have reported.
 ///
 /// The load it answers: each change of a target is told to each watch, and each watch costs calls
 /// while nothing changes. Two instances watch for all, in different data centres; the others ask
@@ -46,13 +46,13 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use celerypond_relay::{Watchers, Word};
+/// use celerypond_relay::{Watchers, Notice};
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
 /// let mut watchers = Watchers::new(Duration::from_millis(800));
 /// assert!(watchers.must_watch(false, now));
-/// let word = Word {
+/// let notice = Notice {
 ///     origin: 1,
 ///     revision: 7,
 ///     config: 2,
@@ -61,17 +61,17 @@
 ///     is_superseded: false,
 ///     age_ms: 300,
 /// };
-/// watchers.hear(word, now);
+/// watchers.record(notice, now);
 /// assert!(!watchers.must_watch(false, now));
-/// assert_eq!(watchers.ahead(6, now).map(|word| word.origin), Some(1));
+/// assert_eq!(watchers.newer(6, now).map(|notice| notice.origin), Some(1));
 /// assert!(watchers.must_watch(false, now + Duration::from_secs(1)));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Watchers {
-    words: HashMap<u64, (Word, Instant)>,
+    notices: HashMap<u64, (Notice, Instant)>,
     /// How long a watch of the store waits for a change.
     wait: Duration,
-    /// Over how many instances words come from the one that watches the store.
+    /// Over how many instances notices come from the one that watches the store.
     hops: u32,
 }
 
@@ -79,14 +79,14 @@
     /// Knows of no watcher; a watch of the store waits so long for a change.
     pub fn new(watch_wait: Duration) -> Self {
         Self {
-            words: HashMap::new(),
+            notices: HashMap::new(),
             wait: watch_wait,
             hops: 1,
         }
     }
 
-    /// Sets over how many instances words come from the one that watches the store; each one adds the time
-    /// between two of its words.
+    /// Sets over how many instances notices come from the one that watches the store; each one adds the time
+    /// between two of its notices.
     pub fn set_hops(&mut self, hops: u32) {
         self.hops = hops;
     }
@@ -97,39 +97,41 @@
     }
 
     /// Returns how long ago the store last answered a watcher that knew no more than this revision and this
-    /// configuration; nothing where no word of one is relied on.
+    /// configuration; nothing where no notice of one is relied on.
     ///
     /// An instance that tells others of its data centre says what it was told with the age that it had.
     pub fn age(&self, revision: u64, config: u64, now: Instant) -> Option<Duration> {
-        let words = self.words.values();
-        let relied = words.filter(|word| is_relied_on(word, self.relied(), now));
-        let covered = relied.filter(|(word, _)| word.revision <= revision && word.config <= config);
-        covered.map(|word| age(word, now)).min()
+        let notices = self.notices.values();
+        let relied = notices.filter(|notice| is_relied_on(notice, self.relied(), now));
+        let covered =
+            relied.filter(|(notice, _)| notice.revision <= revision && notice.config <= config);
+        covered.map(|notice| age(notice, now)).min()
     }
 
-    /// Returns the least time between two words of an instance that tells so many others.
+    /// Returns the least time between two notices of an instance that tells so many others.
     ///
     /// The failure: the engines of a data centre die and start again, and their entries change each few
     /// milliseconds. If each change is told at once, all instances ask for it, their questions fill
     /// the watcher's link for seconds, and nothing else reaches the watcher or leaves it.
-    pub fn word_gap(told: usize) -> Duration {
+    pub fn notice_gap(told: usize) -> Duration {
         let told = u32::try_from(told).unwrap_or(u32::MAX);
         LINK_TIME.saturating_mul(told).min(GAP_MOST)
     }
 
-    /// Takes in the word of another instance.
-    pub fn hear(&mut self, word: Word, now: Instant) {
-        self.words.insert(word.origin, (word, now));
+    /// Records the notice of another instance.
+    pub fn record(&mut self, notice: Notice, now: Instant) {
+        self.notices.insert(notice.origin, (notice, now));
         let relied = self.relied();
-        self.words.retain(|_, word| is_relied_on(word, relied, now));
+        self.notices
+            .retain(|_, notice| is_relied_on(notice, relied, now));
     }
 
-    /// Drops the word of an instance that did not answer; it is relied on again after its next one.
+    /// Drops the notice of an instance that did not answer; it is relied on again after its next one.
     ///
     /// The failure: a watcher says that there is something new, and is cut off. Whoever asked it would
     /// wait for its answer, and ask it again, while another watcher could tell.
     pub fn forget(&mut self, origin: u64) {
-        self.words.remove(&origin);
+        self.notices.remove(&origin);
     }
 
     /// Returns whether this instance watches the store: it was chosen, or it hears of no other one
@@ -137,29 +139,28 @@
     pub fn must_watch(&self, is_chosen: bool, now: Instant) -> bool {
         is_chosen
             || !self
-                .words
+                .notices
                 .values()
-                .any(|word| is_relied_on(word, self.relied(), now))
+                .any(|notice| is_relied_on(notice, self.relied(), now))
     }
 
-    /// Returns the word of the instance that knows the targets up to the highest revision, if that is more
-    /// than this one.
-    pub fn ahead(&self, revision: u64, now: Instant) -> Option<Word> {
-        let words = self.words.values();
-        let relied = words.filter(|word| is_relied_on(word, self.relied(), now));
-        let ahead = relied.filter(|(word, _)| word.revision > revision);
-        ahead
-            .max_by_key(|(word, _)| word.revision)
-            .map(|(word, _)| *word)
+    /// Returns the notice with the highest revision of the targets, if that is above this one.
+    pub fn newer(&self, revision: u64, now: Instant) -> Option<Notice> {
+        let notices = self.notices.values();
+        let relied = notices.filter(|notice| is_relied_on(notice, self.relied(), now));
+        let newer = relied.filter(|(notice, _)| notice.revision > revision);
+        newer
+            .max_by_key(|(notice, _)| notice.revision)
+            .map(|(notice, _)| *notice)
     }
 }
 
-fn is_relied_on(word: &(Word, Instant), relied: Duration, now: Instant) -> bool {
-    age(word, now) < relied
+fn is_relied_on(notice: &(Notice, Instant), relied: Duration, now: Instant) -> bool {
+    age(notice, now) < relied
 }
 
-/// Returns how long ago the store answered the watcher whose word this is.
-fn age((word, heard): &(Word, Instant), now: Instant) -> Duration {
-    let age = Duration::from_millis(u64::from(word.age_ms));
+/// Returns how long ago the store answered the watcher whose notice this is.
+fn age((notice, heard): &(Notice, Instant), now: Instant) -> Duration {
+    let age = Duration::from_millis(u64::from(notice.age_ms));
     now.saturating_duration_since(*heard) + age
 }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -17,4 +17,4 @@
 mod test_retries;
 mod test_rollouts;
 mod test_stop;
-mod test_store_rest;
+mod test_store_backoff;
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -55,9 +55,9 @@
     assert_eq!((freshness.newest(now), freshness.revision()), (3, Some(52)));
 }
 
-// Guards against a watch from nowhere after a peer told the configuration of which no revision is known.
+// Guards against a watch from revision 0 after a peer sent the configuration.
 #[test]
-fn version_that_only_a_peer_told_has_no_revision() {
+fn version_from_a_peer_has_no_revision() {
     let now = Instant::now();
     let mut freshness = Freshness::new(now);
     freshness.hold(4);
@@ -73,7 +73,7 @@
     let mut freshness = Freshness::new(now);
     freshness.observe(seen(2, 40, now));
     freshness.hold(2);
-    freshness.set_others(true);
+    freshness.set_has_peers(true);
     freshness
 }
 
@@ -85,7 +85,7 @@
     let mut stale = Vec::new();
     for step in 0..30 {
         let at = now + Duration::from_millis(100) * step;
-        freshness.heard(at);
+        freshness.record_contact(at);
         freshness.observe(seen(3, 52, at));
         stale.push(freshness.stale(LIMIT, at));
     }
@@ -104,7 +104,7 @@
     let mut freshness = current(now);
     for step in 1..40_u64 {
         let at = now + Duration::from_millis(300) * step as u32;
-        freshness.heard(at);
+        freshness.record_contact(at);
         freshness.observe(seen(2 + step, 40 + step, at));
         // The version before is in force by now, and was the newest one until a moment ago.
         freshness.hold(1 + step);
@@ -130,36 +130,36 @@
 
 // Guards against a fleet that refuses all callers since one instance saw a version and is gone with the store.
 #[test]
-fn version_that_nobody_tells_of_any_more_is_not_waited_for() {
+fn version_that_is_no_longer_reported_is_not_waited_for() {
     let now = Instant::now();
     let mut freshness = current(now);
     freshness.observe(seen(3, 52, now + Duration::from_secs(1)));
     let soon = now + Duration::from_millis(2_500);
-    freshness.heard(soon);
+    freshness.record_contact(soon);
     assert_eq!(freshness.stale(LIMIT, soon), Some(Stale::Superseded));
     let later = now + Duration::from_millis(3_100);
-    freshness.heard(later);
+    freshness.record_contact(later);
     assert_eq!(freshness.stale(LIMIT, later), None);
 }
 
-// Guards against an instance that is cut off from all and cannot hear of a newer version.
+// Guards against an instance that is partitioned from all and cannot learn of a newer version.
 #[test]
-fn instance_that_hears_nobody_does_not_serve() {
+fn instance_without_contact_does_not_serve() {
     let now = Instant::now();
     let mut freshness = current(now);
     let later = now + LIMIT + Duration::from_millis(1);
     assert_eq!(freshness.stale(LIMIT, later), Some(Stale::Isolated));
-    freshness.set_others(false);
+    freshness.set_has_peers(false);
     assert_eq!(freshness.stale(LIMIT, later), None);
 }
 
 // Guards against instances that stop serving since the store is away for all of them.
 #[test]
-fn instance_that_hears_others_serves_without_the_store() {
+fn instance_in_contact_with_peers_serves_without_the_store() {
     let now = Instant::now();
     let mut freshness = current(now);
     let later = now + 100 * LIMIT;
-    freshness.heard(later);
+    freshness.record_contact(later);
     assert_eq!(freshness.stale(LIMIT, later), None);
 }
 
@@ -169,7 +169,7 @@
     let now = Instant::now();
     let mut freshness = current(now);
     let later = now + Duration::from_secs(3);
-    freshness.heard(later);
+    freshness.record_contact(later);
     freshness.observe_newer(2, later);
     assert_eq!(freshness.newest(later), 3);
     assert_eq!(freshness.stale(LIMIT, later), Some(Stale::Superseded));
@@ -181,16 +181,15 @@
     );
 }
 
-// Guards against a fleet that refuses, and fetches without end, since an answer of the store was long without telling of
-// a newer version.
+// Guards against a fleet that refuses, and fetches without end, after a long answer of the store without a newer version.
 #[test]
 fn transfer_that_brought_nothing_new_is_forgotten() {
     let now = Instant::now();
     let mut freshness = current(now);
     freshness.observe_newer(2, now);
-    freshness.settle(now - Duration::from_millis(1));
+    freshness.confirm_read(now - Duration::from_millis(1));
     assert_eq!(freshness.newest(now), 3);
-    freshness.settle(now);
+    freshness.confirm_read(now);
     assert_eq!(freshness.newest(now), 2);
     freshness.observe_newer(2, now);
     assert_eq!(freshness.newest(now + Duration::from_secs(2)), 2);
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use celerypond_relay::{
-    pack, unpack, Board, Bounds, Change, Config, Ended, Lists, News, Placement, Placements,
-    Watchers, Word,
+    pack, unpack, Board, Bounds, Change, Config, Ended, Lists, News, Notice, Placement, Placements,
+    Watchers,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -14,8 +14,8 @@
 /// How long entries may be missing after the store's return.
 const BACK: Duration = Duration::from_millis(1_700);
 
-fn origin(word: Option<Word>) -> Option<u64> {
-    word.map(|word| word.origin)
+fn origin(notice: Option<Notice>) -> Option<u64> {
+    notice.map(|notice| notice.origin)
 }
 
 fn list(origin: u64, sequence: u64, targets: &[u64]) -> Placements {
@@ -130,19 +130,19 @@
 
 /// The engines of a data centre die and start again within two seconds, and all 71 instances follow a
 /// watcher with a link of 10 Mbit/s. Told of each change, they would ask for megabytes and fill the link;
-/// gathered, the words, questions and answers take less than two thirds of it.
+/// gathered, the notices, questions and answers take less than two thirds of it.
 #[test]
 fn a_watcher_gathers_changes_before_it_tells_of_them() {
-    /// Word, question and answer of one instance with their packets, and what each change adds.
+    /// Notice, question and answer of one instance with their packets, and what each change adds.
     const BYTES: (usize, usize) = (700, 90);
     let (instances, changes, time) = (71, 120, Duration::from_millis(2_400));
-    let gap = Watchers::word_gap(instances);
-    let words = time.as_micros().div_ceil(gap.as_micros()) as usize;
-    let bytes = instances * (words.min(changes) * BYTES.0 + changes * BYTES.1);
+    let gap = Watchers::notice_gap(instances);
+    let notices = time.as_micros().div_ceil(gap.as_micros()) as usize;
+    let bytes = instances * (notices.min(changes) * BYTES.0 + changes * BYTES.1);
     let link = time.as_millis() as usize * 1_250;
     assert!(bytes < link / 3 * 2, "{bytes} of {link}");
-    assert!(Watchers::word_gap(7) < Duration::from_millis(20));
-    assert!(Watchers::word_gap(100_000) < Duration::from_millis(300));
+    assert!(Watchers::notice_gap(7) < Duration::from_millis(20));
+    assert!(Watchers::notice_gap(100_000) < Duration::from_millis(300));
 }
 
 #[test]
@@ -222,7 +222,7 @@
 fn a_watcher_that_hears_nothing_is_not_relied_on() {
     let now = Instant::now();
     let mut watchers = Watchers::new(Duration::from_millis(800));
-    let word = |age_ms| Word {
+    let notice = |age_ms| Notice {
         origin: 1,
         revision: 5,
         config: 2,
@@ -231,13 +231,13 @@
         is_superseded: false,
         age_ms,
     };
-    watchers.hear(word(850), now);
+    watchers.record(notice(850), now);
     assert!(!watchers.must_watch(false, now));
     assert!(watchers.must_watch(true, now));
     assert!(watchers.must_watch(false, now + Duration::from_millis(300)));
-    watchers.hear(word(1_200), now);
+    watchers.record(notice(1_200), now);
     assert!(watchers.must_watch(false, now));
-    assert_eq!(watchers.ahead(0, now), None);
+    assert_eq!(watchers.newer(0, now), None);
 }
 
 /// A watcher says that targets have changed, and is cut off before it is asked. The other watcher is
@@ -247,7 +247,7 @@
     let now = Instant::now();
     let mut watchers = Watchers::new(Duration::from_millis(800));
     for (origin, revision) in [(1, 9), (2, 8)] {
-        let word = Word {
+        let notice = Notice {
             origin,
             revision,
             config: 5,
@@ -256,13 +256,13 @@
             is_superseded: false,
             age_ms: 10,
         };
-        watchers.hear(word, now);
+        watchers.record(notice, now);
     }
-    assert_eq!(origin(watchers.ahead(7, now)), Some(1));
+    assert_eq!(origin(watchers.newer(7, now)), Some(1));
     watchers.forget(1);
-    assert_eq!(origin(watchers.ahead(7, now)), Some(2));
+    assert_eq!(origin(watchers.newer(7, now)), Some(2));
     watchers.forget(2);
-    assert_eq!(watchers.ahead(7, now), None);
+    assert_eq!(watchers.newer(7, now), None);
     assert!(watchers.must_watch(false, now));
 }
 
@@ -271,7 +271,7 @@
     let now = Instant::now();
     let mut watchers = Watchers::new(Duration::from_millis(800));
     for (origin, revision) in [(1, 5), (2, 7), (3, 4)] {
-        let word = Word {
+        let notice = Notice {
             origin,
             revision,
             config: 2,
@@ -280,11 +280,11 @@
             is_superseded: false,
             age_ms: 10,
         };
-        watchers.hear(word, now);
+        watchers.record(notice, now);
     }
-    assert_eq!(origin(watchers.ahead(4, now)), Some(2));
-    assert_eq!(origin(watchers.ahead(6, now)), Some(2));
-    assert_eq!(watchers.ahead(7, now), None);
+    assert_eq!(origin(watchers.newer(4, now)), Some(2));
+    assert_eq!(origin(watchers.newer(6, now)), Some(2));
+    assert_eq!(watchers.newer(7, now), None);
 }
 
 /// The store was away for long and comes back with an empty list, as all entries have lapsed. The
--- a/crates/relay/tests/test_store_rest.rs
+++ b/crates/relay/tests/test_store_backoff.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerypond_relay::StoreRest;
+use celerypond_relay::StoreBackoff;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
 
 const INSTANCES: usize = 71;
@@ -12,7 +12,7 @@
 /// Returns when an instance calls during an outage, and when it first calls after it.
 fn calls(is_watcher: bool, seed: u64) -> (usize, Duration) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut rest = StoreRest::default();
+    let mut rest = StoreBackoff::default();
     let (mut at, mut count) = (Duration::ZERO, 0);
     while at < OUTAGE {
         count += 1;
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -23,7 +23,7 @@
         Connections = "front.connections",
         /// The version of the configuration in force for routed requests.
         ConfigVersion = "relay.config_version",
-        /// The newest version of the configuration that this instance has heard of.
+        /// The newest version of the configuration that this instance knows of.
         ConfigNewest = "relay.config_newest",
         /// Milliseconds since the configuration in force was last known to be the newest one.
         ConfigAge = "relay.config_age_ms",
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -33,7 +33,7 @@
 mod site;
 mod start;
 mod stop;
-mod store_rest;
+mod store_backoff;
 mod stream;
 mod watch_duty;
 mod watches;
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -8,7 +8,7 @@
 };
 
 use celerypond_relay::{
-    Lists, Note, Notes, Observation, Placements, Report, Stage, Watchers, Word,
+    Lists, Note, Notes, Notice, Observation, Placements, Report, Stage, Watchers,
 };
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -22,7 +22,7 @@
 /// The largest datagram that is read.
 const DATAGRAM: usize = 16 << 10;
 
-/// The time between two words of an instance that watches the store.
+/// The time between two notices of an instance that watches the store.
 const WORD: Duration = Duration::from_millis(300);
 
 /// What instances tell each other by datagram; what is lost is told again.
@@ -33,7 +33,7 @@
     /// Where prompts were sent.
     Notes(Vec<Note>),
     /// What is known of the store.
-    Word(Word),
+    Notice(Notice),
     /// How far an order to move a service has come.
     Stage(Stage),
     /// What was seen of such an order.
@@ -45,16 +45,16 @@
     let mut buffer = vec![0; DATAGRAM];
     let mut lists = Lists::new(Instant::now());
     let mut notes = Notes::new(Instant::now());
-    let mut word = tokio::time::interval(WORD);
+    let mut notice = tokio::time::interval(WORD);
     let mut said = Instant::now();
     let mut has_news = false;
     loop {
-        let due = said + Watchers::word_gap(site.fleet.load().told.len());
+        let due = said + Watchers::notice_gap(site.fleet.load().told.len());
         tokio::select! {
             () = site.ending.cancelled() => return,
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((len, _)) = received {
-                    site.known.heard(Instant::now());
+                    site.known.record_contact(Instant::now());
                     hear(&site, &buffer[..len]);
                 }
             }
@@ -69,7 +69,7 @@
                 (said, has_news) = (Instant::now(), false);
                 say(&site, &socket).await;
             }
-            _ = word.tick() => {
+            _ = notice.tick() => {
                 fleet::refresh(&site);
                 (said, has_news) = (Instant::now(), false);
                 say(&site, &socket).await;
@@ -87,29 +87,29 @@
             site.known.targets().hear(list, now);
         }
         Ok(Datagram::Notes(notes)) => site.known.targets().hear_notes(&notes, Instant::now()),
-        Ok(Datagram::Word(word)) => hear_word(site, word),
+        Ok(Datagram::Notice(notice)) => receive_notice(site, notice),
         Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage),
         Ok(Datagram::Report(service, report)) => site.rollouts.hear_report(&service, report),
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
 }
 
-fn hear_word(site: &Arc<Site>, word: Word) {
+fn receive_notice(site: &Arc<Site>, notice: Notice) {
     let now = Instant::now();
     let before = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
-    site.duty.watchers().hear(word, now);
+    site.duty.watchers().record(notice, now);
     site.known.observe(Observation {
-        version: word.config,
-        revision: word.config_revision,
-        at: before(word.config_age_ms).unwrap_or(now),
+        version: notice.config,
+        revision: notice.config_revision,
+        at: before(notice.config_age_ms).unwrap_or(now),
     });
-    if word.is_superseded {
-        site.known.freshness().observe_newer(word.config, now);
+    if notice.is_superseded {
+        site.known.freshness().observe_newer(notice.config, now);
     }
     if site.newest_config() > site.known.version() {
         site.newer_config.notify_one();
     }
-    follow::ask_for_news(site);
+    follow::request_targets(site);
 }
 
 async fn tell(site: &Site, socket: &UdpSocket, lists: &mut Lists) {
@@ -159,7 +159,7 @@
         return;
     };
     let freshness = site.known.freshness().clone();
-    let word = Word {
+    let notice = Notice {
         origin: fleet.origin,
         revision,
         config,
@@ -168,7 +168,7 @@
         is_superseded: site.known.is_receiving.load(Relaxed),
         age_ms: millis(age),
     };
-    send(socket, &fleet.told, &Datagram::Word(word)).await;
+    send(socket, &fleet.told, &Datagram::Notice(notice)).await;
 }
 
 fn millis(time: Duration) -> u32 {
--- a/daemon/src/relay/fleet.rs
+++ b/daemon/src/relay/fleet.rs
@@ -54,12 +54,12 @@
     };
     let is_chosen = tree.watchers().iter().any(|one| one.name == own);
     let hops = tree.hops();
-    let has_others = gossip
+    let has_peers = gossip
         .roster()
         .iter()
         .any(|(_, member)| member.state() != MemberState::Leaving);
     drop(gossip);
-    site.known.freshness().set_others(has_others);
+    site.known.freshness().set_has_peers(has_peers);
     site.duty.watchers().set_hops(hops);
     if site.duty.is_chosen.swap(is_chosen, Relaxed) != is_chosen {
         log::info!(is_chosen, live = fleet.size; "watcher of the store");
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -30,7 +30,7 @@
 pub(super) struct Knowledge {
     table: ArcSwap<Table>,
     freshness: Mutex<Freshness>,
-    /// Whether the store is telling this instance of a newer configuration.
+    /// Whether the store is sending this instance a newer configuration.
     pub(super) is_receiving: AtomicBool,
     targets: Mutex<Targets>,
     has_config: AtomicBool,
@@ -81,14 +81,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in which configuration the store was seen to hold.
+    /// Records which configuration the store was seen to hold.
     pub(super) fn observe(&self, seen: Observation) {
         self.freshness().observe(seen);
     }
 
-    /// Takes in that the store or another instance was heard.
-    pub(super) fn heard(&self, now: Instant) {
-        self.freshness().heard(now);
+    /// Records a contact with the store or another instance.
+    pub(super) fn record_contact(&self, now: Instant) {
+        self.freshness().record_contact(now);
     }
 
     /// Returns a revision of the store at which the configuration in force was the newest one, if that is known.
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -144,7 +144,7 @@
     while let Some(message) = next.take() {
         match site.peers.exchange(to, message).await {
             Ok(answer) => {
-                site.known.heard(Instant::now());
+                site.known.record_contact(Instant::now());
                 next = site
                     .gossip()
                     .answered(outgoing.member, answer, Instant::now());
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -73,7 +73,7 @@
     gossip: Mutex<Gossip>,
     /// What this instance makes of the fleet.
     pub(super) fleet: ArcSwap<Fleet>,
-    /// Tells that other instances know a newer configuration.
+    /// Notifies that other instances have a newer configuration.
     pub(super) newer_config: Notify,
     /// Whether members came or went since the fleet was worked out.
     pub(super) has_changed: AtomicBool,
@@ -154,7 +154,7 @@
         self.fleet.load().group.len() + 1
     }
 
-    /// Returns the newest version of the configuration that this instance has heard of.
+    /// Returns the newest version of the configuration that this instance knows of.
     pub(super) fn newest_config(&self) -> u64 {
         let gossip = self.gossip().facts().revision().0;
         let observed = self.known.freshness().newest(Instant::now());
--- a/daemon/src/relay/store_rest.rs
+++ b/daemon/src/relay/store_backoff.rs
@@ -10,14 +10,14 @@
 
 /// The time between two checks whether this instance has to watch the store.
 pub(super) const WATCH_POLL: Duration = Duration::from_millis(100);
-/// The longest wait for which the store is obeyed that limits the rate of calls.
-const RETRY_AFTER_MOST: Duration = Duration::from_secs(1);
+/// The longest Retry-After of the store that is honoured.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Waits after a failed call of the store, for as long as it says and a time drawn from these limits.
-pub(super) async fn rest(site: &Site, error: PlatformError, limits: RangeInclusive<Duration>) {
+/// Waits after a failed call of the store: its Retry-After, and a time drawn from these limits.
+pub(super) async fn pause(site: &Site, error: PlatformError, limits: RangeInclusive<Duration>) {
     let least = match error {
         PlatformError::RateLimited { retry_after } | PlatformError::OverBudget { retry_after } => {
-            retry_after.min(RETRY_AFTER_MOST)
+            retry_after.min(MAX_RETRY_AFTER)
         }
         _ => Duration::ZERO,
     };
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -4,7 +4,7 @@
 
 use celerypond_adapter::{store, target};
 use celerypond_platform::{Changes, Client, Listing, PlatformError, Received, Version};
-use celerypond_relay::{Change, StoreRest, TargetEntry, Watchers};
+use celerypond_relay::{Change, StoreBackoff, TargetEntry, Watchers};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetName;
 use tokio::time::{sleep, Instant};
@@ -12,7 +12,7 @@
 use super::{
     knowledge::Source,
     site::Site,
-    store_rest::{rest, WATCH_POLL},
+    store_backoff::{pause, WATCH_POLL},
 };
 
 /// Watches the targets until the instance ends.
@@ -30,14 +30,14 @@
     site: &'a Site,
     store: Client,
     received: Received,
-    /// The revision up to which the store told this instance what changed.
+    /// The revision up to which the store reported changes to this instance.
     since: Option<Version>,
-    /// Whether what was missed cannot be told by a watch.
+    /// Whether the history of a watch is gone.
     must_list: bool,
     is_lost: bool,
     /// How long changes were gathered after the last call.
     gathered: Duration,
-    rest: StoreRest,
+    backoff: StoreBackoff,
 }
 
 impl<'a> Watch<'a> {
@@ -51,14 +51,14 @@
             must_list: false,
             is_lost: false,
             gathered: Duration::ZERO,
-            rest: StoreRest::default(),
+            backoff: StoreBackoff::default(),
         }
     }
 
     async fn turn(&mut self) {
         let site = self.site;
         if site.known.is_complete() && !site.duty.must_watch() {
-            // Others tell what is new; what they know is newer than what was seen here.
+            // Watchers report changes; what they report is newer than what was seen here.
             site.duty.set_targets_answer(None);
             self.is_lost = false;
             site.duty.set_lost(false);
@@ -73,14 +73,14 @@
         }
     }
 
-    /// Returns the revision to watch from; nothing where only a list tells what is there.
+    /// Returns the revision to watch from; nothing where a list is needed.
     ///
-    /// The failure: the watchers of a large fleet die, and all that they told watch for themselves. If each began
-    /// with a list, all would fetch at once what they know, some 300 bytes for each target.
+    /// The failure: the watchers of a large fleet die, and all others watch for themselves. If each began with a list,
+    /// all would fetch at once what they have.
     fn from(&self) -> Option<Version> {
         let known = &self.site.known;
-        let told = known.has_targets().then(|| Version(known.revision()));
-        self.since.max(told).filter(|_| !self.must_list)
+        let cached = known.has_targets().then(|| Version(known.revision()));
+        self.since.max(cached).filter(|_| !self.must_list)
     }
 
     async fn call(&self, from: Option<Version>) -> Result<Version, PlatformError> {
@@ -106,19 +106,17 @@
     async fn answered(&mut self, revision: Version) {
         let site = self.site;
         self.must_list = false;
-        self.rest.answered();
+        self.backoff.answered();
         self.since = Some(revision);
         site.duty.set_targets_answer(Some(Instant::now()));
-        site.known.heard(Instant::now());
+        site.known.record_contact(Instant::now());
         if std::mem::take(&mut self.is_lost) {
             site.duty.set_lost(false);
             log::info!(kind = store::TARGETS_PREFIX, revision = revision.0; "store regained");
         }
-        self.gathered = Watchers::word_gap(site.fleet.load().told.len());
-        // What changes meanwhile is seen by one call, and the others are told of it together.
-        //
-        // The load it answers: a data centre's engines die and start again, and each of a hundred changes
-        // ends a watch.
+        self.gathered = Watchers::notice_gap(site.fleet.load().told.len());
+        // One call then reports all that changed meanwhile: when a data centre's engines restart, each of a hundred
+        // changes would end a watch of its own.
         sleep(self.gathered).await;
     }
 
@@ -145,7 +143,7 @@
         }
         self.must_list |= error == PlatformError::Malformed;
         let is_relied_on = site.duty.is_relied_on(&site.known);
-        rest(site, error, self.rest.failed(is_relied_on)).await;
+        pause(site, error, self.backoff.failed(is_relied_on)).await;
     }
 }
 
