relay: requests wait for a configuration that no instance has in force yet

Such requests wait up to half a second, as at an instance that has just started: the version is on its way to all. Where another instance is known to have it in force, requests are refused at once, as before.

--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -15,8 +15,10 @@
 /// Why requests cannot be served by the configuration in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stale {
-    /// A newer version is known, and it may have been acknowledged longer ago than the limit.
+    /// Another instance has a newer version in force, which may have been acknowledged longer ago than the limit.
     Superseded,
+    /// As above, but the newer version is still being transferred and nobody is known to have it in force.
+    Pending,
     /// There was no contact with the store or another instance for longer than the limit.
     Isolated,
 }
@@ -32,7 +34,7 @@
 ///
 /// A version that was the newest one within the limit cannot have been superseded for longer. Where that is not
 /// known, there are two cases. If a watcher of the store reports a newer version, or there is no contact with anyone,
-/// requests are refused, since other instances can serve them. If there is contact with others and no report of a newer
+/// requests are refused, since other instances can serve them; they wait shortly where all are about to have it. If there is contact with others and no report of a newer
 /// version, the store is unavailable to all: nothing can be acknowledged, and requests are served.
 ///
 /// Instances that are partitioned together from the store and all others cannot tell this from an unavailable store.
@@ -167,10 +169,13 @@
         // A report that is not repeated is not relied on: its watcher may have died with the only copy of the version
         // while the store is unavailable.
         let newer = self.seen.last().filter(|seen| seen.version > self.held);
-        let is_superseded =
-            newer.is_some_and(|seen| is_recent(seen.at)) || self.is_newer_begun(now);
+        let is_superseded = newer.is_some_and(|seen| is_recent(seen.at));
         let is_verified = self.verified().is_some_and(|seen| is_recent(seen.at));
-        (is_superseded && !is_verified).then_some(Stale::Superseded)
+        match (is_verified, is_superseded) {
+            (false, true) => Some(Stale::Superseded),
+            (false, false) if self.is_newer_begun(now) => Some(Stale::Pending),
+            _ => None,
+        }
     }
 
     /// Returns the latest observation of the version in force.
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -13,7 +13,10 @@
 use celerypond_relay::{Change, Config, Freshness, News, Observation, Table, TargetEntry, Targets};
 use celerypond_types::{DataCentre, TargetKey};
 use rand::Rng as _;
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{futures::Notified, Notify},
+    time::Instant,
+};
 
 /// Where something was heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -243,6 +246,11 @@
         self.revision.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until something else is known than now.
+    pub(super) fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+
     /// Waits until configuration and targets are known, or until `until`.
     pub(super) async fn wait_known(&self, until: Instant) {
         loop {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use rand::Rng as _;
 use smol_str::SmolStr;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 use super::{
     attempt::Asked,
@@ -36,6 +36,12 @@
 /// hundred where the store is away.
 const START_WAIT: Duration = Duration::from_millis(500);
 
+/// How long a request waits for a configuration that no instance has in force yet.
+///
+/// The failure: the store is unavailable to all for a while, and a new version comes with its return. All instances
+/// are stale until they have it, some tenths of a second later, and callers that are refused go to others in vain.
+const PENDING_WAIT: Duration = Duration::from_millis(500);
+
 /// When a caller may come back to an instance that knows no configuration after that time.
 ///
 /// The failure: all instances start anew while the store is away, so nobody can tell them anything. Callers come
@@ -126,7 +132,7 @@
         return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     site.known.wait_known(start + START_WAIT).await;
-    if let Some(stale) = site.stale() {
+    if let Some(stale) = wait_pending(site, start + PENDING_WAIT).await {
         return refuse_stale(site, stale, &id, &head, start);
     }
     let host = request
@@ -191,8 +197,20 @@
     }))
 }
 
-/// Refuses a request that other instances serve by a newer configuration; its caller goes there at once, and comes
-/// back over a new connection.
+/// Returns why requests cannot be served by the configuration in force, after a wait for one that is pending.
+async fn wait_pending(site: &Site, until: Instant) -> Option<Stale> {
+    loop {
+        let changed = site.known.changed();
+        let stale = site.stale();
+        let is_pending = stale == Some(Stale::Pending);
+        if !is_pending || timeout_at(until, changed).await.is_err() {
+            return stale;
+        }
+    }
+}
+
+/// Refuses a request that other instances serve by a newer configuration. Its caller goes there, and uses this
+/// connection no more.
 fn refuse_stale(
     site: &Site,
     stale: Stale,
