relay: observations of the store are dated as early as they may have been made

Trace: the first bytes of the watch's answer came some 0.4 s late on a busy machine, and their arrival was taken for the moment until which the version in force had been the newest; the margin of a tenth of the bound is 0.3 s. Now 0.3 s are taken off such a moment, and an answer without changes counts from the end of its wait and not from its arrival.

--- a/daemon/src/relay/config_sync.rs
+++ b/daemon/src/relay/config_sync.rs
@@ -32,6 +32,8 @@
 const EMPTY_ANSWER: u64 = 256;
 /// A watch that was held by the store for so long had nothing to report when it began.
 const WATCH_HELD: Duration = Duration::from_millis(50);
+/// How late the first bytes of a watch's answer may be.
+const ANSWER_DELAY: Duration = Duration::from_millis(300);
 /// How often a transfer under way is reported.
 const TRANSFER_POLL: Duration = Duration::from_millis(200);
 /// The time between two rounds of queries of peers.
@@ -145,10 +147,9 @@
         };
         self.site.known.is_receiving.store(false, Relaxed);
         let changes = changes.map_err(|report| *report.current_context())?;
-        self.take_changes(
-            changes,
-            answered.get().copied().unwrap_or_else(Instant::now),
-        );
+        // Without a change the store has held the watch for the whole wait.
+        let held = (begun + wait).min(Instant::now());
+        self.take_changes(changes, answered.get().copied().unwrap_or(held));
         Ok(Source::Store)
     }
 
@@ -161,11 +162,15 @@
         answered: &OnceLock<Instant>,
     ) -> Infallible {
         self.received.exceeds(EMPTY_ANSWER).await;
-        let now = *answered.get_or_init(Instant::now);
+        let now = Instant::now();
+        let sent = now
+            .checked_sub(ANSWER_DELAY)
+            .map_or(begun, |sent| sent.max(begun));
+        answered.get_or_init(|| sent);
         let known = &self.site.known;
         if now.saturating_duration_since(begun) > WATCH_HELD {
-            // The store had nothing to report until now.
-            self.observe(Version(since), now);
+            // The store had nothing to report until it sent this.
+            self.observe(Version(since), sent);
         }
         let version = known.version();
         known.freshness().observe_newer(version, now);
