soak: single instances cut off from the store, narrow links, large configurations; no superseded version is served by

Seeds from 60,000 on: instances are killed and paused, their own links to the store fall silent, go one way, are slow or narrow, while configurations, some of them large, follow each other. Each instance is asked by routes that only superseded versions have; where some instance has been undisturbed for three seconds, none may serve by one that was superseded longer ago than the bound. Kept seeds have the faults that they had.

--- a/daemon/tests/soak/faults.rs
+++ b/daemon/tests/soak/faults.rs
@@ -18,6 +18,7 @@
     RestartWhenEnded(usize, u32),
     Continue(usize),
     Link(usize),
+    OwnLink(usize),
     StoreLink,
     Store,
 }
@@ -53,6 +54,57 @@
     restart_hung_up(fleet);
 }
 
+/// Injects faults of single instances for so long, and undoes all of them: one is killed, paused, or has a link to the
+/// store that is silent, narrow or goes one way, while configurations, some of them large, follow each other.
+pub(crate) async fn inject_single(fleet: &mut Fleet, rng: &mut SmallRng, time: Duration) {
+    let end = Instant::now() + time;
+    let mut open: Vec<(Instant, usize, Undo)> = Vec::new();
+    while Instant::now() < end {
+        match rng.random_range(0..3) {
+            0 => fleet.change_config(),
+            1 => fleet.grow_config(rng.random_range(500..2_500)),
+            _ => {}
+        }
+        let instance = rng.random_range(0..fleet.processes.len());
+        let lasts = Duration::from_millis(rng.random_range(500..5_000));
+        if open.iter().all(|(_, n, _)| *n != instance) {
+            let undo = begin_single(fleet, rng, instance);
+            open.push((Instant::now() + lasts, instance, undo));
+        }
+        sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) = open.into_iter().partition(|(at, ..)| *at <= now);
+        open = later;
+        for (_, instance, undo) in due {
+            finish(fleet, undo).await;
+            fleet.versions.set_calm(instance, true);
+        }
+    }
+    for (_, _, undo) in open {
+        finish(fleet, undo).await;
+    }
+}
+
+fn begin_single(fleet: &mut Fleet, rng: &mut SmallRng, instance: usize) -> Undo {
+    fleet.versions.set_calm(instance, false);
+    let link = match rng.random_range(0..6) {
+        0 => {
+            fleet.processes[instance].signal(Signal::KILL);
+            return Undo::Restart(instance);
+        }
+        1 => {
+            fleet.processes[instance].signal(Signal::STOP);
+            return Undo::Continue(instance);
+        }
+        2 => Link::Silent,
+        3 => Link::OneWay,
+        4 => Link::Slow(Duration::from_millis(rng.random_range(100..900))),
+        _ => Link::Narrow(rng.random_range(50_000..400_000)),
+    };
+    fleet.own_links[instance].set(link);
+    Undo::OwnLink(instance)
+}
+
 /// Starts processes again, as the platform does, that a hang-up ended before they could listen for it: just
 /// started, perhaps paused meanwhile. Those that ended in any other way by themselves stay ended.
 fn restart_hung_up(fleet: &mut Fleet) {
@@ -142,6 +194,10 @@
         }
         Undo::Continue(n) => fleet.processes[n].signal(Signal::CONT),
         Undo::Link(n) => fleet.links[n].set(Link::Sound),
+        Undo::OwnLink(n) => {
+            fleet.own_links[n].set(Link::Sound);
+            fleet.versions.set_calm(n, true);
+        }
         Undo::StoreLink => fleet.store_link.set(Link::Sound),
         Undo::Store => fleet.store.set_mode(Mode::Up),
     }
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -10,14 +10,15 @@
 use celerypond_standins::{
     answers::{end, events, last_event, ok, own},
     caller::{ask, routed, Got},
-    forms::{config, entry, settings, SETTINGS_VARIABLE},
+    forms::{config, entry, large_config, settings, SETTINGS_VARIABLE},
+    proxy::Proxy,
     store::Store,
     target::{Act, Seen, Target},
 };
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::time::{sleep, timeout, Instant};
 
-use celerypond_standins::proxy::Proxy;
+use crate::versions::Versions;
 
 /// Seeds that each instance knows at most, as on the platform.
 const SEEDS: usize = 3;
@@ -40,6 +41,9 @@
 pub(crate) struct Fleet {
     pub(crate) store: Store,
     pub(crate) store_link: Proxy,
+    /// The link of each instance to the store.
+    pub(crate) own_links: Vec<Proxy>,
+    pub(crate) versions: Versions,
     pub(crate) targets: Vec<Target>,
     pub(crate) links: Vec<Proxy>,
     /// Each has a loopback address of its own.
@@ -67,12 +71,21 @@
             links.push(link);
         }
         let files = tempfile::tempdir().unwrap();
-        let processes = (0..instances)
-            .map(|n| Process::start(n, &files, store_link.address))
+        let mut own_links = Vec::new();
+        for _ in 0..instances {
+            own_links.push(Proxy::start(store_link.address).await);
+        }
+        let starts = own_links.iter().enumerate();
+        let processes = starts
+            .map(|(n, link)| Process::start(n, &files, link.address))
             .collect();
+        let versions = Versions::new(instances);
+        versions.written(1);
         let fleet = Self {
             store,
             store_link,
+            own_links,
+            versions,
             targets,
             links,
             processes,
@@ -93,6 +106,15 @@
     pub(crate) fn change_config(&mut self) {
         self.version += 1;
         self.store.put("config/main", &config(self.version));
+        self.versions.written(self.version);
+    }
+
+    /// Puts the next version, with so many routes more, into the store.
+    pub(crate) fn grow_config(&mut self, routes: usize) {
+        self.version += 1;
+        let config = large_config(self.version, routes);
+        self.store.put("config/main", &config);
+        self.versions.written(self.version);
     }
 
     /// Waits until all instances serve; returns those that did not in time.
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -7,12 +7,13 @@
 mod faults;
 mod fleet;
 mod record;
+mod versions;
 
 use std::{env, time::Duration};
 
 use rand::{rngs::SmallRng, SeedableRng as _};
 
-use crate::{callers::Callers, fleet::Fleet, record::Record};
+use crate::{callers::Callers, fleet::Fleet, record::Record, versions::Probes};
 
 /// Seeds that failed once.
 ///
@@ -21,13 +22,17 @@
 /// - 50021: a process was hung up before it listened for that, ended, and nobody started it again.
 const KEPT: [u64; 2] = [1029, 50_021];
 /// Seeds of the short run.
-const SHORT: [u64; 3] = [1, 2, WIDE];
+const SHORT: [u64; 4] = [1, 2, WIDE, SINGLE];
 /// Seeds below have the first faults only, so that kept ones stay as they were.
 const WIDE: u64 = 10_000;
+/// Seeds from here on have faults of single instances and their links to the store, and large configurations.
+const SINGLE: u64 = 60_000;
 /// Instances of a run that names no number.
 const INSTANCES: usize = 3;
 /// How long faults are injected under one seed.
 const FAULTS: Duration = Duration::from_secs(5);
+/// How long faults of single instances are injected under one seed.
+const SINGLE_FAULTS: Duration = Duration::from_secs(12);
 
 fn number(name: &str) -> Option<u64> {
     env::var(name).ok().and_then(|text| text.parse().ok())
@@ -46,7 +51,8 @@
 /// Callers ask, keep their connections and ask again, while instances are killed, stopped and paused, one or
 /// all at once, while the configuration changes, and while connections to targets and the store are delayed, reset, cut one way or silenced, in
 /// overlapping turns. No caller may get a wrong, a torn or another's answer, nothing that may run once
-/// runs twice, a refusal is true, and when the faults are over every instance serves.
+/// runs twice, a refusal is true, and when the faults are over every instance serves. Where some instance is undisturbed,
+/// none serves by a configuration that was superseded for longer than the bound.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults_from_outside() {
     let instances = number("SOAK_INSTANCES").map_or(INSTANCES, |n| n as usize);
@@ -55,10 +61,17 @@
         let record = Record::default();
         let mut fleet = Fleet::start(instances).await;
         let callers = Callers::start(&fleet, &record, seed);
-        faults::inject(&mut fleet, &mut rng, FAULTS, seed >= WIDE).await;
+        if seed >= SINGLE {
+            let probes = Probes::start(&fleet, seed);
+            faults::inject_single(&mut fleet, &mut rng, SINGLE_FAULTS).await;
+            probes.stop().await;
+        } else {
+            faults::inject(&mut fleet, &mut rng, FAULTS, seed >= WIDE).await;
+        }
         callers.stop().await;
         let late = fleet.wait_serving().await;
-        let faults = record.check(&fleet);
+        let mut faults = record.check(&fleet);
+        faults.extend(fleet.versions.late());
         assert!(
             faults.is_empty() && late.is_empty(),
             "seed {seed}: {faults:#?} {late:?}, ended: {:?}",
