relay: a configuration that was never seen in the store is not reported as the newest one

From the code: an instance that has its version from a peer has not seen it in the store, and reported it with the largest age that fits the field. The receiver took that from its clock, which had run for a shorter time, and used the present moment instead: the version counted as the newest one just now, at all who heard it. The age is optional now, and nothing is concluded where it is missing. Besides, a version is not verified any more by late reports once a higher one was seen.

Tests: notice_of_an_unverified_version_is_no_observation, late_report_does_not_verify_a_superseded_version.

--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -86,11 +86,15 @@
     }
 
     /// Records what the store was seen to hold.
+    ///
+    /// A version is not the newest one any more once a higher one was seen, whatever a late report says.
     pub fn observe(&mut self, seen: Observation) {
+        let newest = self.seen.last().map_or(0, |newest| newest.version);
         let place = self
             .seen
             .binary_search_by_key(&seen.version, |one| one.version);
         match place {
+            Ok(_) if seen.version < newest => {}
             Ok(at) => {
                 let known = &mut self.seen[at];
                 known.revision = known.revision.max(seen.revision);
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::Observation;
+
 /// How much longer ago than a whole wait of a watch a watcher's last answer of the store may be: the
 /// time between two of its notices.
 const SLACK: Duration = Duration::from_millis(300);
@@ -26,14 +28,26 @@
     pub config: u64,
     /// A revision of the store at which that was the newest version; 0 where none is known.
     pub config_revision: u64,
-    /// The time since that was last seen to be the newest version, in milliseconds.
-    pub config_age_ms: u32,
+    /// The time since that was last seen to be the newest version, in milliseconds; nothing if it never was.
+    pub config_age_ms: Option<u32>,
     /// Whether a newer version is being transferred to it.
     pub is_superseded: bool,
     /// The time since the store's last answer to it, in milliseconds.
     pub age_ms: u32,
 }
 
+impl Notice {
+    /// Returns which configuration the store was seen to hold; nothing where the sender does not know that.
+    pub fn observation(&self, now: Instant) -> Option<Observation> {
+        let age = Duration::from_millis(self.config_age_ms?.into());
+        Some(Observation {
+            version: self.config,
+            revision: self.config_revision,
+            at: now.checked_sub(age)?,
+        })
+    }
+}
+
 /// What instances that watch the store have reported.
 ///
 /// The load it answers: each change of a target is told to each watch, and each watch costs calls
@@ -57,7 +71,7 @@
 ///     revision: 7,
 ///     config: 2,
 ///     config_revision: 6,
-///     config_age_ms: 300,
+///     config_age_ms: Some(300),
 ///     is_superseded: false,
 ///     age_ms: 300,
 /// };
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerypond_relay::{Freshness, Observation, Stale};
+use celerypond_relay::{Freshness, Notice, Observation, Stale};
 use tokio::time::Instant;
 
 /// For how long a superseded version may be served by.
@@ -105,10 +105,10 @@
     for step in 1..40_u64 {
         let at = now + Duration::from_millis(300) * step as u32;
         freshness.record_contact(at);
-        freshness.observe(seen(2 + step, 40 + step, at));
         // The version before is in force by now, and was the newest one until a moment ago.
         freshness.hold(1 + step);
         freshness.observe(seen(1 + step, 39 + step, at));
+        freshness.observe(seen(2 + step, 40 + step, at));
         assert_eq!(freshness.stale(LIMIT, at), None);
         assert_eq!(
             freshness.stale(LIMIT, at + LIMIT + Duration::from_millis(1)),
@@ -195,3 +195,38 @@
     freshness.observe_newer(2, now);
     assert_eq!(freshness.newest(now + Duration::from_secs(2)), 2);
 }
+
+// Guards against a late report that a superseded version is the newest one, by which it is served for longer.
+#[test]
+fn late_report_does_not_verify_a_superseded_version() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let later = now + Duration::from_secs(3);
+    freshness.record_contact(later);
+    freshness.observe(seen(3, 52, later));
+    freshness.observe(seen(2, 40, later));
+    assert_eq!(freshness.stale(LIMIT, later), Some(Stale::Superseded));
+}
+
+// Guards against a version that a restarted instance has from a peer being taken for one that it saw in the store.
+#[test]
+fn notice_of_an_unverified_version_is_no_observation() {
+    let now = Instant::now();
+    let notice = Notice {
+        origin: 1,
+        revision: 7,
+        config: 2,
+        config_revision: 0,
+        config_age_ms: None,
+        is_superseded: false,
+        age_ms: 10,
+    };
+    assert_eq!(notice.observation(now), None);
+    let verified = Notice {
+        config_revision: 6,
+        config_age_ms: Some(300),
+        ..notice
+    };
+    let at = now - Duration::from_millis(300);
+    assert_eq!(verified.observation(now), Some(seen(2, 6, at)));
+}
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -227,7 +227,7 @@
         revision: 5,
         config: 2,
         config_revision: 5,
-        config_age_ms: 10,
+        config_age_ms: Some(10),
         is_superseded: false,
         age_ms,
     };
@@ -252,7 +252,7 @@
             revision,
             config: 5,
             config_revision: 4,
-            config_age_ms: 10,
+            config_age_ms: Some(10),
             is_superseded: false,
             age_ms: 10,
         };
@@ -276,7 +276,7 @@
             revision,
             config: 2,
             config_revision: 4,
-            config_age_ms: 10,
+            config_age_ms: Some(10),
             is_superseded: false,
             age_ms: 10,
         };
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -7,9 +7,7 @@
     time::Duration,
 };
 
-use celerypond_relay::{
-    Lists, Note, Notes, Notice, Observation, Placements, Report, Stage, Watchers,
-};
+use celerypond_relay::{Lists, Note, Notes, Notice, Placements, Report, Stage, Watchers};
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
@@ -23,7 +21,7 @@
 const DATAGRAM: usize = 16 << 10;
 
 /// The time between two notices of an instance that watches the store.
-const WORD: Duration = Duration::from_millis(300);
+const NOTICE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What instances tell each other by datagram; what is lost is told again.
 #[derive(Serialize, Deserialize)]
@@ -45,7 +43,7 @@
     let mut buffer = vec![0; DATAGRAM];
     let mut lists = Lists::new(Instant::now());
     let mut notes = Notes::new(Instant::now());
-    let mut notice = tokio::time::interval(WORD);
+    let mut notice = tokio::time::interval(NOTICE_INTERVAL);
     let mut said = Instant::now();
     let mut has_news = false;
     loop {
@@ -96,13 +94,10 @@
 
 fn receive_notice(site: &Arc<Site>, notice: Notice) {
     let now = Instant::now();
-    let before = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
     site.duty.watchers().record(notice, now);
-    site.known.observe(Observation {
-        version: notice.config,
-        revision: notice.config_revision,
-        at: before(notice.config_age_ms).unwrap_or(now),
-    });
+    if let Some(seen) = notice.observation(now) {
+        site.known.observe(seen);
+    }
     if notice.is_superseded {
         site.known.freshness().observe_newer(notice.config, now);
     }
@@ -164,7 +159,7 @@
         revision,
         config,
         config_revision: freshness.revision().unwrap_or_default(),
-        config_age_ms: millis(freshness.age(now).unwrap_or(Duration::MAX)),
+        config_age_ms: freshness.age(now).map(millis),
         is_superseded: site.known.is_receiving.load(Relaxed),
         age_ms: millis(age),
     };
