relay: evidence counts from the last moment before it may have arrived, not from when it is read

Trace (lines of the three processes): it was paused from 10:04:06 to 10:04:09.5. Notices that had arrived meanwhile, with ages of some milliseconds, were read when it went on; taken for new ones, they verified version 10 at that moment, three seconds after it was superseded, for another 1.8 s.

Datagrams now count from the last moment at which the socket was empty, answers of peers and of the store from when they were requested, and the beginning of a watch's answer from the last check that found none. Requests of others, which may have waited in a buffer, are no contact.

Files of a failed seed are kept now.

--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -19,6 +19,8 @@
 const GATHER: Duration = Duration::from_micros(200);
 /// The largest datagram that is read.
 const DATAGRAM: usize = 16 << 10;
+/// How many datagrams are read before anything else has its turn.
+const MAX_BATCH: usize = 256;
 
 /// The time between two notices of an instance that watches the store.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(300);
@@ -46,16 +48,13 @@
     let mut notice = tokio::time::interval(NOTICE_INTERVAL);
     let mut said = Instant::now();
     let mut has_news = false;
+    let mut drained = Instant::now();
     loop {
+        drained = drain(&site, &socket, &mut buffer, drained);
         let due = said + Watchers::notice_gap(site.fleet.load().told.len());
         tokio::select! {
             () = site.ending.cancelled() => return,
-            received = socket.recv_from(&mut buffer) => {
-                if let Ok((len, _)) = received {
-                    site.known.record_contact(Instant::now());
-                    hear(&site, &buffer[..len]);
-                }
-            }
+            _ = socket.readable() => {}
             () = site.placed.notified(), if !lists.has_news => lists.has_news = true,
             () = tokio::time::sleep_until(lists.due(site.sharers())) => {
                 tokio::time::sleep(GATHER).await;
@@ -76,7 +75,23 @@
     }
 }
 
-fn hear(site: &Arc<Site>, bytes: &[u8]) {
+/// Receives what has arrived since the socket was last empty; returns when it was empty again.
+///
+/// The failure: a process is paused, and datagrams that arrived meanwhile are read when it goes on. Taken for new ones,
+/// they verify a configuration that was superseded long ago. They may be as old as the last moment without any.
+fn drain(site: &Arc<Site>, socket: &UdpSocket, buffer: &mut [u8], since: Instant) -> Instant {
+    for _ in 0..MAX_BATCH {
+        let now = Instant::now();
+        let Ok((len, _)) = socket.try_recv_from(buffer) else {
+            return now;
+        };
+        site.known.record_contact(since);
+        hear(site, &buffer[..len], since);
+    }
+    since
+}
+
+fn hear(site: &Arc<Site>, bytes: &[u8], since: Instant) {
     match bincode::deserialize(bytes) {
         Ok(Datagram::Streams(mut list)) => {
             let sends = std::mem::take(&mut list.sends);
@@ -85,21 +100,22 @@
             site.known.targets().hear(list, now);
         }
         Ok(Datagram::Notes(notes)) => site.known.targets().hear_notes(&notes, Instant::now()),
-        Ok(Datagram::Notice(notice)) => receive_notice(site, notice),
+        Ok(Datagram::Notice(notice)) => receive_notice(site, notice, since),
         Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage),
         Ok(Datagram::Report(service, report)) => site.rollouts.hear_report(&service, report),
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
 }
 
-fn receive_notice(site: &Arc<Site>, notice: Notice) {
-    let now = Instant::now();
-    site.duty.watchers().record(notice, now);
-    if let Some(seen) = notice.observation(now) {
+fn receive_notice(site: &Arc<Site>, notice: Notice, since: Instant) {
+    site.duty.watchers().record(notice, Instant::now());
+    if let Some(seen) = notice.observation(since) {
         site.known.observe(seen);
     }
     if notice.is_superseded {
-        site.known.freshness().observe_newer(notice.config, now);
+        site.known
+            .freshness()
+            .observe_newer(notice.config, Instant::now());
     }
     if site.newest_config() > site.known.version() {
         site.newer_config.notify_one();
--- a/daemon/src/relay/config_sync.rs
+++ b/daemon/src/relay/config_sync.rs
@@ -34,6 +34,8 @@
 const WATCH_HELD: Duration = Duration::from_millis(50);
 /// How late the first bytes of a watch's answer may be.
 const ANSWER_DELAY: Duration = Duration::from_millis(300);
+/// How often it is checked that a watch has no answer yet.
+const ANSWER_POLL: Duration = Duration::from_millis(100);
 /// How often a transfer under way is reported.
 const TRANSFER_POLL: Duration = Duration::from_millis(200);
 /// The time between two rounds of queries of peers.
@@ -161,14 +163,19 @@
         begun: Instant,
         answered: &OnceLock<Instant>,
     ) -> Infallible {
-        self.received.exceeds(EMPTY_ANSWER).await;
-        let now = Instant::now();
-        let sent = now
-            .checked_sub(ANSWER_DELAY)
-            .map_or(begun, |sent| sent.max(begun));
+        let received = self.received.exceeds(EMPTY_ANSWER);
+        let mut received = std::pin::pin!(received);
+        // A process that was paused reads late what arrived meanwhile: the last moment without an answer counts.
+        let mut empty = begun;
+        while timeout(ANSWER_POLL, received.as_mut()).await.is_err() {
+            empty = Instant::now();
+        }
+        let sent = empty.checked_sub(ANSWER_DELAY);
+        let sent = sent.map_or(begun, |sent| sent.max(begun));
         answered.get_or_init(|| sent);
         let known = &self.site.known;
-        if now.saturating_duration_since(begun) > WATCH_HELD {
+        let now = Instant::now();
+        if empty.saturating_duration_since(begun) > WATCH_HELD {
             // The store had nothing to report until it sent this.
             self.observe(Version(since), sent);
         }
@@ -263,7 +270,7 @@
             revision: revision.0,
             at,
         });
-        self.site.known.record_contact(Instant::now());
+        self.site.known.record_contact(at);
     }
 
     fn answered(&mut self) {
@@ -365,7 +372,7 @@
     };
     match unpack::<Config>(&bytes) {
         Ok(config) => {
-            site.known.record_contact(Instant::now());
+            site.known.record_contact(begun);
             site.known.apply(config, Source::Peer);
         }
         Err(error) => {
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -142,9 +142,10 @@
     };
     let mut next = Some(outgoing.message);
     while let Some(message) = next.take() {
+        let begun = Instant::now();
         match site.peers.exchange(to, message).await {
             Ok(answer) => {
-                site.known.record_contact(Instant::now());
+                site.known.record_contact(begun);
                 next = site
                     .gossip()
                     .answered(outgoing.member, answer, Instant::now());
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -62,7 +62,6 @@
 
 impl Peer for Server {
     async fn exchange(self, _: Context, message: Message) -> Message {
-        self.site.known.record_contact(Instant::now());
         let answer = self.site.gossip().receive(message, Instant::now());
         members::after(&self.site);
         answer
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -68,7 +68,7 @@
         let begun = Instant::now();
         let from = self.from();
         match self.call(from).await {
-            Ok(revision) => self.answered(revision).await,
+            Ok(revision) => self.answered(revision, begun).await,
             Err(error) => self.failed(error, from, begun).await,
         }
     }
@@ -103,13 +103,13 @@
         Ok(revision.max(since))
     }
 
-    async fn answered(&mut self, revision: Version) {
+    async fn answered(&mut self, revision: Version, begun: Instant) {
         let site = self.site;
         self.must_list = false;
         self.backoff.answered();
         self.since = Some(revision);
         site.duty.set_targets_answer(Some(Instant::now()));
-        site.known.record_contact(Instant::now());
+        site.known.record_contact(begun);
         if std::mem::take(&mut self.is_lost) {
             site.duty.set_lost(false);
             log::info!(kind = store::TARGETS_PREFIX, revision = revision.0; "store regained");
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -50,7 +50,7 @@
     pub(crate) processes: Vec<Process>,
     /// The version of the configuration in the store.
     version: u64,
-    _files: tempfile::TempDir,
+    files: tempfile::TempDir,
 }
 
 impl Fleet {
@@ -90,7 +90,7 @@
             links,
             processes,
             version: 1,
-            _files: files,
+            files,
         };
         let late = fleet.wait_serving().await;
         assert!(late.is_empty(), "not serving at first: {late:?}");
@@ -134,6 +134,12 @@
         late
     }
 
+    /// Keeps settings and log lines of all processes; returns where they are.
+    pub(crate) fn keep_files(&mut self) -> PathBuf {
+        self.files.disable_cleanup(true);
+        self.files.path().to_owned()
+    }
+
     /// Returns how those processes ended that do not run.
     pub(crate) fn ended(&mut self) -> Vec<ExitStatus> {
         let processes = self.processes.iter_mut();
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -74,8 +74,9 @@
         faults.extend(fleet.versions.late());
         assert!(
             faults.is_empty() && late.is_empty(),
-            "seed {seed}: {faults:#?} {late:?}, ended: {:?}",
-            fleet.ended()
+            "seed {seed}: {faults:#?} {late:?}, ended: {:?}, files: {:?}",
+            fleet.ended(),
+            fleet.keep_files()
         );
         println!("seed {seed}: {}", record.summary());
         fleet.stop().await;
