--- a/cli/src/losses.rs
+++ b/cli/src/losses.rs
@@ -14,19 +14,19 @@
     Answered,
     /// The target answered that it failed.
     FailedAtTarget,
-    /// It was told that it has not run.
+    /// It was refused and has not run.
     Refused,
-    /// It was told that it could not be served in the time left.
+    /// It was refused as the time left was too short to serve it.
     TooLate,
-    /// It was told that it failed and may have run.
+    /// It failed and may have run.
     Failed,
-    /// It was told that its time is over.
+    /// Its time was over.
     TimeOver,
     /// The stream was broken off.
     BrokenOff,
     /// The caller left.
     CallerLeft,
-    /// No line tells of an end: the instance died, or its lines are missing.
+    /// It has no last line: the instance died, or lines are missing.
     NoEnd,
 }
 
--- a/crates/platform/src/received.rs
+++ b/crates/platform/src/received.rs
@@ -9,7 +9,7 @@
 
 /// The bytes of the answer to the call under way, or to the last one; clones share the count.
 ///
-/// It tells a transfer that is slow from one that never began; see [`Client::counting`].
+/// It distinguishes a slow transfer from one that never began; see [`Client::counting`].
 ///
 /// # Examples
 ///
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// What an engine told that it holds of a prompt part.
+/// What an engine reported to hold of a prompt part.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Held {
     target: u64,
@@ -64,14 +64,14 @@
     }
 }
 
-/// How long what an engine told counts. It drops what was used least recently.
+/// How long a report of an engine is valid. It evicts what was used least recently.
 const HELD_TTL: Duration = Duration::from_secs(3);
 /// The part of a prompt's tokens that makes it as good as read.
 const WHOLE: f64 = 0.9;
 /// The most engines that are asked for one prompt. A prompt is read at one of the first dozen in its order,
 /// unless more engines than that are lost or full.
 const ASKED_MOST: usize = 16;
-/// How long an engine's word of what it holds counts.
+/// How long a report of what an engine holds is valid.
 const LISTED: Duration = Duration::from_secs(1);
 
 impl Targets {
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Takes the engine that holds nearly all of a prompt part, if one told so, for the one that has read
+    /// Takes the engine that holds nearly all of a prompt part, if one reported so, for the one that has read
     /// it; returns whether there is one. Engines drop parts piece by piece.
     pub fn find_part(&mut self, part: Part, now: Instant) -> bool {
         if self.holder(part.id, now).is_some() {
@@ -143,7 +143,7 @@
         self.held_parts.retain(|_, held| held.is_fresh(now));
     }
 
-    /// Returns the least time that a stream needs; nothing where too little is known to tell.
+    /// Returns the least time that a stream needs; nothing where too little is known.
     ///
     /// The load it answers: all instances lose their power, callers notice after most of their time, and
     /// ask again with a few seconds left. Their prompts are read for a second and more, the answers are cut
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -43,13 +43,13 @@
     pub dead: Vec<u64>,
     /// Engines that were found again under another name.
     pub adopted: Vec<Adoption>,
-    /// What came of requests at targets lately; empty where there is nothing new to tell.
+    /// What came of requests at targets lately; empty if nothing changed.
     pub tallies: Vec<(u64, Tally)>,
-    /// How long connections may rest; empty where there is nothing new to tell.
+    /// How long connections may rest; empty if nothing changed.
     pub rests: Vec<Rest>,
     /// What the instance sent to each service lately.
     pub sends: Vec<Sends>,
-    /// How fast engines make events; empty where there is nothing new to tell.
+    /// How fast engines make events; empty if nothing changed.
     pub paces: Vec<(u64, f32)>,
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -90,7 +90,7 @@
 /// is left of it is for noticing the end.
 const BACK_SHARE: f64 = 0.85;
 /// The part of the bound of a configuration after which a superseded one is no longer served by; what is left of it
-/// is for words on their way.
+/// is for notices in transit.
 const STALE_SHARE: f64 = 0.9;
 /// The time that targets take to write their entries again after the store's return.
 const BACK_MOST: Duration = Duration::from_secs(2);
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -50,10 +50,9 @@
 
 /// What instances that watch the store have reported.
 ///
-/// The load it answers: each change of a target is told to each watch, and each watch costs calls
-/// while nothing changes. Two instances watch for all, in different data centres; the others ask
-/// them for what is new, in a large fleet over some in each data centre. Whoever hears of no sound watcher watches for itself, so nothing depends on
-/// who was chosen.
+/// The load it answers: each watch reports each change of a target, and costs calls while nothing changes. Two
+/// instances watch for all, in different data centres; the others query them for changes, in a large fleet over some
+/// in each data centre. An instance without a recent notice watches for itself, so nothing depends on who was elected.
 ///
 /// # Examples
 ///
--- a/daemon/src/relay/config_sync.rs
+++ b/daemon/src/relay/config_sync.rs
@@ -62,7 +62,7 @@
     /// What has arrived of the store's answer to the call under way.
     received: Received,
     backoff: StoreBackoff,
-    /// Whether the history since the known revision is gone, so that only a list tells what is there.
+    /// Whether the history since the known revision is gone, so that a list is needed.
     must_list: bool,
     is_lost: bool,
 }
--- a/daemon/src/relay/watch_duty.rs
+++ b/daemon/src/relay/watch_duty.rs
@@ -15,11 +15,11 @@
 
 /// Whether this instance watches the store, and when the store last answered it.
 pub(super) struct WatchDuty {
-    /// What instances that watch the store have said.
+    /// What instances that watch the store have reported.
     watchers: Mutex<Watchers>,
-    /// Whether this instance was chosen to watch the store for all.
+    /// Whether this instance is elected to watch the store for all.
     pub(super) is_chosen: AtomicBool,
-    /// Whether the store does not tell of targets at present.
+    /// Whether the watch of targets has no answer of the store at present.
     is_lost: AtomicBool,
     /// When the store last answered about the configuration; nothing while it is not watched.
     config_answer: Mutex<Option<Instant>>,
@@ -49,22 +49,22 @@
         self.watchers().must_watch(is_chosen, Instant::now())
     }
 
-    /// Returns whether the store does not tell of targets at present.
+    /// Returns whether the watch of targets has no answer of the store at present.
     pub(super) fn is_lost(&self) -> bool {
         self.is_lost.load(Relaxed)
     }
 
-    /// Takes in whether the store tells of targets.
+    /// Records whether the watch of targets has no answer of the store.
     pub(super) fn set_lost(&self, is_lost: bool) {
         self.is_lost.store(is_lost, Relaxed);
     }
 
-    /// Takes in when the store answered about the configuration; nothing while it is not watched.
+    /// Records when the store answered about the configuration; nothing while it is not watched.
     pub(super) fn set_config_answer(&self, at: Option<Instant>) {
         *lock(&self.config_answer) = at;
     }
 
-    /// Takes in when the store answered about targets; nothing while they are not watched.
+    /// Records when the store answered about targets; nothing while they are not watched.
     pub(super) fn set_targets_answer(&self, at: Option<Instant>) {
         *lock(&self.targets_answer) = at;
     }
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -30,7 +30,7 @@
 /// - 60100: unverified versions counted as just verified.
 /// - 60214: a paused process took reports that had waited meanwhile for new ones.
 /// - 60307: an instance knew by gossip alone that there was a newer version.
-/// - 60406: a process that had been paused served before it had heard of what had changed.
+/// - 60406: a process that had been paused served before it had read the changes.
 const KEPT_SINGLE: [u64; 4] = [60_100, 60_214, 60_307, 60_406];
 /// Seeds from here on have faults of single instances and their links to the store, and large configurations.
 const SINGLE: u64 = 60_000;
@@ -45,7 +45,7 @@
     env::var(name).ok().and_then(|text| text.parse().ok())
 }
 
-/// Returns the seeds that were asked for in a range, or these.
+/// Returns the requested seeds within a range, or these.
 fn seeds(kept: impl Iterator<Item = u64>, range: Range<u64>) -> Vec<u64> {
     match number("SOAK_SEEDS") {
         Some(count) => {
