relay: versions that peers act on supersede, and a process that was paused reads what it missed before it serves

Only notices counted, so it took the store for unavailable to all and served on. Gossip messages now carry the revision that their sender acts on. A later one is a report, repeated as long as any peer that acts on it lives, and lapses when the last one is gone: its copy of the version may be lost with it, while the store is away. Contact after a gap of a second now counts only when peers have had the time to report what was missed, or when the version was verified; requests wait for that (Resuming). Notices that waited unread are dated too early to verify anything, but still tell that there is a newer version.

An older version that was the newest one at a moment verifies a newer one in force at that moment too. newest_config no longer takes the lock of the gossip for each notice.

Tests: in test_freshness and test_gossip; the code before has no such report at all, and served at once after a pause. Two tests of Freshness jumped over seconds without a contact, which is now a pause of the process; they record contacts each half a second on the way, and assert what they did.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -24,6 +24,8 @@
 pub enum Event {
     /// The highest revision rose.
     Revision(Revision),
+    /// A peer that was heard acts on a revision above the one that this instance acts on.
+    Ahead(Revision),
     /// A brake became known.
     Brake(Brake),
     /// An entry of the kind came, changed or went.
@@ -89,6 +91,8 @@
     state: State,
     facts: Facts,
     fresh: Facts,
+    /// The revision that this instance acts on.
+    acting: Revision,
     roster: Roster,
     rumours: Rumours,
     budget: Budget,
@@ -111,6 +115,7 @@
             state: State::default(),
             facts: Facts::default(),
             fresh: Facts::default(),
+            acting: Revision(0),
             roster: Roster::default(),
             rumours: Rumours::default(),
             budget: Budget::new(settings.start_bytes, now),
@@ -203,8 +208,9 @@
         choose(b"group leader", &all, 1).first() == Some(&own)
     }
 
-    /// Takes in a revision from the store; it is pushed to peers if it is news.
+    /// Takes in a revision that this instance acts on; it is pushed to peers if it is news.
     pub fn raise(&mut self, revision: Revision) {
+        self.acting = self.acting.max(revision);
         let mut facts = Facts::default();
         facts.raise(revision);
         self.learn(facts);
--- a/crates/fleet/src/gossip/exchange.rs
+++ b/crates/fleet/src/gossip/exchange.rs
@@ -30,7 +30,7 @@
         let digest = message.digest.clone();
         let (from, to, summary, hello) = (message.from, message.to, message.summary, message.hello);
         let superseding = self.absorb(message, now);
-        let mut answer = Message::new(self.origin, Some(from));
+        let mut answer = Message::new(self.origin, Some(from), self.acting);
         answer.deltas.extend(superseding);
         let is_new = hello || to != Some(self.origin) || self.roster.run(from).is_none();
         if is_new {
@@ -69,7 +69,7 @@
         // Only a request that asked for differences is followed up, and a follow-up does not ask.
         // Two instances that cannot come to know each other would otherwise go on without end.
         let summary = summary?;
-        let mut more = Message::new(self.origin, Some(from));
+        let mut more = Message::new(self.origin, Some(from), self.acting);
         if hello {
             more.deltas.extend(self.control(self.origin));
         }
@@ -166,6 +166,9 @@
     fn absorb(&mut self, message: Message, now: Instant) -> Option<Delta> {
         let from = message.from;
         self.learn(message.facts);
+        if message.acting > self.acting {
+            self.events.insert(Event::Ahead(message.acting));
+        }
         let mut superseding = None;
         for delta in message.deltas {
             let direct = delta.origin == from;
--- a/crates/fleet/src/gossip/round.rs
+++ b/crates/fleet/src/gossip/round.rs
@@ -150,7 +150,7 @@
         let Some(to) = unmet.choose(&mut self.rng).map(|seed| (*seed).clone()) else {
             return;
         };
-        let mut message = Message::new(self.origin, None);
+        let mut message = Message::new(self.origin, None, self.acting);
         self.greet(&mut message);
         message.summary = Some(self.facts.summary());
         message.digest = Some(self.fleet_digest());
@@ -188,7 +188,7 @@
 
     fn begin(&self, key: InstanceKey) -> Message {
         let to = self.roster.get(key).and_then(|member| member.origin);
-        let mut message = Message::new(self.origin, to);
+        let mut message = Message::new(self.origin, to, self.acting);
         if to.is_none() {
             self.greet(&mut message);
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances send each other.
 
 use bincode::Options as _;
+use celerypond_types::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::{Delta, Digest, Facts, Origin};
@@ -32,6 +33,8 @@
     pub hello: bool,
     /// The summary of the sender's facts, when it wants a difference to be sent.
     pub summary: Option<u64>,
+    /// The revision that the sender itself acts on.
+    pub acting: Revision,
     /// Facts that the receiver may lack.
     pub facts: Facts,
     /// Claims that the receiver may lack.
@@ -43,12 +46,13 @@
 }
 
 impl Message {
-    pub(crate) fn new(from: Origin, to: Option<Origin>) -> Self {
+    pub(crate) fn new(from: Origin, to: Option<Origin>, acting: Revision) -> Self {
         Self {
             from,
             to,
             hello: false,
             summary: None,
+            acting,
             facts: Facts::default(),
             claims: Vec::new(),
             deltas: Vec::new(),
--- a/crates/fleet/tests/test_gossip.rs
+++ b/crates/fleet/tests/test_gossip.rs
@@ -219,3 +219,34 @@
     last.hello = true;
     assert_eq!(mesh.node(0).answered(None, last, now), None);
 }
+
+// Guards against an instance that hears of a revision once and cannot tell whether anyone still acts on it.
+#[test]
+fn peer_that_acts_on_a_later_revision_says_so_for_as_long_as_it_lives() {
+    let mut mesh = Mesh::new(3, Settings::default(), 1);
+    mesh.run(5 * SECOND);
+    mesh.node(2).raise(Revision(9));
+    mesh.run(SECOND);
+    let is_ahead = |mesh: &mut Mesh| {
+        let events = mesh.node(1).events();
+        events.contains(&Event::Ahead(Revision(9)))
+    };
+    for _ in 0..5 {
+        mesh.run(4 * SECOND);
+        assert!(is_ahead(&mut mesh));
+    }
+    mesh.kill(2);
+    mesh.run(SECOND);
+    is_ahead(&mut mesh);
+    // The other one has heard of the revision as well, and does not act on it.
+    mesh.run(5 * SECOND);
+    assert!(!is_ahead(&mut mesh));
+    mesh.node(0).raise(Revision(9));
+    mesh.run(5 * SECOND);
+    assert!(is_ahead(&mut mesh));
+    mesh.node(1).raise(Revision(9));
+    mesh.run(5 * SECOND);
+    is_ahead(&mut mesh);
+    mesh.run(5 * SECOND);
+    assert!(!is_ahead(&mut mesh));
+}
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -1,10 +1,10 @@
-//! How recent the configuration in force is.
+//! How recent what is known of the store's content is.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::Observation;
+use crate::{Contact, Observation};
 
 /// How many of the newest versions are remembered.
 const VERSIONS: usize = 16;
@@ -12,15 +12,24 @@
 /// How long a transfer counts as under way after it was last reported.
 const NEWER_TTL: Duration = Duration::from_secs(1);
 
-/// Why requests cannot be served by the configuration in force.
+/// Why requests cannot be served by what is known of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stale {
-    /// Another instance has a newer version in force, which may have been acknowledged longer ago than the limit.
+    /// Another instance has a newer version, which may have been acknowledged longer ago than the limit.
     Superseded,
     /// As above, but the newer version is still being transferred and nobody is known to have it in force.
     Pending,
     /// There was no contact with the store or another instance for longer than the limit.
     Isolated,
+    /// Contact was regained a moment ago, and changes of the time without it may still be unread.
+    Resuming,
+}
+
+impl Stale {
+    /// Returns whether it is likely to end within a moment, so that requests wait for that.
+    pub const fn is_brief(self) -> bool {
+        matches!(self, Self::Pending | Self::Resuming)
+    }
 }
 
 /// That the store has a version above one, whose number is not yet known.
@@ -30,12 +39,14 @@
     at: Instant,
 }
 
-/// How recent the configuration in force is, by what the store or its watchers were seen to hold.
+/// How recent the version of something in the store is that an instance has, by what the store or its watchers were
+/// seen to hold. It serves for the configuration and for the list of targets, whose version is a revision.
 ///
 /// A version that was the newest one within the limit cannot have been superseded for longer. Where that is not
-/// known, there are two cases. If a watcher of the store reports a newer version, or there is no contact with anyone,
-/// requests are refused, since other instances can serve them; they wait shortly where all are about to have it. If there is contact with others and no report of a newer
-/// version, the store is unavailable to all: nothing can be acknowledged, and requests are served.
+/// known, there are two cases. If another instance reports a newer version, or there is no contact with anyone,
+/// requests are refused, since other instances can serve them; they wait shortly where that is about to end. If there
+/// is contact with others and no report of a newer version, the store is unavailable to all: nothing can be
+/// acknowledged, and requests are served.
 ///
 /// Instances that are partitioned together from the store and all others cannot tell this from an unavailable store.
 ///
@@ -65,10 +76,11 @@
     held: u64,
     /// The latest observations of the newest versions, in order of version.
     seen: Vec<Observation>,
+    /// Versions above the one in force that other instances have, and when that was last reported.
+    reports: Vec<(u64, Instant)>,
     /// A version that is being transferred, here or elsewhere.
     newer: Option<Newer>,
-    /// The last contact with the store or another instance.
-    contact: Instant,
+    contact: Contact,
     /// Whether there are other instances that could serve.
     has_peers: bool,
 }
@@ -79,8 +91,9 @@
         Self {
             held: 0,
             seen: Vec::new(),
+            reports: Vec::new(),
             newer: None,
-            contact: now,
+            contact: Contact::new(now),
             has_peers: false,
         }
     }
@@ -89,6 +102,7 @@
     ///
     /// A version is not the newest one any more once a higher one was seen, whatever a late report says.
     pub fn observe(&mut self, seen: Observation) {
+        self.report(seen.version, seen.at);
         let newest = self.seen.last().map_or(0, |newest| newest.version);
         let place = self
             .seen
@@ -107,6 +121,22 @@
         }
     }
 
+    /// Records that the store or another instance was found to have this version, whenever it got it.
+    ///
+    /// An observation that waited unread may be too old to verify a version; that there is a newer one it still tells.
+    pub fn report(&mut self, version: u64, at: Instant) {
+        if version <= self.held {
+            return;
+        }
+        match self.reports.iter_mut().find(|known| known.0 == version) {
+            Some(known) => known.1 = known.1.max(at),
+            None => self.reports.push((version, at)),
+        }
+        if self.reports.len() > VERSIONS {
+            self.reports.remove(0);
+        }
+    }
+
     /// Records that a version above this one is being transferred, whose number is not yet known.
     pub fn observe_newer(&mut self, above: u64, at: Instant) {
         let is_news = |known: Newer| (above, at) > (known.above, known.at);
@@ -129,13 +159,14 @@
     }
 
     /// Records which version is in force.
-    pub const fn hold(&mut self, version: u64) {
+    pub fn hold(&mut self, version: u64) {
         self.held = version;
+        self.reports.retain(|known| known.0 > version);
     }
 
     /// Records a contact with the store or another instance.
     pub fn record_contact(&mut self, now: Instant) {
-        self.contact = self.contact.max(now);
+        self.contact.record(now);
     }
 
     /// Sets whether there are other instances, reachable or not, that have not announced their leaving.
@@ -146,8 +177,9 @@
     /// Returns the newest version that is known of, which has at least this number.
     pub fn newest(&self, now: Instant) -> u64 {
         let observed = self.seen.last().map_or(0, |newest| newest.version);
+        let reported = self.reports.iter().map(|known| known.0).max();
         let begun = self.held + u64::from(self.is_newer_begun(now));
-        observed.max(begun)
+        observed.max(begun).max(reported.unwrap_or_default())
     }
 
     /// Returns a revision of the store at which the version in force was the newest one; a watch from there reports
@@ -157,29 +189,34 @@
         revision.filter(|revision| *revision > 0)
     }
 
-    /// Returns how long ago the version in force was last observed to be the newest one; nothing if it never was.
+    /// Returns how long ago the version in force was last known to be the newest one; nothing if it never was.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        let verified = self.verified()?;
-        Some(now.saturating_duration_since(verified.at))
+        // Where an older version was the newest one, no newer one than that in force can have been acknowledged.
+        let known = self.seen.iter().filter(|seen| seen.version <= self.held);
+        let at = known.map(|seen| seen.at).max()?;
+        Some(now.saturating_duration_since(at))
     }
 
     /// Returns why requests cannot be served by the version in force, where a version may be in force for so long
     /// after it was superseded.
     pub fn stale(&self, limit: Duration, now: Instant) -> Option<Stale> {
-        let is_recent = |at| now.saturating_duration_since(at) <= limit;
-        if self.has_peers && !is_recent(self.contact) {
+        if self.has_peers && !self.contact.is_within(limit, now) {
             return Some(Stale::Isolated);
         }
-        // A report that is not repeated is not relied on: its watcher may have died with the only copy of the version
+        if self.age(now).is_some_and(|age| age <= limit) {
+            return None;
+        }
+        // A report that is not repeated is not relied on: its sender may have died with the only copy of the version
         // while the store is unavailable.
-        let newer = self.seen.last().filter(|seen| seen.version > self.held);
-        let is_superseded = newer.is_some_and(|seen| is_recent(seen.at));
-        let is_verified = self.verified().is_some_and(|seen| is_recent(seen.at));
-        match (is_verified, is_superseded) {
-            (false, true) => Some(Stale::Superseded),
-            (false, false) if self.is_newer_begun(now) => Some(Stale::Pending),
-            _ => None,
+        let is_recent = |at| now.saturating_duration_since(at) <= limit;
+        if self.reports.iter().any(|known| is_recent(known.1)) {
+            return Some(Stale::Superseded);
+        }
+        if self.is_newer_begun(now) {
+            return Some(Stale::Pending);
         }
+        let is_catching_up = self.has_peers && self.contact.is_catching_up(now);
+        is_catching_up.then_some(Stale::Resuming)
     }
 
     /// Returns the latest observation of the version in force.
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -1,4 +1,4 @@
-//! How recent the configuration in force is.
+//! How recent what is known of the store's content is.
 
 use std::time::Duration;
 
@@ -77,6 +77,16 @@
     freshness
 }
 
+/// Records a contact each half a second up to a moment.
+fn keep_contact(freshness: &mut Freshness, from: Instant, until: Instant) {
+    let mut at = from;
+    while at < until {
+        freshness.record_contact(at);
+        at += Duration::from_millis(500);
+    }
+    freshness.record_contact(until);
+}
+
 // Guards against an instance whose transfer of a newer version does not end, and that serves by the old one meanwhile.
 #[test]
 fn superseded_version_is_served_by_until_the_limit_only() {
@@ -135,7 +145,7 @@
     let mut freshness = current(now);
     freshness.observe(seen(3, 52, now + Duration::from_secs(1)));
     let soon = now + Duration::from_millis(2_500);
-    freshness.record_contact(soon);
+    keep_contact(&mut freshness, now, soon);
     assert_eq!(freshness.stale(LIMIT, soon), Some(Stale::Superseded));
     let later = now + Duration::from_millis(3_100);
     freshness.record_contact(later);
@@ -153,13 +163,83 @@
     assert_eq!(freshness.stale(LIMIT, later), None);
 }
 
+// Guards against a process that goes on after a pause and serves by what it knew before, until it has read the changes.
+#[test]
+fn resumed_process_does_not_serve_by_what_it_knew_before() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let resumed = now + Duration::from_secs(4);
+    assert_eq!(freshness.stale(LIMIT, resumed), Some(Stale::Isolated));
+    freshness.record_contact(resumed);
+    assert_eq!(freshness.stale(LIMIT, resumed), Some(Stale::Resuming));
+    // A report that waited meanwhile is too old to verify a version, and tells that there is a newer one.
+    freshness.observe(seen(3, 52, now));
+    freshness.report(3, resumed);
+    assert_eq!(freshness.stale(LIMIT, resumed), Some(Stale::Superseded));
+    freshness.hold(3);
+    assert_eq!(freshness.stale(LIMIT, resumed), Some(Stale::Resuming));
+    freshness.observe(seen(3, 60, resumed));
+    assert_eq!(freshness.stale(LIMIT, resumed), None);
+}
+
+// Guards against a resumed instance that refuses all callers for as long as the store is unavailable.
+#[test]
+fn resumed_process_serves_without_the_store_once_peers_could_report_changes() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let resumed = now + Duration::from_secs(4);
+    let later = resumed + Duration::from_secs(1);
+    keep_contact(&mut freshness, resumed, later);
+    assert_eq!(freshness.stale(LIMIT, later), None);
+}
+
+// Guards against an instance that hears of a newer version from a peer, though of no watcher, and serves by its own.
+#[test]
+fn version_that_a_peer_acts_on_supersedes_for_as_long_as_it_is_reported() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    for step in 1..20 {
+        let at = now + Duration::from_millis(500) * step;
+        freshness.record_contact(at);
+        freshness.report(3, at);
+        let is_refused = freshness.stale(LIMIT, at) == Some(Stale::Superseded);
+        assert_eq!(is_refused, at > now + LIMIT);
+    }
+    freshness.hold(3);
+    assert_eq!(freshness.stale(LIMIT, now + Duration::from_secs(10)), None);
+}
+
+// Guards against a report of a version of long ago that makes a newer one in force look superseded.
+#[test]
+fn report_of_an_older_version_supersedes_nothing() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let later = now + Duration::from_secs(3);
+    keep_contact(&mut freshness, now, later);
+    freshness.report(1, later);
+    freshness.report(2, later);
+    assert_eq!(
+        (freshness.newest(later), freshness.stale(LIMIT, later)),
+        (2, None)
+    );
+}
+
+// Guards against a list of targets that was fetched from a peer and counts as never verified.
+#[test]
+fn newer_version_than_the_one_seen_last_is_as_recent() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    freshness.hold(3);
+    assert_eq!(freshness.age(now), Some(Duration::ZERO));
+}
+
 // Guards against instances that stop serving since the store is away for all of them.
 #[test]
 fn instance_in_contact_with_peers_serves_without_the_store() {
     let now = Instant::now();
     let mut freshness = current(now);
     let later = now + 100 * LIMIT;
-    freshness.record_contact(later);
+    keep_contact(&mut freshness, now, later);
     assert_eq!(freshness.stale(LIMIT, later), None);
 }
 
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -70,7 +70,8 @@
         Event::Brake(brake) => node.rollouts.braked(node, &brake),
         Event::Changed(EntryKind::Acting) => node.rollouts.hear_acting(node),
         Event::Changed(EntryKind::TargetLeaving) => node.relayed.notify_one(),
-        Event::Changed(_) => {}
+        // The store tells of the revision itself.
+        Event::Ahead(_) | Event::Changed(_) => {}
         Event::Joined(name) => log::info!("instance {name} is known"),
         Event::Suspected(name) => {
             node.metrics.add(Counter::Suspicions, 1);
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -108,7 +108,9 @@
 }
 
 fn receive_notice(site: &Arc<Site>, notice: Notice, since: Instant) {
-    site.duty.watchers().record(notice, Instant::now());
+    let now = Instant::now();
+    site.duty.watchers().record(notice, now);
+    site.known.report_config(notice.config, now);
     if let Some(seen) = notice.observation(since) {
         site.known.observe(seen);
     }
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -87,6 +87,12 @@
     /// Records which configuration the store was seen to hold.
     pub(super) fn observe(&self, seen: Observation) {
         self.freshness().observe(seen);
+        self.changed.notify_waiters();
+    }
+
+    /// Records that another instance has this version of the configuration.
+    pub(super) fn report_config(&self, version: u64, now: Instant) {
+        self.freshness().report(version, now);
     }
 
     /// Records a contact with the store or another instance.
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -114,6 +114,7 @@
         (gossip.events(), gossip.pushes(Instant::now()))
     };
     deliver(site, sends);
+    let now = Instant::now();
     let mut has_changed = false;
     for event in events {
         match event {
@@ -122,7 +123,11 @@
                 has_changed = true;
             }
             Event::Renumbered => has_changed = true,
-            Event::Revision(_) | Event::Brake(_) | Event::Changed(_) => {}
+            Event::Revision(revision) | Event::Ahead(revision) => {
+                site.known.report_config(revision.0, now);
+                site.newer_config.notify_one();
+            }
+            Event::Brake(_) | Event::Changed(_) => {}
         }
     }
     if has_changed {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -197,13 +197,13 @@
     }))
 }
 
-/// Returns why requests cannot be served by the configuration in force, after a wait for one that is pending.
+/// Returns why requests cannot be served by the configuration in force, after a wait for what is about to come.
 async fn wait_pending(site: &Site, until: Instant) -> Option<Stale> {
     loop {
         let changed = site.known.changed();
         let stale = site.stale();
-        let is_pending = stale == Some(Stale::Pending);
-        if !is_pending || timeout_at(until, changed).await.is_err() {
+        let is_brief = stale.is_some_and(Stale::is_brief);
+        if !is_brief || timeout_at(until, changed).await.is_err() {
             return stale;
         }
     }
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -156,9 +156,8 @@
 
     /// Returns the newest version of the configuration that this instance knows of.
     pub(super) fn newest_config(&self) -> u64 {
-        let gossip = self.gossip().facts().revision().0;
-        let observed = self.known.freshness().newest(Instant::now());
-        gossip.max(observed).max(self.known.version())
+        let newest = self.known.freshness().newest(Instant::now());
+        newest.max(self.known.version())
     }
 
     pub(super) fn retries(&self) -> MutexGuard<'_, Retries> {
