relay: no request is sent by a list of targets that is older than the bound on their leaving

Nothing tied routing to the age of the list of targets: an instance that had missed a leaving, and could not get the change, sent new requests and resumed streams to the target for as long as it missed it (class of the late configuration).

Freshness now serves for both. Its version is the store's revision for targets; watchers' notices and peers' answers carry the time since that was known to be the newest. Past nine tenths of the bound on leaving, where a newer revision is reported or nobody is reached, new requests are refused (503, not ready), and requests under way get no target; where peers are reached and nobody reports a newer one, the store is away for all, and requests are served as before. What is briefly missing is waited for, as changes are fetched when they are reported. An answer of a watch with changes counts from the begin of its call, as a paused process may have had it unread.

A target is checked again when a connection to it stands, before the request is sent: Ended::Left, which proves that it has not run and blames nobody.

Counters relay.stale_targets and relay.placements_stale; lines staleness changed (was: of the configuration) with both ages, and no target chosen by an outdated list.

--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -9,6 +9,8 @@
 pub enum Ended {
     /// No connection was made, or it closed before a byte was written.
     Unsent,
+    /// The target takes no new work any more, which became known before anything was sent.
+    Left,
     /// The target says that it has not run the request.
     NotRun,
     /// Another target has the address and has not run the request.
@@ -28,7 +30,12 @@
 impl Ended {
     /// Returns whether the end proves that the request has not run at this target.
     pub const fn proves_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected)
+        self.proves_unsent() || matches!(self, Self::NotRun | Self::Misdirected)
+    }
+
+    /// Returns whether the end proves that nothing of the request reached this target.
+    pub const fn proves_unsent(self) -> bool {
+        matches!(self, Self::Unsent | Self::Left)
     }
 
     /// Returns whether the end may be the fault of the version that the target runs. Targets die and
@@ -130,7 +137,7 @@
         // The budget bounds what reaches targets. Where all targets of a data centre are dead, most
         // sends reach none, and streams would break for want of budget.
         if may_send && has_room {
-            if ended == Ended::Unsent || budget() {
+            if ended.proves_unsent() || budget() {
                 return Next::Elsewhere;
             }
             // A stream that its caller would have to begin anew can wait for some hundred milliseconds
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -10,6 +10,8 @@
 pub struct News {
     /// The store's revision up to which the targets are told.
     pub revision: u64,
+    /// The time since that was last known to be the newest revision, in milliseconds; nothing if it never was.
+    pub age_ms: Option<u32>,
     /// Whether the targets are all there are, and not only those that changed.
     pub is_whole: bool,
     /// Targets that are there.
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -89,8 +89,8 @@
 /// The part of the bound of a drain for which entries may be missing after the store's return. What
 /// is left of it is for noticing the end.
 const BACK_SHARE: f64 = 0.85;
-/// The part of the bound of a configuration after which a superseded one is no longer served by; what is left of it
-/// is for notices in transit.
+/// The part of the bound of a configuration or of a drain after which what was superseded is no longer served by; the
+/// remaining part is for notices in transit.
 const STALE_SHARE: f64 = 0.9;
 /// The time that targets take to write their entries again after the store's return.
 const BACK_MOST: Duration = Duration::from_secs(2);
@@ -135,6 +135,23 @@
         self.config_apply.mul_f64(STALE_SHARE)
     }
 
+    /// Returns for how long requests are sent by a list of targets after it was last known to be the newest one, where a
+    /// newer one is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::Bounds;
+    ///
+    /// let bounds = Bounds { drain: Duration::from_secs(3), ..Bounds::default() };
+    /// assert_eq!(bounds.targets_stale_limit(), Duration::from_millis(2_700));
+    /// ```
+    pub fn targets_stale_limit(&self) -> Duration {
+        self.drain.mul_f64(STALE_SHARE)
+    }
+
     /// Returns how long entries of targets may be missing after the store's return.
     pub fn entries_back(&self) -> Duration {
         self.drain.mul_f64(BACK_SHARE).min(BACK_MOST)
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -133,7 +133,7 @@
         self.log.restart(revision);
     }
 
-    /// Returns what changed after a revision up to another one, or all when that is not known.
+    /// Returns what changed after a revision up to another one, or all when that is not known. Its age is not filled in.
     pub fn news(&self, since: u64, revision: u64) -> News {
         let names = self.log.since(since);
         let is_whole = names.is_none();
@@ -146,6 +146,7 @@
         let missing = self.arena.values().filter(|target| target.is_missing);
         News {
             revision,
+            age_ms: None,
             is_whole,
             targets: there.iter().map(|target| target.entry.clone()).collect(),
             gone: gone.into_iter().cloned().collect(),
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -30,6 +30,9 @@
     pub config_revision: u64,
     /// The time since that was last seen to be the newest version, in milliseconds; nothing if it never was.
     pub config_age_ms: Option<u32>,
+    /// The time since the revision of the targets was last known to be the newest one, in milliseconds; nothing if it
+    /// never was.
+    pub targets_age_ms: Option<u32>,
     /// Whether a newer version is being transferred to it.
     pub is_superseded: bool,
     /// The time since the store's last answer to it, in milliseconds.
@@ -46,6 +49,16 @@
             at: now.checked_sub(age)?,
         })
     }
+
+    /// Returns which revision of the targets the store was seen to hold; nothing where the sender does not know that.
+    pub fn targets_observation(&self, now: Instant) -> Option<Observation> {
+        let age = Duration::from_millis(self.targets_age_ms?.into());
+        Some(Observation {
+            version: self.revision,
+            revision: self.revision,
+            at: now.checked_sub(age)?,
+        })
+    }
 }
 
 /// What instances that watch the store have reported.
@@ -71,6 +84,7 @@
 ///     config: 2,
 ///     config_revision: 6,
 ///     config_age_ms: Some(300),
+///     targets_age_ms: Some(300),
 ///     is_superseded: false,
 ///     age_ms: 300,
 /// };
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -298,6 +298,7 @@
         config: 2,
         config_revision: 0,
         config_age_ms: None,
+        targets_age_ms: None,
         is_superseded: false,
         age_ms: 10,
     };
@@ -309,4 +310,10 @@
     };
     let at = now - Duration::from_millis(300);
     assert_eq!(verified.observation(now), Some(seen(2, 6, at)));
+    assert_eq!(verified.targets_observation(now), None);
+    let listed = Notice {
+        targets_age_ms: Some(300),
+        ..notice
+    };
+    assert_eq!(listed.targets_observation(now), Some(seen(7, 7, at)));
 }
--- a/crates/relay/tests/test_lists.rs
+++ b/crates/relay/tests/test_lists.rs
@@ -228,6 +228,7 @@
         config: 2,
         config_revision: 5,
         config_age_ms: Some(10),
+        targets_age_ms: Some(10),
         is_superseded: false,
         age_ms,
     };
@@ -253,6 +254,7 @@
             config: 5,
             config_revision: 4,
             config_age_ms: Some(10),
+            targets_age_ms: Some(10),
             is_superseded: false,
             age_ms: 10,
         };
@@ -277,6 +279,7 @@
             config: 2,
             config_revision: 4,
             config_age_ms: Some(10),
+            targets_age_ms: Some(10),
             is_superseded: false,
             age_ms: 10,
         };
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -81,8 +81,12 @@
         RoutedDenied = "relay.denied",
         /// Routed requests that were told that they have not run.
         RoutedRefused = "relay.refused",
-        /// Routed requests that were refused as the configuration in force may be superseded.
+        /// Routed requests that were refused as the configuration in force or the list of targets may be superseded.
         RoutedStale = "relay.stale",
+        /// Those of them that were refused for the list of targets.
+        RoutedStaleTargets = "relay.stale_targets",
+        /// Attempts that got no target as the list of targets may be superseded.
+        PlacementsStale = "relay.placements_stale",
         /// Routed requests that failed and may have run.
         RoutedFailed = "relay.failed",
         /// Routed requests whose time was over.
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -66,6 +66,10 @@
     let mut request = make_request(asked, head);
     loop {
         let Kept { mut sender, rested } = connection(site, lease).await?;
+        // The target may have left since it was chosen.
+        if !site.known.targets().is_usable(lease.key) {
+            return Err(Ended::Left);
+        }
         let begun = Instant::now();
         let response = match tokio::time::timeout_at(until, sender.try_send_request(request)).await
         {
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -109,15 +109,18 @@
 
 fn receive_notice(site: &Arc<Site>, notice: Notice, since: Instant) {
     let now = Instant::now();
+    let known = &site.known;
     site.duty.watchers().record(notice, now);
-    site.known.report_config(notice.config, now);
     if let Some(seen) = notice.observation(since) {
-        site.known.observe(seen);
+        known.observe(seen);
     }
+    if let Some(seen) = notice.targets_observation(since) {
+        known.observe_targets(seen);
+    }
+    known.report_config(notice.config, now);
+    known.targets_freshness().report(notice.revision, now);
     if notice.is_superseded {
-        site.known
-            .freshness()
-            .observe_newer(notice.config, Instant::now());
+        known.freshness().observe_newer(notice.config, now);
     }
     if site.newest_config() > site.known.version() {
         site.newer_config.notify_one();
@@ -165,19 +168,22 @@
     if fleet.told.is_empty() {
         return;
     }
-    let (revision, config) = (site.known.revision(), site.known.version());
     let now = Instant::now();
+    // What comes in force meanwhile must not be reported with the age of what was in force before, so ages go first.
+    let freshness = site.known.freshness().clone();
+    let targets_age = site.known.targets_freshness().age(now);
+    let (revision, config) = (site.known.revision(), site.known.version());
     let heard = || site.duty.watchers().age(revision, config, now);
     let Some(age) = site.duty.age(now).or_else(heard) else {
         return;
     };
-    let freshness = site.known.freshness().clone();
     let notice = Notice {
         origin: fleet.origin,
         revision,
         config,
         config_revision: freshness.revision().unwrap_or_default(),
         config_age_ms: freshness.age(now).map(millis),
+        targets_age_ms: targets_age.map(millis),
         is_superseded: site.known.is_receiving.load(Relaxed),
         age_ms: millis(age),
     };
--- a/daemon/src/relay/fleet.rs
+++ b/daemon/src/relay/fleet.rs
@@ -59,7 +59,7 @@
         .iter()
         .any(|(_, member)| member.state() != MemberState::Leaving);
     drop(gossip);
-    site.known.freshness().set_has_peers(has_peers);
+    site.known.set_has_peers(has_peers);
     site.duty.watchers().set_hops(hops);
     if site.duty.is_chosen.swap(is_chosen, Relaxed) != is_chosen {
         log::info!(is_chosen, live = fleet.size; "watcher of the store");
--- a/daemon/src/relay/follow.rs
+++ b/daemon/src/relay/follow.rs
@@ -90,13 +90,14 @@
 
 /// Queries a peer for the changes of targets since a revision; returns whether it sent them.
 async fn query_changes(site: &Site, peer: SocketAddr, since: u64, limit: Duration) -> bool {
+    let begun = Instant::now();
     let sent = timeout(limit, site.peers.changes(peer, since)).await;
     let Some(bytes) = sent.ok().and_then(Result::ok).flatten() else {
         log::info!(peer:% = peer, since; "a peer sent no targets");
         return false;
     };
     match unpack::<News>(&bytes) {
-        Ok(news) => site.known.take_news(news),
+        Ok(news) => site.known.take_news(news, begun),
         Err(error) => {
             log::warn!(peer:% = peer, error:% = error; "a peer's targets cannot be read");
             return false;
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -33,6 +33,8 @@
 pub(super) struct Knowledge {
     table: ArcSwap<Table>,
     freshness: Mutex<Freshness>,
+    /// How recent the list of targets is, by revisions of the store.
+    targets_freshness: Mutex<Freshness>,
     /// Whether the store is sending this instance a newer configuration.
     pub(super) is_receiving: AtomicBool,
     targets: Mutex<Targets>,
@@ -56,6 +58,7 @@
         Self {
             table: ArcSwap::default(),
             freshness: Mutex::new(Freshness::new(Instant::now())),
+            targets_freshness: Mutex::new(Freshness::new(Instant::now())),
             is_receiving: AtomicBool::new(false),
             targets: Mutex::new(targets),
             has_config: AtomicBool::new(false),
@@ -84,12 +87,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how recent the list of targets is.
+    pub(super) fn targets_freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.targets_freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records which configuration the store was seen to hold.
     pub(super) fn observe(&self, seen: Observation) {
         self.freshness().observe(seen);
         self.changed.notify_waiters();
     }
 
+    /// Records which revision of the targets the store was seen to hold.
+    pub(super) fn observe_targets(&self, seen: Observation) {
+        self.targets_freshness().observe(seen);
+        self.changed.notify_waiters();
+    }
+
     /// Records that another instance has this version of the configuration.
     pub(super) fn report_config(&self, version: u64, now: Instant) {
         self.freshness().report(version, now);
@@ -98,6 +114,13 @@
     /// Records a contact with the store or another instance.
     pub(super) fn record_contact(&self, now: Instant) {
         self.freshness().record_contact(now);
+        self.targets_freshness().record_contact(now);
+    }
+
+    /// Sets whether there are other instances that have not announced their leaving.
+    pub(super) fn set_has_peers(&self, has_peers: bool) {
+        self.freshness().set_has_peers(has_peers);
+        self.targets_freshness().set_has_peers(has_peers);
     }
 
     /// Returns a revision of the store at which the configuration in force was the newest one, if that is known.
@@ -173,6 +196,7 @@
             return;
         }
         *known = revision;
+        self.targets_freshness().hold(revision);
         let now = Instant::now();
         let mut targets = self.targets();
         if source == Source::StoreRegained {
@@ -199,6 +223,7 @@
             return;
         }
         *known = revision;
+        self.targets_freshness().hold(revision);
         let now = Instant::now();
         let mut targets = self.targets();
         if source == Source::StoreRegained {
@@ -217,7 +242,9 @@
     }
 
     /// Takes in what another instance tells of the targets.
-    pub(super) fn take_news(&self, news: News) {
+    pub(super) fn take_news(&self, news: News, begun: Instant) {
+        let age = news.age_ms.map(|age| Duration::from_millis(age.into()));
+        let revision = news.revision;
         if news.is_whole {
             self.list_targets(news.targets, news.revision, Source::Peer);
         } else {
@@ -231,6 +258,14 @@
         }
         let mut targets = self.targets();
         targets.miss_all(&news.missing, self.entries_back, Instant::now());
+        drop(targets);
+        if let Some(at) = age.and_then(|age| begun.checked_sub(age)) {
+            self.observe_targets(Observation {
+                version: revision,
+                revision,
+                at,
+            });
+        }
     }
 
     /// Returns what another instance that knows the targets up to a revision has to be told.
@@ -239,7 +274,12 @@
             return None;
         }
         let known = self.known_revision();
-        Some(self.targets().news(since, *known))
+        let age = self.targets_freshness().age(Instant::now());
+        let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        Some(News {
+            age_ms,
+            ..self.targets().news(since, *known)
+        })
     }
 
     /// Returns the configuration in force if it has at least this version.
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
-use celerypond_relay::{Denied, Next, Stale};
+use celerypond_relay::{Denied, Next};
 use celerypond_types::TargetName;
 use http::{
     header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER},
@@ -13,7 +13,7 @@
 use http_body_util::{combinators::UnsyncBoxBody, BodyExt, Full};
 use thiserror::Error;
 
-use super::run::Run;
+use super::{run::Run, site::Outdated};
 
 /// A stream could not go on. The connection to the caller breaks, so that what it has does not look
 /// complete.
@@ -31,8 +31,8 @@
     Relayed(TargetName),
     /// No configuration is known yet.
     NoConfig,
-    /// The configuration in force may have been superseded for too long.
-    Stale(Stale),
+    /// The configuration in force or the list of targets may have been superseded for too long.
+    Outdated(Outdated),
     /// No route matches, or no account has the key.
     Denied(Denied),
     /// The request itself has a fault.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::headers;
-use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Stale, Table};
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
@@ -25,7 +25,7 @@
     members, plain,
     reply::{self, Reason, Reply},
     run::Run,
-    site::Site,
+    site::{Outdated, Site},
     stream,
 };
 
@@ -36,10 +36,10 @@
 /// hundred where the store is away.
 const START_WAIT: Duration = Duration::from_millis(500);
 
-/// How long a request waits for a configuration that no instance has in force yet.
+/// How long a request waits until what is known is recent enough to serve it.
 ///
-/// The failure: the store is unavailable to all for a while, and a new version comes with its return. All instances
-/// are stale until they have it, some tenths of a second later, and callers that are refused go to others in vain.
+/// The store may have been unavailable to all for a while: all instances are stale until they have a version that comes
+/// with its return, and callers that are refused go to others in vain.
 const PENDING_WAIT: Duration = Duration::from_millis(500);
 
 /// When a caller may come back to an instance that knows no configuration after that time.
@@ -132,8 +132,8 @@
         return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     site.known.wait_known(start + START_WAIT).await;
-    if let Some(stale) = wait_pending(site, start + PENDING_WAIT).await {
-        return refuse_stale(site, stale, &id, &head, start);
+    if let Some(outdated) = wait_pending(site, start + PENDING_WAIT).await {
+        return refuse_stale(site, outdated, &id, &head, start);
     }
     let host = request
         .headers()
@@ -197,31 +197,34 @@
     }))
 }
 
-/// Returns why requests cannot be served by the configuration in force, after a wait for what is about to come.
-async fn wait_pending(site: &Site, until: Instant) -> Option<Stale> {
+/// Returns what is known too long ago for requests to be served by it, after a wait for what is about to come.
+async fn wait_pending(site: &Site, until: Instant) -> Option<Outdated> {
     loop {
         let changed = site.known.changed();
-        let stale = site.stale();
-        let is_brief = stale.is_some_and(Stale::is_brief);
+        let outdated = site.stale();
+        let is_brief = outdated.is_some_and(Outdated::is_brief);
         if !is_brief || timeout_at(until, changed).await.is_err() {
-            return stale;
+            return outdated;
         }
     }
 }
 
-/// Refuses a request that other instances serve by a newer configuration. Its caller goes there, and uses this
+/// Refuses a request that other instances serve by what is newer. Its caller goes there, and uses this
 /// connection no more.
 fn refuse_stale(
     site: &Site,
-    stale: Stale,
+    outdated: Outdated,
     id: &SmolStr,
     head: &CallerHead,
     start: Instant,
 ) -> Reply {
     site.metrics.add(Counter::RoutedStale, 1);
+    if matches!(outdated, Outdated::Targets(_)) {
+        site.metrics.add(Counter::RoutedStaleTargets, 1);
+    }
     let left = head.deadline.unwrap_or_default();
     let left = left.saturating_sub(start.elapsed());
-    let mut reply = reply::not_run(id, left, Some(Duration::ZERO), Reason::Stale(stale));
+    let mut reply = reply::not_run(id, left, Some(Duration::ZERO), Reason::Outdated(outdated));
     reply::close_after(&mut reply);
     reply
 }
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -290,8 +290,18 @@
         self.left_at.push(from);
     }
 
-    /// Takes a place at a target.
+    /// Takes a place at a target; nothing while it may have left without this instance having heard of it.
     fn place_at(&mut self, key: TargetKey) -> Option<Lease> {
+        if let Some(stale) = self.site.stale_targets() {
+            self.site.metrics.add(Counter::PlacementsStale, 1);
+            log::info!(
+                request = self.asked.id.as_str(),
+                stale:? = stale,
+                revision = self.site.known.revision();
+                "no target chosen by an outdated list"
+            );
+            return None;
+        }
         let lease = match self.wish.affinity {
             Some(part) => Lease::take_stream(&self.site, key, part, self.wish.tokens)?,
             None => Lease::take(&self.site, key)?,
@@ -370,9 +380,9 @@
                 targets.part_refused(lease.key, part);
             }
         }
-        self.has_arrived |= ended != Ended::Unsent;
+        self.has_arrived |= !ended.proves_unsent();
         match ended {
-            Ended::Unsent => self.unreached += 1,
+            _ if ended.proves_unsent() => self.unreached += 1,
             _ => self.refusals += u32::from(ended.proves_not_run()),
         }
         let situation = Situation {
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -33,6 +33,26 @@
 /// What the names of metrics begin with.
 const METRICS_PREFIX: &str = "celerypond";
 
+/// What is known too long ago for requests to be served by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outdated {
+    /// The configuration in force.
+    Config(Stale),
+    /// The list of targets.
+    Targets(Stale),
+}
+
+impl Outdated {
+    /// Returns whether it is likely to end within a moment, so that requests wait for that.
+    pub(super) const fn is_brief(self) -> bool {
+        match self {
+            Self::Config(stale) => stale.is_brief(),
+            // Changes of the list are small, and are fetched as soon as they are reported.
+            Self::Targets(stale) => !matches!(stale, Stale::Isolated),
+        }
+    }
+}
+
 /// What all tasks of a relaying instance share.
 pub(super) struct Site {
     pub(super) settings: ArcSwap<Settings>,
@@ -133,10 +153,19 @@
         self.known.is_complete() && !self.stopping.is_cancelled() && self.stale().is_none()
     }
 
-    /// Returns why requests cannot be served by the configuration in force.
-    pub(super) fn stale(&self) -> Option<Stale> {
+    /// Returns what is known too long ago for requests to be served by it.
+    pub(super) fn stale(&self) -> Option<Outdated> {
         let limit = self.settings.load().bounds.stale_limit();
-        self.known.freshness().stale(limit, Instant::now())
+        let stale = self.known.freshness().stale(limit, Instant::now());
+        let config = stale.map(Outdated::Config);
+        config.or_else(|| self.stale_targets().map(Outdated::Targets))
+    }
+
+    /// Returns why requests cannot be sent by the list of targets.
+    pub(super) fn stale_targets(&self) -> Option<Stale> {
+        let limit = self.settings.load().bounds.targets_stale_limit();
+        let freshness = self.known.targets_freshness();
+        freshness.stale(limit, Instant::now())
     }
 
     /// Returns whether connections of callers are taken, as they are for a while when it stops.
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_relay::{Settings, Stale};
+use celerypond_relay::Settings;
 use celerypond_telemetry::Counter;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
@@ -14,7 +14,9 @@
 
 use super::{
     board, callers, config_sync, fleet, follow, members, peer_service, questions, reload, revive,
-    rollouts, site::Site, stop, watches,
+    rollouts,
+    site::{Outdated, Site},
+    stop, watches,
 };
 
 /// The time between two looks at idle connections and at targets whose entries are missing.
@@ -176,18 +178,21 @@
     }
 }
 
-/// Writes a line when requests begin to be refused for the age of the configuration, and when that ends.
-fn report_stale(site: &Site, was: &mut Option<Stale>) {
+/// Writes a line when requests begin to be refused for the age of what is known, and when that ends.
+fn report_stale(site: &Site, was: &mut Option<Outdated>) {
     let stale = site.stale();
     if std::mem::replace(was, stale) == stale {
         return;
     }
     let age = site.known.freshness().age(Instant::now());
+    let targets_age = site.known.targets_freshness().age(Instant::now());
     log::warn!(
         stale = stale.map(|stale| format!("{stale:?}")),
+        targets_revision = site.known.revision(),
+        targets_age_ms = targets_age.map(|age| age.as_millis() as u64),
         config = site.known.version(),
         newest = site.newest_config(),
         age_ms = age.map(|age| age.as_millis() as u64);
-        "staleness of the configuration changed"
+        "staleness changed"
     );
 }
--- a/daemon/src/relay/watches.rs
+++ b/daemon/src/relay/watches.rs
@@ -4,7 +4,7 @@
 
 use celerypond_adapter::{store, target};
 use celerypond_platform::{Changes, Client, Listing, PlatformError, Received, Version};
-use celerypond_relay::{Change, StoreBackoff, TargetEntry, Watchers};
+use celerypond_relay::{Change, Observation, StoreBackoff, TargetEntry, Watchers};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetName;
 use tokio::time::{sleep, Instant};
@@ -91,16 +91,33 @@
             self.site.latencies.add(Latency::Store, begun.elapsed());
             let revision = listing.revision;
             list(self.site, &listing);
+            self.observe(revision, begun);
             return Ok(revision);
         };
         // Others rely on an answer of the store within this time.
         let wait = self.site.settings.load().bounds.watch_wait();
         let wait = wait.saturating_sub(self.gathered);
+        let begun = Instant::now();
         let changes = self.store.watch(store::TARGETS_PREFIX, since, wait).await;
         let changes = changes.map_err(|report| *report.current_context())?;
-        let revision = changes.revision;
+        let revision = changes.revision.max(since);
+        // Without a change the store has held the watch for the whole wait. An answer with changes may have been unread
+        // for as long as the process was paused.
+        let seen = match changes.changes.is_empty() {
+            true => (begun + wait).min(Instant::now()),
+            false => begun,
+        };
         change(self.site, changes);
-        Ok(revision.max(since))
+        self.observe(revision, seen);
+        Ok(revision)
+    }
+
+    fn observe(&self, revision: Version, at: Instant) {
+        self.site.known.observe_targets(Observation {
+            version: revision.0,
+            revision: revision.0,
+            at,
+        });
     }
 
     async fn answered(&mut self, revision: Version, begun: Instant) {
