relay: a socket counts as empty only if the system has no datagram for it

Traced by the lines: the instance was paused from 10.5 to 13.6 s; at 13.825 its line says that version 2 was verified 212 ms before, at the moment at which it went on, 1.7 s after version 3. What it had read were notices of before the pause. They count from the last moment at which the socket was empty, and that was asked of the runtime, which does not know of a datagram until it has polled: the first look after the pause found nothing, and so all that waited counted as new.

The socket itself is asked now (Inbox). The test sends a datagram with no await before the next look, and fails without that. The same hazard in the watch of the configuration: a poll that finds no bytes of an answer counts as a moment without one only if the process was not held up just before.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod flow;
 mod follow;
+mod inbox;
 mod knowledge;
 mod lease;
 mod listen;
@@ -40,6 +41,7 @@
 
 use celerypond_telemetry::Volume;
 
+pub use inbox::Inbox;
 pub use start::{run, Instance, RelayError};
 
 /// The bound on log lines: routine ones and those of failures, a second. A request writes about
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{fleet, follow, site::Site};
+use super::{fleet, follow, inbox::Inbox, site::Site};
 
 /// How long changes are gathered before a list is sent. Streams begin and end in groups when
 /// engines are lost.
@@ -48,9 +48,9 @@
     let mut notice = tokio::time::interval(NOTICE_INTERVAL);
     let mut said = Instant::now();
     let mut has_news = false;
-    let mut drained = Instant::now();
+    let mut inbox = Inbox::new(Arc::clone(&socket));
     loop {
-        drained = drain(&site, &socket, &mut buffer, drained);
+        drain(&site, &mut inbox, &mut buffer);
         let due = said + Watchers::notice_gap(site.fleet.load().told.len());
         tokio::select! {
             () = site.ending.cancelled() => return,
@@ -75,20 +75,15 @@
     }
 }
 
-/// Receives what has arrived since the socket was last empty; returns when it was empty again.
-///
-/// The failure: a process is paused, and datagrams that arrived meanwhile are read when it goes on. Taken for new ones,
-/// they verify a configuration that was superseded long ago. They may be as old as the last moment without any.
-fn drain(site: &Arc<Site>, socket: &UdpSocket, buffer: &mut [u8], since: Instant) -> Instant {
+/// Receives what has arrived.
+fn drain(site: &Arc<Site>, inbox: &mut Inbox, buffer: &mut [u8]) {
     for _ in 0..MAX_BATCH {
-        let now = Instant::now();
-        let Ok((len, _)) = socket.try_recv_from(buffer) else {
-            return now;
+        let Some((len, since)) = inbox.next(buffer) else {
+            return;
         };
         site.known.record_contact(since);
         hear(site, &buffer[..len], since);
     }
-    since
 }
 
 fn hear(site: &Arc<Site>, bytes: &[u8], since: Instant) {
--- a/daemon/src/relay/config_sync.rs
+++ b/daemon/src/relay/config_sync.rs
@@ -165,10 +165,15 @@
     ) -> Infallible {
         let received = self.received.exceeds(EMPTY_ANSWER);
         let mut received = std::pin::pin!(received);
-        // A process that was paused reads late what arrived meanwhile: the last moment without an answer counts.
-        let mut empty = begun;
+        // A process that was paused reads late what arrived meanwhile: the last moment without an answer counts, and
+        // none at which the process had just been held up.
+        let (mut empty, mut polled) = (begun, Instant::now());
         while timeout(ANSWER_POLL, received.as_mut()).await.is_err() {
-            empty = Instant::now();
+            let now = Instant::now();
+            if now.saturating_duration_since(polled) < ANSWER_POLL * 2 {
+                empty = now;
+            }
+            polled = now;
         }
         let sent = empty.checked_sub(ANSWER_DELAY);
         let sent = sent.map_or(begun, |sent| sent.max(begun));
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_bundles;
 mod test_calls;
 mod test_front;
+mod test_inbox;
 mod test_limits;
 mod test_links;
 mod test_part;
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -30,8 +30,9 @@
 /// - 60100: unverified versions counted as just verified.
 /// - 60214: a paused process took reports that had waited meanwhile for new ones.
 /// - 60307: an instance knew by gossip alone that there was a newer version.
+/// - 60347: a process that had been paused took its socket for empty though reports waited there.
 /// - 60406: a process that had been paused served before it had read the changes.
-const KEPT_SINGLE: [u64; 4] = [60_100, 60_214, 60_307, 60_406];
+const KEPT_SINGLE: [u64; 5] = [60_100, 60_214, 60_307, 60_347, 60_406];
 /// Seeds from here on have faults of single instances and their links to the store, and large configurations.
 const SINGLE: u64 = 60_000;
 /// Instances of a run that names no number.
--- /dev/null
+++ b/daemon/tests/test_inbox.rs
@@ -0,0 +1,30 @@
+//! Datagrams of other instances.
+
+use std::{net::UdpSocket as Sender, sync::Arc, time::Duration};
+
+use celerypond_daemon::relay::Inbox;
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, Instant},
+};
+
+// Guards against a paused process that takes reports which waited meanwhile for new ones.
+#[tokio::test]
+async fn datagram_that_the_runtime_has_not_polled_counts_from_before_it_was_sent() {
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let to = socket.local_addr().unwrap();
+    let mut inbox = Inbox::new(Arc::clone(&socket));
+    let mut buffer = [0; 16];
+    sleep(Duration::from_millis(20)).await;
+    assert!(inbox.next(&mut buffer).is_none());
+    let sent = Instant::now();
+    let sender = Sender::bind("127.0.0.1:0").unwrap();
+    sender.send_to(b"report", to).unwrap();
+    // Nothing is awaited in between, so the runtime does not see the datagram.
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(inbox.next(&mut buffer).is_none());
+    socket.readable().await.unwrap();
+    let (len, since) = inbox.next(&mut buffer).unwrap();
+    assert_eq!(&buffer[..len], b"report");
+    assert!(since <= sent);
+}
