relay: an engine that has left is not found again by the word of an instance without the store

- 24.9 to 25.2 s engines crash and start anew. front-trebic-13 is turned away by the store from 24.5 s; at 25.844 it finds one of them by its own word (i-da6ddaf88b before i-4821d580fe), and tells of it for five seconds, as do all that take it over.
- 25.907 the engine leaves without draining: its entry is removed, it serves on.
All others know of that by 26.16 s (revision 400).
- They still hear of the find, do not know the name any more, and take it in as an engine that has started.
It is chosen at 30.12 s with nothing tried before, and at 30.30 s.

So it was no list that was too old: the find outlived the removal. Targets now remember what the store no longer lists, for a minute, and are not taken in by a find; an entry that is listed again clears that.

engine_that_left_is_not_found_again failed before.

--- a/crates/relay/src/revival.rs
+++ b/crates/relay/src/revival.rs
@@ -58,7 +58,8 @@
             }
             return true;
         }
-        if self.names.contains_key(name) {
+        // An engine may serve on after its entry was removed, and whoever found it tells of it for a while.
+        if self.names.contains_key(name) || self.departed.contains_key(name) {
             return false;
         }
         let entry = TargetEntry {
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -20,6 +20,10 @@
 /// How long others are told of an engine that was found again.
 const ADOPTION_TTL: Duration = Duration::from_secs(5);
 
+/// How long a target that left is remembered. Instances pass on what one of them found for some multiples of
+/// [`ADOPTION_TTL`].
+const DEPARTED_TTL: Duration = Duration::from_secs(60);
+
 /// The most engines found again that one list tells of, the last ones.
 ///
 /// The failure: the store is away, a thousand engines start again, and each is found. A list that names them all
@@ -70,6 +74,8 @@
     pub(crate) held: HashMap<(ServiceName, VersionName), Instant>,
     /// Engines that were found again, and when.
     pub(crate) adopted: Vec<(Adoption, Instant)>,
+    /// Targets that the store no longer lists, and since when.
+    pub(crate) departed: HashMap<TargetName, Instant>,
     /// Until when entries that are missing may come back.
     grace: Option<Instant>,
     /// The changes since a revision of the store, in order.
@@ -119,7 +125,7 @@
                 self.miss(name);
                 false
             }
-            Change::Gone(name) => self.remove(name),
+            Change::Gone(name) => self.remove(name, now),
         }
     }
 
@@ -185,7 +191,7 @@
         let missing = self.arena.values().filter(|target| target.is_missing);
         let names: Vec<TargetName> = missing.map(|target| target.entry.name.clone()).collect();
         for name in &names {
-            self.remove(name);
+            self.remove(name, now);
         }
         names
     }
@@ -197,7 +203,8 @@
         }
     }
 
-    fn remove(&mut self, name: &TargetName) -> bool {
+    fn remove(&mut self, name: &TargetName, now: Instant) -> bool {
+        self.departed.insert(name.clone(), now);
         let Some(key) = self.names.remove(name) else {
             return false;
         };
@@ -210,6 +217,7 @@
     }
 
     fn put(&mut self, entry: &TargetEntry) -> bool {
+        self.departed.remove(&entry.name);
         let known = self.names.get(&entry.name).copied();
         let known = known.and_then(|key| Some((key, self.arena.get_mut(key)?)));
         let Some((key, target)) = known else {
@@ -401,6 +409,8 @@
         self.held.retain(|_, until| *until > now);
         let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
         self.adopted.retain(|(_, at)| is_news(*at));
+        let is_kept = |at: Instant| now.saturating_duration_since(at) < DEPARTED_TTL;
+        self.departed.retain(|_, at| is_kept(*at));
     }
 
     /// Takes in the result of a request in one piece at a target.
--- a/crates/relay/tests/test_death.rs
+++ b/crates/relay/tests/test_death.rs
@@ -268,3 +268,26 @@
     targets.hear(Placements::default(), now);
     assert!(targets.iter().all(|(_, target)| !target.is_avoided(now)));
 }
+
+// Guards against requests to an engine that has left, as an instance without the store still tells that it was found.
+#[test]
+fn engine_that_left_is_not_found_again() {
+    let now = Instant::now();
+    let (mut here, mut cut_off) = (three_data_centres(2), three_data_centres(2));
+    let before = cut_off.get(key(&cut_off, "west-0-1")).unwrap().hash;
+    let found = TargetName::new("west-0-2");
+    assert!(cut_off.adopt(before, &found, now));
+    here.apply(&Change::Is(engine("west", 0, 2)), now);
+    here.apply(&Change::Gone(found.clone()), now);
+    here.hear(cut_off.placements(1, 1, None, now), now);
+    here.sweep(now + Duration::from_secs(4));
+    here.hear(
+        cut_off.placements(1, 2, None, now),
+        now + Duration::from_secs(4),
+    );
+    assert!(here.iter().all(|(_, target)| target.entry.name != found));
+    // The store lists it anew, under the name that it had.
+    assert!(here.apply(&Change::Is(engine("west", 0, 2)), now));
+    here.hear(cut_off.placements(1, 3, None, now), now);
+    assert!(here.is_usable(key(&here, "west-0-2")));
+}
