relay: running streams gather more closely, so that more engines are left to read

Streams gather up to 0.85 of an engine now; new prompts still count it as full from 0.6. Copies find room at the engines that read.

--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,6 +11,10 @@
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
 const CROWDED: f64 = 0.6;
 
+/// The part of an engine's slots or memory up to which streams gather at it once their prompts were read. The closer
+/// they run, the more engines are left to read; copies find room at those.
+const PACKED: f64 = 0.85;
+
 /// How much more the time of streams that are held up weighs than the wait of a prompt: they pause, or move.
 const RUNNING_WEIGHT: u64 = 2;
 /// The engines, first in the order that all instances share, of which a stream takes the least loaded.
@@ -224,7 +228,7 @@
     /// Returns whether an engine has room for one more stream beside the copies of others' runs.
     pub(crate) fn has_room(&self, target: &Target) -> bool {
         let others = self.taken.get(&target.hash).copied().unwrap_or_default();
-        self.crowding(target, &others) <= CROWDED
+        self.crowding(target, &others) <= PACKED
     }
 
     /// Orders engines for a copy: those with room outside of sick data centres, those of the own group, then
