relay: a stream that would be late for the prompts before it is turned away

More prompts arrive than engines read in time: all were queued, nine seconds deep, each one late, and so were those that came seconds after the load had ended. Now the wait at the engine that would be chosen is worked out from the prompts known to be read there and the rate seen for queued readings; past the aim the caller gets 503 at once, with the time in which what is queued now is read. Nobody is turned away where rates are not known yet.

Deadlines differ by seconds between callers, so fresh ones counted as late.

Tests: a model of engines in virtual time, seeded, with bounds from its own capacity.

--- a/crates/relay/src/ended.rs
+++ b/crates/relay/src/ended.rs
@@ -79,6 +79,8 @@
     Later,
     /// Answer that it has not run, with when to come back.
     NotRun,
+    /// Answer that it has not run, and when engines will have read the prompts that they have now.
+    Overloaded(Duration),
     /// Answer that it has not run, and that it could not be whole in the time left.
     TooLate,
     /// Answer that it failed and may have run.
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -13,6 +13,8 @@
 /// The part of readings that are slower than what counts as usual. Some are much faster, as a part of
 /// their prompt was read before.
 const USUAL: f64 = 0.5;
+/// The part of readings that are slower than what counts as fast. Others may have had prompts there that are not known of.
+const FAST: f64 = 0.75;
 
 /// What the streams of each service were like lately: how many events they had, and how fast prompts
 /// were read.
@@ -45,6 +47,8 @@
     lengths: Recent,
     /// Prompt tokens that were read in a millisecond, the wait for the engine included.
     rates: Recent,
+    /// The same where other prompts were read first, with their tokens.
+    queued: Recent,
 }
 
 impl History {
@@ -60,6 +64,13 @@
         }
     }
 
+    /// Takes in that a prompt was read after others, with the tokens of all.
+    pub fn add_queued_reading(&mut self, service: &ServiceName, tokens: u64, took_ms: f64) {
+        if took_ms > 0.0 {
+            self.past(service).queued.add(tokens as f64 / took_ms);
+        }
+    }
+
     /// Returns how many events an answer usually has after its event `last`; nothing where too few
     /// answers are known.
     pub fn events_left(&self, service: &ServiceName, last: u64) -> Option<f64> {
@@ -76,6 +87,17 @@
         self.services.get(service)?.rates.quantile(USUAL, 0.0)
     }
 
+    /// Returns how many tokens of queued prompts an engine reads in a millisecond when it reads fast; nothing where too few
+    /// readings are known.
+    ///
+    /// What each request takes besides its reading counts once for a whole queue, so this is more than
+    /// [`History::read_rate`].
+    pub fn queue_rate(&self, service: &ServiceName) -> Option<f64> {
+        let past = self.services.get(service)?;
+        let queued = past.queued.quantile(FAST, 0.0);
+        queued.or_else(|| past.rates.quantile(FAST, 0.0))
+    }
+
     fn left(&self, service: &ServiceName, last: u64, part: f64) -> Option<f64> {
         let lengths = &self.services.get(service)?.lengths;
         let last = last as f64;
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The integration tests of the crate, in one binary.
 
 mod fixture;
+mod overload;
 mod test_access;
 mod test_admission;
 mod test_attempts;
@@ -10,6 +11,7 @@
 mod test_freshness;
 mod test_groups;
 mod test_lists;
+mod test_overload;
 mod test_placement;
 mod test_quality;
 mod test_relocation;
--- a/daemon/src/relay/flow.rs
+++ b/daemon/src/relay/flow.rs
@@ -95,11 +95,12 @@
         })
     }
 
-    /// Decides whether the stream can still be whole; engines that hold its prompt need not read it.
+    /// Decides whether the stream can still be whole, and on time if it has not begun; engines that hold its prompt need not
+    /// read it.
     ///
     /// # Errors
     ///
-    /// `TooLate` where it cannot.
+    /// `TooLate` or `Overloaded` where it cannot.
     async fn admit(&self) -> Result<(), Next> {
         let last = self.passage.last().unwrap_or_default();
         // Who has a part of the answer comes back after its instance was lost, or many were.
@@ -107,7 +108,8 @@
             self.run.look_for_prompt().await;
         }
         let Some(needs) = self.run.lacks_time(last) else {
-            return Ok(());
+            let backoff = (last == 0).then(|| self.run.backoff()).flatten();
+            return backoff.map_or(Ok(()), |back| Err(Next::Overloaded(back)));
         };
         log::info!(
             request = self.run.asked.id.as_str(),
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -39,6 +39,8 @@
     BadRequest,
     /// No target was left to ask, or those that were asked refused.
     NoTarget,
+    /// Its first event would be late, as engines have too much to read.
+    Overloaded,
     /// It has not run, and what is left of its time is too short to serve it.
     TooLate,
     /// The instance stops before the request would be done.
@@ -97,6 +99,7 @@
         Next::NotRun | Next::Elsewhere => {
             not_run(id, run.left(), run.come_back(), Reason::NoTarget)
         }
+        Next::Overloaded(back) => not_run(id, run.left(), Some(back), Reason::Overloaded),
         Next::TooLate => own(StatusCode::SERVICE_UNAVAILABLE, Some(id), Reason::TooLate),
         Next::Failed | Next::Later => own(StatusCode::BAD_GATEWAY, Some(id), Reason::Failed),
         Next::Expired => own(StatusCode::GATEWAY_TIMEOUT, Some(id), Reason::TimeOver),
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -222,16 +222,19 @@
         targets.history.add_answer(&self.wish.service, events);
     }
 
-    /// Takes in how long the prompt took at an engine that had so many tokens to read, this stream's
-    /// among them. Where it read others before, it tells nothing.
+    /// Takes in how long the prompt took at an engine that had so many tokens to read, this stream's among them.
     pub(super) fn note_reading(&self, reading: u64, took: Duration) {
-        if reading > self.wish.tokens {
-            return;
-        }
         let mut targets = self.site.known.targets();
         let history = &mut targets.history;
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        history.add_reading(&self.wish.service, self.wish.prompt, took_ms);
+        let (service, took_ms) = (&self.wish.service, took.as_secs_f64() * 1_000.0);
+        if reading <= self.wish.tokens {
+            history.add_reading(service, self.wish.prompt, took_ms);
+            return;
+        }
+        // What is read counts with its answer at full length.
+        let prompt_share = self.wish.prompt as f64 / self.wish.tokens.max(1) as f64;
+        let tokens = (reading as f64 * prompt_share) as u64;
+        history.add_queued_reading(service, tokens, took_ms);
     }
 
     /// Returns whether an engine is known that holds the prompt.
@@ -276,6 +279,25 @@
         (!needs.fit(asks.left)).then_some(needs)
     }
 
+    /// Returns when the caller of a stream that has not begun may come back if engines have too much to read for it to be on
+    /// time; nothing where it is to be placed.
+    pub(super) fn backoff(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let want = self.wish.want(&[]);
+        let targets = self.site.known.targets();
+        let pick = targets.pick(&want, now)?;
+        let queueing = targets.queueing(pick.key, &want, self.wish.prompt, now)?;
+        let backoff = queueing.backoff(self.route.aim)?;
+        log::info!(
+            request = self.asked.id.as_str(),
+            wait_ms = queueing.wait.as_millis() as u64,
+            read_ms = queueing.read.as_millis() as u64,
+            backoff_ms = backoff.as_millis() as u64;
+            "engines have too much to read"
+        );
+        Some(backoff)
+    }
+
     /// Returns what the stream has ahead of it after its event `last`.
     pub(super) fn ahead(&self, last: u64) -> Ahead {
         let targets = self.site.known.targets();
