soak: the two tests of one process take turns

Cause: loopback addresses follow from the process id, so both tests of the binary use the same ones. Now they ran at once, and each caller reached instances of both fleets.

They take turns.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -177,7 +177,7 @@
     format!("{}:{PORT}", ip(n)).parse().unwrap()
 }
 
-/// Soaks that run at the same time have loopback addresses of their own.
+/// Processes that soak at the same time have loopback addresses of their own.
 fn ip(n: usize) -> String {
     let block = 10 + std::process::id() % 200;
     format!("127.1.{block}.{}", n + 1)
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -12,6 +12,7 @@
 use std::{env, ops::Range, time::Duration};
 
 use rand::{rngs::SmallRng, SeedableRng as _};
+use tokio::sync::Mutex;
 
 use crate::{callers::Callers, fleet::Fleet, record::Record, versions::Probes};
 
@@ -42,6 +43,9 @@
 /// How long faults of single instances are injected under one seed.
 const SINGLE_FAULTS: Duration = Duration::from_secs(12);
 
+/// Held by the soak that runs: those of one process have the same addresses.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 fn number(name: &str) -> Option<u64> {
     env::var(name).ok().and_then(|text| text.parse().ok())
 }
@@ -78,6 +82,7 @@
 }
 
 async fn run(seed: u64) {
+    let _turn = TURN.lock().await;
     let instances = number("SOAK_INSTANCES").map_or(INSTANCES, |n| n as usize);
     let mut rng = SmallRng::seed_from_u64(seed);
     let record = Record::default();
