--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,8 +11,8 @@
 /// the copies of others' runs need room as well, and where memory runs out streams are preempted.
 const CROWDED: f64 = 0.6;
 
-/// The part of an engine's slots or memory up to which streams gather at it once their prompts were read. The closer
-/// they run, the more engines are left to read; copies find room at those.
+/// The part of an engine's slots or memory up to which running streams are moved to it. The fuller these engines are, the
+/// more others are left to read prompts; copies find room at those.
 const PACKED: f64 = 0.85;
 
 /// How much more the time of streams that are held up weighs than the wait of a prompt: they pause, or move.
--- a/daemon/src/relay/inbox.rs
+++ b/daemon/src/relay/inbox.rs
@@ -9,6 +9,26 @@
 ///
 /// What a process that was paused reads when it goes on was sent during the pause. A datagram may be as old as the last
 /// moment at which none was waiting.
+///
+/// # Examples
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> std::io::Result<()> {
+/// use std::sync::Arc;
+///
+/// use celerypond_daemon::relay::Inbox;
+/// use tokio::net::UdpSocket;
+///
+/// let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+/// let mut inbox = Inbox::new(Arc::clone(&socket));
+/// socket.send_to(b"notice", socket.local_addr()?).await?;
+/// socket.readable().await?;
+/// let (len, _since) = inbox.next(&mut [0; 16]).expect("a datagram has arrived");
+/// assert_eq!(len, 6);
+/// # Ok(())
+/// # }
+/// ```
 pub struct Inbox {
     socket: Arc<UdpSocket>,
     /// The last moment at which no datagram was waiting.
@@ -38,8 +58,7 @@
         }
     }
 
-    /// Returns whether the system has a datagram. The runtime does not know of one that arrived since it last polled,
-    /// as long as that may be after a pause.
+    /// Returns whether the system has a datagram, as the runtime does not know of one that arrived after it last polled.
     fn is_waiting(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         SockRef::from(&*self.socket).peek(&mut byte).is_ok()
