relay: the store's list goes before an earlier answer of a restarted engine

Callers: requests reached engines that had left (DRAIN), for as long as a peer reported that it had found them.

Cause: an instance without the store uses a restarted engine by the engine's own answer, and reports it for 5 s. Receivers weighed the report against the names that they had seen listed or removed, so one that started after the removal, or that got a whole list, had nothing to weigh it against. The report had no age, each receiver reported it anew for 5 s of its own, and what the store never listed stayed with the instance that had found it. A whole list of a peer passed such engines on as listed ones.

On those that need no new call fail: list_of_the_store_goes_before_an_earlier_observation_of_a_peer and old_observation_is_not_adopted_after_the_removal_is_forgotten (both cases). On the way: engine_that_the_returned_store_lists_stays showed that an entry equal to the assumed one did not count as listed.

Now a report carries the age of the engine's answer, dated as early as the datagram may have arrived. It is acted on and passed on within 5 s of the answer, and only where the list was last verified at least 2 s before it, the time in which the store lists a living engine; so an instance in contact with the store, or with one that is, goes by the list. An engine that verified lists lack for 2 s is dropped, also by the instance that found it. Whole lists of peers name those that the store does not list. Dead engines are not queried while the list is recent.

--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -41,7 +41,7 @@
     /// The hashes of the names of targets that took no connection a moment ago. A list need not name
     /// what the one before named.
     pub dead: Vec<u64>,
-    /// Engines that were found again under another name.
+    /// Engines that were observed under another name than before.
     pub adopted: Vec<Adoption>,
     /// What came of requests at targets lately; empty if nothing changed.
     pub tallies: Vec<(u64, Tally)>,
@@ -62,13 +62,38 @@
     pub target: u64,
 }
 
-/// An engine that was found again under another name.
+/// An engine that was observed under another name than before, as it restarted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Adoption {
     /// The hash of the name before.
     pub before: u64,
     /// The name.
     pub name: TargetName,
+    /// The time since the engine answered under the name, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Placements {
+    /// Adds the time for which the list may have waited unread to the ages in it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::{Adoption, Placements};
+    ///
+    /// let adopted = vec![Adoption { before: 7, name: "e-1".into(), age_ms: 100 }];
+    /// let mut list = Placements { adopted, ..Placements::default() };
+    /// list.add_age(Duration::from_millis(250));
+    /// assert_eq!(list.adopted[0].age_ms, 350);
+    /// ```
+    pub fn add_age(&mut self, waited: Duration) {
+        let waited = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+        for adoption in &mut self.adopted {
+            adoption.age_ms = adoption.age_ms.saturating_add(waited);
+        }
+    }
 }
 
 /// What streams of other instances take of an engine.
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -189,11 +189,16 @@
         revision.filter(|revision| *revision > 0)
     }
 
-    /// Returns how long ago the version in force was last known to be the newest one; nothing if it never was.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
+    /// Returns when the version in force was last known to be the newest one; nothing if it never was.
+    pub fn verified_at(&self) -> Option<Instant> {
         // Where an older version was the newest one, no newer one than that in force can have been acknowledged.
         let known = self.seen.iter().filter(|seen| seen.version <= self.held);
-        let at = known.map(|seen| seen.at).max()?;
+        known.map(|seen| seen.at).max()
+    }
+
+    /// Returns how long ago the version in force was last known to be the newest one; nothing if it never was.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let at = self.verified_at()?;
         Some(now.saturating_duration_since(at))
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod quality;
 mod queueing;
 mod relocate;
+mod restart;
 mod rests;
 mod retries;
 mod revival;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -20,6 +20,8 @@
     pub gone: Vec<TargetName>,
     /// Targets whose entries may still come back after an outage.
     pub missing: Vec<TargetName>,
+    /// Those of the targets that the store does not list, and the time since each one answered, in milliseconds.
+    pub observed: Vec<(TargetName, u32)>,
 }
 
 /// Puts what instances tell each other into bytes.
--- /dev/null
+++ b/crates/relay/src/restart.rs
@@ -0,0 +1,43 @@
+//! Engines that answer under another name than before.
+
+use std::time::Duration;
+
+use celerypond_types::TargetName;
+use tokio::time::Instant;
+
+use crate::{targets::ADOPTION_TTL, Adoption};
+
+/// An engine that restarted and answered under its new name, while the store did not list it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Restart {
+    /// The hash of the name before.
+    pub(crate) before: u64,
+    /// The name.
+    pub(crate) name: TargetName,
+    /// When the engine answered an instance.
+    pub(crate) seen: Instant,
+    /// When this instance learned of it.
+    pub(crate) heard: Instant,
+}
+
+impl Restart {
+    /// Returns whether it is recent enough to be passed on.
+    pub(crate) fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.seen) < ADOPTION_TTL
+    }
+
+    /// Returns it as other instances receive it.
+    pub(crate) fn adoption(&self, now: Instant) -> Adoption {
+        Adoption {
+            before: self.before,
+            name: self.name.clone(),
+            age_ms: age_ms(self.seen, now),
+        }
+    }
+}
+
+/// Returns the time since a moment in milliseconds.
+pub(crate) fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age: Duration = now.saturating_duration_since(at);
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/relay/src/revival.rs
+++ b/crates/relay/src/revival.rs
@@ -5,7 +5,12 @@
 use celerypond_types::{ServiceName, TargetName};
 use tokio::time::Instant;
 
-use crate::{Adoption, Target, TargetEntry, Targets};
+use crate::{
+    restart::Restart,
+    target::Unlisted,
+    targets::{ADOPTION_TTL, LISTING_TIME},
+    Target, TargetEntry, Targets,
+};
 
 /// How long after its death an engine is looked for first: it takes about a second to start.
 const REVIVE_FROM: Duration = Duration::from_millis(900);
@@ -29,6 +34,9 @@
     /// Returns engines that were found dead and may have started again. Each instance gets them at
     /// its own time, up to `stagger` after the others.
     pub fn dead_engines(&self, now: Instant, stagger: Duration) -> Vec<Dead> {
+        if !self.is_unverified(now) {
+            return Vec::new();
+        }
         let late = stagger.mul_f64(self.lateness);
         let is_due = |target: &Target| {
             let died = target.died.map(|died| now.saturating_duration_since(died));
@@ -45,9 +53,32 @@
             .collect()
     }
 
-    /// Takes in that the engine that had a name, of this hash, answers under another or the same
-    /// name; returns whether that was news.
+    /// Returns whether the list is so old that an engine which answers now may have started after it.
+    fn is_unverified(&self, seen: Instant) -> bool {
+        self.verified.is_none_or(|at| at + LISTING_TIME <= seen)
+    }
+
+    /// Takes in that the engine that had a name, of this hash, answers now under another or the same name; returns
+    /// whether that is used and was not known.
     pub fn adopt(&mut self, before: u64, name: &TargetName, now: Instant) -> bool {
+        self.adopt_seen(before, name, now, now)
+    }
+
+    /// Takes in that it answered so at a moment.
+    ///
+    /// The store's list goes before an answer: an engine that is not on a list of the time may have been removed from
+    /// it, and serves on for a while.
+    pub(crate) fn adopt_seen(
+        &mut self,
+        before: u64,
+        name: &TargetName,
+        seen: Instant,
+        now: Instant,
+    ) -> bool {
+        let is_recent = now.saturating_duration_since(seen) < ADOPTION_TTL;
+        if !is_recent || !self.is_unverified(seen) {
+            return false;
+        }
         let old = self.arena.iter().find(|(_, target)| target.hash == before);
         let Some((key, old)) = old else {
             return false;
@@ -58,24 +89,25 @@
             }
             return true;
         }
-        // An engine may serve on after its entry was removed, and whoever found it tells of it for a while.
+        // An engine may answer after its entry was removed.
         if self.names.contains_key(name) || self.departed.contains_key(name) {
             return false;
         }
         let entry = TargetEntry {
             name: name.clone(),
-            // Later than the start that it follows, and earlier than any that the store will tell.
+            // Later than the start that it follows, and earlier than any that the store will list.
             born: old.entry.born.map(|born| born + 1),
             ..old.entry.clone()
         };
         let mut found = Target::new(entry);
-        found.is_found = true;
+        found.unlisted = Some(Unlisted { seen, absent: None });
         self.insert(found);
-        let told = Adoption {
+        self.adopted.push(Restart {
             before,
             name: name.clone(),
-        };
-        self.adopted.push((told, now));
+            seen,
+            heard: now,
+        });
         true
     }
 
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -17,6 +17,15 @@
 /// How long a load that a target reported is believed.
 const LOAD_FRESH: Duration = Duration::from_millis(500);
 
+/// That a target is used although the store does not list it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unlisted {
+    /// When it last answered an instance.
+    pub(crate) seen: Instant,
+    /// Since when the store's list is known to lack it; nothing where the list is older than `seen`.
+    pub(crate) absent: Option<Instant>,
+}
+
 /// What this instance knows of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -44,8 +53,8 @@
     pub died: Option<Instant>,
     /// When it last took no connection of this instance.
     pub found_dead: Option<Instant>,
-    /// Whether it was found by its own word, so that its start is not known.
-    pub is_found: bool,
+    /// Set while the store does not list it and it is used since it answered under its name.
+    pub(crate) unlisted: Option<Unlisted>,
     /// Whether no later target has taken its address over.
     pub(crate) owns_address: bool,
     /// Whether its entry is missing after the store's return.
@@ -71,7 +80,7 @@
             is_dead: false,
             died: None,
             found_dead: None,
-            is_found: false,
+            unlisted: None,
             owns_address: false,
             is_missing: false,
             listed: None,
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -12,23 +12,27 @@
 use tokio::time::Instant;
 
 use crate::{
-    address_book::AddressBook, admission::Held, change_log::ChangeLog, streams::Streams, Adoption,
+    address_book::AddressBook,
+    admission::Held,
+    change_log::ChangeLog,
+    restart::{age_ms, Restart},
+    streams::Streams,
+    target::Unlisted,
     Board, Group, History, News, Note, Paces, PlacementKey, Placements, Quality, Rests, Taken,
     Target, TargetEntry,
 };
 
-/// How long others are told of an engine that was found again.
-const ADOPTION_TTL: Duration = Duration::from_secs(5);
+/// How long after a restarted engine has answered that is passed on, and may be acted on.
+pub(crate) const ADOPTION_TTL: Duration = Duration::from_secs(5);
 
-/// How long a target that left is remembered. Instances pass on what one of them found for some multiples of
-/// [`ADOPTION_TTL`].
+/// How long the store takes at most to list an engine that has started, or that it lost the entry of.
+pub(crate) const LISTING_TIME: Duration = Duration::from_secs(2);
+
+/// How long a target that left is remembered; longer than [`ADOPTION_TTL`].
 const DEPARTED_TTL: Duration = Duration::from_secs(60);
 
-/// The most engines found again that one list tells of, the last ones.
-///
-/// The failure: the store is away, a thousand engines start again, and each is found. A list that names them all
-/// is longer than a datagram may be; it is not sent, and others take all streams in it for ended.
-const ADOPTIONS_MOST: usize = 128;
+/// The most restarted engines that one list names, the last ones. A longer list exceeds a datagram.
+const MAX_ADOPTIONS: usize = 128;
 /// The most notes that wait to be told; they fit into one datagram. Older ones are left out: their prompts were
 /// most likely read.
 const NOTES_MOST: usize = 64;
@@ -72,8 +76,10 @@
     pub history: History,
     /// Until when versions that came to a service beside others get no request without an order.
     pub(crate) held: HashMap<(ServiceName, VersionName), Instant>,
-    /// Engines that were found again, and when.
-    pub(crate) adopted: Vec<(Adoption, Instant)>,
+    /// Restarted engines that the store does not list, to be passed on.
+    pub(crate) adopted: Vec<Restart>,
+    /// When the list was last known to be the store's newest one.
+    pub(crate) verified: Option<Instant>,
     /// Targets that the store no longer lists, and since when.
     pub(crate) departed: HashMap<TargetName, Instant>,
     /// Until when entries that are missing may come back.
@@ -87,10 +93,17 @@
 }
 
 impl Targets {
-    /// Takes in a whole list; targets that it leaves out are gone. Returns what changed.
+    /// Takes in the whole list that the store has now; targets that it leaves out are gone. Returns what changed.
     ///
     /// Within the grace that [`Targets::await_entries`] gives, they are only missing.
     pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Instant) -> Vec<Change> {
+        let changes = self.replace_unverified(entries, now);
+        self.verify(now);
+        changes
+    }
+
+    /// Does the same with a list of which it is not known when the store had it.
+    pub fn replace_unverified(&mut self, entries: Vec<TargetEntry>, now: Instant) -> Vec<Change> {
         let kept: HashSet<&TargetName> = entries.iter().map(|entry| &entry.name).collect();
         let gone: Vec<TargetName> = self
             .names
@@ -129,6 +142,40 @@
         }
     }
 
+    /// Records that the list was the store's newest one at a moment; returns the targets that are dropped, since the
+    /// store has not listed them for [`LISTING_TIME`].
+    pub fn verify(&mut self, at: Instant) -> Vec<TargetName> {
+        self.verified = self.verified.max(Some(at));
+        let mut dropped = Vec::new();
+        for target in self.arena.values_mut() {
+            let Some(unlisted) = target.unlisted.as_mut().filter(|one| one.seen < at) else {
+                continue;
+            };
+            let absent = *unlisted.absent.get_or_insert(at);
+            if at.saturating_duration_since(absent) >= LISTING_TIME {
+                dropped.push(target.entry.name.clone());
+            }
+        }
+        for name in &dropped {
+            self.remove(name, at);
+        }
+        dropped
+    }
+
+    /// Records which targets of a whole list the store does not list, and when each last answered.
+    pub fn set_unlisted(&mut self, observed: &[(TargetName, Instant)]) {
+        for (name, seen) in observed {
+            let key = self.names.get(name).copied();
+            if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
+                let absent = None;
+                target.unlisted.get_or_insert(Unlisted {
+                    seen: *seen,
+                    absent,
+                });
+            }
+        }
+    }
+
     /// Notes that a target changed at a revision of the store.
     pub fn note_change(&mut self, revision: u64, name: &TargetName) {
         self.log.push(revision, name);
@@ -139,7 +186,7 @@
         self.log.restart(revision);
     }
 
-    /// Returns what changed after a revision up to another one, or all when that is not known. Its age is not filled in.
+    /// Returns what changed after a revision up to another one, or all when that is not known. Ages are not filled in.
     pub fn news(&self, since: u64, revision: u64) -> News {
         let names = self.log.since(since);
         let is_whole = names.is_none();
@@ -157,9 +204,19 @@
             targets: there.iter().map(|target| target.entry.clone()).collect(),
             gone: gone.into_iter().cloned().collect(),
             missing: missing.map(|target| target.entry.name.clone()).collect(),
+            observed: Vec::new(),
         }
     }
 
+    /// Returns the targets that the store does not list, and the time since each one answered, in milliseconds.
+    pub fn observed(&self, now: Instant) -> Vec<(TargetName, u32)> {
+        let unlisted = self.arena.values();
+        let unlisted = unlisted.filter_map(|target| Some((target, target.unlisted?)));
+        unlisted
+            .map(|(target, one)| (target.entry.name.clone(), age_ms(one.seen, now)))
+            .collect()
+    }
+
     /// Takes in which targets another instance misses after an outage.
     pub fn miss_all(&mut self, names: &[TargetName], time: Duration, now: Instant) {
         if names.is_empty() {
@@ -205,6 +262,7 @@
 
     fn remove(&mut self, name: &TargetName, now: Instant) -> bool {
         self.departed.insert(name.clone(), now);
+        self.adopted.retain(|restart| restart.name != *name);
         let Some(key) = self.names.remove(name) else {
             return false;
         };
@@ -225,15 +283,15 @@
             return true;
         };
         target.is_missing = false;
+        let was_unlisted = target.unlisted.take().is_some();
         if target.entry == *entry {
             return false;
         }
         let before = target.entry.address;
-        // Of an engine that was found again, only the store tells when it started.
-        let is_same_start = target.is_found || target.entry.born == entry.born;
+        // When an unlisted engine started is known from its entry only.
+        let is_same_start = was_unlisted || target.entry.born == entry.born;
         let is_same_run = is_same_start && target.entry.address == entry.address;
         if is_same_run {
-            target.is_found = false;
             target.entry = entry.clone();
         } else {
             *target = Target::new(entry.clone());
@@ -324,14 +382,14 @@
         now: Instant,
     ) -> Placements {
         let is_told = |at: Instant| since.is_some_and(|since| at < since);
-        let adopted = self.adopted.iter().rev().take(ADOPTIONS_MOST);
-        let adopted = adopted.filter(|(_, at)| !is_told(*at));
+        let adopted = self.adopted.iter().rev().take(MAX_ADOPTIONS);
+        let adopted = adopted.filter(|restart| !is_told(restart.heard));
         Placements {
             origin,
             sequence,
             streams: self.streams.all().collect(),
             dead: self.dead(now, is_told).collect(),
-            adopted: adopted.map(|(told, _)| told.clone()).collect(),
+            adopted: adopted.map(|restart| restart.adoption(now)).collect(),
             tallies: match since {
                 Some(_) => Vec::new(),
                 None => self.quality.tallies(now),
@@ -359,8 +417,11 @@
         let is_told = |target: &Target| list.dead.contains(&target.hash);
         let told = self.arena.values_mut().filter(|target| is_told(target));
         told.for_each(|target| target.told_dead(now));
-        for Adoption { before, name } in &list.adopted {
-            self.adopt(*before, name, now);
+        for adoption in &list.adopted {
+            let age = Duration::from_millis(adoption.age_ms.into());
+            if let Some(seen) = now.checked_sub(age) {
+                self.adopt_seen(adoption.before, &adoption.name, seen, now);
+            }
         }
         self.board.hear(list, now);
     }
@@ -407,8 +468,7 @@
         self.paces.sweep(now);
         self.sweep_held(now);
         self.held.retain(|_, until| *until > now);
-        let is_news = |at: Instant| now.saturating_duration_since(at) < ADOPTION_TTL;
-        self.adopted.retain(|(_, at)| is_news(*at));
+        self.adopted.retain(|restart| restart.is_recent(now));
         let is_kept = |at: Instant| now.saturating_duration_since(at) < DEPARTED_TTL;
         self.departed.retain(|_, at| is_kept(*at));
     }
--- a/crates/relay/tests/test_death.rs
+++ b/crates/relay/tests/test_death.rs
@@ -4,6 +4,7 @@
 
 use celerypond_relay::{Change, Ended, Placements, Presence, TargetEntry, Targets};
 use celerypond_types::TargetName;
+use rstest::rstest;
 use tokio::time::Instant;
 
 use crate::fixture::{engine, home, key, name, three_data_centres, Wanted, TOKENS};
@@ -291,3 +292,145 @@
     here.hear(cut_off.placements(1, 3, None, now), now);
     assert!(here.is_usable(key(&here, "west-0-2")));
 }
+
+// Guards against requests to an engine that has left, sent by an instance that read the store's list after a peer had
+// observed the engine.
+#[test]
+fn list_of_the_store_goes_before_an_earlier_observation_of_a_peer() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let mut cut_off = three_data_centres(2);
+    let before = cut_off.get(key(&cut_off, "west-0-1")).unwrap().hash;
+    let restarted = TargetName::new("west-0-2");
+    assert!(cut_off.adopt(before, &restarted, now));
+    let mut here = Targets::default();
+    here.replace(vec![engine("west", 0, 1), engine("west", 1, 1)], after(100));
+    here.hear(cut_off.placements(1, 1, None, after(200)), after(200));
+    assert!(here
+        .iter()
+        .all(|(_, target)| target.entry.name != restarted));
+}
+
+// Guards against a removed engine that is adopted once more after its removal is forgotten.
+#[rstest]
+#[case::one_peer(1)]
+#[case::two_peers(2)]
+fn old_observation_is_not_adopted_after_the_removal_is_forgotten(#[case] peers: u64) {
+    let now = Instant::now();
+    let after = |secs| now + Duration::from_secs(secs);
+    let mut here = three_data_centres(2);
+    let restarted = TargetName::new("west-0-2");
+    let mut cut_off = Vec::new();
+    for peer in 0..peers {
+        let mut targets = three_data_centres(2);
+        let before = targets.get(key(&targets, "west-0-1")).unwrap().hash;
+        assert!(targets.adopt(before, &restarted, now));
+        here.hear(targets.placements(peer, 1, None, now), now);
+        cut_off.push(targets);
+    }
+    assert!(here.is_usable(key(&here, "west-0-2")));
+    here.apply(&Change::Gone(restarted.clone()), after(1));
+    for second in 2..70 {
+        here.sweep(after(second));
+        for (peer, targets) in (0..).zip(&cut_off) {
+            let list = targets.placements(peer, second, None, after(second));
+            here.hear(list, after(second));
+            assert!(here
+                .iter()
+                .all(|(_, target)| target.entry.name != restarted));
+        }
+    }
+    // Nor does it pass the observation on.
+    assert!(here.placements(9, 1, None, after(2)).adopted.is_empty());
+}
+
+/// An instance without the store that uses a restarted engine by the engine's own answer.
+fn without_store(seen: Instant) -> (Targets, TargetName) {
+    let mut targets = three_data_centres(2);
+    let before = targets.get(key(&targets, "west-0-1")).unwrap().hash;
+    let restarted = TargetName::new("west-0-2");
+    assert!(targets.adopt(before, &restarted, seen));
+    (targets, restarted)
+}
+
+// Guards against an engine that left while the store was away and is used by the instance that observed it ever since.
+#[test]
+fn engine_that_the_returned_store_does_not_list_is_dropped() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let (mut targets, restarted) = without_store(now);
+    targets.verify(now);
+    assert!(targets.verify(after(3_000)).is_empty());
+    assert!(targets.is_usable(key(&targets, "west-0-2")));
+    assert_eq!(
+        targets.verify(after(5_000)),
+        std::slice::from_ref(&restarted)
+    );
+    assert!(targets
+        .iter()
+        .all(|(_, target)| target.entry.name != restarted));
+    let peer_list = without_store(after(4_900))
+        .0
+        .placements(1, 1, None, after(5_000));
+    targets.hear(peer_list, after(5_000));
+    assert!(targets
+        .iter()
+        .all(|(_, target)| target.entry.name != restarted));
+}
+
+// Guards against a restarted engine that is dropped although the store lists it in time.
+#[test]
+fn engine_that_the_returned_store_lists_stays() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let (mut targets, _) = without_store(now);
+    targets.verify(after(3_000));
+    targets.apply(&Change::Is(engine("west", 0, 2)), after(4_500));
+    targets.verify(after(5_500));
+    assert!(targets.is_usable(key(&targets, "west-0-2")));
+}
+
+// Guards against an engine that counts as listed by the store since a peer that observed it sent its whole list.
+#[test]
+fn engine_that_a_peer_observed_stays_unlisted_in_a_copy_of_its_list() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let (peer, restarted) = without_store(now);
+    let observed = peer.observed(after(700));
+    assert_eq!(observed, [(restarted.clone(), 700)]);
+    let mut started = Targets::default();
+    started.replace_unverified(peer.news(0, 1).targets, after(700));
+    started.set_unlisted(&[(restarted.clone(), now)]);
+    assert!(started.is_usable(key(&started, "west-0-2")));
+    started.verify(after(1_000));
+    assert_eq!(started.verify(after(3_000)), [restarted]);
+}
+
+// Guards against an answer that waited unread in a paused process and counts as given when it is read.
+#[test]
+fn observation_that_waited_unread_is_as_old_as_it_may_be() {
+    let now = Instant::now();
+    let after = |secs| now + Duration::from_secs(secs);
+    let (peer, restarted) = without_store(after(3));
+    let mut list = peer.placements(1, 1, None, after(3));
+    list.add_age(Duration::from_secs(4));
+    let mut here = three_data_centres(2);
+    here.verify(after(2));
+    here.hear(list, after(7));
+    assert!(here
+        .iter()
+        .all(|(_, target)| target.entry.name != restarted));
+}
+
+// Guards against health checks of engines that the store would list, by an instance that is in contact with it.
+#[test]
+fn dead_engines_are_not_queried_while_the_list_is_recent() {
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let mut targets = three_data_centres(1);
+    let dead = key(&targets, "east-0-1");
+    targets.get_mut(dead).unwrap().ended(Ended::Dead, now);
+    targets.verify(after(500));
+    assert!(targets.dead_engines(after(2_000), AT_ONCE).is_empty());
+    assert_eq!(targets.dead_engines(after(2_500), AT_ONCE).len(), 1);
+}
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -91,6 +91,7 @@
         Ok(Datagram::Streams(mut list)) => {
             let sends = std::mem::take(&mut list.sends);
             let now = Instant::now();
+            list.add_age(now.saturating_duration_since(since));
             site.retries().hear(list.origin, sends, now);
             site.known.targets().hear(list, now);
         }
--- a/daemon/src/relay/knowledge.rs
+++ b/daemon/src/relay/knowledge.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwap;
 use celerypond_relay::{Change, Config, Freshness, News, Observation, Table, TargetEntry, Targets};
-use celerypond_types::{DataCentre, TargetKey};
+use celerypond_types::{DataCentre, TargetKey, TargetName};
 use rand::Rng as _;
 use tokio::{
     sync::{futures::Notified, Notify},
@@ -102,7 +102,15 @@
 
     /// Records which revision of the targets the store was seen to hold.
     pub(super) fn observe_targets(&self, seen: Observation) {
-        self.targets_freshness().observe(seen);
+        let mut freshness = self.targets_freshness();
+        freshness.observe(seen);
+        let verified = freshness.verified_at();
+        drop(freshness);
+        if let Some(at) = verified {
+            for name in self.targets().verify(at) {
+                log::info!(target = name.as_str(), reason = "not listed by the store"; "target gone");
+            }
+        }
         self.changed.notify_waiters();
     }
 
@@ -185,15 +193,20 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes in a whole list of targets of the store's revision, unless a later one is known.
-    pub(super) fn list_targets(&self, entries: Vec<TargetEntry>, revision: u64, source: Source) {
+    /// Takes in a whole list of targets of the store's revision, unless a later one is known; returns whether it did.
+    pub(super) fn list_targets(
+        &self,
+        entries: Vec<TargetEntry>,
+        revision: u64,
+        source: Source,
+    ) -> bool {
         let mut known = self.known_revision();
         let is_old = match source {
             Source::Peer => revision <= *known,
             _ => revision < *known,
         };
         if self.has_targets() && is_old {
-            return;
+            return false;
         }
         *known = revision;
         self.targets_freshness().hold(revision);
@@ -202,7 +215,8 @@
         if source == Source::StoreRegained {
             targets.await_entries(self.entries_back, now);
         }
-        let changes = targets.replace(entries, now);
+        // When the store had the list is observed apart.
+        let changes = targets.replace_unverified(entries, now);
         targets.note_list(revision);
         drop(targets);
         drop(known);
@@ -214,6 +228,7 @@
         }
         self.told.notify_one();
         self.changed.notify_waiters();
+        true
     }
 
     /// Takes in what a watch saw up to a revision of the store, unless a later one is known.
@@ -246,7 +261,9 @@
         let age = news.age_ms.map(|age| Duration::from_millis(age.into()));
         let revision = news.revision;
         if news.is_whole {
-            self.list_targets(news.targets, news.revision, Source::Peer);
+            if self.list_targets(news.targets, news.revision, Source::Peer) {
+                self.targets().set_unlisted(&dated(news.observed, begun));
+            }
         } else {
             let there = news.targets.into_iter().map(Change::Is);
             let gone = news.gone.into_iter().map(Change::Gone);
@@ -274,11 +291,14 @@
             return None;
         }
         let known = self.known_revision();
-        let age = self.targets_freshness().age(Instant::now());
+        let now = Instant::now();
+        let age = self.targets_freshness().age(now);
         let age_ms = age.and_then(|age| u32::try_from(age.as_millis()).ok());
+        let targets = self.targets();
         Some(News {
             age_ms,
-            ..self.targets().news(since, *known)
+            observed: targets.observed(now),
+            ..targets.news(since, *known)
         })
     }
 
@@ -314,3 +334,12 @@
         }
     }
 }
+
+/// Returns when each of these targets last answered, by the ages that a peer sent after a moment.
+fn dated(observed: Vec<(TargetName, u32)>, begun: Instant) -> Vec<(TargetName, Instant)> {
+    let seen = |age: u32| begun.checked_sub(Duration::from_millis(age.into()));
+    let observed = observed.into_iter();
+    observed
+        .filter_map(|(name, age)| Some((name, seen(age)?)))
+        .collect()
+}
