relay: requests wait for what was missed to be reported, not for a fixed time

Cause, two parts. A request waited 0.5 s where catching up after a time without contact takes 0.8 s. And a second without contact counted as a gap in which changes may have been missed whatever the limit is, though with a limit of 2.7 s a change of that second cannot have become too old by the time that peers have reported it.

Evidence: in virtual time, test_freshness. With the former rule a request that arrives as contact resumes is refused 0.3 s before the end of the catching up.

Now a gap matters if its length and the time that reports take exceed the limit; that tells a process that is short of processor time from one that was cut off, and equals the second for the shortest limit (1.8 s). Who waits, waits until the missed changes have been reported, or, for a version in transfer, while its caller has a quarter of its time left for the work; and is refused at once where that is known to be too late. Requests in one piece that are between two targets wait likewise; before, one that lost contact there was refused.

--- a/crates/relay/src/contact.rs
+++ b/crates/relay/src/contact.rs
@@ -4,14 +4,22 @@
 
 use tokio::time::Instant;
 
-/// How long there may be no contact before what was missed has to be read first. Other instances are heard of every
-/// half a second.
-const GAP: Duration = Duration::from_secs(1);
 /// How long it takes after a gap until peers have reported what was missed: a round of gossip and an interval
-/// between two notices.
+/// between two notices. Shorter gaps are usual.
 const CATCH_UP: Duration = Duration::from_millis(800);
 
-/// When there was contact with the store or other instances, and since when without a gap.
+/// A time without contact.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Gap {
+    length: Duration,
+    /// The first contact after it.
+    end: Instant,
+}
+
+/// When there was contact with the store or other instances, and the gaps in it.
+///
+/// What changes during a gap is known once peers have reported it. A gap matters if such a change may be older than the
+/// limit by then. A shorter one does not, whether the process was cut off or had no processor time.
 ///
 /// # Examples
 ///
@@ -23,16 +31,17 @@
 ///
 /// let start = Instant::now();
 /// let mut contact = Contact::new(start);
-/// let resumed = start + Duration::from_secs(4);
+/// let (limit, resumed) = (Duration::from_secs(2), start + Duration::from_secs(4));
 /// contact.record(resumed);
-/// assert!(contact.is_catching_up(resumed));
-/// assert!(!contact.is_catching_up(resumed + Duration::from_secs(1)));
+/// let current = contact.current_at(limit, resumed).expect("the gap is longer than the limit");
+/// assert!(current < resumed + Duration::from_secs(1));
+/// assert_eq!(contact.current_at(limit, current), None);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Contact {
     last: Instant,
-    /// The first contact after the latest gap; nothing where there was none.
-    resumed: Option<Instant>,
+    /// The longest gap of those that ended within [`CATCH_UP`] of each other; nothing where there was none.
+    gap: Option<Gap>,
 }
 
 impl Contact {
@@ -40,14 +49,16 @@
     pub const fn new(now: Instant) -> Self {
         Self {
             last: now,
-            resumed: None,
+            gap: None,
         }
     }
 
     /// Records a contact.
     pub fn record(&mut self, at: Instant) {
-        if at.saturating_duration_since(self.last) > GAP {
-            self.resumed = Some(at);
+        let length = at.saturating_duration_since(self.last);
+        let is_longest = |known: Gap| length >= known.length || known.end + CATCH_UP <= at;
+        if length > CATCH_UP && self.gap.is_none_or(is_longest) {
+            self.gap = Some(Gap { length, end: at });
         }
         self.last = self.last.max(at);
     }
@@ -57,9 +68,10 @@
         now.saturating_duration_since(self.last) <= limit
     }
 
-    /// Returns whether contact was regained so recently that changes of the time without it may still be unread.
-    pub fn is_catching_up(&self, now: Instant) -> bool {
-        let resumed = self.resumed;
-        resumed.is_some_and(|at| now.saturating_duration_since(at) < CATCH_UP)
+    /// Returns when no change that was missed in a gap can be older than the limit and unread; nothing if that holds now.
+    pub fn current_at(&self, limit: Duration, now: Instant) -> Option<Instant> {
+        let gap = self.gap.filter(|gap| gap.length + CATCH_UP > limit)?;
+        let at = gap.end + CATCH_UP;
+        (now < at).then_some(at)
     }
 }
--- a/crates/relay/src/freshness.rs
+++ b/crates/relay/src/freshness.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Contact, Observation};
+use crate::{Contact, Observation, Stale};
 
 /// How many of the newest versions are remembered.
 const VERSIONS: usize = 16;
@@ -12,26 +12,6 @@
 /// How long a transfer counts as under way after it was last reported.
 const NEWER_TTL: Duration = Duration::from_secs(1);
 
-/// Why requests cannot be served by what is known of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stale {
-    /// Another instance has a newer version, which may have been acknowledged longer ago than the limit.
-    Superseded,
-    /// As above, but the newer version is still being transferred and nobody is known to have it in force.
-    Pending,
-    /// There was no contact with the store or another instance for longer than the limit.
-    Isolated,
-    /// Contact was regained a moment ago, and changes of the time without it may still be unread.
-    Resuming,
-}
-
-impl Stale {
-    /// Returns whether it is likely to end within a moment, so that requests wait for that.
-    pub const fn is_brief(self) -> bool {
-        matches!(self, Self::Pending | Self::Resuming)
-    }
-}
-
 /// That the store has a version above one, whose number is not yet known.
 #[derive(Clone, Copy, Debug)]
 struct Newer {
@@ -220,8 +200,14 @@
         if self.is_newer_begun(now) {
             return Some(Stale::Pending);
         }
-        let is_catching_up = self.has_peers && self.contact.is_catching_up(now);
-        is_catching_up.then_some(Stale::Resuming)
+        let current = self.current_at(limit, now);
+        current.is_some().then_some(Stale::Resuming)
+    }
+
+    /// Returns when changes that were missed while there was no contact have been reported; nothing if they have.
+    pub fn current_at(&self, limit: Duration, now: Instant) -> Option<Instant> {
+        let current = self.contact.current_at(limit, now);
+        current.filter(|_| self.has_peers)
     }
 
     /// Returns the latest observation of the version in force.
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use celerypond_relay::{Freshness, Notice, Observation, Stale};
+use celerypond_relay::{Freshness, Notice, Observation, Stale, StaleWait};
+use rstest::rstest;
 use tokio::time::Instant;
 
 /// For how long a superseded version may be served by.
@@ -317,3 +318,100 @@
     };
     assert_eq!(listed.targets_observation(now), Some(seen(7, 7, at)));
 }
+
+/// A limit that leaves more than two seconds for a gap.
+const LONG_LIMIT: Duration = Duration::from_millis(2_700);
+
+// Guards against requests that are refused just before changes that were missed have been reported.
+#[rstest]
+#[case::plain(2_000)]
+#[case::stream(25_000)]
+fn request_waits_until_missed_changes_have_been_reported(#[case] deadline: u64) {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let resumed = now + Duration::from_secs(4);
+    keep_contact(&mut freshness, resumed, resumed + Duration::from_secs(2));
+    for step in 0..16 {
+        let begun = resumed + Duration::from_millis(50) * step;
+        let stale = freshness.stale(LIMIT, begun).unwrap();
+        let wait = StaleWait::new(begun, Duration::from_millis(deadline));
+        let until = wait.for_config(stale, freshness.current_at(LIMIT, begun), begun);
+        assert_eq!(freshness.stale(LIMIT, until.unwrap()), None);
+    }
+}
+
+// Guards against callers that are kept waiting although it is known that they cannot be served in time.
+#[test]
+fn request_that_missed_changes_would_make_too_late_is_refused_at_once() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let resumed = now + Duration::from_secs(4);
+    freshness.record_contact(resumed);
+    let wait = StaleWait::new(resumed, Duration::from_secs(1));
+    let stale = freshness.stale(LIMIT, resumed).unwrap();
+    let current = freshness.current_at(LIMIT, resumed);
+    assert_eq!(wait.for_config(stale, current, resumed), None);
+    assert_eq!(wait.for_targets(stale, current, resumed), None);
+}
+
+// Guards against callers that are refused for a gap in which no change can have become older than the limit.
+#[test]
+fn gap_that_is_short_beside_the_limit_does_not_stop_service() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let mut at = now;
+    for _ in 0..10 {
+        at += Duration::from_millis(1_900);
+        freshness.record_contact(at);
+        assert_eq!(freshness.stale(LONG_LIMIT, at), None);
+    }
+    at += Duration::from_millis(1_901);
+    freshness.record_contact(at);
+    assert_eq!(freshness.stale(LONG_LIMIT, at), Some(Stale::Resuming));
+}
+
+// Guards against a change in a gap that is served without for longer than the limit.
+#[rstest]
+#[case(LIMIT)]
+#[case(LONG_LIMIT)]
+fn change_in_a_gap_is_known_before_it_is_older_than_the_limit(#[case] limit: Duration) {
+    let reported = Duration::from_millis(800);
+    for gap in (0..6_000).step_by(100).map(Duration::from_millis) {
+        let now = Instant::now();
+        let mut freshness = current(now);
+        let long_ago = now + Duration::from_secs(60);
+        keep_contact(&mut freshness, now, long_ago);
+        let resumed = long_ago + gap;
+        keep_contact(&mut freshness, resumed, resumed + reported);
+        // The change came right after the last contact before the gap.
+        for step in 0..8 {
+            let at = resumed + Duration::from_millis(100) * step;
+            let is_served = freshness.stale(limit, at).is_none();
+            assert!(!is_served || at - long_ago <= limit, "{gap:?} {step}");
+        }
+    }
+}
+
+// Guards against a short gap that makes the longer one just before it forgotten.
+#[test]
+fn short_gap_after_a_long_one_does_not_end_the_catching_up() {
+    let now = Instant::now();
+    let mut freshness = current(now);
+    let resumed = now + Duration::from_secs(4);
+    freshness.record_contact(resumed);
+    freshness.record_contact(resumed + Duration::from_millis(300));
+    let soon = resumed + Duration::from_millis(700);
+    assert_eq!(freshness.stale(LIMIT, soon), Some(Stale::Resuming));
+}
+
+// Guards against callers that go from one instance to the next while all receive the version that they lack.
+#[test]
+fn request_waits_for_a_version_in_transfer_while_its_caller_has_time_for_the_work() {
+    let now = Instant::now();
+    let wait = StaleWait::new(now, Duration::from_secs(2));
+    let until = wait.for_config(Stale::Pending, None, now).unwrap();
+    assert_eq!(until, now + Duration::from_millis(1_500));
+    assert_eq!(wait.for_config(Stale::Pending, None, until), None);
+    assert_eq!(wait.for_config(Stale::Superseded, None, now), None);
+    assert_eq!(wait.for_targets(Stale::Isolated, None, now), None);
+}
--- a/daemon/src/relay/plain.rs
+++ b/daemon/src/relay/plain.rs
@@ -17,6 +17,8 @@
 pub(super) async fn relay(mut run: Run) -> Reply {
     let mut failed = None;
     loop {
+        // Contact may have been lost since the request was admitted.
+        run.wait_targets().await;
         let Some(mut lease) = run.place() else {
             // Targets that took it may have run it, though none is left to ask.
             return failed.unwrap_or_else(|| reply::after(run.nowhere(), &run));
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_adapter::headers;
-use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, Table};
+use celerypond_relay::{CallerHead, Clock, Denied, Route, RouteKind, StaleWait, Table};
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use rand::Rng as _;
 use smol_str::SmolStr;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 use super::{
     attempt::Asked,
@@ -36,11 +36,8 @@
 /// hundred where the store is away.
 const START_WAIT: Duration = Duration::from_millis(500);
 
-/// How long a request waits until what is known is recent enough to serve it.
-///
-/// The store may have been unavailable to all for a while: all instances are stale until they have a version that comes
-/// with its return, and callers that are refused go to others in vain.
-const PENDING_WAIT: Duration = Duration::from_millis(500);
+/// How long a caller that names no deadline is taken to wait.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 
 /// When a caller may come back to an instance that knows no configuration after that time.
 ///
@@ -132,7 +129,8 @@
         return reply::own(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     site.known.wait_known(start + START_WAIT).await;
-    if let Some(outdated) = wait_pending(site, start + PENDING_WAIT).await {
+    let wait = StaleWait::new(start, head.deadline.unwrap_or(DEFAULT_DEADLINE));
+    if let Some(outdated) = site.wait_current(&wait).await {
         return refuse_stale(site, outdated, &id, &head, start);
     }
     let host = request
@@ -197,18 +195,6 @@
     }))
 }
 
-/// Returns what is known too long ago for requests to be served by it, after a wait for what is about to come.
-async fn wait_pending(site: &Site, until: Instant) -> Option<Outdated> {
-    loop {
-        let changed = site.known.changed();
-        let outdated = site.stale();
-        let is_brief = outdated.is_some_and(Outdated::is_brief);
-        if !is_brief || timeout_at(until, changed).await.is_err() {
-            return outdated;
-        }
-    }
-}
-
 /// Refuses a request that other instances serve by what is newer. Its caller goes there, and uses this
 /// connection no more.
 fn refuse_stale(
--- a/daemon/src/relay/run.rs
+++ b/daemon/src/relay/run.rs
@@ -4,7 +4,7 @@
 
 use celerypond_relay::{
     Ahead, Asks, Choice, Clock, Ended, Needs, Next, Part, Patience, Pick, Prompt, Route, RouteKind,
-    Situation, Want,
+    Situation, StaleWait, Want,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
@@ -138,6 +138,12 @@
         self.route.kind
     }
 
+    /// Waits until targets can be chosen by the list of them, or that takes too long.
+    pub(super) async fn wait_targets(&self) {
+        let wait = StaleWait::new(Instant::now(), self.left());
+        self.site.wait_targets(&wait).await;
+    }
+
     /// Takes a place at the best target that was not tried yet.
     pub(super) fn place(&mut self) -> Option<Lease> {
         let now = Instant::now();
--- a/daemon/src/relay/site.rs
+++ b/daemon/src/relay/site.rs
@@ -8,12 +8,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::{Retries, Settings, Stale, Stop};
+use celerypond_relay::{Retries, Settings, Stale, StaleWait, Stop};
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
     sync::{watch, Notify},
-    time::{Duration, Instant},
+    time::{timeout_at, Duration, Instant},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -42,17 +42,6 @@
     Targets(Stale),
 }
 
-impl Outdated {
-    /// Returns whether it is likely to end within a moment, so that requests wait for that.
-    pub(super) const fn is_brief(self) -> bool {
-        match self {
-            Self::Config(stale) => stale.is_brief(),
-            // Changes of the list are small, and are fetched as soon as they are reported.
-            Self::Targets(stale) => !matches!(stale, Stale::Isolated),
-        }
-    }
-}
-
 /// What all tasks of a relaying instance share.
 pub(super) struct Site {
     pub(super) settings: ArcSwap<Settings>,
@@ -161,6 +150,50 @@
         config.or_else(|| self.stale_targets().map(Outdated::Targets))
     }
 
+    /// Waits until requests can be served by what is known; returns what it is too old for, if that takes too long.
+    pub(super) async fn wait_current(&self, wait: &StaleWait) -> Option<Outdated> {
+        self.wait_while(|| self.stale(), wait).await
+    }
+
+    /// Waits until requests can be sent by the list of targets, or that takes too long.
+    pub(super) async fn wait_targets(&self, wait: &StaleWait) {
+        let stale = || self.stale_targets().map(Outdated::Targets);
+        self.wait_while(stale, wait).await;
+    }
+
+    async fn wait_while(
+        &self,
+        stale: impl Fn() -> Option<Outdated>,
+        wait: &StaleWait,
+    ) -> Option<Outdated> {
+        loop {
+            let changed = self.known.changed();
+            let outdated = stale()?;
+            let Some(until) = self.wait_end(outdated, wait) else {
+                return Some(outdated);
+            };
+            // Whatever ended the wait, the state is looked at again.
+            let _ = timeout_at(until, changed).await;
+        }
+    }
+
+    /// Returns until when a request waits; nothing if it is refused.
+    fn wait_end(&self, outdated: Outdated, wait: &StaleWait) -> Option<Instant> {
+        let now = Instant::now();
+        let bounds = &self.settings.load().bounds;
+        match outdated {
+            Outdated::Config(stale) => {
+                let freshness = self.known.freshness();
+                wait.for_config(stale, freshness.current_at(bounds.stale_limit(), now), now)
+            }
+            Outdated::Targets(stale) => {
+                let freshness = self.known.targets_freshness();
+                let current = freshness.current_at(bounds.targets_stale_limit(), now);
+                wait.for_targets(stale, current, now)
+            }
+        }
+    }
+
     /// Returns why requests cannot be sent by the list of targets.
     pub(super) fn stale_targets(&self) -> Option<Stale> {
         let limit = self.settings.load().bounds.targets_stale_limit();
