standins, soak: test processes that run at once have addresses of their own

Two runs of the stand-ins' tests at once shared 127.0.7.x and the ports of instances, so that one failed with "cannot listen"; soaks shared addresses when their process ids were equal modulo 200.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -11,6 +11,7 @@
     answers::{end, events, last_event, ok, own},
     caller::{ask, routed, Got},
     forms::{config, entry, large_config, settings, SETTINGS_VARIABLE},
+    loopback,
     proxy::Proxy,
     store::Store,
     target::{Act, Seen, Target},
@@ -177,10 +178,9 @@
     format!("{}:{PORT}", ip(n)).parse().unwrap()
 }
 
-/// Processes that soak at the same time have loopback addresses of their own.
 fn ip(n: usize) -> String {
-    let block = 10 + std::process::id() % 200;
-    format!("127.1.{block}.{}", n + 1)
+    let number = u8::try_from(n + 1).expect("a soak has fewer than 255 instances");
+    loopback::address(number).to_string()
 }
 
 fn answer(seen: &Seen, name: &str) -> Vec<Act> {
