relay: a reported share of an order counts from when the report may have arrived

Callers: after a pause of its process an instance could go on to send requests to a version on trial for 1.5 s by a report of before the pause, though the version may have been rolled back meanwhile.

The test is of Versions alone; that the datagram's date is passed on is one line of board.rs.

--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -8,8 +8,7 @@
 
 use crate::{Evidence, Phase, Report, Stage};
 
-/// How long a share holds without a word of the instance that drives the order. It tells its stage four
-/// times a second.
+/// How long a share holds without a report of the instance that drives the order, which sends four a second.
 const STAGE_TTL: Duration = Duration::from_millis(1_500);
 
 /// The versions that may take a request.
@@ -83,13 +82,13 @@
 }
 
 impl Versions {
-    /// Takes in how far an order has come; an order that has ended stays so.
-    pub fn hear(&mut self, stage: Stage, now: Instant) {
+    /// Takes in how far an order had come at a moment; an order that has ended stays so.
+    pub fn hear(&mut self, stage: Stage, at: Instant) {
         let service = stage.order.service.clone();
         let known = self.services.get_mut(&service);
         match known.filter(|known| known.stage.order.version == stage.order.version) {
             Some(known) => {
-                known.heard = now;
+                known.heard = known.heard.max(at);
                 if !known.stage.phase.is_ended() {
                     known.stage = stage;
                 }
@@ -97,7 +96,7 @@
             None => {
                 let acting = Acting {
                     stage,
-                    heard: now,
+                    heard: at,
                     splitter: Splitter::default(),
                     evidence: Evidence::default(),
                 };
--- a/crates/relay/tests/test_rollouts.rs
+++ b/crates/relay/tests/test_rollouts.rs
@@ -231,3 +231,32 @@
     }
     assert_eq!((all.sum().new.all, all.sum().new.bad), (6, 6));
 }
+
+// Guards against a paused process that gives a version its share by a report of before the pause.
+#[test]
+fn share_of_a_report_that_waited_unread_is_not_taken() {
+    let now = Instant::now();
+    let resumed = now + Duration::from_secs(4);
+    let mut versions = Versions::default();
+    let stage = |share| Stage {
+        order: order(),
+        phase: Phase::Running { share },
+        age_ms: 0,
+    };
+    versions.hear(stage(1_000_000), now);
+    assert_eq!(
+        versions.choose(&order().service, resumed),
+        Choice::Not(order().version)
+    );
+    versions.hear(stage(1_000_000), resumed);
+    assert_eq!(
+        versions.choose(&order().service, resumed),
+        Choice::Only(order().version)
+    );
+    // One that arrives out of order does not make the later one older.
+    versions.hear(stage(1_000_000), now);
+    assert_eq!(
+        versions.choose(&order().service, resumed),
+        Choice::Only(order().version)
+    );
+}
--- a/daemon/src/relay/board.rs
+++ b/daemon/src/relay/board.rs
@@ -97,7 +97,7 @@
         }
         Ok(Datagram::Notes(notes)) => site.known.targets().hear_notes(&notes, Instant::now()),
         Ok(Datagram::Notice(notice)) => receive_notice(site, notice, since),
-        Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage),
+        Ok(Datagram::Stage(stage)) => site.rollouts.hear_stage(stage, since),
         Ok(Datagram::Report(service, report)) => site.rollouts.hear_report(&service, report),
         Err(error) => log::warn!(error:% = error; "a datagram of a peer cannot be read"),
     }
--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -64,9 +64,9 @@
         lock(&self.versions)
     }
 
-    /// Takes in how far an order has come, from the instance that drives it.
-    pub(super) fn hear_stage(&self, stage: Stage) {
-        self.versions().hear(stage, Instant::now());
+    /// Takes in how far an order had come at a moment, from the instance that drives it.
+    pub(super) fn hear_stage(&self, stage: Stage, at: Instant) {
+        self.versions().hear(stage, at);
     }
 
     /// Takes in what another instance saw, if this one drives the order.
@@ -183,7 +183,7 @@
     let fleet = site.fleet.load_full();
     for stage in stages {
         board::send(socket, &fleet.others, &Datagram::Stage(stage.clone())).await;
-        site.rollouts.hear_stage(stage);
+        site.rollouts.hear_stage(stage, Instant::now());
     }
 }
 
