standins: the store does not parse values, and no lock is held while it answers

Each answer of the store parsed the value and wrote it again under the lock of all objects; a large configuration takes a debug build of a process with a sixth of a core about a second. The calls time out and are repeated, so all worker threads wait for the lock, and nothing of the process answers: store, targets, proxies. The test's main thread goes on, injects faults and counts a store as reachable that answers nobody.

Values are sent as the texts that they are, and answers are made without the lock.

--- a/testutils/src/reply.rs
+++ b/testutils/src/reply.rs
@@ -28,7 +28,11 @@
 
 /// Makes a JSON reply.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
-    let text = serde_json::to_vec(value).unwrap_or_default();
+    json_text(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// Makes a JSON reply from its text.
+pub fn json_text(status: StatusCode, text: impl Into<Bytes>) -> Reply {
     let mut reply = bytes(status, text);
     let json = http::HeaderValue::from_static("application/json");
     reply.headers_mut().insert(header::CONTENT_TYPE, json);
