--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -152,9 +152,16 @@
         for process in &mut self.processes {
             process.signal(Signal::TERM);
         }
+        let mut late = 0;
         for process in &mut self.processes {
-            assert!(process.wait_ended().await, "a planned stop took too long");
+            late += usize::from(!process.wait_ended().await);
         }
+        assert_eq!(
+            late,
+            0,
+            "planned stops took too long, files: {:?}",
+            self.keep_files()
+        );
     }
 }
 
