--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -143,7 +143,7 @@
     }
 
     /// Records that the list was the store's newest one at a moment; returns the targets that are dropped, since the
-    /// store has not listed them for [`LISTING_TIME`].
+    /// store has not listed them for two seconds.
     pub fn verify(&mut self, at: Instant) -> Vec<TargetName> {
         self.verified = self.verified.max(Some(at));
         let mut dropped = Vec::new();
