--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -6,10 +6,7 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    sync::{
-        atomic::{AtomicU16, Ordering::Relaxed},
-        Arc,
-    },
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,6 +16,7 @@
     active_bundle::ActiveBundle, node::Node, server, target_watch::TargetEvent,
 };
 use celerypond_rollout::BundleHeader;
+use celerypond_standins::loopback::unused_address;
 use celerypond_telemetry::Metrics;
 use celerypond_testutils::{
     engine::{Engine, EngineSettings},
@@ -44,6 +42,22 @@
 /// How long [`wait_until`] and requests of [`completion_request`] wait.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The addresses on which an instance listens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InstanceAddresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl InstanceAddresses {
+    pub(crate) fn new() -> Self {
+        Self {
+            callers: unused_address(),
+            peers: unused_address(),
+        }
+    }
+}
+
 /// An instance in its own runtime.
 pub(crate) struct Instance {
     pub(crate) address: SocketAddr,
@@ -132,15 +146,13 @@
     }
 
     async fn without_bundle(token_interval: Duration) -> Self {
-        let ports = free_ports(6);
+        let addresses = [(); 3].map(|()| InstanceAddresses::new());
         let listing = InstanceList {
-            instances: (0..3)
-                .map(|i| listed_instance(i, ports[2 * i], ports[2 * i + 1]))
-                .collect(),
+            instances: (0..3).map(|i| listed_instance(i, addresses[i])).collect(),
             targets: Vec::new(),
         };
         let platform = Platform::new(listing, Duration::ZERO);
-        let platform_server = platform.serve(any_port()).await.unwrap();
+        let platform_server = platform.serve(unused_address()).await.unwrap();
         let mut engines = Vec::new();
         for _ in 0..3 {
             let stand_in = Engine::new(EngineSettings {
@@ -150,17 +162,17 @@
                 slots: 256,
                 checks_fencing: true,
             });
-            let server = Some(stand_in.serve(any_port()).await.unwrap());
+            let server = Some(stand_in.serve(unused_address()).await.unwrap());
             engines.push(Target { stand_in, server });
         }
         let service = Service::default();
-        let server = Some(service.serve(any_port()).await.unwrap());
+        let server = Some(service.serve(unused_address()).await.unwrap());
         let service = Target {
             stand_in: service,
             server,
         };
         let instances = (0..3)
-            .map(|i| settings(i, ports[2 * i], ports[2 * i + 1], platform_server.address))
+            .map(|i| settings(i, addresses[i], platform_server.address))
             .map(Instance::start)
             .collect();
         let fleet = Self {
@@ -273,7 +285,7 @@
 /// Background tasks of the instance are not started.
 pub(crate) fn standalone_node(bundle: &Value) -> (Arc<Node>, mpsc::Receiver<TargetEvent>) {
     let (events, target_events) = mpsc::channel(1024);
-    let settings = settings(0, 20_001, 20_002, "127.0.0.1:1".parse().unwrap());
+    let settings = settings(0, InstanceAddresses::new(), unused_address());
     let node = Node::new(settings, Metrics::local(), events);
     let bundle = Bundle::parse(&bundle.to_string()).unwrap();
     let header = BundleHeader {
@@ -375,24 +387,6 @@
     }
 }
 
-/// Returns free ports that no other test of this binary is given.
-///
-/// They lie below the ephemeral port range. Otherwise the system could assign one of them to an outgoing
-/// connection or a listener on port 0 between this check and the start of the instance.
-fn free_ports(count: usize) -> Vec<u16> {
-    static NEXT: AtomicU16 = AtomicU16::new(21_000);
-
-    let mut ports = Vec::new();
-    while ports.len() < count {
-        let port = NEXT.fetch_add(1, Relaxed);
-        assert!(port < 32_000, "no port is free");
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            ports.push(port);
-        }
-    }
-    ports
-}
-
 /// Waits until the runtime of a killed instance has closed its listener.
 ///
 /// `shutdown_background` returns before that.
@@ -407,24 +401,20 @@
     }
 }
 
-fn any_port() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
-fn listed_instance(i: usize, port: u16, peer_port: u16) -> ListedInstance {
+fn listed_instance(i: usize, addresses: InstanceAddresses) -> ListedInstance {
     ListedInstance {
         name: format!("entry-{i}"),
-        address: format!("127.0.0.1:{port}"),
-        peer_address: format!("127.0.0.1:{peer_port}"),
+        address: addresses.callers.to_string(),
+        peer_address: addresses.peers.to_string(),
         data_centre: DATA_CENTRES[i].into(),
         state: "live".into(),
     }
 }
 
-pub(crate) fn settings(i: usize, port: u16, peer_port: u16, platform: SocketAddr) -> Settings {
+pub(crate) fn settings(i: usize, addresses: InstanceAddresses, platform: SocketAddr) -> Settings {
     let settings = json!({
         "instance": format!("entry-{i}"), "data_centre": DATA_CENTRES[i],
-        "address": format!("127.0.0.1:{port}"), "peer_address": format!("127.0.0.1:{peer_port}"),
+        "address": addresses.callers, "peer_address": addresses.peers,
         "platform": [platform], "fleet_key": Digest::of(b"fleet"),
         "operators": [{"name": "aigul", "key_digest": Digest::of(SUBMITTER_KEY.as_bytes())},
                       {"name": "marat", "key_digest": Digest::of(APPROVER_KEY.as_bytes())}],
--- a/daemon/tests/test_answers.rs
+++ b/daemon/tests/test_answers.rs
@@ -1,8 +1,8 @@
 //! Streamed answers while engines and instances fail.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use celerypond_testutils::fault::EngineFault;
+use celerypond_testutils::{engine::Engine, fault::EngineFault, server::Server};
 use rstest::rstest;
 
 use crate::fleet::{completion_request, expected_tokens, receive_tokens, Fleet};
@@ -167,3 +167,41 @@
         "the instance gave up before the deadline: {error}"
     );
 }
+
+// A whole answer after all engines of a fleet died comes from another fleet, of which an instance or an
+// engine listens at an address that this fleet uses. Addresses must therefore not be shared or reused.
+#[rstest]
+#[case::instance(true)]
+#[case::engine(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_fleet_answers_in_full_after_all_engines_died(#[case] is_instance: bool) {
+    let mut fleet = Fleet::start(TOKEN_INTERVAL).await;
+    let other = Fleet::start(TOKEN_INTERVAL).await;
+    let reached = if is_instance { &other } else { &fleet };
+    let client = reached.client(crate::fleet::ACCOUNT_KEY);
+    let mut foreign = None;
+    let tokens = receive_tokens(&client, completion_request("drawing", 12, 300), |count| {
+        if count == 30 {
+            let address = fleet.engines[0].server.as_ref().unwrap().address;
+            fleet
+                .engines
+                .iter_mut()
+                .for_each(|engine| engine.server = None);
+            let engine = other.engines[0].stand_in.clone();
+            foreign = (!is_instance).then(|| tokio::spawn(serve_when_free(engine, address)));
+        }
+    });
+    assert_eq!(
+        tokens.await.unwrap(),
+        expected_tokens("v1", "drawing", 12, 300)
+    );
+}
+
+async fn serve_when_free(engine: Engine, address: SocketAddr) -> Server {
+    loop {
+        if let Ok(server) = engine.serve(address).await {
+            return server;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/daemon/tests/test_engine_stream.rs
+++ b/daemon/tests/test_engine_stream.rs
@@ -9,6 +9,7 @@
     ConnectionId, Event, Input, Start, StreamId, TimeoutEstimator, TimeoutLimits,
 };
 use celerypond_daemon::engine_stream::{self, GenerationRequest};
+use celerypond_standins::loopback::unused_address;
 use celerypond_testutils::engine::{Engine, EngineSettings};
 use celerypond_types::{Attempt, Priority};
 use tokio::sync::mpsc;
@@ -25,7 +26,7 @@
         slots: 4,
         checks_fencing: true,
     });
-    let server = engine.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let server = engine.serve(unused_address()).await.unwrap();
     let request = GenerationRequest {
         request: "r".into(),
         model: "drafts".into(),
--- a/daemon/tests/test_inbox.rs
+++ b/daemon/tests/test_inbox.rs
@@ -3,6 +3,7 @@
 use std::{net::UdpSocket as Sender, sync::Arc, time::Duration};
 
 use celerypond_daemon::relay::Inbox;
+use celerypond_standins::loopback::unused_address;
 use tokio::{
     net::UdpSocket,
     time::{sleep, Instant},
@@ -11,7 +12,7 @@
 // Guards against a process that was paused and then treats reports that were queued in its socket as new.
 #[tokio::test]
 async fn datagram_that_the_runtime_has_not_polled_counts_from_before_it_was_sent() {
-    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let socket = Arc::new(UdpSocket::bind(unused_address()).await.unwrap());
     let to = socket.local_addr().unwrap();
     let mut inbox = Inbox::new(Arc::clone(&socket));
     let mut buffer = [0; 16];
--- a/daemon/tests/test_limits.rs
+++ b/daemon/tests/test_limits.rs
@@ -12,7 +12,7 @@
 use serde_json::{from_value, json};
 use tokio::{sync::mpsc, time};
 
-use crate::fleet::{settings, wait_until};
+use crate::fleet::{settings, wait_until, InstanceAddresses};
 
 const LIMIT: u32 = 10_000;
 /// The share of a limit that all idle instances together get while the active ones may use the rest.
@@ -22,7 +22,7 @@
     let platform = "127.0.0.1:1".parse().unwrap();
     let (events, _) = mpsc::channel(1);
     Node::new(
-        settings(0, 20_001, 20_002, platform),
+        settings(0, InstanceAddresses::new(), platform),
         Metrics::local(),
         events,
     )
--- a/daemon/tests/test_targets.rs
+++ b/daemon/tests/test_targets.rs
@@ -12,6 +12,7 @@
 use celerypond_daemon::{
     admission::Admission, front, node::Node, service_call::ServiceCall, target_watch::TargetEvent,
 };
+use celerypond_standins::loopback::unused_address;
 use celerypond_telemetry::Counter;
 use celerypond_testutils::{
     engine::Engine, fault::EngineFault, reply, server::Server, service::Service,
@@ -179,9 +180,7 @@
             reply::empty(StatusCode::INTERNAL_SERVER_ERROR)
         }
     };
-    Server::start("127.0.0.1:0".parse().unwrap(), handle)
-        .await
-        .unwrap()
+    Server::start(unused_address(), handle).await.unwrap()
 }
 
 // An instance must measure the service time of an engine from the requests that end there. It decides how
@@ -210,7 +209,7 @@
 
 /// Runs only the caller listener and the admission of an instance, and returns a client of it.
 async fn serve_callers(node: &Arc<Node>) -> Client {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(unused_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(front::serve(Arc::clone(node), listener));
     tokio::spawn(Admission::run(Arc::clone(node)));
@@ -308,7 +307,7 @@
     let work_count = Arc::new(AtomicUsize::new(0));
     let bad = start_failing_service(Arc::clone(&work_count)).await;
     let other = Service::default();
-    let good = other.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let good = other.serve(unused_address()).await.unwrap();
     let mut bundle = fleet.bundle();
     let list = bundle["targets"].as_array_mut().unwrap();
     for (name, address) in [("desk-1", good.address), ("desk-2", bad.address)] {
@@ -345,7 +344,5 @@
             }
         }
     };
-    Server::start("127.0.0.1:0".parse().unwrap(), handle)
-        .await
-        .unwrap()
+    Server::start(unused_address(), handle).await.unwrap()
 }
