--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -96,6 +96,7 @@
     pub async fn stop(self) {
         stop::run(&self.state).await;
         join_tasks(&self.state).await;
+        log::info!("instance ended");
     }
 
     /// Ends at once, as if killed: open connections are cut off.
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -1,6 +1,9 @@
 //! The planned stop of the instance.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::Ordering::Relaxed, Arc},
+    time::Duration,
+};
 
 use celerypond_relay::PlannedStop;
 use tokio::time::{sleep, timeout_at, Instant};
@@ -22,12 +25,29 @@
     accept_until_closed(state, &planned_stop).await;
     state.closed.cancel();
     state.caller_connections.close();
+    log_step(state, &planned_stop, "waiting for callers");
     let is_done = timeout_at(planned_stop.cutoff(), state.caller_connections.wait())
         .await
         .is_ok();
     log::info!(is_done, open = state.caller_connections.len(); "stopped");
     state.killed.cancel();
     state.ending.cancel();
+    log_step(state, &planned_stop, "waiting for tasks");
+}
+
+/// Logs what the stop waits for, and how long it has taken.
+fn log_step(state: &RelayState, planned_stop: &PlannedStop, step: &str) {
+    let left = planned_stop
+        .cutoff()
+        .saturating_duration_since(Instant::now());
+    log::info!(
+        step,
+        left_ms = left.as_millis() as u64,
+        open = state.caller_connections.len(),
+        requests = state.open_requests.load(Relaxed),
+        tasks = state.tasks.len();
+        "stop continues"
+    );
 }
 
 /// Waits until no more callers are accepted. All are accepted at first, and then only as long as
