--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -9,6 +9,10 @@
 pub enum AttemptFailure {
     /// No connection was made, or it was closed before a byte was written.
     Unsent,
+    /// The target reset a new connection before anything was sent, as it has too many.
+    Reset,
+    /// This instance has as many connections to the target as it may open.
+    NoConnection,
     /// The target stopped accepting new requests, which became known before anything was sent.
     Left,
     /// The target reported that it has not run the request.
@@ -35,7 +39,10 @@
 
     /// Returns whether the failure proves that no part of the request reached this target.
     pub const fn proves_unsent(self) -> bool {
-        matches!(self, Self::Unsent | Self::Left)
+        matches!(
+            self,
+            Self::Unsent | Self::Reset | Self::NoConnection | Self::Left
+        )
     }
 
     /// Returns whether the failure may be caused by the version that the target runs. Targets die
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_access;
 mod test_admission;
 mod test_attempt_failure;
+mod test_connection_limit;
 mod test_dead_engines;
 mod test_directory;
 mod test_events;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt at a target, up to the head of its response.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
@@ -16,9 +16,17 @@
     state::RelayState,
 };
 
-/// The time within which a target resets a request on a connection that it no longer knows: a
+/// The time within which a target resets a request on a connection that it does not accept: a
 /// network round trip and the wait for a processor share.
-const IDLE_RESET_WINDOW: Duration = Duration::from_millis(30);
+const RESET_WINDOW: Duration = Duration::from_millis(30);
+
+/// How long the rest of a refusal may take to arrive.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a new connection has to last before a request that must not be repeated is sent on it,
+/// as a multiple of the time that it took to connect.
+const CONFIRMATION_ROUND_TRIPS: u32 = 2;
+/// The minimum of that time, which the target's process needs to accept the connection.
+const MIN_CONFIRMATION: Duration = Duration::from_millis(1);
 
 /// A caller's request, with its whole body.
 #[derive(Clone, Debug)]
@@ -44,10 +52,14 @@
 impl OpenResponse {
     /// Keeps the connection for further requests. The body must have been read to its end.
     pub(super) fn keep(self, state: &RelayState, lease: &Lease) {
+        self.keep_at(state, lease.address);
+    }
+
+    fn keep_at(self, state: &RelayState, address: SocketAddr) {
         let keep_alive = self.head.keep_alive;
         state
             .connections
-            .keep(lease.address, self.sender, keep_alive, Instant::now());
+            .keep(address, self.sender, keep_alive, Instant::now());
     }
 }
 
@@ -85,15 +97,18 @@
                     continue;
                 }
                 None => {
-                    if started.elapsed() < IDLE_RESET_WINDOW {
-                        lease.record_idle_reset(idle_for);
+                    if started.elapsed() < RESET_WINDOW {
+                        match idle_for {
+                            Some(idle_for) => lease.record_idle_reset(idle_for),
+                            None => record_reset(state, lease),
+                        }
                     }
                     return Err(AttemptFailure::Broken);
                 }
             },
             Err(_) => return Err(AttemptFailure::Silent),
         };
-        return validate_response(caller_request, lease, response, sender);
+        return validate_response(state, caller_request, lease, response, sender);
     }
 }
 
@@ -104,20 +119,38 @@
 ) -> Result<ReusedConnection, AttemptFailure> {
     let now = Instant::now();
     let max_idle_time = state.view.targets().idle_limit(lease.key, now);
-    if let Some(reused) = state
-        .connections
-        .take_idle(lease.address, max_idle_time, now)
-    {
+    let connections = &state.connections;
+    if let Some(reused) = connections.take_idle(lease.address, max_idle_time, now) {
         return Ok(reused);
     }
-    let connected = state.connections.connect(lease.address).await;
+    let open = connections
+        .reserve(lease.address, lease.connection_share, now)
+        .ok_or(AttemptFailure::NoConnection)?;
+    let connected = connections.connect(lease.address, open).await;
     let sender = connected.map_err(|_| AttemptFailure::Unsent)?;
+    let is_reduced = connections.is_reduced(lease.address, lease.connection_share, now);
+    if lease.confirms_connection || is_reduced {
+        // A reset arrives within a round trip after the connection is made.
+        let time = now.elapsed() * CONFIRMATION_ROUND_TRIPS;
+        tokio::time::sleep(time.max(MIN_CONFIRMATION)).await;
+        if sender.is_closed() {
+            record_reset(state, lease);
+            return Err(AttemptFailure::Reset);
+        }
+    }
     Ok(ReusedConnection {
         sender,
-        idle_for: Duration::ZERO,
+        idle_for: None,
     })
 }
 
+/// Records that the target reset a new connection.
+fn record_reset(state: &RelayState, lease: &Lease) {
+    let now = Instant::now();
+    state.connections.record_reset(lease.address, now);
+    log::info!(target = lease.name.as_str(); "new connection reset");
+}
+
 fn make_request(
     caller_request: &CallerRequest,
     head: &TargetRequestHead<'_>,
@@ -135,6 +168,7 @@
 /// where this request's response is expected. Its request id reveals that, and the connection is
 /// dropped.
 fn validate_response(
+    state: &Arc<RelayState>,
     caller_request: &CallerRequest,
     lease: &mut Lease,
     response: Response<Incoming>,
@@ -149,20 +183,33 @@
         return Err(AttemptFailure::Misdirected);
     }
     lease.record_response(head.load);
-    if head.not_run {
-        return Err(AttemptFailure::NotRun);
-    }
-    let is_unsigned = parts.status.is_success() && !head.signed;
-    if is_unsigned || head.encoded {
-        return Err(AttemptFailure::Foreign);
-    }
-    Ok(OpenResponse {
+    let response = OpenResponse {
         status: parts.status,
         headers: parts.headers,
         head,
         body,
         sender,
-    })
+    };
+    if response.head.not_run {
+        let reused = keep_refused(Arc::clone(state), lease.address, response);
+        state.tasks.spawn(reused);
+        return Err(AttemptFailure::NotRun);
+    }
+    let is_unsigned = response.status.is_success() && !response.head.signed;
+    if is_unsigned || response.head.encoded {
+        return Err(AttemptFailure::Foreign);
+    }
+    Ok(response)
+}
+
+/// Keeps the connection of a target that refused a request, once the refusal was read to its end.
+///
+/// A full target refuses many requests. If each cost a connection, the target would soon have more
+/// than it accepts, and reset them.
+async fn keep_refused(state: Arc<RelayState>, address: SocketAddr, mut response: OpenResponse) {
+    if read_body(&mut response.body, REFUSAL_TIMEOUT).await.is_ok() {
+        response.keep_at(&state, address);
+    }
 }
 
 /// Reads a whole body.
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -4,11 +4,15 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicU32, Ordering::Relaxed},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
     time::Duration,
 };
 
 use bytes::Bytes;
+use celerypond_relay::ConnectionLimit;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -30,6 +34,8 @@
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(2_500);
 /// How long before the target's own limit an idle connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How long the limit on the connections to a target is kept after its last reset.
+const LIMIT_TTL: Duration = Duration::from_secs(30);
 /// The maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -44,14 +50,46 @@
 /// A connection that is used for a request, either an idle one or a new one.
 pub(super) struct ReusedConnection {
     pub(super) sender: Sender,
-    /// How long the connection was idle; zero for a new one.
-    pub(super) idle_for: Duration,
+    /// How long the connection was idle; `None` for a new one.
+    pub(super) idle_for: Option<Duration>,
+}
+
+/// The number of connections that a target accepts, and of the instances that share them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionShare {
+    pub(super) accepted: u32,
+    pub(super) instances: usize,
+}
+
+/// The connections to one target.
+#[derive(Default)]
+struct Pool {
+    idle: Vec<IdleConnection>,
+    /// The number of open connections, idle ones included.
+    open: Arc<AtomicU32>,
+    limit: ConnectionLimit,
+}
+
+/// Counts a connection as open until it is dropped.
+pub(super) struct OpenConnection(Arc<AtomicU32>);
+
+impl OpenConnection {
+    fn new(open: &Arc<AtomicU32>) -> Self {
+        open.fetch_add(1, Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
 }
 
 /// A pool of connections to targets, which are kept for further requests.
 #[derive(Default)]
 pub(super) struct Connections {
-    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    pools: Mutex<HashMap<SocketAddr, Pool>>,
     tasks: TaskTracker,
 }
 
@@ -64,8 +102,8 @@
         max_idle_time: Option<Duration>,
         now: Instant,
     ) -> Option<ReusedConnection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let reusable = idle.get_mut(&address)?;
+        let mut pools = self.pools();
+        let reusable = &mut pools.get_mut(&address)?.idle;
         while let Some(connection) = reusable.pop() {
             let idle_for = now.saturating_duration_since(connection.idle_since);
             let is_stale = connection.expires <= now
@@ -73,14 +111,54 @@
             if !is_stale && connection.sender.is_ready() {
                 return Some(ReusedConnection {
                     sender: connection.sender,
-                    idle_for,
+                    idle_for: Some(idle_for),
                 });
             }
         }
-        idle.remove(&address);
         None
     }
 
+    /// Reserves a new connection to a target. Returns `None` if as many are open as may be.
+    pub(super) fn reserve(
+        &self,
+        address: SocketAddr,
+        share: ConnectionShare,
+        now: Instant,
+    ) -> Option<OpenConnection> {
+        let mut pools = self.pools();
+        let pool = pools.entry(address).or_default();
+        let max_open = pool.limit.max_open(share.accepted, share.instances, now);
+        (pool.open.load(Relaxed) < max_open).then(|| OpenConnection::new(&pool.open))
+    }
+
+    /// Reserves a connection that is short-lived and does not count towards the limit.
+    pub(super) fn reserve_probe(&self, address: SocketAddr) -> OpenConnection {
+        OpenConnection::new(&self.pools().entry(address).or_default().open)
+    }
+
+    /// Returns whether the target has recently reset a new connection.
+    pub(super) fn is_reduced(
+        &self,
+        address: SocketAddr,
+        share: ConnectionShare,
+        now: Instant,
+    ) -> bool {
+        let pools = self.pools();
+        let limit = pools.get(&address).map(|pool| pool.limit);
+        limit.is_some_and(|limit| limit.is_reduced(share.accepted, share.instances, now))
+    }
+
+    /// Records that a target reset a new connection.
+    pub(super) fn record_reset(&self, address: SocketAddr, now: Instant) {
+        let mut pools = self.pools();
+        let pool = pools.entry(address).or_default();
+        pool.limit.record_reset(pool.open.load(Relaxed), now);
+    }
+
+    fn pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Keeps a connection whose response was read completely.
     pub(super) fn keep(
         &self,
@@ -95,8 +173,8 @@
         if sender.is_closed() || idle_time.is_zero() {
             return;
         }
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let reusable = idle.entry(address).or_default();
+        let mut pools = self.pools();
+        let reusable = &mut pools.entry(address).or_default().idle;
         if reusable.len() == MAX_IDLE_CONNECTIONS {
             reusable.remove(0);
         }
@@ -112,23 +190,23 @@
     /// A connection that became silent is seldom the only one. Each of the others would fail a
     /// request before it is detected.
     pub(super) fn drop_idle(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&address);
+        if let Some(pool) = self.pools().get_mut(&address) {
+            pool.idle.clear();
+        }
     }
 
     /// Closes idle connections that have expired.
     pub(super) fn close_expired(&self, now: Instant) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|_, reusable| {
-            reusable
+        self.pools().retain(|_, pool| {
+            pool.idle
                 .retain(|connection| connection.expires > now && !connection.sender.is_closed());
-            !reusable.is_empty()
+            pool.open.load(Relaxed) > 0 || pool.limit.was_reset_within(LIMIT_TTL, now)
         });
     }
 
     /// Returns whether a new connection can be made, and keeps it for the next request.
     pub(super) async fn is_alive(&self, address: SocketAddr) -> bool {
-        match self.connect(address).await {
+        match self.connect(address, self.reserve_probe(address)).await {
             Ok(sender) => {
                 self.keep(address, sender, None, Instant::now());
                 true
@@ -138,7 +216,11 @@
     }
 
     /// Opens a connection.
-    pub(super) async fn connect(&self, address: SocketAddr) -> io::Result<Sender> {
+    pub(super) async fn connect(
+        &self,
+        address: SocketAddr,
+        open: OpenConnection,
+    ) -> io::Result<Sender> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -151,16 +233,14 @@
         self.tasks.spawn(async move {
             // The sender of a request learns from its response how the connection ended.
             let _ = connection.await;
+            drop(open);
         });
         Ok(sender)
     }
 
     /// Closes all idle connections and waits for the others to end.
     pub(super) async fn close(&self) {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        self.pools().clear();
         self.tasks.close();
         self.tasks.wait().await;
     }
--- a/daemon/src/relay/engine_calls.rs
+++ b/daemon/src/relay/engine_calls.rs
@@ -27,7 +27,8 @@
     limit: Duration,
 ) -> Option<EngineResponse> {
     let exchange = async {
-        let mut sender = state.connections.connect(address).await.ok()?;
+        let open = state.connections.reserve_probe(address);
+        let mut sender = state.connections.connect(address, open).await.ok()?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = method;
         *request.uri_mut() = path;
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -7,7 +7,7 @@
 use celerypond_types::{TargetKey, TargetName, VersionName};
 use tokio::time::Instant;
 
-use super::state::RelayState;
+use super::{connections::ConnectionShare, state::RelayState};
 
 /// A request's lease of a target. The request counts as open there until the lease is dropped.
 pub(super) struct Lease {
@@ -16,6 +16,11 @@
     pub(super) name: TargetName,
     pub(super) address: SocketAddr,
     pub(super) version: VersionName,
+    /// The connections that the target accepts, and the instances that share them.
+    pub(super) connection_share: ConnectionShare,
+    /// Whether a new connection has to prove that the target keeps it before a request is sent, as
+    /// that request must not be repeated.
+    pub(super) confirms_connection: bool,
     stream: Option<PlacementKey>,
 }
 
@@ -44,12 +49,19 @@
     fn new(state: &Arc<RelayState>, targets: &mut Targets, key: TargetKey) -> Option<Self> {
         let target = targets.get_mut(key)?;
         target.open_requests += 1;
+        let table = state.view.table();
+        let service = table.service(&target.entry.service);
         Some(Self {
             state: Arc::clone(state),
             key,
             name: target.entry.name.clone(),
             address: target.entry.address,
             version: target.entry.version.clone(),
+            connection_share: ConnectionShare {
+                accepted: service.map_or(u32::MAX, |service| service.connections),
+                instances: state.instance_count(),
+            },
+            confirms_connection: false,
             stream: None,
         })
     }
@@ -96,8 +108,11 @@
     /// Records how the attempt failed.
     pub(super) fn record_failure(&self, failure: AttemptFailure) {
         record_target_failure(&self.state, self.key, failure);
-        if failure.suggests_target_down() {
+        // Connections that break are closed by themselves.
+        if failure.suggests_target_down() && failure != AttemptFailure::Broken {
             self.state.connections.drop_idle(self.address);
+        }
+        if failure.suggests_target_down() {
             self.state.placements_changed.notify_one();
         }
         // A broken stream may mean that the engine is dead, which other instances should be told.
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -359,10 +359,11 @@
             );
             return None;
         }
-        let lease = match self.requirements.affinity {
+        let mut lease = match self.requirements.affinity {
             Some(part) => Lease::for_stream(&self.state, key, part, self.requirements.tokens)?,
             None => Lease::for_request(&self.state, key)?,
         };
+        lease.confirms_connection = !self.route.kind.may_repeat();
         self.tried.push(key);
         self.runs += 1;
         Some(lease)
