--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -164,7 +164,11 @@
                     "copy lost, another one ordered"
                 );
             }
-            *self.location.lock().unwrap_or_else(PoisonError::into_inner) = ordered;
+            // A copy that could not be updated, as by an engine that has just died, still holds what
+            // it had.
+            if is_lost || ordered.is_some() {
+                *self.location.lock().unwrap_or_else(PoisonError::into_inner) = ordered;
+            }
             refreshed = Instant::now();
         }
     }
