--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod address_index;
 mod admission;
+mod admission_rate;
 mod attempt_failure;
 mod change_log;
 mod config;
@@ -59,10 +60,12 @@
 mod target_entry;
 mod target_update;
 mod targets;
+mod usual_deadlines;
 mod version_routing;
 mod watchers;
 
 pub use admission::{StreamRequest, TimeNeeded};
+pub use admission_rate::AdmissionRate;
 pub use attempt_failure::{AttemptFailure, AttemptState, NextStep};
 pub use config::{Account, Backend, CallerLimits, Config, EngineLimits, Route, RouteKind, Service};
 pub use connection_limit::ConnectionLimit;
@@ -106,5 +109,6 @@
 pub use target_entry::{Presence, TargetEntry};
 pub use target_update::{decode, encode, TargetUpdate};
 pub use targets::{Change, Targets};
+pub use usual_deadlines::UsualDeadlines;
 pub use version_routing::{VersionChoice, VersionRouting};
 pub use watchers::{Notice, Watchers};
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -53,6 +53,10 @@
     pub tie_breaker: u64,
     /// The maximum number of tokens of the request.
     pub tokens: u64,
+    /// Whether its caller has waited for too long for the response to be on time.
+    pub is_late: bool,
+    /// The number of live instances, which share plain targets that have a long queue.
+    pub instances: usize,
     /// The memory of one engine, in tokens; `None` for plain services.
     pub capacity: Option<u64>,
     /// The maximum number of tokens of other prompts that an engine may have to read first; `None`
@@ -85,7 +89,7 @@
         let loads = Loads::of(self, query, now);
         let all = self.iter().filter(|target| fits(&target));
         let all: Vec<(TargetKey, &Target)> = all
-            .filter(|(_, target)| !loads.has_long_backlog(target))
+            .filter(|(_, target)| !loads.has_long_backlog(target) && loads.may_send(target))
             .collect();
         let available = all.iter().copied();
         let is_ordered = matches!(query.choice, VersionChoice::Only(_));
@@ -290,6 +294,13 @@
         self.query.max_backlog.is_some_and(|most| reading > most)
     }
 
+    /// Returns whether this instance may send a request to a target now, which is limited for plain
+    /// targets with a long queue.
+    fn may_send(&self, target: &Target) -> bool {
+        let (query, rate) = (self.query, &target.admission_rate);
+        query.capacity.is_some() || rate.allows(query.is_late, query.instances, self.now)
+    }
+
     /// Returns the used share of an engine's slots or of its memory, whichever is larger.
     fn used_share(&self, target: &Target, others: &EngineUsage) -> f64 {
         let tokens = target.stream_tokens + others.tokens + self.query.tokens;
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::{AttemptFailure, Load, Presence, TargetEntry};
+use crate::{AdmissionRate, AttemptFailure, Load, Presence, TargetEntry};
 
 /// How long a target is avoided after a connection to it broke; this is doubled with each further
 /// failure. Connections may also be reset while the target lives.
@@ -61,6 +61,8 @@
     pub is_missing: bool,
     /// When it was last queried for the prompt parts that it holds.
     pub(crate) last_queried: Option<Instant>,
+    /// The rate at which this instance sends requests to it; not limited for engines.
+    pub admission_rate: AdmissionRate,
     load: Option<(Load, Instant)>,
 }
 
@@ -84,6 +86,7 @@
             owns_address: false,
             is_missing: false,
             last_queried: None,
+            admission_rate: AdmissionRate::default(),
             load: None,
         }
     }
@@ -147,6 +150,13 @@
         }
     }
 
+    /// Records the time of a response to a request in one piece, after its load.
+    pub fn record_response_time(&mut self, took: Duration, aim: Duration, now: Instant) {
+        if let Some((load, _)) = self.load.filter(|(_, at)| *at + took >= now) {
+            self.admission_rate.record_response(load, took, aim, now);
+        }
+    }
+
     /// Returns the share of its slots in use, by its last reported load or by this instance's open
     /// requests, whichever is larger.
     pub fn fullness(&self, now: Instant) -> f64 {
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -557,6 +557,14 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns whether this instance limits the rate of requests to a target of a service, which has
+    /// a long queue.
+    pub fn is_limited(&self, service: &ServiceName) -> bool {
+        let of_service = self.iter();
+        let mut of_service = of_service.filter(|(_, target)| target.entry.service == *service);
+        of_service.any(|(key, target)| target.admission_rate.is_limited() && self.is_usable(key))
+    }
+
     /// Returns whether a target may get new requests.
     pub fn is_usable(&self, key: TargetKey) -> bool {
         let is_ready = self.arena.get(key).is_some_and(Target::is_ready);
--- a/crates/relay/tests/fixture.rs
+++ b/crates/relay/tests/fixture.rs
@@ -96,6 +96,8 @@
             affinity: None,
             tie_breaker: 0,
             tokens: 0,
+            is_late: false,
+            instances: 1,
             capacity: None,
             max_backlog: None,
         }
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_idle_limits;
 mod test_overload;
 mod test_placement;
+mod test_plain_overload;
 mod test_planned_stop;
 mod test_quality;
 mod test_relocation;
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -49,6 +49,9 @@
     fn new(state: &Arc<RelayState>, targets: &mut Targets, key: TargetKey) -> Option<Self> {
         let target = targets.get_mut(key)?;
         target.open_requests += 1;
+        target
+            .admission_rate
+            .spend(state.instance_count(), Instant::now());
         let table = state.view.table();
         let service = table.service(&target.entry.service);
         Some(Self {
@@ -74,9 +77,20 @@
     }
 
     /// Records the result of a request whose response is not a stream.
-    pub(super) fn record_result(&self, is_good: bool, time: Duration) {
+    pub(super) fn record_result(&self, is_good: bool, time: Duration, aim: Duration) {
+        let now = Instant::now();
         let mut targets = self.state.view.targets();
-        targets.record_result(self.key, is_good, time, Instant::now());
+        targets.record_result(self.key, is_good, time, now);
+        if let Some(target) = targets.get_mut(self.key) {
+            target.record_response_time(time, aim, now);
+        }
+    }
+
+    /// Records that the target refused a request whose response is not a stream.
+    pub(super) fn record_refusal(&self) {
+        if let Some(target) = self.state.view.targets().get_mut(self.key) {
+            target.admission_rate.record_refusal(Instant::now());
+        }
     }
 
     /// Records that a request was reset at once on a connection that had been idle for this time.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -182,6 +182,9 @@
     };
     let mut routed = RoutedRequest::new(state, caller_request, &route, service, account, deadline);
     routed.set_prompt(head.prompt.as_ref());
+    if let Some(deadline) = head.deadline {
+        routed.requirements.is_late = state.record_deadline(&route, deadline);
+    }
     match route.kind {
         RouteKind::Stream { .. } => stream::relay(routed).await,
         RouteKind::Safe | RouteKind::Unsafe => {
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -31,6 +31,10 @@
     max_backlog: Option<u64>,
     /// The versions of the service that may run the request.
     version_choice: VersionChoice,
+    /// Whether the caller has waited for too long for the response to be on time.
+    pub(super) is_late: bool,
+    /// The number of live instances.
+    instances: usize,
     local_data_centre: DataCentre,
     tie_breaker: u64,
 }
@@ -48,6 +52,8 @@
             tokens: self.tokens,
             capacity: self.capacity,
             max_backlog: self.max_backlog,
+            is_late: self.is_late,
+            instances: self.instances,
         }
     }
 }
@@ -92,6 +98,8 @@
             prompt_part: None,
             capacity: None,
             max_backlog: None,
+            is_late: false,
+            instances: state.instance_count(),
             local_data_centre: state.settings.load().data_centre.clone(),
             tie_breaker: rand::random(),
         };
@@ -379,9 +387,13 @@
     }
 
     /// Returns when a caller whose request has not run may retry, which is when a target that
-    /// failed recently is used again.
+    /// failed recently is used again. While queues are long, the caller's response would be late,
+    /// and it is only served if others leave capacity, so it retries as late as it can.
     pub(super) fn retry_after(&self) -> Option<Duration> {
         let targets = self.state.view.targets();
+        if targets.is_limited(&self.requirements.service) {
+            return Some(self.time_left());
+        }
         targets.time_until_usable(&self.requirements.service, Instant::now())
     }
 
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -26,7 +26,7 @@
         };
         let started = Instant::now();
         let result = try_target(&request, &mut lease).await;
-        record_result(&lease, &result, started);
+        record_result(&request, &lease, &result, started);
         let failure = match result {
             Ok(reply) if is_final(&request, &reply) => {
                 request.record_response(&lease, reply.status(), started.elapsed());
@@ -46,14 +46,20 @@
     }
 }
 
-/// Records how the target performed. A refusal says nothing about that.
-fn record_result(lease: &Lease, result: &Result<Reply, AttemptFailure>, started: Instant) {
+/// Records how the target performed. A refusal says nothing about that, but that it is full.
+fn record_result(
+    request: &RoutedRequest,
+    lease: &Lease,
+    result: &Result<Reply, AttemptFailure>,
+    started: Instant,
+) {
     let is_good = match result {
         Ok(reply) => !reply.status().is_server_error(),
+        Err(AttemptFailure::NotRun) => return lease.record_refusal(),
         Err(failure) if failure.proves_not_run() => return,
         Err(_) => false,
     };
-    lease.record_result(is_good, started.elapsed());
+    lease.record_result(is_good, started.elapsed(), request.route.aim);
 }
 
 /// Returns whether a reply is sent to the caller. The failure of an idempotent request may be due
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -8,7 +8,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
-use celerypond_relay::{PlannedStop, RetryBudget, Settings, Stale, StaleWait};
+use celerypond_relay::{
+    PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait, UsualDeadlines,
+};
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
@@ -55,6 +57,7 @@
     /// that lose their engines would break because other streams were moved for an advantage.
     /// Instances do not report their moves, so each has an equal share.
     moves: Mutex<RetryBudget>,
+    deadlines: Mutex<UsualDeadlines>,
     pub(super) peers: Peers,
     pub(super) rollouts: Rollouts,
     pub(super) metrics: Metrics,
@@ -111,6 +114,7 @@
             store: Client::with_protocol(&store, celerypond_adapter::store::PROTOCOL),
             retries: Mutex::new(RetryBudget::new(&settings.bounds)),
             moves: Mutex::new(RetryBudget::new(&settings.bounds)),
+            deadlines: Mutex::default(),
             peers: Peers::default(),
             rollouts: Rollouts::default(),
             metrics: Metrics::local(),
@@ -230,6 +234,14 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records the deadline of a request, and returns whether its caller was probably refused
+    /// before.
+    pub(super) fn record_deadline(&self, route: &Route, deadline: Duration) -> bool {
+        let deadlines = self.deadlines.lock();
+        let mut deadlines = deadlines.unwrap_or_else(PoisonError::into_inner);
+        deadlines.record(&route.name, deadline, Instant::now())
+    }
+
     /// Returns the budget of moves of running streams.
     pub(super) fn moves(&self) -> MutexGuard<'_, RetryBudget> {
         self.moves.lock().unwrap_or_else(PoisonError::into_inner)
