--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -47,19 +47,22 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER));
-    let was_stopping = state.stopping.is_cancelled();
+    // A connection that is accepted during a stop gets its first request answered, and is closed
+    // with the listener if none comes.
+    let draining = match state.stopping.is_cancelled() {
+        true => &state.closed,
+        false => &state.stopping,
+    };
     let service = {
         let state = Arc::clone(&state);
         service_fn(move |request| request::answer(Arc::clone(&state), request))
     };
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    if !was_stopping {
-        tokio::select! {
-            // A caller may disconnect at any time. Its requests are logged separately.
-            _ = connection.as_mut() => return,
-            () = state.killed.cancelled() => return,
-            () = state.stopping.cancelled() => connection.as_mut().graceful_shutdown(),
-        }
+    tokio::select! {
+        // A caller may disconnect at any time. Its requests are logged separately.
+        _ = connection.as_mut() => return,
+        () = state.killed.cancelled() => return,
+        () = draining.cancelled() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         _ = connection => {}
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -468,6 +468,8 @@
         log::info!(
             request = self.caller_request.id.as_str(),
             target = lease.name.as_str(),
+            route = self.route.name.as_str(),
+            account = self.account.as_ref().map(AccountName::as_str),
             ended:? = failure,
             runs = self.runs,
             refusals = self.refusals,
