--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_relay::{AttemptFailure, Load, PlacementKey, Targets};
+use celerypond_relay::{AttemptFailure, Load, PlacementKey, Target, Targets};
 use celerypond_telemetry::Counter;
 use celerypond_types::{TargetKey, TargetName, VersionName};
 use tokio::time::Instant;
@@ -82,14 +82,26 @@
         let mut targets = self.state.view.targets();
         targets.record_result(self.key, is_good, time, now);
         if let Some(target) = targets.get_mut(self.key) {
+            let was_limited = target.admission_rate.is_limited();
             target.record_response_time(time, aim, now);
+            self.log_limit(target, was_limited);
         }
     }
 
     /// Records that the target refused a request whose response is not a stream.
     pub(super) fn record_refusal(&self) {
         if let Some(target) = self.state.view.targets().get_mut(self.key) {
+            let was_limited = target.admission_rate.is_limited();
             target.admission_rate.record_refusal(Instant::now());
+            self.log_limit(target, was_limited);
+        }
+    }
+
+    /// Logs whether the rate of requests to the target begins or ceases to be limited.
+    fn log_limit(&self, target: &Target, was_limited: bool) {
+        let is_limited = target.admission_rate.is_limited();
+        if is_limited != was_limited {
+            log::info!(target = self.name.as_str(), is_limited; "rate of requests limited by the queue");
         }
     }
 
