--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -10,7 +10,7 @@
 /// The used share of an engine's slots or memory above which it gets streams only if all engines
 /// exceed it. Backups of other requests need room as well, and engines preempt streams when they
 /// run out of memory.
-const CROWDED_SHARE: f64 = 0.6;
+const CROWDED_SHARE: f64 = 0.7;
 
 /// The used share of an engine's slots or memory up to which running streams are moved to it. The
 /// fuller these engines are, the more engines remain for reading prompts; backups find room there.
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -300,3 +300,27 @@
     let reading = targets.iter().map(|(_, target)| target.reading_prompts);
     assert_eq!(reading.max(), Some(1));
 }
+
+/// A third of the engines is lost, and the others fill up to two thirds of their memory while prompts
+/// queue. Guards against taking these for full, so that all prompts wait at the few that are emptier.
+#[test]
+fn engines_with_a_third_of_their_memory_free_take_prompts() {
+    let now = Instant::now();
+    let mut targets = three_data_centres(1);
+    for (name, prompts) in [("east-0-1", 0), ("mid-0-1", 3), ("west-0-1", 3)] {
+        let at = key(&targets, name);
+        for part in 0..5 {
+            let stream = targets.add_stream(at, part, TOKENS, now).unwrap();
+            if part >= prompts {
+                targets.record_prompt_read(at, stream);
+            }
+            if prompts > 0 && part >= prompts {
+                targets.remove_stream(at, stream);
+            } else {
+                targets.get_mut(at).unwrap().open_requests += 1;
+            }
+        }
+    }
+    let selection = targets.select(&Queries::new().stream(100), now).unwrap();
+    assert_eq!(selection.key, key(&targets, "east-0-1"));
+}
