--- a/crates/relay/src/usual_deadlines.rs
+++ b/crates/relay/src/usual_deadlines.rs
@@ -41,9 +41,9 @@
     /// Records the deadline of a request, and returns whether its caller was probably refused
     /// before.
     pub fn record(&mut self, route: &str, deadline: Duration, now: Instant) -> bool {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < TTL;
         let longest = self.longest.get_mut(route);
-        let longest = longest.filter(|(_, at)| now.saturating_duration_since(*at) < TTL);
-        match longest {
+        match longest.filter(|(_, at)| is_fresh(*at)) {
             Some((longest, _)) if *longest > deadline => {
                 deadline < longest.mul_f64(FIRST_ATTEMPT_SHARE)
             }
@@ -52,6 +52,8 @@
                 false
             }
             None => {
+                // Routes may be removed.
+                self.longest.retain(|_, (_, at)| is_fresh(*at));
                 self.longest.insert(route.into(), (deadline, now));
                 false
             }
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -131,7 +131,8 @@
         (pool.open.load(Relaxed) < max_open).then(|| OpenConnection::new(&pool.open))
     }
 
-    /// Reserves a connection that is short-lived and does not count towards the limit.
+    /// Reserves a connection for a probe or an order, which is made even if as many are open as may
+    /// be.
     pub(super) fn reserve_probe(&self, address: SocketAddr) -> OpenConnection {
         OpenConnection::new(&self.pools().entry(address).or_default().open)
     }
