--- a/crates/relay/src/admission_rate.rs
+++ b/crates/relay/src/admission_rate.rs
@@ -17,8 +17,8 @@
 const LATE_SHARE: f64 = 0.42;
 /// The weight of earlier responses in the estimate of the service time, for each later one.
 const DECAY: f64 = 0.97;
-/// The variance of the queue length, in service times, from which the service time is told apart
-/// from the time on the way.
+/// The minimum variance of the queue length, in service times, from which the service time can be
+/// separated from the time for the network.
 const MIN_VARIANCE: f64 = 0.05;
 /// The maximum of the whole time per request as a multiple of its service time.
 const MAX_OVERHEAD: f64 = 4.0;
@@ -33,8 +33,8 @@
 /// If targets are lost, the rest may get twice the requests that they can serve. Their queues are
 /// then always full, and every response that they make is late. While the queue is too long for a
 /// response to be on time, each instance sends no more than its share of what the target can serve,
-/// and callers whose requests find no target are told so at once. The share grows while
-/// responses come after a short queue, so that the queue stays near the longest that is on time.
+/// and requests without a target are refused at once. The share grows while responses come after a
+/// short queue, so that the queue stays near the longest that is on time.
 ///
 /// # Examples
 ///
@@ -82,8 +82,8 @@
 /// An estimate of the time that a target works on a request.
 ///
 /// A response takes a service time for each request that a slot serves before and for the request
-/// itself, and a constant time on the way. The estimate is the slope of a linear regression of the
-/// response time by the number of service times.
+/// itself, and a constant time for the network. The estimate is the slope of a linear regression of
+/// the response time by the number of service times (`turns`).
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceTime {
     count: f64,
@@ -111,10 +111,10 @@
         let (turns, took) = (self.turns / self.count, self.took / self.count);
         let variance = self.turns_squared / self.count - turns * turns;
         let covariance = self.product / self.count - turns * took;
-        let with_way = took / turns;
+        let whole_ms = took / turns;
         let slope = (variance > MIN_VARIANCE).then(|| covariance / variance);
-        let slope = slope.map_or(with_way, |slope| {
-            slope.clamp(with_way / MAX_OVERHEAD, with_way)
+        let slope = slope.map_or(whole_ms, |slope| {
+            slope.clamp(whole_ms / MAX_OVERHEAD, whole_ms)
         });
         (slope > 0.0).then_some(slope)
     }
