relay: open connections to targets from the instance's own address

Cause: the system chose the source address of connections to targets, on loopback 127.0.0.1 for all instances, so no stand-in could tell instances apart, and a fault of the links of one instance could not be injected. Change: the address from the settings is bound before connecting. No decision changes.

--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         atomic::{AtomicU32, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
@@ -17,7 +17,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::Instant,
+};
 use tokio_util::task::TaskTracker;
 
 /// The timeout of a connection attempt. Targets accept within a few milliseconds. One that does not
@@ -87,13 +90,23 @@
 }
 
 /// A pool of connections to targets, which are kept for further requests.
-#[derive(Default)]
 pub(super) struct Connections {
+    /// The address of this instance, from which connections are opened.
+    own_ip: IpAddr,
     pools: Mutex<HashMap<SocketAddr, Pool>>,
     tasks: TaskTracker,
 }
 
 impl Connections {
+    /// Creates an empty pool of an instance.
+    pub(super) fn new(own_ip: IpAddr) -> Self {
+        Self {
+            own_ip,
+            pools: Mutex::default(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
     /// Takes the idle connection that was used last, unless it has been idle for longer than
     /// `max_idle_time`.
     pub(super) fn take_idle(
@@ -222,7 +235,7 @@
         address: SocketAddr,
         open: OpenConnection,
     ) -> io::Result<Sender> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.open_stream(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
@@ -239,6 +252,16 @@
         Ok(sender)
     }
 
+    /// Opens a TCP connection from the address that this instance is known by.
+    async fn open_stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(self.own_ip, 0))?;
+        socket.connect(address).await
+    }
+
     /// Closes all idle connections and waits for the others to end.
     pub(super) async fn close(&self) {
         self.pools().clear();
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -110,7 +110,7 @@
         Self {
             view: StoreView::new(settings.bounds.missing_entry_grace()),
             watch_duty: WatchDuty::new(settings.bounds.watch_wait()),
-            connections: Connections::default(),
+            connections: Connections::new(settings.ip),
             store: Client::with_protocol(&store, celerypond_adapter::store::PROTOCOL),
             retries: Mutex::new(RetryBudget::new(&settings.bounds)),
             moves: Mutex::new(RetryBudget::new(&settings.bounds)),
