relay: log which instance's report makes a target avoided, count avoided targets

Cause: lines and metrics could not tell whether a target was avoided for failures of the instance's own attempts or for what others reported. Change: a line at the transition with the origin of the report, two gauges. No decision changes.

--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -53,6 +53,8 @@
     pub dead_since: Option<Instant>,
     /// When it last accepted no connection of this instance.
     pub found_dead_at: Option<Instant>,
+    /// Until when it is avoided because another instance found it dead.
+    pub(crate) reported_dead_until: Option<Instant>,
     /// Set if it is used because it answered, although the store does not list it.
     pub(crate) unlisted: Option<Unlisted>,
     /// Whether no later target has its address.
@@ -82,6 +84,7 @@
             is_dead: false,
             dead_since: None,
             found_dead_at: None,
+            reported_dead_until: None,
             unlisted: None,
             owns_address: false,
             is_missing: false,
@@ -132,9 +135,15 @@
     /// or a backup when it is needed.
     pub fn record_peer_failure(&mut self, now: Instant) {
         self.dead_since.get_or_insert(now);
+        self.reported_dead_until = Some(now + DEAD_AVOID_TIME);
         self.avoid_until(now + DEAD_AVOID_TIME);
     }
 
+    /// Returns whether another instance recently found it dead.
+    pub fn is_reported_dead(&self, now: Instant) -> bool {
+        self.reported_dead_until.is_some_and(|until| until > now)
+    }
+
     fn avoid_until(&mut self, until: Instant) {
         self.avoided_until = self.avoided_until.max(Some(until));
     }
@@ -145,6 +154,7 @@
         self.avoided_until = None;
         self.is_dead = false;
         self.dead_since = None;
+        self.reported_dead_until = None;
         if let Some(load) = load {
             self.load = Some((load, now));
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -418,8 +418,9 @@
         }
     }
 
-    /// Merges the message of another instance.
-    pub fn merge_placements(&mut self, mut list: Placements, now: Instant) {
+    /// Merges the message of another instance. Returns the targets that are avoided from now on
+    /// because that instance found them dead.
+    pub fn merge_placements(&mut self, mut list: Placements, now: Instant) -> Vec<TargetName> {
         let tallies = std::mem::take(&mut list.tallies);
         if !tallies.is_empty() {
             self.quality.merge(list.origin, tallies, now);
@@ -431,7 +432,13 @@
             .arena
             .values_mut()
             .filter(|target| was_reported(target));
-        dead.for_each(|target| target.record_peer_failure(now));
+        let mut avoided = Vec::new();
+        for target in dead {
+            if !target.is_avoided(now) {
+                avoided.push(target.entry.name.clone());
+            }
+            target.record_peer_failure(now);
+        }
         for report in &list.adopted {
             let age = Duration::from_millis(report.age_ms.into());
             if let Some(seen) = now.checked_sub(age) {
@@ -439,6 +446,19 @@
             }
         }
         self.peer_streams.merge(list, now);
+        avoided
+    }
+
+    /// Returns the number of targets that are avoided now, and of those among them that another
+    /// instance recently found dead.
+    pub fn count_avoided(&self, now: Instant) -> (usize, usize) {
+        let avoided = self.arena.values().filter(|target| target.is_avoided(now));
+        avoided.fold((0, 0), |(all, reported), target| {
+            (
+                all + 1,
+                reported + usize::from(target.is_reported_dead(now)),
+            )
+        })
     }
 
     /// Returns and clears the prompt locations to be reported to other groups.
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -57,7 +57,7 @@
         .collect();
     for (origin, targets) in all.iter_mut().enumerate() {
         let others = lists.iter().filter(|list| list.origin != origin as u64);
-        others.for_each(|list| targets.merge_placements(list.clone(), now));
+        others.for_each(|list| drop(targets.merge_placements(list.clone(), now)));
     }
 }
 
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -29,6 +29,10 @@
         ConfigAge = "relay.config_age_ms",
         /// Targets available to routed requests.
         RoutedTargets = "relay.targets",
+        /// Targets avoided after failures, as observed by this instance or reported by others.
+        TargetsAvoided = "relay.targets_avoided",
+        /// Targets avoided because another instance reported them as dead.
+        TargetsReportedDead = "relay.targets_reported_dead",
         /// Milliseconds since the store last confirmed the list of targets.
         TargetsAge = "relay.targets_age_ms",
     }
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -95,7 +95,11 @@
             let now = Instant::now();
             placements.add_age(now.saturating_duration_since(earliest_arrival));
             state.retries().merge(placements.origin, sends, now);
-            state.view.targets().merge_placements(placements, now);
+            let origin = placements.origin;
+            let avoided = state.view.targets().merge_placements(placements, now);
+            for target in avoided {
+                log::info!(target = target.as_str(), origin; "target avoided, reported dead by another instance");
+            }
         }
         Ok(Datagram::Notes(locations)) => state
             .view
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -249,7 +249,10 @@
 
     /// Renders counters, gauges and latencies as text.
     pub(super) fn render_metrics(&self) -> String {
+        let (avoided, reported) = self.view.targets().count_avoided(Instant::now());
         let gauges = [
+            (Gauge::TargetsAvoided, avoided as u64),
+            (Gauge::TargetsReportedDead, reported as u64),
             (Gauge::ConfigVersion, self.view.config_version()),
             (Gauge::ConfigNewest, self.newest_config()),
             (Gauge::RoutedTargets, self.view.targets().len() as u64),
