relay: expire reports of dead targets instead of renewing them

Cause: an instance that was told that a target is dead avoided it for 1.5 s from the receipt, and repeated its own statement for as long as it avoided the target. Two instances that had both found an engine dead thus renewed each other's avoidance forever, as only a response ended it and nobody sends a request to an avoided engine. `dead_since` stayed as well, so copies there counted as lost and were ordered again each 200 ms. Change: reports are kept apart from own failures, by origin, and expire; an instance reports only what its own attempts found within 1.2 s; copies are lost at engines that are believed dead now.

--- a/crates/relay/src/dead_engines.rs
+++ b/crates/relay/src/dead_engines.rs
@@ -17,6 +17,10 @@
 /// How long after its death an engine is no longer probed.
 const LAST_PROBE_AFTER: Duration = Duration::from_secs(10);
 
+/// How long after this instance found a target dead it reports that to others. Reports are repeated
+/// with each full list, as datagrams may be lost.
+const REPORT_TIME: Duration = Duration::from_millis(1_200);
+
 /// An engine that was found dead.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DeadEngine {
@@ -123,16 +127,18 @@
         true
     }
 
-    /// Returns the name hashes of engines that this instance found dead, without those for which
-    /// `was_reported` is true.
+    /// Returns the name hashes of engines that this instance recently found dead, without those for
+    /// which `was_reported` is true.
     pub(crate) fn dead(
         &self,
         now: Instant,
         was_reported: impl Fn(Instant) -> bool,
     ) -> impl Iterator<Item = u64> {
+        let is_due =
+            move |at: Instant| now.saturating_duration_since(at) < REPORT_TIME && !was_reported(at);
         let dead = self.arena.values();
-        let dead = dead.filter(move |target| target.is_dead && target.is_avoided(now));
-        dead.filter(move |target| !target.found_dead_at.is_some_and(&was_reported))
-            .map(|target| target.name_hash)
+        let dead =
+            dead.filter(move |target| target.is_dead && target.found_dead_at.is_some_and(&is_due));
+        dead.map(|target| target.name_hash)
     }
 }
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -102,7 +102,7 @@
                 is_doubtful: false,
             });
         }
-        let soonest = all.iter().min_by_key(|(_, target)| target.avoided_until);
+        let soonest = all.iter().min_by_key(|(_, target)| target.avoided_until());
         soonest.map(|(key, _)| Selection {
             key: *key,
             is_doubtful: true,
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -17,6 +17,15 @@
 /// How long a load that a target reported is valid.
 const LOAD_TTL: Duration = Duration::from_millis(500);
 
+/// A report of another instance that a target accepted no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct DeathReport {
+    /// The id of the instance's process.
+    origin: u64,
+    /// When the report was received.
+    at: Instant,
+}
+
 /// The state of a target that is used although the store does not list it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Unlisted {
@@ -45,16 +54,16 @@
     pub stream_tokens: u64,
     /// The number of consecutive failures.
     pub failures: u32,
-    /// Until when it is avoided.
-    pub avoided_until: Option<Instant>,
+    /// Until when it is avoided after failures of this instance's own attempts.
+    failed_until: Option<Instant>,
+    /// The latest report of each instance that found it dead.
+    reports: Vec<DeathReport>,
     /// Whether it accepted no connection when it was last tried.
     pub is_dead: bool,
     /// When this or another instance found it dead.
     pub dead_since: Option<Instant>,
     /// When it last accepted no connection of this instance.
     pub found_dead_at: Option<Instant>,
-    /// Until when it is avoided because another instance found it dead.
-    pub(crate) reported_dead_until: Option<Instant>,
     /// Set if it is used because it answered, although the store does not list it.
     pub(crate) unlisted: Option<Unlisted>,
     /// Whether no later target has its address.
@@ -80,11 +89,11 @@
             reading_tokens: 0,
             stream_tokens: 0,
             failures: 0,
-            avoided_until: None,
+            failed_until: None,
+            reports: Vec::new(),
             is_dead: false,
             dead_since: None,
             found_dead_at: None,
-            reported_dead_until: None,
             unlisted: None,
             owns_address: false,
             is_missing: false,
@@ -106,7 +115,24 @@
 
     /// Returns whether it is currently avoided after failures.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoided_until.is_some_and(|until| until > now)
+        self.avoided_until().is_some_and(|until| until > now)
+    }
+
+    /// Returns until when it is avoided after failures.
+    pub fn avoided_until(&self) -> Option<Instant> {
+        self.failed_until.max(self.reported_until())
+    }
+
+    /// Returns whether it is currently believed to be dead.
+    pub fn is_believed_dead(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_AVOID_TIME;
+        let was_found_dead = self.is_dead && self.found_dead_at.is_some_and(is_recent);
+        was_found_dead || self.is_reported_dead(now)
+    }
+
+    fn reported_until(&self) -> Option<Instant> {
+        let latest = self.reports.iter().map(|report| report.at).max();
+        latest.map(|at| at + DEAD_AVOID_TIME)
     }
 
     /// Records a failed attempt.
@@ -126,35 +152,39 @@
             AVOID_TIME
         };
         let factor = 1 << self.failures.min(4).saturating_sub(1);
-        self.avoid_until(now + (base * factor).min(MAX_AVOID_TIME));
+        let until = now + (base * factor).min(MAX_AVOID_TIME);
+        self.failed_until = self.failed_until.max(Some(until));
     }
 
     /// Records that another instance found it dead.
     ///
     /// Otherwise each instance would have to find this out by losing a stream that it sends there,
-    /// or a backup when it is needed.
-    pub fn record_peer_failure(&mut self, now: Instant) {
+    /// or a backup when it is needed. The report may be due to a fault of that instance's own link,
+    /// so it expires unless the instance fails there again. It is not passed on: instances would
+    /// renew each other's reports, and a healthy target would be avoided forever.
+    pub fn record_peer_failure(&mut self, origin: u64, now: Instant) {
         self.dead_since.get_or_insert(now);
-        self.reported_dead_until = Some(now + DEAD_AVOID_TIME);
-        self.avoid_until(now + DEAD_AVOID_TIME);
+        self.forget_report(origin);
+        self.reports.push(DeathReport { origin, at: now });
     }
 
-    /// Returns whether another instance recently found it dead.
-    pub fn is_reported_dead(&self, now: Instant) -> bool {
-        self.reported_dead_until.is_some_and(|until| until > now)
+    /// Forgets the report of an instance that it is dead.
+    pub(crate) fn forget_report(&mut self, origin: u64) {
+        self.reports.retain(|report| report.origin != origin);
     }
 
-    fn avoid_until(&mut self, until: Instant) {
-        self.avoided_until = self.avoided_until.max(Some(until));
+    /// Returns whether another instance recently found it dead.
+    pub fn is_reported_dead(&self, now: Instant) -> bool {
+        self.reported_until().is_some_and(|until| until > now)
     }
 
     /// Records a response or other sign that the target is alive.
     pub fn record_response(&mut self, load: Option<Load>, now: Instant) {
         self.failures = 0;
-        self.avoided_until = None;
+        self.failed_until = None;
+        self.reports.clear();
         self.is_dead = false;
         self.dead_since = None;
-        self.reported_dead_until = None;
         if let Some(load) = load {
             self.load = Some((load, now));
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -437,7 +437,7 @@
             if !target.is_avoided(now) {
                 avoided.push(target.entry.name.clone());
             }
-            target.record_peer_failure(now);
+            target.record_peer_failure(list.origin, now);
         }
         for report in &list.adopted {
             let age = Duration::from_millis(report.age_ms.into());
@@ -572,7 +572,7 @@
         let of_service = self.arena.iter();
         let of_service = of_service.filter(|(_, target)| target.entry.service == *service);
         let usable = of_service.filter(|(key, _)| self.is_usable(*key));
-        let soonest = usable.map(|(_, target)| target.avoided_until).min()?;
+        let soonest = usable.map(|(_, target)| target.avoided_until()).min()?;
         let left = soonest?.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
--- a/crates/relay/tests/test_dead_engines.rs
+++ b/crates/relay/tests/test_dead_engines.rs
@@ -468,3 +468,28 @@
     assert!(targets.dead_engines(after(2_000), AT_ONCE).is_empty());
     assert_eq!(targets.dead_engines(after(2_500), AT_ONCE).len(), 1);
 }
+
+// Guards against instances that renew each other's reports of a dead engine forever, although it is
+// healthy and none of them has tried it again.
+#[test]
+fn reports_of_a_dead_engine_expire_at_all_instances() {
+    let now = Instant::now();
+    let mut fleet = [three_data_centres(1), three_data_centres(1)];
+    for targets in &mut fleet {
+        let at = key(targets, "east-0-1");
+        let target = targets.get_mut(at).unwrap();
+        target.record_failure(AttemptFailure::Unsent, now);
+    }
+    for tick in 1..100_u64 {
+        let now = now + Duration::from_millis(tick * 100);
+        let lists = [0, 1].map(|n| fleet[n].placements(n as u64, tick, None, now));
+        fleet[0].merge_placements(lists[1].clone(), now);
+        fleet[1].merge_placements(lists[0].clone(), now);
+    }
+    let later = now + Duration::from_secs(10);
+    for targets in &fleet {
+        let target = targets.get(key(targets, "east-0-1")).unwrap();
+        assert!(!target.is_avoided(later));
+        assert!(!target.is_believed_dead(later));
+    }
+}
--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -179,7 +179,7 @@
         let (is_lost, is_doubtful) = {
             let targets = self.state.view.targets();
             let holder = targets.get(copy.holder);
-            let is_dead = holder.is_none_or(|holder| holder.dead_since.is_some());
+            let is_dead = holder.is_none_or(|holder| holder.is_believed_dead(Instant::now()));
             let query = self.run.requirements.query(&[]);
             let is_doubtful = targets.is_doubtful(copy.holder, &query, Instant::now());
             (is_dead || !targets.is_usable(copy.holder), is_doubtful)
