relay: detect partitions from targets and relay requests through other instances

Plain calls got 503 after 302 ms, drafts after up to 2.3 s. Cause: an instance took each failed connection for the death of that target, tried all in turn and refused when none was left. Change: the latest outcome of connections to each target is kept apart from other failures. If nearly all that were tried fail, up to six others are probed; if these fail as well, the service counts as unreachable until probes reach targets again. Meanwhile requests go to an instance that reports no such partition, with the caller's id and key and the time that is left, over HTTP on a port of its own, since responses are streamed. One hop at most: what arrives there is never relayed on. What may have run is sent on only where the route allows it and the retry budget has room; the peer does not count the request again. A running stream goes on there after its last event, at the copy of its run, whose place is passed on. The receiving instance must have the sender's configuration or a newer one. At most one target is tried where no instance reaches any. Idle connections are not used once connections to the service fail; failed probes do not end streams whose connection may still work. Evidence: partitioned_instances_serve_their_callers (six cases), partitions_in_series_are_survived, running_streams_survive_a_partition (hang, reset), partitioned_instance_does_not_affect_the_others failed before and pass.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -73,6 +73,8 @@
     pub refusals: u32,
     /// The number of targets that accepted no connection for it so far.
     pub unreached: u32,
+    /// Whether this instance reaches no target of the service.
+    pub is_partitioned: bool,
     /// The time until its deadline.
     pub time_left: Duration,
 }
@@ -128,6 +130,7 @@
     ///     attempts: 1,
     ///     refusals: 0,
     ///     unreached: 0,
+    ///     is_partitioned: false,
     ///     time_left: Duration::from_secs(1),
     /// };
     /// assert_eq!(reservation.next_step(AttemptFailure::Broken, || true), NextStep::Failed);
@@ -144,7 +147,11 @@
             };
         }
         let may_send = !may_have_run || self.kind.may_repeat();
-        let is_full = self.refusals >= MAX_REFUSALS || self.unreached >= MAX_UNREACHED;
+        let max_unreached = match self.is_partitioned {
+            true => 1,
+            false => MAX_UNREACHED,
+        };
+        let is_full = self.refusals >= MAX_REFUSALS || self.unreached >= max_unreached;
         let has_room = self.runs < self.attempts && !is_full;
         // The budget limits the requests that reach targets. If all targets of a data centre are
         // dead, most sends reach none, and streams would fail for lack of budget.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,9 +36,12 @@
 mod held_versions;
 mod history;
 mod idle_limits;
+mod link;
 mod observation;
 mod order;
 mod own_streams;
+mod partition;
+mod peer_partitions;
 mod peer_streams;
 mod placement_schedule;
 mod planned_stop;
@@ -87,6 +90,8 @@
 pub use observation::Observation;
 pub use order::{Order, Phase, Stage};
 pub use own_streams::PlacementKey;
+pub use partition::Partitions;
+pub use peer_partitions::{PartitionNotice, PeerPartitions};
 pub use peer_streams::{
     EngineUsage, PeerStreams, Placement, Placements, PromptLocation, RestartReport,
 };
--- a/crates/relay/src/quality.rs
+++ b/crates/relay/src/quality.rs
@@ -114,6 +114,16 @@
         self.peers.insert(origin, (tallies, now));
     }
 
+    /// Forgets this instance's results of requests at a target.
+    pub(crate) fn forget(&mut self, target: u64) {
+        self.local.remove(&target);
+    }
+
+    /// Forgets the report of another instance.
+    pub(crate) fn forget_peer(&mut self, origin: u64) {
+        self.peers.remove(&origin);
+    }
+
     /// Removes results that are too old to count.
     pub fn sweep(&mut self, now: Instant) {
         let is_kept = |at: Instant| now.saturating_duration_since(at) < HALF_LIFE * 8;
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::{AdmissionRate, AttemptFailure, Load, Presence, TargetEntry};
+use crate::{link::Link, AdmissionRate, AttemptFailure, Load, Presence, TargetEntry};
 
 /// How long a target is avoided after a connection to it broke; this is doubled with each further
 /// failure. Connections may also be reset while the target lives.
@@ -75,6 +75,8 @@
     /// The rate at which this instance sends requests to it; not limited for engines.
     pub admission_rate: AdmissionRate,
     load: Option<(Load, Instant)>,
+    /// This instance's link to it.
+    pub(crate) link: Link,
 }
 
 impl Target {
@@ -100,6 +102,7 @@
             last_queried: None,
             admission_rate: AdmissionRate::default(),
             load: None,
+            link: Link::default(),
         }
     }
 
@@ -178,6 +181,15 @@
         self.reported_until().is_some_and(|until| until > now)
     }
 
+    /// Forgets failures that were due to this instance's link rather than to the target.
+    pub(crate) fn forget_link_failures(&mut self) {
+        self.link = Link::default();
+        self.failures = 0;
+        self.failed_until = None;
+        self.is_dead = false;
+        self.dead_since = None;
+    }
+
     /// Records a response or other sign that the target is alive.
     pub fn record_response(&mut self, load: Option<Load>, now: Instant) {
         self.failures = 0;
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -68,7 +68,7 @@
     /// Locations of prompts that were not reported to other groups yet.
     prompt_locations: VecDeque<PromptLocation>,
     peer_streams: PeerStreams,
-    quality: Quality,
+    pub(crate) quality: Quality,
     idle_limits: IdleLimits,
     event_times: EventTimes,
     /// Prompt parts that engines reported to hold.
@@ -329,6 +329,11 @@
         self.arena.get(key)
     }
 
+    /// Returns the key of the target with a name.
+    pub fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
+        self.names.get(name).copied()
+    }
+
     /// Returns a mutable reference to a target.
     pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
         self.arena.get_mut(key)
@@ -461,6 +466,13 @@
         })
     }
 
+    /// Forgets what an instance reported about targets, as its own link was at fault.
+    pub fn forget_reports(&mut self, origin: u64) {
+        let targets = self.arena.values_mut();
+        targets.for_each(|target| target.forget_report(origin));
+        self.quality.forget_peer(origin);
+    }
+
     /// Returns and clears the prompt locations to be reported to other groups.
     pub fn take_prompt_locations(&mut self) -> Vec<PromptLocation> {
         self.prompt_locations.drain(..).collect()
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_groups;
 mod test_idle_limits;
 mod test_overload;
+mod test_partitions;
 mod test_placement;
 mod test_plain_overload;
 mod test_planned_stop;
--- a/crates/relay/tests/test_attempt_failure.rs
+++ b/crates/relay/tests/test_attempt_failure.rs
@@ -17,6 +17,7 @@
         attempts: 3,
         refusals: 0,
         unreached: 0,
+        is_partitioned: false,
         time_left: Duration::from_secs(1),
     }
 }
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -110,6 +110,12 @@
         StreamsLeft = "relay.streams_left",
         /// Targets that accepted no connection.
         TargetsDead = "relay.targets_dead",
+        /// Services that became unreachable for this instance.
+        Partitions = "relay.partitions",
+        /// Requests relayed through other instances, as this one did not reach their targets.
+        RelayedThroughPeers = "relay.relayed_through_peers",
+        /// Requests relayed for other instances.
+        RelayedForPeers = "relay.relayed_for_peers",
         /// Engines that were discovered again while the store was unavailable.
         TargetsFound = "relay.targets_found",
         /// Transitions of the store from available to unavailable.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -29,6 +29,8 @@
         ConfigAge = "relay.config_age_ms",
         /// Targets available to routed requests.
         RoutedTargets = "relay.targets",
+        /// Services whose targets this instance does not reach.
+        UnreachableServices = "relay.unreachable_services",
         /// Targets avoided after failures, as observed by this instance or reported by others.
         TargetsAvoided = "relay.targets_avoided",
         /// Targets avoided because another instance reported them as dead.
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -11,8 +11,9 @@
 use tokio::time::{timeout, Instant};
 
 use super::{
-    connections::{ReusedConnection, Sender},
+    connections::{Connections, ReusedConnection, Sender},
     lease::Lease,
+    reachability::record_connection,
     state::RelayState,
 };
 
@@ -50,16 +51,27 @@
 }
 
 impl OpenResponse {
+    /// Creates a response that arrived on a connection.
+    pub(super) fn new(response: Response<Incoming>, sender: Sender) -> Self {
+        let (parts, body) = response.into_parts();
+        Self {
+            status: parts.status,
+            head: headers::parse_target_response(&parts.headers),
+            headers: parts.headers,
+            body,
+            sender,
+        }
+    }
+
     /// Keeps the connection for further requests. The body must have been read to its end.
     pub(super) fn keep(self, state: &RelayState, lease: &Lease) {
-        self.keep_at(state, lease.address);
+        self.keep_in(&state.connections, lease.address);
     }
 
-    fn keep_at(self, state: &RelayState, address: SocketAddr) {
+    /// Keeps the connection in a pool.
+    pub(super) fn keep_in(self, connections: &Connections, address: SocketAddr) {
         let keep_alive = self.head.keep_alive;
-        state
-            .connections
-            .keep(address, self.sender, keep_alive, Instant::now());
+        connections.keep(address, self.sender, keep_alive, Instant::now());
     }
 }
 
@@ -118,15 +130,15 @@
     lease: &Lease,
 ) -> Result<ReusedConnection, AttemptFailure> {
     let now = Instant::now();
-    let max_idle_time = state.view.targets().idle_limit(lease.key, now);
     let connections = &state.connections;
-    if let Some(reused) = connections.take_idle(lease.address, max_idle_time, now) {
+    if let Some(reused) = take_idle_connection(state, lease, now) {
         return Ok(reused);
     }
     let open = connections
         .reserve(lease.address, lease.connection_share, now)
         .ok_or(AttemptFailure::NoConnection)?;
     let connected = connections.connect(lease.address, open).await;
+    record_connection(state, lease.key, connected.is_ok());
     let sender = connected.map_err(|_| AttemptFailure::Unsent)?;
     let is_reduced = connections.is_reduced(lease.address, lease.connection_share, now);
     if lease.confirms_connection || is_reduced {
@@ -144,6 +156,24 @@
     })
 }
 
+/// Takes an idle connection to the target, unless it may hang.
+fn take_idle_connection(
+    state: &RelayState,
+    lease: &Lease,
+    now: Instant,
+) -> Option<ReusedConnection> {
+    let targets = state.view.targets();
+    let service = targets.get(lease.key).map(|target| &target.entry.service);
+    if service.is_some_and(|service| targets.distrusts_idle_connections(service, now)) {
+        return None;
+    }
+    let max_idle_time = targets.idle_limit(lease.key, now);
+    drop(targets);
+    state
+        .connections
+        .take_idle(lease.address, max_idle_time, now)
+}
+
 /// Records that the target reset a new connection.
 fn record_reset(state: &RelayState, lease: &Lease) {
     let now = Instant::now();
@@ -174,22 +204,14 @@
     response: Response<Incoming>,
     sender: Sender,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let (parts, body) = response.into_parts();
-    let head = headers::parse_target_response(&parts.headers);
-    if head.request.as_ref() != Some(&caller_request.id) {
+    let response = OpenResponse::new(response, sender);
+    if response.head.request.as_ref() != Some(&caller_request.id) {
         return Err(AttemptFailure::Foreign);
     }
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptFailure::Misdirected);
     }
-    lease.record_response(head.load);
-    let response = OpenResponse {
-        status: parts.status,
-        headers: parts.headers,
-        head,
-        body,
-        sender,
-    };
+    lease.record_response(response.head.load);
     if response.head.not_run {
         let reused = keep_refused(Arc::clone(state), lease.address, response);
         state.tasks.spawn(reused);
@@ -208,7 +230,7 @@
 /// than it accepts, and reset them.
 async fn keep_refused(state: Arc<RelayState>, address: SocketAddr, mut response: OpenResponse) {
     if read_body(&mut response.body, REFUSAL_TIMEOUT).await.is_ok() {
-        response.keep_at(&state, address);
+        response.keep_in(&state.connections, address);
     }
 }
 
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -6,7 +6,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{request, state::RelayState};
+use super::{
+    request::{self, Origin},
+    state::RelayState,
+};
 
 /// The minimum size that hyper accepts for the buffer of a request's head.
 const MIN_BUFFER: usize = 8 << 10;
@@ -14,8 +17,9 @@
 /// descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections of callers until the instance closes to them.
-pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
+/// Accepts connections of callers, or of instances that relay their requests, until the instance
+/// closes to them.
+pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener, origin: Origin) {
     loop {
         let accepted = tokio::select! {
             () = state.closed.cancelled() => return,
@@ -25,7 +29,7 @@
             Ok((stream, _)) => {
                 state
                     .caller_connections
-                    .spawn(serve(Arc::clone(&state), stream));
+                    .spawn(serve(Arc::clone(&state), stream, origin));
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a caller's connection");
@@ -35,7 +39,7 @@
     }
 }
 
-async fn serve(state: Arc<RelayState>, stream: TcpStream) {
+async fn serve(state: Arc<RelayState>, stream: TcpStream, origin: Origin) {
     // With Nagle's algorithm small events wait for acknowledgements, but the connection still
     // works.
     if let Err(error) = stream.set_nodelay(true) {
@@ -55,7 +59,7 @@
     };
     let service = {
         let state = Arc::clone(&state);
-        service_fn(move |request| request::answer(Arc::clone(&state), request))
+        service_fn(move |request| request::answer(Arc::clone(&state), request, origin))
     };
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -7,14 +7,14 @@
 };
 
 use celerypond_relay::{
-    EvidenceReport, Notice, PlacementSchedule, Placements, PromptLocation, PromptLocationSchedule,
-    Stage, Watchers,
+    EvidenceReport, Notice, PartitionNotice, PlacementSchedule, Placements, PromptLocation,
+    PromptLocationSchedule, Stage, Watchers,
 };
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{fleet, inbox::Inbox, state::RelayState, target_sync};
+use super::{fleet, inbox::Inbox, reachability, state::RelayState, target_sync};
 
 /// How long changes are collected before a list is sent. Streams begin and end in groups when
 /// engines are lost.
@@ -40,6 +40,8 @@
     Stage(Stage),
     /// Evidence about the versions of such an order.
     Report(ServiceName, EvidenceReport),
+    /// The services whose targets an instance does not reach.
+    Partition(PartitionNotice),
 }
 
 /// Sends and receives datagrams until the instance ends.
@@ -108,6 +110,7 @@
         Ok(Datagram::Notice(notice)) => receive_notice(state, notice, earliest_arrival),
         Ok(Datagram::Stage(stage)) => state.rollouts.record_stage(stage, earliest_arrival),
         Ok(Datagram::Report(service, report)) => state.rollouts.record_report(&service, report),
+        Ok(Datagram::Partition(notice)) => reachability::receive(state, notice),
         Err(error) => log::warn!(error:% = error; "cannot decode a peer's datagram"),
     }
 }
--- /dev/null
+++ b/daemon/src/relay/peer_relay.rs
@@ -0,0 +1,194 @@
+//! Relays requests through other instances while this one reaches no target of their service.
+//!
+//! Responses are relayed as they arrive, which calls by `tarpc` cannot do, so instances speak HTTP
+//! to each other here, on a port that callers do not use. A request that arrives there is never
+//! relayed through another instance.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use celerypond_adapter::headers;
+use celerypond_relay::AttemptFailure;
+use celerypond_telemetry::Counter;
+use celerypond_types::TargetName;
+use http::{header::HeaderValue, HeaderMap, HeaderName, Request};
+use http_body_util::Full;
+use rand::seq::SliceRandom as _;
+use tokio::{
+    net::TcpListener,
+    time::{timeout_at, Instant},
+};
+
+use super::{
+    attempt::OpenResponse,
+    callers,
+    connections::{ReusedConnection, Sender},
+    request::Origin,
+    routed_request::RoutedRequest,
+    run_copy::{CopyLocation, OrderedCopy},
+    state::RelayState,
+};
+
+/// The version of the configuration by which the sending instance has admitted a request. An older
+/// one must not decide about it.
+const CONFIG_VERSION: HeaderName = HeaderName::from_static("config-version");
+/// Where a copy of the memory of a stream's run is: the engine that holds it and, if the copy was
+/// ordered, where from and under which name, separated by spaces.
+const RUN_COPY: HeaderName = HeaderName::from_static("run-copy");
+/// The distance of the port for relayed requests from the first port for other instances.
+const PORT_OFFSET: u16 = 1;
+/// The maximum number of instances that are tried for one request if they cannot be connected to.
+const MAX_PEERS: usize = 3;
+
+/// Returns the address at which the instance with this peer address accepts relayed requests.
+pub(super) const fn address(peer: SocketAddr) -> SocketAddr {
+    let mut address = peer;
+    address.set_port(peer.port() + PORT_OFFSET);
+    address
+}
+
+/// Serves the requests that other instances relay until the instance closes to callers.
+pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
+    callers::run(state, listener, Origin::Peer).await;
+}
+
+/// Removes the version of the configuration from the headers of a relayed request and returns it.
+pub(super) fn take_config_version(headers: &mut HeaderMap) -> Option<u64> {
+    let version = headers.remove(CONFIG_VERSION)?;
+    version.to_str().ok()?.parse().ok()
+}
+
+/// Removes the location of a run's copy from the headers of a relayed request and returns it.
+pub(super) fn take_copy(state: &RelayState, headers: &mut HeaderMap) -> Option<CopyLocation> {
+    let value = headers.remove(RUN_COPY)?;
+    let mut fields = value.to_str().ok()?.split(' ');
+    let holder = TargetName::new(fields.next()?);
+    let ordered = match (fields.next(), fields.next()) {
+        (Some(from), Some(handle)) => Some(OrderedCopy {
+            from: from.parse().ok()?,
+            handle: handle.into(),
+        }),
+        _ => None,
+    };
+    let holder = state.view.targets().key_of(&holder)?;
+    Some(CopyLocation { holder, ordered })
+}
+
+fn copy_header(state: &RelayState, copy: &CopyLocation) -> Option<HeaderValue> {
+    let targets = state.view.targets();
+    let holder = targets.get(copy.holder)?.entry.name.as_str();
+    let text = match &copy.ordered {
+        Some(ordered) => format!("{holder} {} {}", ordered.from, ordered.handle),
+        None => holder.to_owned(),
+    };
+    HeaderValue::from_str(&text).ok()
+}
+
+/// The run of a stream that is resumed through another instance.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ResumedRun<'a> {
+    /// The last event that was received.
+    pub(super) last_event: Option<u64>,
+    /// The copy of its memory.
+    pub(super) copy: Option<&'a CopyLocation>,
+}
+
+/// A response that another instance relays.
+pub(super) struct PeerResponse {
+    pub(super) address: SocketAddr,
+    pub(super) response: OpenResponse,
+}
+
+impl PeerResponse {
+    /// Keeps the connection for further requests. The body must have been read to its end.
+    pub(super) fn keep(self, state: &RelayState) {
+        self.response.keep_in(&state.peer_connections, self.address);
+    }
+}
+
+/// Sends a request to another instance that reaches its service, and waits for the head of the
+/// response. Returns `None` if there is none that can be connected to.
+///
+/// # Errors
+///
+/// `Broken` or `Silent` if the request may have run, but no response arrived.
+pub(super) async fn send(
+    request: &RoutedRequest,
+    run: &ResumedRun<'_>,
+) -> Option<Result<PeerResponse, AttemptFailure>> {
+    let state = &request.state;
+    for peer in candidates(request) {
+        let address = address(peer);
+        let Some(connection) = connect(state, address).await else {
+            continue;
+        };
+        log::info!(
+            request = request.caller_request.id.as_str(),
+            peer:% = peer;
+            "relayed through another instance"
+        );
+        state.metrics.add(Counter::RelayedThroughPeers, 1);
+        return Some(exchange(request, connection, address, run).await);
+    }
+    None
+}
+
+/// Returns some instances that reach the service, in random order, so that all get a share.
+fn candidates(request: &RoutedRequest) -> Vec<SocketAddr> {
+    let state = &request.state;
+    let now = Instant::now();
+    let fleet = state.fleet.load();
+    let peers = state.peer_partitions();
+    let service = &request.requirements.service;
+    let reaching = fleet.live_peers.iter().copied();
+    let reaching = reaching.filter(|peer| peers.reaches(*peer, service, now));
+    let mut candidates: Vec<SocketAddr> = reaching.collect();
+    drop(peers);
+    let (chosen, _) = candidates.partial_shuffle(&mut rand::rng(), MAX_PEERS);
+    chosen.to_vec()
+}
+
+async fn connect(state: &RelayState, address: SocketAddr) -> Option<Sender> {
+    let connections = &state.peer_connections;
+    if let Some(ReusedConnection { sender, .. }) =
+        connections.take_idle(address, None, Instant::now())
+    {
+        return Some(sender);
+    }
+    let open = connections.reserve_probe(address);
+    connections.connect(address, open).await.ok()
+}
+
+async fn exchange(
+    request: &RoutedRequest,
+    mut connection: Sender,
+    address: SocketAddr,
+    run: &ResumedRun<'_>,
+) -> Result<PeerResponse, AttemptFailure> {
+    let until = Instant::now() + request.time_left();
+    let message = message(request, run);
+    let response = timeout_at(until, connection.send_request(message)).await;
+    let response = response.map_err(|_| AttemptFailure::Silent)?;
+    let response = response.map_err(|_| AttemptFailure::Broken)?;
+    let response = OpenResponse::new(response, connection);
+    if response.head.request.as_ref() != Some(&request.caller_request.id) {
+        return Err(AttemptFailure::Foreign);
+    }
+    Ok(PeerResponse { address, response })
+}
+
+fn message(request: &RoutedRequest, run: &ResumedRun<'_>) -> Request<Full<bytes::Bytes>> {
+    let caller_request = &request.caller_request;
+    let mut message = Request::new(Full::new(caller_request.body.clone()));
+    *message.method_mut() = caller_request.method.clone();
+    *message.uri_mut() = caller_request.uri.clone();
+    let time_left: Duration = request.time_left();
+    let mut headers =
+        headers::relayed_request_headers(&caller_request.headers, time_left, run.last_event);
+    let version = request.state.view.config_version();
+    headers.insert(CONFIG_VERSION, HeaderValue::from(version));
+    if let Some(copy) = run.copy.and_then(|copy| copy_header(&request.state, copy)) {
+        headers.insert(RUN_COPY, copy);
+    }
+    *message.headers_mut() = headers;
+    message
+}
--- a/daemon/src/relay/probed_wait.rs
+++ b/daemon/src/relay/probed_wait.rs
@@ -1,12 +1,12 @@
 //! Waits for an engine while probing whether it is alive.
 
-use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{future::Future, pin::pin, sync::Arc, time::Duration};
 
 use celerypond_relay::{AttemptFailure, SilenceLimits};
-use celerypond_types::DataCentre;
+use celerypond_types::{DataCentre, TargetKey};
 use tokio::{sync::watch, time::sleep};
 
-use super::{lease::Lease, state::RelayState};
+use super::{lease::Lease, reachability, state::RelayState};
 
 /// The outcome of a wait.
 pub(super) enum WaitOutcome<T> {
@@ -34,6 +34,7 @@
 /// centre is found dead, it is probed with a new connection.
 pub(super) struct ProbedWait {
     state: Arc<RelayState>,
+    key: TargetKey,
     data_centre: Option<DataCentre>,
     silence_reports: watch::Receiver<Option<DataCentre>>,
     probe_after: Duration,
@@ -48,6 +49,7 @@
     ) -> Self {
         Self {
             state: Arc::clone(state),
+            key: lease.key,
             data_centre: state.view.data_centre_of(lease.key),
             silence_reports: state.silent_data_centre.subscribe(),
             probe_after: match is_first {
@@ -57,12 +59,10 @@
         }
     }
 
-    /// Waits for `event` from the engine at `address` as long as the engine is alive.
-    pub(super) async fn run<T>(
-        mut self,
-        address: SocketAddr,
-        event: impl Future<Output = T>,
-    ) -> WaitOutcome<T> {
+    /// Waits for `event` from the engine as long as it is alive. While this instance reaches no engine
+    /// of the service, a failed probe says nothing about the engine, and the open connection may
+    /// still work.
+    pub(super) async fn run<T>(mut self, event: impl Future<Output = T>) -> WaitOutcome<T> {
         let mut event = pin!(event);
         loop {
             tokio::select! {
@@ -74,8 +74,8 @@
             tokio::select! {
                 biased;
                 output = &mut event => return WaitOutcome::Completed(output),
-                is_alive = self.state.connections.is_alive(address) => {
-                    if !is_alive {
+                is_alive = reachability::probe(&self.state, self.key) => {
+                    if !is_alive && !reachability::is_partitioned_from(&self.state, self.key) {
                         self.report_silence();
                         return WaitOutcome::Dead;
                     }
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -9,19 +9,20 @@
     SilenceLimits, TargetRequestHead,
 };
 use celerypond_telemetry::{Counter, Latency};
-use celerypond_types::{TargetKey, TargetName};
+use celerypond_types::TargetKey;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
 use rand::Rng as _;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::{
     attempt::{send, OpenResponse},
     event_buffer::EventBuffer,
     lease::Lease,
+    peer_relay::{self, PeerResponse, ResumedRun},
     probed_wait::{ProbedWait, WaitOutcome},
     relocation,
-    reply::Broken,
+    reply::{Broken, Reason},
     routed_request::RoutedRequest,
     run_copy::{CopiedRun, CopyLocation, RunCopy},
 };
@@ -31,6 +32,8 @@
     pub(super) request: RoutedRequest,
     pub(super) events: EventBuffer,
     pub(super) current: Option<CurrentEngine>,
+    /// The response of another instance through which the stream is relayed instead.
+    peer: Option<PeerResponse>,
     /// Whether the engine that answered last resumed from a copy of the run's memory.
     pub(super) from_copy: bool,
     /// Whether the last engine's stream has ended completely.
@@ -42,7 +45,17 @@
 pub(super) struct ResponseHead {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) target: TargetName,
+    pub(super) reason: Reason,
+}
+
+impl ResponseHead {
+    fn new(response: &OpenResponse, reason: Reason) -> Self {
+        Self {
+            status: response.status,
+            headers: response.headers.clone(),
+            reason,
+        }
+    }
 }
 
 /// The engine at which a stream currently runs.
@@ -78,6 +91,7 @@
             request,
             events: EventBuffer::resume_after(last),
             current: None,
+            peer: None,
             from_copy: false,
             is_complete: false,
         }
@@ -90,16 +104,24 @@
     /// How the caller's request is to be answered if no engine started the stream.
     pub(super) async fn start(&mut self) -> Result<ResponseHead, NextStep> {
         let started = Instant::now();
-        self.check_time().await?;
-        self.find_engine(Vec::new(), true).await?;
+        let copies: Vec<CopyLocation> = self.request.passed_copy.take().into_iter().collect();
+        if copies.is_empty() && !self.request.prefers_peer() {
+            self.check_time().await?;
+        }
+        self.find_engine(copies, true).await?;
         let latencies = &self.request.state.latencies;
         latencies.add(Latency::FirstEvent, started.elapsed());
-        let current = self.current.as_ref().ok_or(NextStep::Failed)?;
-        Ok(ResponseHead {
-            status: current.response.status,
-            headers: current.response.headers.clone(),
-            target: current.lease.name.clone(),
-        })
+        self.response_head().ok_or(NextStep::Failed)
+    }
+
+    fn response_head(&self) -> Option<ResponseHead> {
+        if let Some(peer) = &self.peer {
+            let reason = Reason::Peer(peer.address);
+            return Some(ResponseHead::new(&peer.response, reason));
+        }
+        let current = self.current.as_ref()?;
+        let reason = Reason::Relayed(current.lease.name.clone());
+        Some(ResponseHead::new(&current.response, reason))
     }
 
     /// Checks that the stream can be completed within its deadline, and that its first event will
@@ -184,10 +206,20 @@
 
     /// Tries each engine once until one answers, first those that hold a copy of the run's memory.
     async fn try_engines(&mut self, copies: Vec<CopyLocation>) -> Result<(), NoEngine> {
+        let known_copy = copies.first().cloned();
         let mut copies = copies.into_iter();
         let mut is_retry = self.events.forwarded() > 0;
         loop {
+            if self.request.prefers_peer() && self.start_at_peer(known_copy.as_ref()).await {
+                return Ok(());
+            }
             let copy_holder = self.lease_copy_holder(&mut copies);
+            if copy_holder.is_none()
+                && self.request.prefers_peer_after_attempt()
+                && self.start_at_peer(known_copy.as_ref()).await
+            {
+                return Ok(());
+            }
             if is_retry && copy_holder.is_none() {
                 self.wait_retry_spread().await;
             }
@@ -197,6 +229,9 @@
                 None => (self.request.lease_target(), None),
             };
             let Some(lease) = lease else {
+                if self.request.may_use_peer() && self.start_at_peer(known_copy.as_ref()).await {
+                    return Ok(());
+                }
                 return Err(NoEngine {
                     next: self.request.step_without_target(),
                     is_temporary: true,
@@ -219,11 +254,99 @@
                         is_temporary: true,
                     });
                 }
+                NextStep::NotRun | NextStep::Failed
+                    if is_temporary
+                        && self.request.may_use_peer()
+                        && self.start_at_peer(known_copy.as_ref()).await =>
+                {
+                    return Ok(());
+                }
                 next => return Err(NoEngine { next, is_temporary }),
             }
         }
     }
 
+    /// Sends the request to another instance and waits for its first event. Returns whether the
+    /// stream began there, or was refused and is not to be tried here.
+    async fn start_at_peer(&mut self, copy: Option<&CopyLocation>) -> bool {
+        let started = Instant::now();
+        let run = ResumedRun {
+            last_event: self.events.last_id(),
+            copy,
+        };
+        let Some(Ok(peer)) = peer_relay::send(&self.request, &run).await else {
+            return false;
+        };
+        let status = peer.response.status;
+        if !status.is_success() && (self.events.forwarded() > 0 || self.request.may_have_run()) {
+            return false;
+        }
+        let mut peer = peer;
+        if status.is_success() && self.read_peer_events(&mut peer).await.is_err() {
+            self.events.discard_partial();
+            return false;
+        }
+        log::info!(
+            request = self.request.caller_request.id.as_str(),
+            peer:% = peer.address,
+            status = status.as_u16(),
+            last = self.events.last_id(),
+            took_ms = started.elapsed().as_millis() as u64;
+            "stream relayed through another instance"
+        );
+        self.peer = Some(peer);
+        self.from_copy = false;
+        true
+    }
+
+    /// Reads from another instance until there is a whole event to forward or the stream has ended.
+    /// The instance finds out itself when its engine is lost, so only the instance is probed.
+    async fn read_peer_events(&mut self, peer: &mut PeerResponse) -> Result<(), AttemptFailure> {
+        use http_body_util::BodyExt as _;
+        let probe_interval = SilenceLimits::for_stream(0, self.request.route.gap_aim).gap;
+        while !self.events.has_pending() && !self.is_complete {
+            let wait = probe_interval.min(self.request.time_left());
+            let Ok(frame) = timeout(wait, peer.response.body.frame()).await else {
+                let connections = &self.request.state.peer_connections;
+                if self.request.time_left().is_zero() {
+                    return Err(AttemptFailure::Silent);
+                }
+                if !connections.is_alive(peer.address).await {
+                    return Err(AttemptFailure::Dead);
+                }
+                continue;
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    self.events.push(&frame)?;
+                }
+                Some(Err(_)) => return Err(AttemptFailure::Broken),
+                None if self.events.has_partial() => return Err(AttemptFailure::Broken),
+                None => self.is_complete = true,
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads more events from another instance, or resumes the stream elsewhere if that is lost.
+    async fn continue_at_peer(&mut self, mut peer: PeerResponse) -> bool {
+        let failure = match self.read_peer_events(&mut peer).await {
+            Ok(()) => {
+                self.peer = Some(peer);
+                return true;
+            }
+            Err(failure) => failure,
+        };
+        drop(peer);
+        self.events.discard_partial();
+        let result = match self.request.record_peer_failure(failure) {
+            NextStep::Elsewhere => self.find_engine(Vec::new(), true).await,
+            NextStep::Later => self.find_engine(Vec::new(), false).await,
+            next => Err(next),
+        };
+        result.is_ok() && self.has_success_status()
+    }
+
     /// Leases the next engine that holds a copy and accepts new work.
     fn lease_copy_holder(
         &mut self,
@@ -334,7 +457,7 @@
         };
         let silence_limits = self.silence_limits(lease.key);
         let probed_wait = ProbedWait::new(&self.request.state, lease, silence_limits, true);
-        let (address, key) = (lease.address, lease.key);
+        let key = lease.key;
         let sending = send(
             &self.request.state,
             lease,
@@ -342,8 +465,7 @@
             &head,
             time_left,
         );
-        self.wait_first_event(key, probed_wait.run(address, sending))
-            .await?
+        self.wait_first_event(key, probed_wait.run(sending)).await?
     }
 
     /// Waits for the first event of an engine, for as long as the engine may need for all that it
@@ -427,7 +549,6 @@
         is_first: bool,
     ) -> Result<(), AttemptFailure> {
         use http_body_util::BodyExt as _;
-        let address = current.lease.address;
         let started = Instant::now();
         while !self.events.has_pending() && !self.is_complete {
             let probed_wait = ProbedWait::new(
@@ -436,7 +557,7 @@
                 current.silence_limits,
                 is_first,
             );
-            let waiting = probed_wait.run(address, current.response.body.frame());
+            let waiting = probed_wait.run(current.response.body.frame());
             let frame = match is_first {
                 true => self.wait_first_event(current.lease.key, waiting).await?,
                 false => {
@@ -475,6 +596,12 @@
                 self.finish();
                 return None;
             }
+            if let Some(peer) = self.peer.take() {
+                if !self.continue_at_peer(peer).await {
+                    return Some(Err(Broken));
+                }
+                continue;
+            }
             if !self.relocate().await {
                 return Some(Err(Broken));
             }
@@ -532,13 +659,16 @@
         result.is_ok() && has_succeeded
     }
 
-    /// Returns whether the current engine answered with a success status.
+    /// Returns whether the current engine, or the other instance, answered with a success status.
     pub(super) fn has_success_status(&self) -> bool {
-        let current = self.current.as_ref();
-        current.is_some_and(|current| current.response.status.is_success())
+        let head = self.response_head();
+        head.is_some_and(|head| head.status.is_success())
     }
 
     fn finish(&mut self) {
+        if let Some(peer) = self.peer.take() {
+            peer.keep(&self.request.state);
+        }
         if let Some(current) = self.current.take() {
             current.response.keep(&self.request.state, &current.lease);
             if let Some(copies) = current.run_copy {
@@ -559,7 +689,8 @@
 
     /// Takes the response of the current engine, which the caller of this method then reads itself.
     pub(super) fn take_response(&mut self) -> Option<OpenResponse> {
-        self.current.take().map(|current| current.response)
+        let current = self.current.take().map(|current| current.response);
+        current.or_else(|| self.peer.take().map(|peer| peer.response))
     }
 }
 
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use celerypond_adapter::headers;
@@ -29,6 +29,8 @@
 pub(super) enum Reason {
     /// A target answered.
     Relayed(TargetName),
+    /// Another instance answered.
+    Peer(SocketAddr),
     /// No configuration is known yet.
     NoConfig,
     /// The current configuration or the list of targets may have been superseded for too long.
@@ -124,15 +126,14 @@
     }
 }
 
-/// Creates the response that relays that of a target.
+/// Creates the response that relays that of a target or of another instance.
 pub(super) fn relayed(
     status: StatusCode,
     headers: &HeaderMap,
     body: Body,
-    target: &TargetName,
+    reason: Reason,
 ) -> Reply {
     let mut reply = Response::new(body);
-    let reason = Reason::Relayed(target.clone());
     reply.extensions_mut().insert(reason);
     *reply.status_mut() = status;
     *reply.headers_mut() = headers::caller_response_headers(headers);
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -24,7 +24,7 @@
 
 use super::{
     attempt::CallerRequest,
-    members,
+    members, peer_relay,
     reply::{self, Reason, Reply},
     routed_request::RoutedRequest,
     single_response,
@@ -51,10 +51,20 @@
 /// still begins within about four seconds.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Answers a caller's request.
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// From a caller.
+    Caller,
+    /// From another instance, which got it from a caller and reaches no target.
+    Peer,
+}
+
+/// Answers a request.
 pub(super) async fn answer(
     state: Arc<RelayState>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<Reply, Infallible> {
     let started = Instant::now();
     // A body without a length is read by its chunks. If the request also has a length, a proxy
@@ -64,7 +74,10 @@
     let head = headers::parse_caller_head(request.headers());
     let id = head.request.clone();
     let _open_request = OpenRequest::new(&state);
-    let mut reply = route_request(&state, request, head, started).await;
+    let mut reply = match has_newer_config(&state, &mut request, origin) {
+        true => refuse_newer_config(&state, &head),
+        false => route_request(&state, request, head, (started, origin)).await,
+    };
     if is_chunked || state.stopping.is_cancelled() {
         reply::close_after(&mut reply);
     }
@@ -73,6 +86,24 @@
     Ok(reply)
 }
 
+/// Returns whether another instance has admitted a request by a configuration that is newer than
+/// that of this instance.
+fn has_newer_config(state: &RelayState, request: &mut Request<Incoming>, origin: Origin) -> bool {
+    if origin == Origin::Caller {
+        return false;
+    }
+    state.metrics.add(Counter::RelayedForPeers, 1);
+    let version = peer_relay::take_config_version(request.headers_mut());
+    version.is_some_and(|version| version > state.view.config_version())
+}
+
+fn refuse_newer_config(state: &RelayState, head: &CallerHead) -> Reply {
+    state.newer_config.notify_one();
+    let id = head.request.as_deref().unwrap_or_default();
+    let time_left = head.deadline.unwrap_or_default();
+    reply::not_run(id, time_left, Some(Duration::ZERO), Reason::NoConfig)
+}
+
 /// Logs how a request was answered, and in which state of the store's data.
 fn log_reply(state: &RelayState, request: Option<&str>, reply: &Reply, started: Instant) {
     let status = reply.status().as_u16();
@@ -126,9 +157,9 @@
 
 async fn route_request(
     state: &Arc<RelayState>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     head: CallerHead,
-    started: Instant,
+    (started, origin): (Instant, Origin),
 ) -> Reply {
     let Some(id) = head.request.clone() else {
         return reply::local(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
@@ -159,6 +190,10 @@
         Err(denied) => return denial(denied, &id),
     };
     let deadline = RequestDeadline::new(started, head.deadline, route.timeout);
+    let passed_copy = match origin {
+        Origin::Caller => None,
+        Origin::Peer => peer_relay::take_copy(state, request.headers_mut()),
+    };
     let limit = state.view.table().config().limits.body_bytes;
     let caller_request = match read_body(request, id.clone(), limit).await {
         Ok(caller_request) => caller_request,
@@ -180,9 +215,19 @@
             Reason::NoTarget,
         );
     };
-    let mut routed = RoutedRequest::new(state, caller_request, &route, service, account, deadline);
+    let mut routed = RoutedRequest::new(
+        state,
+        caller_request,
+        &route,
+        service,
+        account,
+        (deadline, origin),
+    );
     routed.set_prompt(head.prompt.as_ref());
-    if let Some(deadline) = head.deadline {
+    routed.passed_copy = passed_copy;
+    // A relayed request has the time that the other instance has left.
+    let usual_deadline = head.deadline.filter(|_| origin == Origin::Caller);
+    if let Some(deadline) = usual_deadline {
         routed.requirements.is_late = state.record_deadline(&route, deadline);
     }
     match route.kind {
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -12,7 +12,10 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
-use super::{attempt::CallerRequest, held_prompts, lease::Lease, state::RelayState};
+use super::{
+    attempt::CallerRequest, held_prompts, lease::Lease, request::Origin, run_copy::CopyLocation,
+    state::RelayState,
+};
 
 /// What a request requires of the targets that it may be sent to.
 #[derive(Clone, Debug)]
@@ -75,6 +78,11 @@
     unreached: u32,
     /// Whether an attempt may have reached a target.
     has_reached_target: bool,
+    /// Whether a target accepted no connection.
+    has_failed_connection: bool,
+    origin: Origin,
+    /// The copy of the run's memory, if another instance has passed one on.
+    pub(super) passed_copy: Option<CopyLocation>,
 }
 
 impl RoutedRequest {
@@ -84,9 +92,12 @@
         route: &Route,
         service: ServiceName,
         account: Option<AccountName>,
-        deadline: RequestDeadline,
+        (deadline, origin): (RequestDeadline, Origin),
     ) -> Self {
-        state.retries().record_request(&service, Instant::now());
+        // The instance that got the request from its caller has counted it.
+        if origin == Origin::Caller {
+            state.retries().record_request(&service, Instant::now());
+        }
         state.moves().record_request(&service, Instant::now());
         let version_choice = state.rollouts.versions().choose(&service, Instant::now());
         let requirements = TargetRequirements {
@@ -116,6 +127,71 @@
             refusals: 0,
             unreached: 0,
             has_reached_target: false,
+            has_failed_connection: false,
+            origin,
+            passed_copy: None,
+        }
+    }
+
+    /// Returns whether this instance reaches no target of the service.
+    pub(super) fn is_partitioned(&self) -> bool {
+        let partitions = self.state.partitions();
+        partitions.contains(&self.requirements.service)
+    }
+
+    /// Returns whether the request is to be relayed through another instance first.
+    pub(super) fn prefers_peer(&self) -> bool {
+        self.origin == Origin::Caller && self.is_partitioned()
+    }
+
+    /// Returns whether the request is to be relayed through another instance after an attempt, as
+    /// this instance may reach no target.
+    pub(super) fn prefers_peer_after_attempt(&self) -> bool {
+        let service = &self.requirements.service;
+        let is_suspected = || {
+            let targets = self.state.view.targets();
+            targets.suspects_partition(service, Instant::now())
+        };
+        let has_failed = self.origin == Origin::Caller && self.has_failed_connection;
+        has_failed && (self.is_partitioned() || is_suspected())
+    }
+
+    /// Returns whether the request may be relayed through another instance once no target is left,
+    /// because this instance could not connect to some.
+    pub(super) fn may_use_peer(&self) -> bool {
+        self.origin == Origin::Caller && self.has_failed_connection && !self.time_left().is_zero()
+    }
+
+    /// Returns whether the request may have run.
+    pub(super) const fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Records that another instance did not answer the request, which may have run.
+    pub(super) fn record_peer_failure(&mut self, failure: AttemptFailure) -> NextStep {
+        self.runs += 1;
+        self.has_reached_target = true;
+        let next = self
+            .attempt_state()
+            .next_step(failure, || self.try_spend_retry());
+        log::info!(
+            request = self.caller_request.id.as_str(),
+            ended:? = failure,
+            next:? = next;
+            "relay through another instance failed"
+        );
+        next
+    }
+
+    fn attempt_state(&self) -> AttemptState {
+        AttemptState {
+            kind: self.route.kind,
+            runs: self.runs,
+            attempts: self.route.attempts,
+            refusals: self.refusals,
+            unreached: self.unreached,
+            is_partitioned: self.is_partitioned(),
+            time_left: self.time_left(),
         }
     }
 
@@ -452,18 +528,13 @@
             }
         }
         self.has_reached_target |= !failure.proves_unsent();
+        self.has_failed_connection |=
+            matches!(failure, AttemptFailure::Unsent | AttemptFailure::Dead);
         match failure {
             _ if failure.proves_unsent() => self.unreached += 1,
             _ => self.refusals += u32::from(failure.proves_not_run()),
         }
-        let attempt_state = AttemptState {
-            kind: self.route.kind,
-            runs: self.runs,
-            attempts: self.route.attempts,
-            refusals: self.refusals,
-            unreached: self.unreached,
-            time_left: self.time_left(),
-        };
+        let attempt_state = self.attempt_state();
         let next = attempt_state.next_step(failure, || self.try_spend_retry());
         log::info!(
             request = self.caller_request.id.as_str(),
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -1,12 +1,14 @@
 //! Relays requests whose response is not a stream.
 
 use celerypond_relay::{AttemptFailure, NextStep, SilenceLimits, TargetRequestHead};
+use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{
     attempt::{read_body, send},
     lease::Lease,
-    reply::{self, Reply},
+    peer_relay::{self, PeerResponse, ResumedRun},
+    reply::{self, Reason, Reply},
     routed_request::RoutedRequest,
 };
 
@@ -19,10 +21,14 @@
     loop {
         // Contact with the store and the peers may have been lost since the request was admitted.
         request.wait_targets().await;
+        let prefers_peer = request.prefers_peer() || request.prefers_peer_after_attempt();
+        if prefers_peer && let Some(reply) = relay_through_peer(&mut request).await {
+            return reply;
+        }
         let Some(mut lease) = request.lease_target() else {
             // A target that accepted the request may have run it, even if none is left to ask.
-            return failed_reply
-                .unwrap_or_else(|| reply::final_reply(request.step_without_target(), &request));
+            let next = request.step_without_target();
+            return finish(request, next, failed_reply).await;
         };
         let started = Instant::now();
         let result = try_target(&request, &mut lease).await;
@@ -41,11 +47,58 @@
         };
         let next = request.record_failure(&lease, failure);
         if next != NextStep::Elsewhere {
-            return failed_reply.unwrap_or_else(|| reply::final_reply(next, &request));
+            return finish(request, next, failed_reply).await;
         }
     }
 }
 
+/// Answers a request for which no target is left to try. If this instance could not connect to
+/// those that it tried, another instance may.
+async fn finish(mut request: RoutedRequest, next: NextStep, failed_reply: Option<Reply>) -> Reply {
+    let may_use_peer = next == NextStep::NotRun && request.may_use_peer();
+    if may_use_peer && let Some(reply) = relay_through_peer(&mut request).await {
+        return reply;
+    }
+    failed_reply.unwrap_or_else(|| reply::final_reply(next, &request))
+}
+
+/// Relays a request through another instance. Returns `None` if it was sent to none.
+async fn relay_through_peer(request: &mut RoutedRequest) -> Option<Reply> {
+    loop {
+        let failure = match peer_relay::send(request, &ResumedRun::default()).await? {
+            Ok(response) => match read_peer_response(request, response).await {
+                Ok(reply) => return Some(reply),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        let next = request.record_peer_failure(failure);
+        if next != NextStep::Elsewhere {
+            return Some(reply::final_reply(next, request));
+        }
+    }
+}
+
+/// Reads the whole response that another instance relays.
+async fn read_peer_response(
+    request: &RoutedRequest,
+    mut peer: PeerResponse,
+) -> Result<Reply, AttemptFailure> {
+    let body = read_body(&mut peer.response.body, request.time_left()).await?;
+    let (status, headers) = (peer.response.status, peer.response.headers.clone());
+    let reason = Reason::Peer(peer.address);
+    peer.keep(&request.state);
+    if implies_not_run(status) && request.may_have_run() {
+        return Ok(reply::final_reply(NextStep::Failed, request));
+    }
+    Ok(reply::relayed(
+        status,
+        &headers,
+        reply::full_body(body),
+        reason,
+    ))
+}
+
 /// Records how the target performed. A refusal says nothing about that, but that it is full.
 fn record_result(
     request: &RoutedRequest,
@@ -90,12 +143,12 @@
         status,
         &headers,
         reply::full_body(body),
-        &lease.name,
+        Reason::Relayed(lease.name.clone()),
     ))
 }
 
 /// Returns whether callers conclude from this status that the request has not run. A target that
 /// does not say so itself may have run it.
-fn implies_not_run(status: http::StatusCode) -> bool {
+fn implies_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -13,7 +13,9 @@
 };
 
 use super::{
-    callers, config_sync, datagrams, endpoints, fleet, members, peer_service, reload,
+    callers, config_sync, datagrams, endpoints, fleet, members, peer_relay, peer_service,
+    reachability, reload,
+    request::Origin,
     restarted_engines, rollouts,
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
@@ -136,9 +138,17 @@
         Arc::clone(state),
         Arc::clone(&datagram_socket),
     ));
+    state.tasks.spawn(reachability::run(
+        Arc::clone(state),
+        Arc::clone(&datagram_socket),
+    ));
     state
         .tasks
         .spawn(datagrams::run(Arc::clone(state), datagram_socket));
+    let relay_listener = bind(peer_relay::address(address)).await?;
+    state
+        .tasks
+        .spawn(peer_relay::run(Arc::clone(state), relay_listener));
     let listen = settings.listen;
     let endpoint_addresses = [listen.ready, listen.directory, listen.metrics];
     for address in endpoint_addresses.into_iter().flatten() {
@@ -149,7 +159,9 @@
     }
     if let Some(address) = settings.listen.callers {
         let listener = bind(address).await?;
-        state.tasks.spawn(callers::run(Arc::clone(state), listener));
+        state
+            .tasks
+            .spawn(callers::run(Arc::clone(state), listener, Origin::Caller));
     }
     Ok(())
 }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -9,7 +9,8 @@
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
 use celerypond_relay::{
-    PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait, UsualDeadlines,
+    Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait,
+    UsualDeadlines,
 };
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
@@ -50,6 +51,12 @@
     pub(super) view: StoreView,
     pub(super) watch_duty: WatchDuty,
     pub(super) connections: Connections,
+    /// Connections to other instances, through which requests are relayed.
+    pub(super) peer_connections: Connections,
+    /// Notifies that a target could not be connected to.
+    pub(super) connection_failed: Notify,
+    partitions: Mutex<Partitions>,
+    peer_partitions: Mutex<PeerPartitions>,
     pub(super) store: Client,
     retries: Mutex<RetryBudget>,
     /// The budget of moves of running streams, with the same limits as that of retries but apart
@@ -111,6 +118,10 @@
             view: StoreView::new(settings.bounds.missing_entry_grace()),
             watch_duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::new(settings.ip),
+            peer_connections: Connections::new(settings.ip),
+            connection_failed: Notify::new(),
+            partitions: Mutex::default(),
+            peer_partitions: Mutex::default(),
             store: Client::with_protocol(&store, celerypond_adapter::store::PROTOCOL),
             retries: Mutex::new(RetryBudget::new(&settings.bounds)),
             moves: Mutex::new(RetryBudget::new(&settings.bounds)),
@@ -143,6 +154,20 @@
         self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the services whose targets this instance does not reach.
+    pub(super) fn partitions(&self) -> MutexGuard<'_, Partitions> {
+        self.partitions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the services whose targets other instances do not reach.
+    pub(super) fn peer_partitions(&self) -> MutexGuard<'_, PeerPartitions> {
+        self.peer_partitions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether requests can be served.
     pub(super) fn is_ready(&self) -> bool {
         self.view.is_complete() && !self.stopping.is_cancelled() && self.stale().is_none()
@@ -251,6 +276,7 @@
     pub(super) fn render_metrics(&self) -> String {
         let (avoided, reported) = self.view.targets().count_avoided(Instant::now());
         let gauges = [
+            (Gauge::UnreachableServices, self.partitions().len() as u64),
             (Gauge::TargetsAvoided, avoided as u64),
             (Gauge::TargetsReportedDead, reported as u64),
             (Gauge::ConfigVersion, self.view.config_version()),
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -19,7 +19,7 @@
             head.status,
             &head.headers,
             event_body(relayed),
-            &head.target,
+            head.reason.clone(),
         ),
         Ok(head) => relay_failure(relayed, &head).await,
         Err(next) => reply::final_reply(next, &relayed.request),
@@ -37,7 +37,7 @@
             head.status,
             &head.headers,
             reply::full_body(body),
-            &head.target,
+            head.reason.clone(),
         ),
         Err(_) => reply::final_reply(NextStep::Failed, &relayed.request),
     }
