relay: leave partitioned instances out of the directory

What callers saw: the directory named instances that reached no target, and callers connected there. Cause: readiness and the directory knew only about the store's data. Change: an instance lists itself and others only if they reach targets of all services, as far as it was told; if none does, all are listed. Readiness stays, as such an instance answers by relaying. Evidence: partitioned_instances_are_not_listed_while_others_are failed before.

--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -49,9 +49,29 @@
     SocketAddr::new(settings.ip, settings.peer_ports.0)
 }
 
-/// Returns the addresses for callers of all instances that seem to be live. All instances use the
-/// same ports.
+/// Returns the addresses for callers of all instances that seem to be live and reach their targets,
+/// or of all that seem to be live if none does. All instances use the same ports.
 pub(super) fn caller_addresses(state: &RelayState) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let own_address = address(&state.settings.load());
+    let is_partitioned = !state.partitions().is_empty();
+    let peers = state.peer_partitions();
+    let reaching = live_caller_addresses(state, |peer| match peer == own_address {
+        true => !is_partitioned,
+        false => peers.reaches_all(peer, now),
+    });
+    drop(peers);
+    match reaching.is_empty() {
+        true => live_caller_addresses(state, |_| true),
+        false => reaching,
+    }
+}
+
+/// Returns the addresses for callers of the live instances whose peer address satisfies a condition.
+fn live_caller_addresses(
+    state: &RelayState,
+    is_included: impl Fn(SocketAddr) -> bool,
+) -> Vec<SocketAddr> {
     let settings = state.settings.load();
     let Some(own_address) = settings.listen.callers else {
         return Vec::new();
@@ -59,10 +79,12 @@
     let gossip = state.gossip();
     let others = gossip.membership().in_state(MemberState::Live);
     let others = others.filter_map(|member| member.address.parse::<SocketAddr>().ok());
+    let others = others.filter(|address| is_included(*address));
     let others = others.map(|address| SocketAddr::new(address.ip(), own_address.port()));
     let mut addresses: Vec<SocketAddr> = others.collect();
     // If all instances stop at once, only those that still accept callers are left.
-    if state.is_ready() || (addresses.is_empty() && state.takes_callers()) {
+    let is_own_included = is_included(address(&settings));
+    if is_own_included && (state.is_ready() || (addresses.is_empty() && state.takes_callers())) {
         addresses.insert(0, own_address);
     }
     addresses
