relay: do not blame targets or versions for failures of the own link

Same cause elsewhere: while an instance was partitioned, its failures counted in the results that all instances share about a target, a missing response counted against the version under rollout, a reset shortened the idle time of connections for all instances, and copies of runs were ordered again and again. Change: results, deaths and copies are left alone during a partition; a reset of an idle connection and a silence count only if the target then accepts a new connection.

--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -7,7 +7,11 @@
 use celerypond_types::{TargetKey, TargetName, VersionName};
 use tokio::time::Instant;
 
-use super::{connections::ConnectionShare, state::RelayState};
+use super::{
+    connections::ConnectionShare,
+    reachability::{is_partitioned_from, probe},
+    state::RelayState,
+};
 
 /// A request's lease of a target. The request counts as open there until the lease is dropped.
 pub(super) struct Lease {
@@ -78,6 +82,10 @@
 
     /// Records the result of a request whose response is not a stream.
     pub(super) fn record_result(&self, is_good: bool, time: Duration, aim: Duration) {
+        // A failure is due to this instance's own links.
+        if !is_good && is_partitioned_from(&self.state, self.key) {
+            return;
+        }
         let now = Instant::now();
         let mut targets = self.state.view.targets();
         targets.record_result(self.key, is_good, time, now);
@@ -105,19 +113,15 @@
         }
     }
 
-    /// Records that a request was reset at once on a connection that had been idle for this time.
+    /// Records that a request was reset at once on a connection that had been idle for this time. A
+    /// target that accepts no new connection has not reset it for being idle.
     pub(super) fn record_idle_reset(&self, idle_for: Duration) {
-        let mut targets = self.state.view.targets();
-        if !targets.record_idle_reset(self.key, idle_for, Instant::now()) {
-            return;
-        }
-        let idle_limit = targets.idle_limit(self.key, Instant::now());
-        log::info!(
-            target = self.name.as_str(),
-            rested_ms = idle_for.as_millis() as u64,
-            most_ms = idle_limit.map(|idle_limit| idle_limit.as_millis() as u64);
-            "connections rest for less"
-        );
+        let (state, key) = (Arc::clone(&self.state), self.key);
+        self.state.tasks.spawn(async move {
+            if probe(&state, key).await {
+                learn_idle_limit(&state, key, idle_for);
+            }
+        });
     }
 
     /// Records that the engine has read the stream's prompt.
@@ -133,6 +137,9 @@
 
     /// Records how the attempt failed.
     pub(super) fn record_failure(&self, failure: AttemptFailure) {
+        if failure.suggests_target_down() && is_partitioned_from(&self.state, self.key) {
+            return;
+        }
         record_target_failure(&self.state, self.key, failure);
         // Connections that break are closed by themselves.
         if failure.suggests_target_down() && failure != AttemptFailure::Broken {
@@ -143,7 +150,7 @@
         }
         // A broken stream may mean that the engine is dead, which other instances should be told.
         if failure == AttemptFailure::Broken && self.stream.is_some() {
-            let check = check_alive(Arc::clone(&self.state), self.key, self.address);
+            let check = check_alive(Arc::clone(&self.state), self.key);
             self.state.tasks.spawn(check);
         }
     }
@@ -162,12 +169,29 @@
     }
 }
 
-async fn check_alive(state: Arc<RelayState>, key: TargetKey, address: SocketAddr) {
-    if state.connections.is_alive(address).await {
+fn learn_idle_limit(state: &RelayState, key: TargetKey, idle_for: Duration) {
+    let now = Instant::now();
+    let mut targets = state.view.targets();
+    if !targets.record_idle_reset(key, idle_for, now) {
+        return;
+    }
+    let name = targets.get(key).map(|target| target.entry.name.as_str());
+    let idle_limit = targets.idle_limit(key, now);
+    log::info!(
+        target = name,
+        rested_ms = idle_for.as_millis() as u64,
+        most_ms = idle_limit.map(|idle_limit| idle_limit.as_millis() as u64);
+        "connections rest for less"
+    );
+}
+
+async fn check_alive(state: Arc<RelayState>, key: TargetKey) {
+    if probe(&state, key).await || is_partitioned_from(&state, key) {
         return;
     }
     record_target_failure(&state, key, AttemptFailure::Dead);
-    log::info!(address:% = address, reason = "no connection"; "target dead");
+    let address = state.view.address_of(key);
+    log::info!(address:? = address, reason = "no connection"; "target dead");
     state.placements_changed.notify_one();
 }
 
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use super::{
-    attempt::CallerRequest, held_prompts, lease::Lease, request::Origin, run_copy::CopyLocation,
-    state::RelayState,
+    attempt::CallerRequest, held_prompts, lease::Lease, reachability, request::Origin,
+    run_copy::CopyLocation, state::RelayState,
 };
 
 /// What a request requires of the targets that it may be sent to.
@@ -308,6 +308,20 @@
         );
     }
 
+    /// Records a missing response if the target accepts a new connection. Otherwise its link may be
+    /// at fault rather than the version that it runs.
+    fn record_silence(&self, lease: &Lease) {
+        let (state, key) = (Arc::clone(&self.state), lease.key);
+        let (service, version) = (self.requirements.service.clone(), lease.version.clone());
+        let route = celerypond_route::hash(self.route.name.as_bytes());
+        self.state.tasks.spawn(async move {
+            if reachability::probe(&state, key).await {
+                let mut versions = state.rollouts.versions();
+                versions.record_response(&service, &version, route, true, Duration::ZERO);
+            }
+        });
+    }
+
     /// Leases an engine that holds a copy, unless it no longer accepts new work.
     pub(super) fn lease_copy_holder(&mut self, key: TargetKey) -> Option<Lease> {
         let is_usable = self.state.view.targets().is_usable(key);
@@ -516,7 +530,9 @@
     /// Records how an attempt failed and returns what to do next.
     pub(super) fn record_failure(&mut self, lease: &Lease, failure: AttemptFailure) -> NextStep {
         lease.record_failure(failure);
-        if failure.blames_version() {
+        if failure == AttemptFailure::Silent {
+            self.record_silence(lease);
+        } else if failure.blames_version() {
             self.record_version_result(lease, true, Duration::ZERO);
         }
         self.state.metrics.add(Counter::AttemptsEnded, 1);
--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -13,7 +13,12 @@
 use tokio::time::{sleep, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::{engine_calls, routed_request::TargetRequirements, state::RelayState};
+use super::{
+    engine_calls,
+    reachability::{is_partitioned_from, probe},
+    routed_request::TargetRequirements,
+    state::RelayState,
+};
 
 /// The interval between two checks whether the holder of a copy is still alive.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -142,6 +147,10 @@
                 () = sleep(wait) => {}
             }
             wait = CHECK_INTERVAL;
+            // Nothing can be checked or ordered until the partition ends.
+            if is_partitioned_from(&self.state, self.run.engine) {
+                continue;
+            }
             let copy = current_location(&self.location);
             let is_lost = match &copy {
                 Some(copy) => self.is_lost(copy).await,
@@ -187,10 +196,7 @@
         if is_lost || !is_doubtful {
             return is_lost;
         }
-        match self.state.view.address_of(copy.holder) {
-            Some(address) => !self.state.connections.is_alive(address).await,
-            None => true,
-        }
+        !probe(&self.state, copy.holder).await
     }
 
     fn choose_holder(&self) -> Option<TargetKey> {
