relay: keep the rejections of brittle targets within what they state

What callers saw (in the stand-in's test): targets that state how many rejections within a second they bear fell over, three of them five times in eight seconds at twice their load, and were then down for two seconds each. Cause: the statement was not read. Each instance knew only its own rejections, and tried again while the others did as well. Change: the statement is read from each response. While it is recent, the rate to a plain target is always limited, to less as soon as requests wait there; an instance has its share of one and a half times the slots open; after a rejection, of which instances notify each other, all hold back and try again one after the other at random times, spaced so that together they use half of what is stated. The first accepted request ends this for all.

--- a/crates/relay/src/admission_rate.rs
+++ b/crates/relay/src/admission_rate.rs
@@ -12,6 +12,9 @@
 const GROWTH_PER_S: f64 = 0.5;
 /// The share of the capacity from which the rate is no longer limited.
 const MAX_SHARE: f64 = 4.0;
+/// The maximum share of the capacity of a brittle target, whose rate is always limited: its queue
+/// must not grow faster than responses report it.
+const MAX_BRITTLE_SHARE: f64 = 1.25;
 /// The share of the latency target from which an estimated response time is too long. Service
 /// times vary, and the response has to reach the caller.
 const LATE_SHARE: f64 = 0.42;
@@ -64,6 +67,8 @@
     /// The number of consecutive responses after a long queue.
     late_responses: u32,
     limit: Option<Limit>,
+    /// Whether the target must not reject many requests.
+    is_brittle: bool,
 }
 
 /// A limited rate.
@@ -128,8 +133,11 @@
         let turns = 1.0 + f64::from(load.waiting) / f64::from(self.slots);
         self.service_time.add(turns, took.as_secs_f64() * 1_000.0);
         // Without a queue, the target is slow, but nothing is gained by sending it less.
-        let is_queued = load.waiting >= self.slots;
-        let is_late = took > aim.mul_f64(LATE_SHARE);
+        let is_queued = match self.is_brittle {
+            true => load.waiting > 0,
+            false => load.waiting >= self.slots,
+        };
+        let is_late = self.is_brittle || took > aim.mul_f64(LATE_SHARE);
         self.late_responses = match is_queued && is_late {
             true => self.late_responses + 1,
             false => 0,
@@ -137,6 +145,20 @@
         self.record_queue(self.late_responses, now);
     }
 
+    /// Sets whether the target must not reject many requests. Its rate is then always limited, and
+    /// to less as soon as requests wait there.
+    pub fn set_brittle(&mut self, is_brittle: bool, now: Instant) {
+        self.is_brittle = is_brittle;
+        if is_brittle && self.limit.is_none() {
+            self.limit = Some(Limit {
+                share: MAX_BRITTLE_SHARE,
+                tokens: 1.0,
+                at: now,
+                recorded_at: now,
+            });
+        }
+    }
+
     /// Records that the target refused a request because its queue is full.
     pub fn record_refusal(&mut self, now: Instant) {
         self.late_responses = MIN_LATE_RESPONSES;
@@ -153,9 +175,10 @@
         rate.is_none_or(|rate| !is_late && limit.tokens_at(rate, now) >= 1.0)
     }
 
-    /// Returns whether the rate is limited.
-    pub const fn is_limited(&self) -> bool {
-        self.limit.is_some()
+    /// Returns whether the rate is limited because of a long queue.
+    pub fn is_limited(&self) -> bool {
+        let is_lowered = |limit: &Limit| !self.is_brittle || limit.share < 1.0;
+        self.limit.as_ref().is_some_and(is_lowered)
     }
 
     /// Counts a request that is sent.
@@ -199,7 +222,13 @@
             recorded_at: now,
             ..limit
         };
-        self.limit = (limit.share <= MAX_SHARE).then_some(limit);
+        self.limit = match self.is_brittle {
+            true => Some(Limit {
+                share: limit.share.min(MAX_BRITTLE_SHARE),
+                ..limit
+            }),
+            false => (limit.share <= MAX_SHARE).then_some(limit),
+        };
     }
 
     /// Returns the requests per millisecond that this instance may send; `None` if the capacity of
--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -91,6 +91,8 @@
     pub encoded: bool,
     /// The target's load.
     pub load: Option<Load>,
+    /// The number of rejections within a second that the target bears, if it is brittle.
+    pub max_rejections: Option<u32>,
     /// How long the target keeps the connection open without a request.
     pub keep_alive: Option<Duration>,
 }
--- /dev/null
+++ b/crates/relay/src/rejection_limit.rs
@@ -0,0 +1,109 @@
+//! Limits the requests that a brittle target has to reject.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// How long a target's statement counts that it is brittle. It is repeated with each response.
+const STATEMENT_TTL: Duration = Duration::from_secs(15);
+/// The share of the stated rejections that all instances use. The rest is for requests that are
+/// under way when the first one is rejected.
+const REJECTION_SHARE: f64 = 0.5;
+/// The maximum number of open requests at a brittle target, over all instances, as a multiple of its
+/// slots. All of them may be rejected at once.
+const OPEN_SHARE: f64 = 1.5;
+
+/// A notice that a brittle target is full or accepts requests again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FullnessNotice {
+    /// The hash of the target's name.
+    pub target_hash: u64,
+    /// Whether it has rejected a request for want of room.
+    pub is_full: bool,
+}
+
+/// Limits the requests that a brittle target has to reject, over all instances.
+///
+/// A brittle target fails if it has to reject more than some requests within a second. After a
+/// rejection, all instances hold their requests back, and try again one after the other at random
+/// times. Each rejection postpones the others, so that together they use a share of the rejections
+/// that the target bears. The first request that is accepted ends this for all.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celerypond_relay::RejectionLimit;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut limit = RejectionLimit::default();
+/// assert!(!limit.record_rejection(7, 0.5, now));
+/// assert!(limit.allows(100, 4, 7, now));
+/// limit.record_statement(7, now);
+/// assert!(limit.record_rejection(7, 0.5, now));
+/// assert!(!limit.allows(0, 4, 7, now));
+/// assert!(limit.allows(0, 4, 7, now + Duration::from_secs(2)));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RejectionLimit {
+    /// The rejections within a second that the target bears, and when it last stated this.
+    stated: Option<(u32, Instant)>,
+    blocked_until: Option<Instant>,
+}
+
+impl RejectionLimit {
+    /// Records that the target stated how many rejections within a second it bears.
+    pub const fn record_statement(&mut self, rejections: u32, now: Instant) {
+        self.stated = Some((rejections, now));
+    }
+
+    /// Returns whether the target is brittle.
+    pub fn is_brittle(&self, now: Instant) -> bool {
+        self.rejections(now).is_some()
+    }
+
+    /// Records that the target rejected a request of this or another instance; `jitter` is between 0
+    /// and 1. Returns whether requests are held back from now on.
+    pub fn record_rejection(&mut self, instances: usize, jitter: f64, now: Instant) -> bool {
+        let Some(rejections) = self.rejections(now) else {
+            return false;
+        };
+        let per_second = (f64::from(rejections) * REJECTION_SHARE).max(REJECTION_SHARE);
+        let spacing = Duration::from_secs_f64(1.0 / per_second);
+        if self.is_blocked(now) {
+            self.blocked_until = self.blocked_until.max(Some(now + spacing));
+            return false;
+        }
+        let window = spacing.mul_f64(instances.max(1) as f64 * jitter);
+        self.blocked_until = Some(now + spacing + window);
+        true
+    }
+
+    /// Records that the target accepted a request; returns whether requests were held back.
+    pub const fn record_acceptance(&mut self) -> bool {
+        self.blocked_until.take().is_some()
+    }
+
+    /// Returns whether a request may be sent to the target, at which this instance has a number of
+    /// open requests.
+    pub fn allows(&self, open: u32, slots: u32, instances: usize, now: Instant) -> bool {
+        if !self.is_brittle(now) {
+            return true;
+        }
+        let share = f64::from(slots) * OPEN_SHARE / instances.max(1) as f64;
+        !self.is_blocked(now) && f64::from(open) < share.max(1.0)
+    }
+
+    fn is_blocked(&self, now: Instant) -> bool {
+        self.blocked_until.is_some_and(|until| until > now)
+    }
+
+    fn rejections(&self, now: Instant) -> Option<u32> {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < STATEMENT_TTL;
+        let (rejections, _) = self.stated.filter(|(_, at)| is_fresh(*at))?;
+        Some(rejections)
+    }
+}
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -297,9 +297,14 @@
     }
 
     /// Returns whether this instance may send a request to a target now, which is limited for plain
-    /// targets with a long queue.
+    /// targets with a long queue and for brittle ones.
     fn may_send(&self, target: &Target) -> bool {
         let (query, rate) = (self.query, &target.admission_rate);
+        let (open, slots) = (target.open_requests, target.entry.slots);
+        let limit = &target.rejection_limit;
+        if !limit.allows(open, slots, query.instances, self.now) {
+            return false;
+        }
         query.capacity.is_some() || rate.allows(query.is_late, query.instances, self.now)
     }
 
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::Instant;
 
-use crate::{link::Link, AdmissionRate, AttemptFailure, Load, Presence, TargetEntry};
+use crate::{
+    link::Link, AdmissionRate, AttemptFailure, Load, Presence, RejectionLimit, TargetEntry,
+};
 
 /// How long a target is avoided after a connection to it broke; this is doubled with each further
 /// failure. Connections may also be reset while the target lives.
@@ -74,6 +76,8 @@
     pub(crate) last_queried: Option<Instant>,
     /// The rate at which this instance sends requests to it; not limited for engines.
     pub admission_rate: AdmissionRate,
+    /// The limit on requests that it rejects, if it is brittle.
+    pub rejection_limit: RejectionLimit,
     load: Option<(Load, Instant)>,
     /// This instance's link to it.
     pub(crate) link: Link,
@@ -101,6 +105,7 @@
             is_missing: false,
             last_queried: None,
             admission_rate: AdmissionRate::default(),
+            rejection_limit: RejectionLimit::default(),
             load: None,
             link: Link::default(),
         }
@@ -205,6 +210,8 @@
     /// Records the time of a response to a request in one piece, after its load.
     pub fn record_response_time(&mut self, took: Duration, aim: Duration, now: Instant) {
         if let Some((load, _)) = self.load.filter(|(_, at)| *at + took >= now) {
+            let is_brittle = self.rejection_limit.is_brittle(now);
+            self.admission_rate.set_brittle(is_brittle, now);
             self.admission_rate.record_response(load, took, aim, now);
         }
     }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -329,6 +329,12 @@
         self.arena.get(key)
     }
 
+    /// Returns a mutable reference to the target whose name has a hash.
+    pub fn by_hash_mut(&mut self, name_hash: u64) -> Option<&mut Target> {
+        let mut targets = self.arena.values_mut();
+        targets.find(|target| target.name_hash == name_hash)
+    }
+
     /// Returns the key of the target with a name.
     pub fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
         self.names.get(name).copied()
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -12,6 +12,7 @@
 mod engine_calls;
 mod event_buffer;
 mod fleet;
+mod fullness;
 mod held_prompts;
 mod inbox;
 mod lease;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::{
     connections::{Connections, ReusedConnection, Sender},
+    fullness,
     lease::Lease,
     reachability::record_connection,
     state::RelayState,
@@ -212,6 +213,14 @@
         return Err(AttemptFailure::Misdirected);
     }
     lease.record_response(response.head.load);
+    if let Some(max_rejections) = response.head.max_rejections {
+        lease.record_brittle(max_rejections);
+    }
+    if !response.head.not_run {
+        fullness::record_acceptance(state, lease.key);
+    } else if response.status == StatusCode::SERVICE_UNAVAILABLE {
+        fullness::record_rejection(state, lease.key);
+    }
     if response.head.not_run {
         let reused = keep_refused(Arc::clone(state), lease.address, response);
         state.tasks.spawn(reused);
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -7,14 +7,14 @@
 };
 
 use celerypond_relay::{
-    EvidenceReport, Notice, PartitionNotice, PlacementSchedule, Placements, PromptLocation,
-    PromptLocationSchedule, Stage, Watchers,
+    EvidenceReport, FullnessNotice, Notice, PartitionNotice, PlacementSchedule, Placements,
+    PromptLocation, PromptLocationSchedule, Stage, Watchers,
 };
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{fleet, inbox::Inbox, reachability, state::RelayState, target_sync};
+use super::{fleet, fullness, inbox::Inbox, reachability, state::RelayState, target_sync};
 
 /// How long changes are collected before a list is sent. Streams begin and end in groups when
 /// engines are lost.
@@ -42,6 +42,8 @@
     Report(ServiceName, EvidenceReport),
     /// The services whose targets an instance does not reach.
     Partition(PartitionNotice),
+    /// Whether a brittle target is full.
+    Fullness(FullnessNotice),
 }
 
 /// Sends and receives datagrams until the instance ends.
@@ -111,6 +113,7 @@
         Ok(Datagram::Stage(stage)) => state.rollouts.record_stage(stage, earliest_arrival),
         Ok(Datagram::Report(service, report)) => state.rollouts.record_report(&service, report),
         Ok(Datagram::Partition(notice)) => reachability::receive(state, notice),
+        Ok(Datagram::Fullness(notice)) => fullness::receive(state, notice),
         Err(error) => log::warn!(error:% = error; "cannot decode a peer's datagram"),
     }
 }
--- /dev/null
+++ b/daemon/src/relay/fullness.rs
@@ -0,0 +1,79 @@
+//! Notices among instances that brittle targets are full or accept requests again.
+
+use std::sync::Arc;
+
+use celerypond_relay::FullnessNotice;
+use celerypond_types::TargetKey;
+use tokio::{net::UdpSocket, sync::mpsc, time::Instant};
+
+use super::{
+    datagrams::{self, Datagram},
+    state::RelayState,
+};
+
+/// Sends the notices of this instance until it ends.
+pub(super) async fn run(
+    state: Arc<RelayState>,
+    socket: Arc<UdpSocket>,
+    mut notices: mpsc::UnboundedReceiver<FullnessNotice>,
+) {
+    loop {
+        let notice = tokio::select! {
+            () = state.ending.cancelled() => return,
+            notice = notices.recv() => notice,
+        };
+        let Some(notice) = notice else {
+            return;
+        };
+        let peers = state.fleet.load_full();
+        datagrams::send(&socket, &peers.live_peers, &Datagram::Fullness(notice)).await;
+    }
+}
+
+/// Records that a target rejected a request of this instance for want of room.
+pub(super) fn record_rejection(state: &RelayState, key: TargetKey) {
+    let (instances, now) = (state.instance_count(), Instant::now());
+    let mut targets = state.view.targets();
+    let Some(target) = targets.get_mut(key) else {
+        return;
+    };
+    let limit = &mut target.rejection_limit;
+    if limit.record_rejection(instances, rand::random(), now) {
+        notify(state, target.name_hash, true);
+    }
+}
+
+/// Records that a target accepted a request of this instance.
+pub(super) fn record_acceptance(state: &RelayState, key: TargetKey) {
+    let mut targets = state.view.targets();
+    if let Some(target) = targets.get_mut(key)
+        && target.rejection_limit.record_acceptance()
+    {
+        notify(state, target.name_hash, false);
+    }
+}
+
+fn notify(state: &RelayState, target_hash: u64, is_full: bool) {
+    log::info!(target_hash, is_full; "fullness of a brittle target changed");
+    let notice = FullnessNotice {
+        target_hash,
+        is_full,
+    };
+    // The receiver is gone only if the instance ends.
+    let _ = state.fullness_notices.send(notice);
+}
+
+/// Handles the notice of another instance.
+pub(super) fn receive(state: &RelayState, notice: FullnessNotice) {
+    let (instances, now) = (state.instance_count(), Instant::now());
+    let mut targets = state.view.targets();
+    let Some(target) = targets.by_hash_mut(notice.target_hash) else {
+        return;
+    };
+    if notice.is_full {
+        let limit = &mut target.rejection_limit;
+        limit.record_rejection(instances, rand::random(), now);
+    } else {
+        target.rejection_limit.record_acceptance();
+    }
+}
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Records that the target stated how many rejections within a second it bears.
+    pub(super) fn record_brittle(&self, max_rejections: u32) {
+        if let Some(target) = self.state.view.targets().get_mut(self.key) {
+            let limit = &mut target.rejection_limit;
+            limit.record_statement(max_rejections, Instant::now());
+        }
+    }
+
     /// Records the result of a request whose response is not a stream.
     pub(super) fn record_result(&self, is_good: bool, time: Duration, aim: Duration) {
         // A failure is due to this instance's own links.
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -2,18 +2,19 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_relay::Settings;
+use celerypond_relay::{FullnessNotice, Settings};
 use celerypond_telemetry::Counter;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
+    sync::mpsc,
     time::{timeout, Instant},
 };
 
 use super::{
-    callers, config_sync, datagrams, endpoints, fleet, members, peer_relay, peer_service,
+    callers, config_sync, datagrams, endpoints, fleet, fullness, members, peer_relay, peer_service,
     reachability, reload,
     request::Origin,
     restarted_engines, rollouts,
@@ -72,9 +73,10 @@
     /// A [`RelayError`] if an address cannot be listened on.
     pub async fn start(settings: Settings) -> Result<Self, Report<RelayError>> {
         let gossip = members::gossip(&settings, Instant::now());
-        let state = Arc::new(RelayState::new(settings, gossip));
+        let (fullness_sender, fullness_notices) = mpsc::unbounded_channel();
+        let state = Arc::new(RelayState::new(settings, gossip, fullness_sender));
         fleet::refresh(&state);
-        listen(&state).await?;
+        listen(&state, fullness_notices).await?;
         let settings = state.settings.load_full();
         log::info!(
             instance = settings.instance.as_str(),
@@ -124,7 +126,10 @@
     }
 }
 
-async fn listen(state: &Arc<RelayState>) -> Result<(), Report<RelayError>> {
+async fn listen(
+    state: &Arc<RelayState>,
+    fullness_notices: mpsc::UnboundedReceiver<FullnessNotice>,
+) -> Result<(), Report<RelayError>> {
     let settings = state.settings.load_full();
     let address = members::address(&settings);
     let peer_listener = bind(address).await?;
@@ -138,6 +143,11 @@
         Arc::clone(state),
         Arc::clone(&datagram_socket),
     ));
+    state.tasks.spawn(fullness::run(
+        Arc::clone(state),
+        Arc::clone(&datagram_socket),
+        fullness_notices,
+    ));
     state.tasks.spawn(reachability::run(
         Arc::clone(state),
         Arc::clone(&datagram_socket),
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -9,13 +9,13 @@
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
 use celerypond_relay::{
-    Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait,
-    UsualDeadlines,
+    FullnessNotice, Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale,
+    StaleWait, UsualDeadlines,
 };
 use celerypond_telemetry::{Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
-    sync::{watch, Notify},
+    sync::{mpsc, watch, Notify},
     time::{timeout_at, Duration, Instant},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -53,6 +53,8 @@
     pub(super) connections: Connections,
     /// Connections to other instances, through which requests are relayed.
     pub(super) peer_connections: Connections,
+    /// Notices for other instances that brittle targets are full or not.
+    pub(super) fullness_notices: mpsc::UnboundedSender<FullnessNotice>,
     /// Notifies that a target could not be connected to.
     pub(super) connection_failed: Notify,
     partitions: Mutex<Partitions>,
@@ -103,7 +105,11 @@
 }
 
 impl RelayState {
-    pub(super) fn new(settings: Settings, gossip: Gossip) -> Self {
+    pub(super) fn new(
+        settings: Settings,
+        gossip: Gossip,
+        fullness_notices: mpsc::UnboundedSender<FullnessNotice>,
+    ) -> Self {
         let store = celerypond_platform::ClientSettings {
             addresses: vec![settings.store.address],
             connect_timeout: STORE_CONNECT_TIMEOUT,
@@ -119,6 +125,7 @@
             watch_duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::new(settings.ip),
             peer_connections: Connections::new(settings.ip),
+            fullness_notices,
             connection_failed: Notify::new(),
             partitions: Mutex::default(),
             peer_partitions: Mutex::default(),
