--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -121,7 +121,7 @@
             },
             Err(_) => return Err(AttemptFailure::Silent),
         };
-        return validate_response(state, caller_request, lease, response, sender);
+        return validate_response(state, caller_request, lease, (response, started), sender);
     }
 }
 
@@ -202,7 +202,7 @@
     state: &Arc<RelayState>,
     caller_request: &CallerRequest,
     lease: &mut Lease,
-    response: Response<Incoming>,
+    (response, sent): (Response<Incoming>, Instant),
     sender: Sender,
 ) -> Result<OpenResponse, AttemptFailure> {
     let response = OpenResponse::new(response, sender);
@@ -217,7 +217,7 @@
         lease.record_brittle(max_rejections);
     }
     if !response.head.not_run {
-        fullness::record_acceptance(state, lease.key);
+        fullness::record_acceptance(state, lease.key, sent);
     } else if response.status == StatusCode::SERVICE_UNAVAILABLE {
         fullness::record_rejection(state, lease.key);
     }
--- a/daemon/src/relay/fullness.rs
+++ b/daemon/src/relay/fullness.rs
@@ -43,11 +43,11 @@
     }
 }
 
-/// Records that a target accepted a request of this instance.
-pub(super) fn record_acceptance(state: &RelayState, key: TargetKey) {
+/// Records that a target accepted a request that this instance sent at a moment.
+pub(super) fn record_acceptance(state: &RelayState, key: TargetKey, sent: Instant) {
     let mut targets = state.view.targets();
     if let Some(target) = targets.get_mut(key)
-        && target.rejection_limit.record_acceptance()
+        && target.rejection_limit.record_acceptance(sent)
     {
         notify(state, target.name_hash, false);
     }
@@ -74,6 +74,6 @@
         let limit = &mut target.rejection_limit;
         limit.record_rejection(instances, rand::random(), now);
     } else {
-        target.rejection_limit.record_acceptance();
+        target.rejection_limit.record_acceptance(now);
     }
 }
