relay: keep streams relayed through other instances within what routes allow

By reading: a stream whose peer did not answer was tried again here without a word of that attempt, also where the route does not allow a repeat; and a peer could be asked beyond the route's attempts. Change: such a failure counts as a run and is decided on like that of an engine. The relayed part of a stream has a file of its own.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -20,6 +20,7 @@
 mod order_store;
 mod peer_relay;
 mod peer_service;
+mod peer_stream;
 mod probed_wait;
 mod reachability;
 mod relayed_stream;
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -13,13 +13,13 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
 use rand::Rng as _;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 use super::{
     attempt::{send, OpenResponse},
     event_buffer::EventBuffer,
     lease::Lease,
-    peer_relay::{self, PeerResponse, ResumedRun},
+    peer_relay::PeerResponse,
     probed_wait::{ProbedWait, WaitOutcome},
     relocation,
     reply::{Broken, Reason},
@@ -33,11 +33,11 @@
     pub(super) events: EventBuffer,
     pub(super) current: Option<CurrentEngine>,
     /// The response of another instance through which the stream is relayed instead.
-    peer: Option<PeerResponse>,
+    pub(super) peer: Option<PeerResponse>,
     /// Whether the engine that answered last resumed from a copy of the run's memory.
     pub(super) from_copy: bool,
     /// Whether the last engine's stream has ended completely.
-    is_complete: bool,
+    pub(super) is_complete: bool,
 }
 
 /// The response head that the caller gets: that of the first engine, also if the stream is resumed
@@ -77,11 +77,11 @@
 }
 
 /// The error that no engine accepted the stream.
-struct NoEngine {
+pub(super) struct NoEngine {
     /// What to do next.
-    next: NextStep,
+    pub(super) next: NextStep,
     /// Whether an engine may accept the stream later.
-    is_temporary: bool,
+    pub(super) is_temporary: bool,
 }
 
 impl RelayedStream {
@@ -210,14 +210,12 @@
         let mut copies = copies.into_iter();
         let mut is_retry = self.events.forwarded() > 0;
         loop {
-            if self.request.prefers_peer() && self.start_at_peer(known_copy.as_ref()).await {
-                return Ok(());
-            }
-            let copy_holder = self.lease_copy_holder(&mut copies);
-            if copy_holder.is_none()
-                && self.request.prefers_peer_after_attempt()
-                && self.start_at_peer(known_copy.as_ref()).await
-            {
+            let copy_holder = match self.request.is_partitioned() {
+                true => None,
+                false => self.lease_copy_holder(&mut copies),
+            };
+            let prefers_peer = copy_holder.is_none() && self.request.prefers_peer();
+            if prefers_peer && self.start_at_peer(known_copy.as_ref()).await? {
                 return Ok(());
             }
             if is_retry && copy_holder.is_none() {
@@ -229,7 +227,7 @@
                 None => (self.request.lease_target(), None),
             };
             let Some(lease) = lease else {
-                if self.request.may_use_peer() && self.start_at_peer(known_copy.as_ref()).await {
+                if self.request.may_use_peer() && self.start_at_peer(known_copy.as_ref()).await? {
                     return Ok(());
                 }
                 return Err(NoEngine {
@@ -257,7 +255,7 @@
                 NextStep::NotRun | NextStep::Failed
                     if is_temporary
                         && self.request.may_use_peer()
-                        && self.start_at_peer(known_copy.as_ref()).await =>
+                        && self.start_at_peer(known_copy.as_ref()).await? =>
                 {
                     return Ok(());
                 }
@@ -266,87 +264,6 @@
         }
     }
 
-    /// Sends the request to another instance and waits for its first event. Returns whether the
-    /// stream began there, or was refused and is not to be tried here.
-    async fn start_at_peer(&mut self, copy: Option<&CopyLocation>) -> bool {
-        let started = Instant::now();
-        let run = ResumedRun {
-            last_event: self.events.last_id(),
-            copy,
-        };
-        let Some(Ok(peer)) = peer_relay::send(&self.request, &run).await else {
-            return false;
-        };
-        let status = peer.response.status;
-        if !status.is_success() && (self.events.forwarded() > 0 || self.request.may_have_run()) {
-            return false;
-        }
-        let mut peer = peer;
-        if status.is_success() && self.read_peer_events(&mut peer).await.is_err() {
-            self.events.discard_partial();
-            return false;
-        }
-        log::info!(
-            request = self.request.caller_request.id.as_str(),
-            peer:% = peer.address,
-            status = status.as_u16(),
-            last = self.events.last_id(),
-            took_ms = started.elapsed().as_millis() as u64;
-            "stream relayed through another instance"
-        );
-        self.peer = Some(peer);
-        self.from_copy = false;
-        true
-    }
-
-    /// Reads from another instance until there is a whole event to forward or the stream has ended.
-    /// The instance finds out itself when its engine is lost, so only the instance is probed.
-    async fn read_peer_events(&mut self, peer: &mut PeerResponse) -> Result<(), AttemptFailure> {
-        use http_body_util::BodyExt as _;
-        let probe_interval = SilenceLimits::for_stream(0, self.request.route.gap_aim).gap;
-        while !self.events.has_pending() && !self.is_complete {
-            let wait = probe_interval.min(self.request.time_left());
-            let Ok(frame) = timeout(wait, peer.response.body.frame()).await else {
-                let connections = &self.request.state.peer_connections;
-                if self.request.time_left().is_zero() {
-                    return Err(AttemptFailure::Silent);
-                }
-                if !connections.is_alive(peer.address).await {
-                    return Err(AttemptFailure::Dead);
-                }
-                continue;
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    self.events.push(&frame)?;
-                }
-                Some(Err(_)) => return Err(AttemptFailure::Broken),
-                None if self.events.has_partial() => return Err(AttemptFailure::Broken),
-                None => self.is_complete = true,
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads more events from another instance, or resumes the stream elsewhere if that is lost.
-    async fn continue_at_peer(&mut self, mut peer: PeerResponse) -> bool {
-        let failure = match self.read_peer_events(&mut peer).await {
-            Ok(()) => {
-                self.peer = Some(peer);
-                return true;
-            }
-            Err(failure) => failure,
-        };
-        drop(peer);
-        self.events.discard_partial();
-        let result = match self.request.record_peer_failure(failure) {
-            NextStep::Elsewhere => self.find_engine(Vec::new(), true).await,
-            NextStep::Later => self.find_engine(Vec::new(), false).await,
-            next => Err(next),
-        };
-        result.is_ok() && self.has_success_status()
-    }
-
     /// Leases the next engine that holds a copy and accepts new work.
     fn lease_copy_holder(
         &mut self,
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -139,27 +139,29 @@
         partitions.contains(&self.requirements.service)
     }
 
-    /// Returns whether the request is to be relayed through another instance first.
+    /// Returns whether the request is to be relayed through another instance, as this one reaches no
+    /// target or, after a failed connection, probably reaches none.
     pub(super) fn prefers_peer(&self) -> bool {
-        self.origin == Origin::Caller && self.is_partitioned()
-    }
-
-    /// Returns whether the request is to be relayed through another instance after an attempt, as
-    /// this instance may reach no target.
-    pub(super) fn prefers_peer_after_attempt(&self) -> bool {
-        let service = &self.requirements.service;
         let is_suspected = || {
             let targets = self.state.view.targets();
-            targets.suspects_partition(service, Instant::now())
+            targets.suspects_partition(&self.requirements.service, Instant::now())
         };
-        let has_failed = self.origin == Origin::Caller && self.has_failed_connection;
-        has_failed && (self.is_partitioned() || is_suspected())
+        self.may_send_to_peer()
+            && (self.is_partitioned() || (self.has_failed_connection && is_suspected()))
     }
 
     /// Returns whether the request may be relayed through another instance once no target is left,
     /// because this instance could not connect to some.
     pub(super) fn may_use_peer(&self) -> bool {
-        self.origin == Origin::Caller && self.has_failed_connection && !self.time_left().is_zero()
+        self.may_send_to_peer() && self.has_failed_connection
+    }
+
+    fn may_send_to_peer(&self) -> bool {
+        let may_run = self.runs == 0 || self.route.kind.may_repeat();
+        self.origin == Origin::Caller
+            && may_run
+            && self.runs < self.route.attempts
+            && !self.time_left().is_zero()
     }
 
     /// Returns whether the request may have run.
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -21,8 +21,9 @@
     loop {
         // Contact with the store and the peers may have been lost since the request was admitted.
         request.wait_targets().await;
-        let prefers_peer = request.prefers_peer() || request.prefers_peer_after_attempt();
-        if prefers_peer && let Some(reply) = relay_through_peer(&mut request).await {
+        if request.prefers_peer()
+            && let Some(reply) = relay_through_peer(&mut request).await
+        {
             return reply;
         }
         let Some(mut lease) = request.lease_target() else {
