soak, deploy: partitions of instances from all targets

Seeds from 70,000 on partition some, most or all of the instances from all targets, beside kills of one or all, targets that are silent for up to a second, resets and configurations; after the bound on contact callers of partitioned instances must be served as the rule says.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -11,6 +11,7 @@
     caller::{routed_request, send, ReceivedResponse},
     fixtures::{config, large_config, settings_file, target_entry, SETTINGS_VARIABLE},
     loopback,
+    partition::Partition,
     proxy::Proxy,
     responses::{end_of_chunks, events, last_event, ok, platform_response},
     store::Store,
@@ -110,6 +111,15 @@
         (0..self.processes.len()).map(address).collect()
     }
 
+    /// Partitions instances from all targets, or ends their partition.
+    pub(crate) fn set_partition(&self, instances: &[usize], partition: Option<Partition>) {
+        for instance in instances {
+            let client = address(*instance).ip();
+            let links = self.target_links.iter();
+            links.for_each(|link| link.set_partition(client, partition));
+        }
+    }
+
     /// Writes the next version of the configuration to the store.
     pub(crate) fn change_config(&mut self) {
         self.version += 1;
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod faults;
 mod fleet;
+mod partitions;
 mod record;
 mod versions;
 
@@ -42,6 +43,10 @@
 ];
 /// Seeds from this one on use faults of single instances and their links to the store, and large configurations.
 const FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS: u64 = 60_000;
+/// Seeds from this one on partition instances from all targets.
+const FIRST_SEED_WITH_PARTITIONS: u64 = 70_000;
+/// Seeds with partitions of a run without environment variables.
+const SHORT_PARTITION_RUN: [u64; 2] = [70_000, 70_001];
 /// Number of instances without `SOAK_INSTANCES`.
 const DEFAULT_INSTANCES: usize = 3;
 /// How long one seed injects faults.
@@ -89,7 +94,19 @@
 async fn no_superseded_configuration_is_served_under_faults_of_single_instances() {
     for seed in seeds(
         KEPT_SINGLE.into_iter(),
-        FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS..u64::MAX,
+        FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS..FIRST_SEED_WITH_PARTITIONS,
+    ) {
+        run(seed).await;
+    }
+}
+
+// Guards against instances that fail their callers while they are partitioned from all targets, and against
+// broken promises when partitions overlap with other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn partitioned_instances_serve_and_keep_promises() {
+    for seed in seeds(
+        SHORT_PARTITION_RUN.into_iter(),
+        FIRST_SEED_WITH_PARTITIONS..u64::MAX,
     ) {
         run(seed).await;
     }
@@ -102,7 +119,11 @@
     let responses = ResponseLog::default();
     let mut fleet = Fleet::start(instances).await;
     let callers = Callers::start(&fleet, &responses, seed);
-    if seed >= FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS {
+    let mut violations = Vec::new();
+    if seed >= FIRST_SEED_WITH_PARTITIONS {
+        let duration = SINGLE_INSTANCE_FAULT_DURATION;
+        violations = partitions::inject_partitions(&mut fleet, &mut rng, duration).await;
+    } else if seed >= FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS {
         let probes = SupersededRouteProbes::start(&fleet, seed);
         faults::inject_single_instance_faults(&mut fleet, &mut rng, SINGLE_INSTANCE_FAULT_DURATION)
             .await;
@@ -118,7 +139,7 @@
     }
     callers.stop().await;
     let not_serving = fleet.wait_serving().await;
-    let mut violations = responses.check(&fleet);
+    violations.extend(responses.check(&fleet));
     violations.extend(fleet.versions.late_responses());
     assert!(
         violations.is_empty() && not_serving.is_empty(),
