relay: share the usable targets and the hash of a service, check a refusal once

No behaviour changes. Partition detection had its own filter of a service's usable targets, which two functions of Targets wrote out as well, and the hash of a service's name stood in four places. A refusal of a target was checked twice in a row. A constant is private again.

--- a/crates/relay/src/partition.rs
+++ b/crates/relay/src/partition.rs
@@ -10,7 +10,7 @@
 use rand::{seq::SliceRandom as _, Rng};
 use tokio::time::Instant;
 
-use crate::{Target, Targets};
+use crate::{target::service_hash, Target, Targets};
 
 /// The number of unreachable targets from which a partition is suspected. Fewer targets often fail
 /// by themselves. In smaller services all have to be unreachable.
@@ -25,7 +25,7 @@
 const RECOVERY_PROBES: usize = 3;
 /// How long a service stays unreachable at least. The probes that end a partition would otherwise
 /// alternate with requests that fail, if only some of the targets are reached.
-pub(crate) const MIN_PARTITION: Duration = Duration::from_millis(500);
+const MIN_PARTITION: Duration = Duration::from_millis(500);
 
 /// The links to the targets of a service.
 #[derive(Clone, Debug, Default)]
@@ -137,14 +137,6 @@
         }
         counts
     }
-
-    fn usable_targets<'a>(
-        &'a self,
-        service: &'a ServiceName,
-    ) -> impl Iterator<Item = (TargetKey, &'a Target)> {
-        self.iter()
-            .filter(|(key, target)| target.entry.service == *service && self.is_usable(*key))
-    }
 }
 
 fn choose(mut keys: Vec<TargetKey>, count: usize, rng: &mut impl Rng) -> Vec<TargetKey> {
@@ -224,8 +216,6 @@
     /// Returns the hashes of the services' names, by which instances refer to them in messages.
     pub fn hashes(&self) -> Vec<u64> {
         let names = self.since.keys();
-        names
-            .map(|name| celerypond_route::hash(name.as_str().as_bytes()))
-            .collect()
+        names.map(service_hash).collect()
     }
 }
--- a/crates/relay/src/peer_partitions.rs
+++ b/crates/relay/src/peer_partitions.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::target::service_hash;
+
 /// How long a notice counts. Notices are repeated each second, so either three were lost or the
 /// instance is gone.
 const NOTICE_TTL: Duration = Duration::from_millis(3_500);
@@ -60,8 +62,8 @@
 
     /// Returns whether the instance at an address reaches targets of a service, as far as known.
     pub fn reaches(&self, address: SocketAddr, service: &ServiceName, now: Instant) -> bool {
-        let hash = celerypond_route::hash(service.as_str().as_bytes());
-        !self.unreached(address, now).contains(&hash)
+        let unreached = self.unreached(address, now);
+        !unreached.contains(&service_hash(service))
     }
 
     /// Returns whether the instance at an address reaches targets of all services, as far as known.
--- a/crates/relay/src/retry_budget.rs
+++ b/crates/relay/src/retry_budget.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::Bounds;
+use crate::{target::service_hash, Bounds};
 
 /// The share of the allowed ratio and slack that is used. Instances that have just started know too
 /// few others and divide the slack by too small a number.
@@ -154,7 +154,7 @@
     fn own_counts(&self, service: &ServiceName) -> SendCounts {
         let slices = self.services.get(service).into_iter().flatten();
         let mut own_counts = SendCounts {
-            service: celerypond_route::hash(service.as_str().as_bytes()),
+            service: service_hash(service),
             ..SendCounts::default()
         };
         for slice in slices {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use celerypond_types::ServiceName;
 use tokio::time::Instant;
 
 use crate::{
@@ -83,6 +84,11 @@
     pub(crate) link: Link,
 }
 
+/// Returns the hash of a service's name, by which instances refer to the service in messages.
+pub(crate) fn service_hash(service: &ServiceName) -> u64 {
+    celerypond_route::hash(service.as_str().as_bytes())
+}
+
 impl Target {
     /// Returns a target without any history.
     pub fn new(entry: TargetEntry) -> Self {
@@ -111,9 +117,9 @@
         }
     }
 
-    /// Returns the hash of its service's name, by which instances refer to the service in messages.
+    /// Returns the hash of its service's name.
     pub(crate) fn service_hash(&self) -> u64 {
-        celerypond_route::hash(self.entry.service.as_str().as_bytes())
+        service_hash(&self.entry.service)
     }
 
     /// Returns whether it accepts new requests.
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -587,9 +587,7 @@
     /// Returns the time until a target of a service is no longer avoided; `None` if one is not
     /// avoided now, or there is none.
     pub fn time_until_usable(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
-        let of_service = self.arena.iter();
-        let of_service = of_service.filter(|(_, target)| target.entry.service == *service);
-        let usable = of_service.filter(|(key, _)| self.is_usable(*key));
+        let usable = self.usable_targets(service);
         let soonest = usable.map(|(_, target)| target.avoided_until()).min()?;
         let left = soonest?.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
@@ -598,9 +596,17 @@
     /// Returns whether this instance limits the rate of requests to a target of a service, which has
     /// a long queue.
     pub fn is_limited(&self, service: &ServiceName) -> bool {
-        let of_service = self.iter();
-        let mut of_service = of_service.filter(|(_, target)| target.entry.service == *service);
-        of_service.any(|(key, target)| target.admission_rate.is_limited() && self.is_usable(key))
+        let mut usable = self.usable_targets(service);
+        usable.any(|(_, target)| target.admission_rate.is_limited())
+    }
+
+    /// Returns the targets of a service that may get new requests.
+    pub(crate) fn usable_targets<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (TargetKey, &'a Target)> {
+        self.iter()
+            .filter(|(key, target)| target.entry.service == *service && self.is_usable(*key))
     }
 
     /// Returns whether a target may get new requests.
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -216,16 +216,15 @@
     if let Some(max_rejections) = response.head.max_rejections {
         lease.record_brittle(max_rejections);
     }
-    if !response.head.not_run {
-        fullness::record_acceptance(state, lease.key, sent);
-    } else if response.status == StatusCode::SERVICE_UNAVAILABLE {
-        fullness::record_rejection(state, lease.key);
-    }
     if response.head.not_run {
+        if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            fullness::record_rejection(state, lease.key);
+        }
         let reused = keep_refused(Arc::clone(state), lease.address, response);
         state.tasks.spawn(reused);
         return Err(AttemptFailure::NotRun);
     }
+    fullness::record_acceptance(state, lease.key, sent);
     let is_unsigned = response.status.is_success() && !response.head.signed;
     if is_unsigned || response.head.encoded {
         return Err(AttemptFailure::Foreign);
