--- a/daemon/tests/soak/record.rs
+++ b/daemon/tests/soak/record.rs
@@ -84,11 +84,7 @@
 }
 
 fn stream_violation(response: &ReceivedResponse) -> Option<&'static str> {
-    let ids = response
-        .body
-        .split('\n')
-        .filter_map(|line| line.strip_prefix("id: "));
-    let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+    let ids = response.event_ids();
     let is_in_order = ids.iter().copied().eq(1..=ids.len() as u64);
     if !is_in_order {
         return Some("an event is missing or repeated");
