--- a/review/harness/src/clients.rs
+++ b/review/harness/src/clients.rs
@@ -36,7 +36,7 @@
     pub interval: Duration,
     pub deadline: Duration,
     pub path: &'static str,
-    /// Further headers, each with its line end; `@ID` stands for the id of the request.
+    /// Further headers, each with its line end.
     pub headers: &'static str,
 }
 
@@ -134,7 +134,7 @@
             "POST {}{id} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nRequest-Deadline: {}\r\nKey: {KEY}\r\n{}Content-Length: {}\r\n\r\n{body}",
             self.load.path,
             self.load.deadline.as_millis(),
-            self.load.headers.replace("@ID", &id),
+            self.load.headers,
             body.len()
         );
         let at = self.record.now();
