--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -3,6 +3,7 @@
 use std::{
     fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, PoisonError},
@@ -128,6 +129,8 @@
         let mut command = Command::new(&self.program);
         let child = sys::end_with_parent(&mut command)
             .arg("--relay")
+            // The kernel wakes the stopped processes of a group that loses its session's shell.
+            .process_group(0)
             .current_dir(&self.root)
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
