relay: log and count each request that ends without its whole response

Cause: a stream that was broken after its head left "stream goes on" with a failure, or nothing if it was lost in a move or with another instance; the counter relay.streams_broken missed those two. A request whose caller left before the head had no line at all, and a request cut by the end of the grace period looked like one whose caller had left. Requests counted as open only until their head was returned.

Change: a request is open until its body was sent or its connection ended. If it ends early, one line says which: "stream broken" (cause, last failure), "caller left its stream", "caller left its request", or "request cut by this instance" (its end, or a panic), all with route, account, target, times since the request was read and first sent, events, last event, runs, time left, whether the instance stops, and the version of the configuration. New counters relay.requests_left and relay.requests_cut, new gauge relay.streams_open, which also stands as `streams` in the lines of a stop. No decision changes.

--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -104,10 +104,15 @@
         ResumedByReading = "relay.resumed_by_reading",
         /// Streams forwarded to their end.
         StreamsComplete = "relay.streams_complete",
-        /// Streams that could not be resumed.
+        /// Streams that this instance broke off because they could not be resumed.
         StreamsBroken = "relay.streams_broken",
         /// Streams whose callers disconnected.
         StreamsLeft = "relay.streams_left",
+        /// Requests whose callers disconnected before the response, or while one that is no stream
+        /// was sent.
+        RequestsLeft = "relay.requests_left",
+        /// Requests and streams that were cut off because this instance ended or a task panicked.
+        RequestsCut = "relay.requests_cut",
         /// Targets that accepted no connection.
         TargetsDead = "relay.targets_dead",
         /// Services that became unreachable for this instance.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -7,8 +7,10 @@
     Gauge {
         /// The active revision at this instance.
         Revision = "rollout.revision",
-        /// Requests in progress.
+        /// Requests in progress, until their responses are sent.
         OpenRequests = "requests.open",
+        /// Streams whose events are being sent.
+        OpenStreams = "relay.streams_open",
         /// Requests waiting for admission.
         Waiting = "requests.waiting",
         /// Instances considered live.
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -17,6 +17,7 @@
 mod inbox;
 mod lease;
 mod members;
+mod open_request;
 mod order_store;
 mod peer_relay;
 mod peer_service;
--- a/daemon/src/relay/peer_stream.rs
+++ b/daemon/src/relay/peer_stream.rs
@@ -119,6 +119,7 @@
             NextStep::Later => self.find_engine(Vec::new(), false).await,
             next => Err(next),
         };
+        self.resume_failure = result.as_ref().err().copied();
         result.is_ok() && self.has_success_status()
     }
 }
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -38,6 +38,8 @@
     pub(super) from_copy: bool,
     /// Whether the last engine's stream has ended completely.
     pub(super) is_complete: bool,
+    /// Why the stream was not resumed when that was last tried.
+    pub(super) resume_failure: Option<NextStep>,
 }
 
 /// The response head that the caller gets: that of the first engine, also if the stream is resumed
@@ -94,6 +96,7 @@
             peer: None,
             from_copy: false,
             is_complete: false,
+            resume_failure: None,
         }
     }
 
@@ -515,12 +518,12 @@
             }
             if let Some(peer) = self.peer.take() {
                 if !self.continue_at_peer(peer).await {
-                    return Some(Err(Broken));
+                    return Some(Err(self.break_off()));
                 }
                 continue;
             }
             if !self.relocate().await {
-                return Some(Err(Broken));
+                return Some(Err(self.break_off()));
             }
             if self.events.has_pending() {
                 continue;
@@ -530,13 +533,31 @@
                 Ok(()) => self.current = Some(current),
                 Err(failure) => {
                     if !self.resume(current, failure).await {
-                        return Some(Err(Broken));
+                        return Some(Err(self.break_off()));
                     }
                 }
             }
         }
     }
 
+    /// Records that the stream cannot go on.
+    fn break_off(&mut self) -> Broken {
+        self.record_events();
+        let status = self.response_head().map(|head| head.status.as_u16());
+        let cause = match (self.resume_failure, status) {
+            (Some(step), _) => format!("{step:?}"),
+            (None, Some(status)) => format!("Status({status})"),
+            (None, None) => "NoEngine".to_owned(),
+        };
+        self.request.record_broken_stream(&cause);
+        Broken
+    }
+
+    fn record_events(&mut self) {
+        self.request.events = self.events.forwarded();
+        self.request.last_event = self.events.last_id();
+    }
+
     /// Resumes the stream at another engine, and returns whether that succeeded.
     ///
     /// The connection to the lost engine is closed first, since two engines must not work on one
@@ -558,12 +579,14 @@
         let has_succeeded = self.has_success_status();
         let state = &self.request.state;
         state.latencies.add(Latency::Resume, started.elapsed());
-        let counter = match (&result, self.from_copy) {
-            (Ok(()), true) => Counter::ResumedByCopy,
-            (Ok(()), false) => Counter::ResumedByReading,
-            (Err(_), _) => Counter::StreamsBroken,
-        };
-        state.metrics.add(counter, 1);
+        if result.is_ok() {
+            let counter = match self.from_copy {
+                true => Counter::ResumedByCopy,
+                false => Counter::ResumedByReading,
+            };
+            state.metrics.add(counter, 1);
+        }
+        self.resume_failure = result.as_ref().err().copied();
         log::info!(
             request = self.request.caller_request.id.as_str(),
             by_copy = self.from_copy,
@@ -613,14 +636,6 @@
 
 impl Drop for RelayedStream {
     fn drop(&mut self) {
-        if let Some(current) = &self.current {
-            self.request.state.metrics.add(Counter::StreamsLeft, 1);
-            log::info!(
-                request = self.request.caller_request.id.as_str(),
-                target = current.lease.name.as_str(),
-                events = self.events.forwarded();
-                "caller left its stream"
-            );
-        }
+        self.record_events();
     }
 }
--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -175,6 +175,7 @@
             }),
         });
         let result = self.find_engine(copies.collect(), true).await;
+        self.resume_failure = result.as_ref().err().copied();
         self.request.state.metrics.add(Counter::StreamsMoved, 1);
         log::info!(
             request = self.request.caller_request.id.as_str(),
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -1,10 +1,6 @@
 //! Receives, admits and answers the requests of callers.
 
-use std::{
-    convert::Infallible,
-    sync::{atomic::Ordering::Relaxed, Arc},
-    time::Duration,
-};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use celerypond_adapter::headers;
 use celerypond_relay::{
@@ -14,7 +10,7 @@
 use celerypond_types::{AccountName, ServiceName};
 use http::{
     header::{HOST, TRANSFER_ENCODING},
-    Request, StatusCode,
+    Request, Response, StatusCode,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -24,7 +20,9 @@
 
 use super::{
     attempt::CallerRequest,
-    members, peer_relay,
+    members,
+    open_request::{OpenRequest, RequestRecord, TrackedBody},
+    peer_relay,
     reply::{self, Reason, Reply},
     routed_request::RoutedRequest,
     single_response,
@@ -65,7 +63,7 @@
     state: Arc<RelayState>,
     mut request: Request<Incoming>,
     origin: Origin,
-) -> Result<Reply, Infallible> {
+) -> Result<Response<TrackedBody>, Infallible> {
     let started = Instant::now();
     // A body without a length is read by its chunks. If the request also has a length, a proxy
     // before this instance may delimit it differently, and the bytes that follow would look like a
@@ -73,17 +71,18 @@
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let head = headers::parse_caller_head(request.headers());
     let id = head.request.clone();
-    let _open_request = OpenRequest::new(&state);
+    let method = request.method().clone();
+    let open_request = OpenRequest::new(&state, id.clone(), origin, started);
     let mut reply = match has_newer_config(&state, &mut request, origin) {
         true => refuse_newer_config(&state, &head),
-        false => route_request(&state, request, head, (started, origin)).await,
+        false => route_request(&state, request, head, open_request.record()).await,
     };
     if is_chunked || state.stopping.is_cancelled() {
         reply::close_after(&mut reply);
     }
     count_reply(&state, &reply);
     log_reply(&state, id.as_deref(), &reply, started);
-    Ok(reply)
+    Ok(open_request.into_response(reply, &method))
 }
 
 /// Returns whether another instance has admitted a request by a configuration that is newer than
@@ -126,23 +125,6 @@
     }
 }
 
-/// Counts a request as open until it is dropped, as a caller may disconnect at any time.
-struct OpenRequest(Arc<RelayState>);
-
-impl OpenRequest {
-    fn new(state: &Arc<RelayState>) -> Self {
-        state.metrics.add(Counter::Routed, 1);
-        state.open_requests.fetch_add(1, Relaxed);
-        Self(Arc::clone(state))
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Relaxed);
-    }
-}
-
 /// Counts how a request ended. Failures of targets that are relayed are not counted here.
 fn count_reply(state: &RelayState, reply: &Reply) {
     let counter = match reply.status() {
@@ -159,8 +141,9 @@
     state: &Arc<RelayState>,
     mut request: Request<Incoming>,
     head: CallerHead,
-    (started, origin): (Instant, Origin),
+    record: &Arc<RequestRecord>,
 ) -> Reply {
+    let (started, origin) = (record.received, record.origin);
     let Some(id) = head.request.clone() else {
         return reply::local(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
@@ -221,7 +204,7 @@
         &route,
         service,
         account,
-        (deadline, origin),
+        (deadline, record),
     );
     routed.set_prompt(head.prompt.as_ref());
     routed.passed_copy = passed_copy;
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -8,13 +8,19 @@
     VersionChoice,
 };
 use celerypond_telemetry::Counter;
-use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey};
+use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey, TargetName};
 use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{
-    attempt::CallerRequest, held_prompts, lease::Lease, reachability, request::Origin,
-    run_copy::CopyLocation, state::RelayState,
+    attempt::CallerRequest,
+    held_prompts,
+    lease::Lease,
+    open_request::{Progress, RequestRecord},
+    reachability,
+    request::Origin,
+    run_copy::CopyLocation,
+    state::RelayState,
 };
 
 /// What a request requires of the targets that it may be sent to.
@@ -81,6 +87,17 @@
     /// Whether a target accepted no connection.
     has_failed_connection: bool,
     origin: Origin,
+    record: Arc<RequestRecord>,
+    /// The target that was leased last.
+    last_target: Option<TargetName>,
+    /// When the first target was leased.
+    first_attempt: Option<Instant>,
+    /// The number of events of a stream that were sent to the caller, and the id of the last one
+    /// that was received. Set when the stream ends.
+    pub(super) events: u64,
+    pub(super) last_event: Option<u64>,
+    /// How the last failed attempt ended.
+    last_failure: Option<AttemptFailure>,
     /// The copy of the run's memory, if another instance has passed one on.
     pub(super) passed_copy: Option<CopyLocation>,
 }
@@ -92,8 +109,9 @@
         route: &Route,
         service: ServiceName,
         account: Option<AccountName>,
-        (deadline, origin): (RequestDeadline, Origin),
+        (deadline, record): (RequestDeadline, &Arc<RequestRecord>),
     ) -> Self {
+        let origin = record.origin;
         // The instance that got the request from its caller has counted it.
         if origin == Origin::Caller {
             state.retries().record_request(&service, Instant::now());
@@ -129,6 +147,12 @@
             has_reached_target: false,
             has_failed_connection: false,
             origin,
+            record: Arc::clone(record),
+            last_target: None,
+            first_attempt: None,
+            events: 0,
+            last_event: None,
+            last_failure: None,
             passed_copy: None,
         }
     }
@@ -173,6 +197,7 @@
     pub(super) fn record_peer_failure(&mut self, failure: AttemptFailure) -> NextStep {
         self.runs += 1;
         self.has_reached_target = true;
+        self.last_failure = Some(failure);
         let next = self
             .attempt_state()
             .next_step(failure, || self.try_spend_retry());
@@ -197,6 +222,26 @@
         }
     }
 
+    fn progress(&self) -> Progress {
+        Progress {
+            route: self.route.name.clone(),
+            account: self.account.clone(),
+            deadline: self.deadline,
+            is_stream: matches!(self.route.kind, RouteKind::Stream { .. }),
+            target: self.last_target.clone(),
+            first_attempt: self.first_attempt,
+            runs: self.runs,
+            events: self.events,
+            last_event: self.last_event,
+            failure: self.last_failure,
+        }
+    }
+
+    /// Records that the stream cannot go on.
+    pub(super) fn record_broken_stream(&self, cause: &str) {
+        self.record.record_broken_stream(&self.progress(), cause);
+    }
+
     /// Sets the prompt of a request to an engine. Plain services have no prompts, so it is ignored
     /// for them.
     pub(super) fn set_prompt(&mut self, prompt: Option<&Prompt>) {
@@ -466,6 +511,8 @@
         lease.confirms_connection = !self.route.kind.may_repeat();
         self.tried.push(key);
         self.runs += 1;
+        self.last_target = Some(lease.name.clone());
+        self.first_attempt.get_or_insert_with(Instant::now);
         Some(lease)
     }
 
@@ -538,6 +585,7 @@
             self.record_version_result(lease, true, Duration::ZERO);
         }
         self.state.metrics.add(Counter::AttemptsEnded, 1);
+        self.last_failure = Some(failure);
         if failure.proves_not_run() {
             self.runs -= 1;
             if let Some(part) = self.requirements.affinity {
@@ -570,3 +618,9 @@
         next
     }
 }
+
+impl Drop for RoutedRequest {
+    fn drop(&mut self) {
+        self.record.set_progress(self.progress());
+    }
+}
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -71,8 +71,10 @@
     pub(super) rollouts: Rollouts,
     pub(super) metrics: Metrics,
     pub(super) latencies: Histograms,
-    /// The number of requests that are being answered.
+    /// The number of requests whose responses have not been sent completely.
     pub(super) open_requests: AtomicU64,
+    /// The number of streams whose events are being sent.
+    pub(super) open_streams: AtomicU64,
     /// Notifies that streams of this instance began, that their prompts were read, or that they
     /// ended.
     pub(super) placements_changed: Notify,
@@ -138,6 +140,7 @@
             metrics: Metrics::local(),
             latencies: Histograms::default(),
             open_requests: AtomicU64::new(0),
+            open_streams: AtomicU64::new(0),
             placements_changed: Notify::new(),
             placement_sequence: AtomicU64::new(0),
             silent_data_centre: watch::Sender::default(),
@@ -290,6 +293,7 @@
             (Gauge::ConfigNewest, self.newest_config()),
             (Gauge::RoutedTargets, self.view.targets().len() as u64),
             (Gauge::OpenRequests, self.open_requests.load(Relaxed)),
+            (Gauge::OpenStreams, self.open_streams.load(Relaxed)),
             (Gauge::Connections, self.caller_connections.len() as u64),
             (Gauge::LiveInstances, self.instance_count() as u64),
         ];
--- a/daemon/src/relay/stop.rs
+++ b/daemon/src/relay/stop.rs
@@ -29,7 +29,13 @@
     let is_done = timeout_at(planned_stop.cutoff(), state.caller_connections.wait())
         .await
         .is_ok();
-    log::info!(is_done, open = state.caller_connections.len(); "stopped");
+    log::info!(
+        is_done,
+        open = state.caller_connections.len(),
+        requests = state.open_requests.load(Relaxed),
+        streams = state.open_streams.load(Relaxed);
+        "stopped"
+    );
     state.killed.cancel();
     state.ending.cancel();
     log_step(state, &planned_stop, "waiting for tasks");
@@ -45,6 +51,7 @@
         left_ms = left.as_millis() as u64,
         open = state.caller_connections.len(),
         requests = state.open_requests.load(Relaxed),
+        streams = state.open_streams.load(Relaxed),
         tasks = state.tasks.len();
         "stop continues"
     );
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -6,6 +6,7 @@
 
 use super::{
     attempt::read_body,
+    open_request::OpenStream,
     relayed_stream::{RelayedStream, ResponseHead},
     reply::{self, Body, Reply},
     routed_request::RoutedRequest,
@@ -46,10 +47,11 @@
 /// Returns the body of the response. It pulls events from the stream, so when a caller leaves, the
 /// stream is dropped and with it the connection to the engine, which then stops working on it.
 fn event_body(relayed: RelayedStream) -> Body {
-    let frames = stream::unfold(Some(relayed), |relayed| async {
-        let mut relayed = relayed?;
+    let open_stream = OpenStream::new(&relayed.request.state);
+    let frames = stream::unfold(Some((relayed, open_stream)), |relayed| async {
+        let (mut relayed, open_stream) = relayed?;
         let frame = relayed.next_frame().await?;
-        let next_state = frame.is_ok().then_some(relayed);
+        let next_state = frame.is_ok().then_some((relayed, open_stream));
         Some((frame, next_state))
     });
     BodyExt::boxed_unsync(StreamBody::new(frames))
