cli: explain and count requests by the lines of their ends

`explain` names the cause and the events of "stream broken", "caller left its request" and "request cut by this instance"; `losses` counts the latter as CutOff. Lines of an instance that relayed a request for another one (`from_peer`) are not the end for the caller and are left out.

Result: test_explain and test_losses pass with these lines added.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -131,6 +131,12 @@
         self.str_value("request") == Some(request)
     }
 
+    /// Returns whether the line is about the end of a request at an instance that relayed it for
+    /// another one, which is not the end for the caller.
+    pub(crate) fn is_from_peer(&self) -> bool {
+        self.values.get("from_peer").and_then(Value::as_bool) == Some(true)
+    }
+
     fn is_context(&self, targets: &BTreeSet<&str>) -> bool {
         if self.values.contains_key("request") {
             return false;
@@ -173,6 +179,7 @@
         request_lines
             .iter()
             .rev()
+            .filter(|line| !line.is_from_peer())
             .find(|line| line.message == message)
     };
     let attempt = last_line("attempt ended").map(|line| {
@@ -183,13 +190,24 @@
         format!("; the last attempt, at {target}, ended {end}")
     });
     let attempt = attempt.unwrap_or_default();
+    let events = |line: &LogLine| line.values.get("events").and_then(Value::as_u64);
     if let Some(line) = last_line("caller left its stream") {
-        let events = line
-            .values
-            .get("events")
-            .map_or(0, |n| n.as_u64().unwrap_or(0));
+        let events = events(line).unwrap_or(0);
         return format!("its caller left after {events} events{attempt}");
     }
+    if last_line("caller left its request").is_some() {
+        return format!("its caller left before the response{attempt}");
+    }
+    if let Some(line) = last_line("request cut by this instance") {
+        let cause = line.str_value("cause").unwrap_or("unknown");
+        let events = events(line).unwrap_or(0);
+        return format!("its instance cut it off after {events} events: {cause}{attempt}");
+    }
+    if let Some(line) = last_line("stream broken") {
+        let cause = line.str_value("cause").unwrap_or("unknown");
+        let events = events(line).unwrap_or(0);
+        return format!("the stream was broken off after {events} events: {cause}{attempt}");
+    }
     let broken = request_lines.iter().rev().find(|line| {
         line.message == "stream goes on"
             && line
--- a/cli/src/outcomes.rs
+++ b/cli/src/outcomes.rs
@@ -24,6 +24,8 @@
     TimeOver,
     /// The instance ended the stream early because of a failure.
     BrokenOff,
+    /// The instance cut the connection because it ended or a task panicked.
+    CutOff,
     /// The caller closed the connection.
     CallerLeft,
     /// There is no line about its end: the instance crashed, or lines are missing.
@@ -84,13 +86,23 @@
 }
 
 fn outcome(lines: &[&LogLine]) -> Outcome {
-    let last_line = |message: &str| lines.iter().rev().find(|line| line.message == message);
+    let last_line = |message: &str| {
+        let mut lines = lines.iter().rev().filter(|line| !line.is_from_peer());
+        lines.find(|line| line.message == message)
+    };
     if last_line("stream complete").is_some() {
         return Outcome::Answered;
     }
-    if last_line("caller left its stream").is_some() {
+    if last_line("request cut by this instance").is_some() {
+        return Outcome::CutOff;
+    }
+    let has_left = |message: &str| last_line(message).is_some();
+    if has_left("caller left its stream") || has_left("caller left its request") {
         return Outcome::CallerLeft;
     }
+    if last_line("stream broken").is_some() {
+        return Outcome::BrokenOff;
+    }
     let has_failed = |message: &str| {
         let failure = last_line(message).and_then(|line| line.str_value("failed"));
         failure.is_some_and(|failure| failure != "None")
--- a/cli/tests/test_explain.rs
+++ b/cli/tests/test_explain.rs
@@ -61,6 +61,18 @@
     r#"{"time":"2026-01-01T00:00:02.000Z","message":"caller left its stream","request":"r","events":4}"#,
     "its caller left after 4 events"
 )]
+#[case::caller_left_before_the_response(
+    r#"{"time":"2026-01-01T00:00:02.000Z","message":"caller left its request","request":"r","events":0}"#,
+    "its caller left before the response"
+)]
+#[case::cut_by_its_instance(
+    r#"{"time":"2026-01-01T00:00:02.000Z","message":"request cut by this instance","request":"r","events":7,"cause":"instance ended"}"#,
+    "its instance cut it off after 7 events: instance ended"
+)]
+#[case::broken_in_a_move(
+    r#"{"time":"2026-01-01T00:00:02.000Z","message":"stream broken","request":"r","events":3,"cause":"Failed"}"#,
+    "the stream was broken off after 3 events: Failed"
+)]
 #[case::stream_broken_off(
     r#"{"time":"2026-01-01T00:00:02.000Z","message":"stream goes on","request":"r","failed":"Some(Failed)"}"#,
     "the stream was broken off: Some(Failed)"
--- a/cli/tests/test_losses.rs
+++ b/cli/tests/test_losses.rs
@@ -9,6 +9,10 @@
 // - `bad`: a call that failed at its target
 // - `no-1`, `no-2`: requests refused by the instance
 // - `broken`: a stream that the instance ended early
+// - `moved`: a stream that the instance ended early after a move
+// - `stopped`: a stream that the instance cut off at the end of its stop
+// - `relayed`: a stream whose caller disconnected after the instance that relayed it had ended
+// - `gone`: a request whose caller disconnected before the response
 const LOG_A: &str = r#"{"time":"2026-01-01T00:00:00.000Z","level":"INFO","message":"started"}
 {"time":"2026-01-01T00:00:00.100Z","level":"INFO","message":"engine began","request":"whole","target":"i-1","status":200}
 {"time":"2026-01-01T00:00:00.101Z","level":"INFO","message":"answered","request":"whole","status":200,"target":"i-1"}
@@ -24,6 +28,11 @@
 {"time":"2026-01-01T00:00:02.800Z","level":"WARN","message":"answered","request":"no-2","status":503,"why":"Stopping"}
 {"time":"2026-01-01T00:00:05.000Z","level":"INFO","message":"answered","request":"broken","status":200,"target":"i-1"}
 {"time":"2026-01-01T00:00:06.000Z","level":"INFO","message":"stream goes on","request":"broken","failed":"Some(Expired)"}
+{"time":"2026-01-01T00:00:08.000Z","level":"WARN","message":"stream broken","request":"moved","events":7,"cause":"Failed"}
+{"time":"2026-01-01T00:00:08.100Z","level":"WARN","message":"request cut by this instance","request":"stopped","cause":"instance ended"}
+{"time":"2026-01-01T00:00:08.200Z","level":"INFO","message":"caller left its request","request":"gone","cause":"caller closed"}
+{"time":"2026-01-01T00:00:08.300Z","level":"WARN","message":"request cut by this instance","request":"relayed","cause":"instance ended","from_peer":true}
+{"time":"2026-01-01T00:00:09.000Z","level":"INFO","message":"caller left its stream","request":"relayed","cause":"caller closed","from_peer":false}
 "#;
 
 #[test]
@@ -52,6 +61,9 @@
             (2, Outcome::Refused, 2),
             (2, Outcome::TooLate, 1),
             (4, Outcome::BrokenOff, 1),
+            (8, Outcome::BrokenOff, 1),
+            (8, Outcome::CutOff, 1),
+            (8, Outcome::CallerLeft, 2),
         ]
     );
     assert_eq!(counts[1].example, "cut");
