telemetry: log panics, and write the line before the thread goes on

Cause: a panic in a task or in the process was only on standard error, and a line for it would have been lost with the 50 ms of lines that the writer collects if the process ended right after.

Change: a panic hook logs `panicked` with message, location and thread, and waits until the writer has written all lines, for at most 200 ms. The writer's thread waits on its condition instead of sleeping, so that it is woken at once. The counter relay.panics counts panics.

--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -131,6 +131,8 @@
         ConfigFetchFailures = "relay.config_fetch_failures",
         /// Bytes received while fetching configurations, including failed attempts.
         ConfigBytes = "relay.config_bytes",
+        /// Panics of the process. A task that panics ends, the process goes on.
+        Panics = "relay.panics",
         /// Log lines dropped by the rate limiter.
         LinesLeftOut = "log.lines_left_out",
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod non_blocking_writer;
 mod output;
+mod panics;
 mod span_recorder;
 mod trace_context;
 
@@ -25,5 +26,6 @@
 pub use metrics::{Metrics, MetricsError};
 pub use non_blocking_writer::{NonBlockingWriter, WriterGuard};
 pub use output::{Output, OutputError};
+pub use panics::{install_panic_hook, take_panics};
 pub use span_recorder::{hop, SpanError, SpanRecorder, SpanSettings};
 pub use trace_context::{TraceContext, TraceContextError};
--- a/crates/telemetry/src/non_blocking_writer.rs
+++ b/crates/telemetry/src/non_blocking_writer.rs
@@ -28,6 +28,8 @@
 struct Shared {
     state: Mutex<State>,
     wakeup: Condvar,
+    /// Notified when lines were written.
+    written: Condvar,
 }
 
 #[derive(Default)]
@@ -35,6 +37,10 @@
     bytes: Vec<u8>,
     /// The number of writes dropped since the last one that fit into the buffer.
     dropped: u64,
+    /// Whether the lines are written without delay.
+    is_urgent: bool,
+    /// Whether lines are being written that are no longer in the buffer.
+    is_writing: bool,
     is_closed: bool,
 }
 
@@ -68,6 +74,7 @@
             shared: Arc::new(Shared {
                 state: Mutex::default(),
                 wakeup: Condvar::new(),
+                written: Condvar::new(),
             }),
         };
         let shared = Arc::clone(&writer.shared);
@@ -81,6 +88,20 @@
         Ok((writer, guard))
     }
 
+    /// Waits until all lines are written, for at most `limit`. Returns whether they are.
+    pub fn flush_within(&self, limit: Duration) -> bool {
+        let mut state = self.state();
+        state.is_urgent = true;
+        self.shared.wakeup.notify_one();
+        let is_pending = |state: &mut State| state.is_writing || !state.bytes.is_empty();
+        let waited = self
+            .shared
+            .written
+            .wait_timeout_while(state, limit, is_pending);
+        let (_state, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
+        !timeout.timed_out()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.shared.lock()
     }
@@ -118,6 +139,13 @@
     }
 }
 
+impl WriterGuard {
+    /// Returns the writer whose lines the thread writes.
+    pub fn writer(&self) -> NonBlockingWriter {
+        self.writer.clone()
+    }
+}
+
 impl Drop for WriterGuard {
     fn drop(&mut self) {
         self.writer.state().is_closed = true;
@@ -131,22 +159,30 @@
 
 fn run_writer(shared: &Shared, mut output: impl Write) {
     loop {
-        let mut state = shared.lock();
-        while state.bytes.is_empty() && !state.is_closed {
-            state = shared
-                .wakeup
-                .wait(state)
-                .unwrap_or_else(PoisonError::into_inner);
-        }
+        let state = shared.lock();
+        let state = shared
+            .wakeup
+            .wait_while(state, |state| state.bytes.is_empty() && !state.is_closed);
+        let state = state.unwrap_or_else(PoisonError::into_inner);
+        let collected = shared
+            .wakeup
+            .wait_timeout_while(state, FLUSH_DELAY, |state| {
+                !state.is_urgent && !state.is_closed
+            });
+        let (mut state, _) = collected.unwrap_or_else(PoisonError::into_inner);
         let is_closed = state.is_closed;
+        let bytes = mem::take(&mut state.bytes);
+        state.is_urgent = false;
+        state.is_writing = true;
         drop(state);
-        if !is_closed {
-            thread::sleep(FLUSH_DELAY);
-        }
-        let bytes = mem::take(&mut shared.lock().bytes);
         // A failed write of log lines cannot be reported anywhere.
         let _ = output.write_all(&bytes).and_then(|()| output.flush());
-        if is_closed && shared.lock().bytes.is_empty() {
+        let mut state = shared.lock();
+        state.is_writing = false;
+        let is_empty = state.bytes.is_empty();
+        drop(state);
+        shared.written.notify_all();
+        if is_closed && is_empty {
             return;
         }
     }
--- a/crates/telemetry/tests/test_logs.rs
+++ b/crates/telemetry/tests/test_logs.rs
@@ -57,6 +57,20 @@
     assert!(text.ends_with("last\n"));
 }
 
+// Guards against the loss of lines that were collected for the next write when a process ends.
+#[test]
+fn flushed_lines_are_written_without_delay() {
+    let (output, release) = BlockedOutput::new();
+    let (mut writer, guard) = NonBlockingWriter::start(output).unwrap();
+    writer.write_all(b"a line\n").unwrap();
+    assert!(!writer.flush_within(Duration::from_millis(10)));
+    let written = release();
+    assert!(writer.flush_within(Duration::from_secs(5)));
+    assert_eq!(*written.lock().unwrap(), b"a line\n");
+    assert!(writer.flush_within(Duration::ZERO));
+    drop(guard);
+}
+
 /// An output whose writes block until it is released.
 struct BlockedOutput {
     released: mpsc::Receiver<()>,
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -12,7 +12,7 @@
     FullnessNotice, Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale,
     StaleWait, UsualDeadlines,
 };
-use celerypond_telemetry::{Gauge, Histograms, Metrics};
+use celerypond_telemetry::{Counter, Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
 use tokio::{
     sync::{mpsc, watch, Notify},
@@ -308,6 +308,8 @@
         for (gauge, value) in gauges {
             self.metrics.set(gauge, value);
         }
+        let panics = celerypond_telemetry::take_panics();
+        self.metrics.add(Counter::Panics, panics);
         let mut text = self.metrics.render();
         text.push_str(&self.latencies.render(METRICS_PREFIX));
         text
--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -1,6 +1,6 @@
 //! The daemon as an instance that relays requests.
 
-use std::process::ExitCode;
+use std::{process::ExitCode, time::Duration};
 
 use celerypond_adapter::settings;
 use celerypond_daemon::relay;
@@ -10,6 +10,10 @@
 
 use crate::BAD_SETTINGS;
 
+/// How long a panicking thread waits until its log line is written. It is a thread that serves
+/// requests, and the reader of the log may have stopped.
+const PANIC_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Runs the instance, or only checks its settings if `check` is set.
 pub(crate) fn main(check: bool) -> ExitCode {
     let path = settings::path();
@@ -43,13 +47,14 @@
         output: Output::Stdout,
     };
     // Pending lines are written when this is dropped.
-    let _writing = match logs.install_rate_limited(&relay::LOG_LIMITER) {
+    let writing = match logs.install_rate_limited(&relay::LOG_LIMITER) {
         Ok(thread) => thread,
         Err(report) => {
             eprintln!("{report:#}");
             return ExitCode::FAILURE;
         }
     };
+    celerypond_telemetry::install_panic_hook(&writing, PANIC_FLUSH_TIMEOUT);
     let runtime = match runtime(settings.cores) {
         Ok(runtime) => runtime,
         Err(error) => {
