relay: give up targets that do not respond only once the request can go elsewhere

Callers saw streams end with a closed connection, and many at once, although their engines worked. Cause: an engine that was silent for six tenths of the gap, or accepted no new connection, was given up and its connection closed first; whether another attempt, a retry of the budget that all instances share, and another engine were left was only found out afterwards. On the real clock a silence is often a lack of processor time, and meets all streams of all instances in the same second, which is more than the budget has repeats. Then the stream waited for six seconds with no run left, or was ended at once.

A target that does not respond is now given up only if its request may be sent again, an attempt and a retry are left, and, if it is merely silent, another target is expected to respond. The retry is spent before the connection is closed. Until then the run is waited for, and other requests avoid the target. One that accepts no connections is given up after the time for which a stream waits for engines anyway, as its caller could resume elsewhere.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -147,12 +147,7 @@
             };
         }
         let may_send = !may_have_run || self.kind.may_repeat();
-        let max_unreached = match self.is_partitioned {
-            true => 1,
-            false => MAX_UNREACHED,
-        };
-        let is_full = self.refusals >= MAX_REFUSALS || self.unreached >= max_unreached;
-        let has_room = self.runs < self.attempts && !is_full;
+        let has_room = self.has_room();
         // The budget limits the requests that reach targets. If all targets of a data centre are
         // dead, most sends reach none, and streams would fail for lack of budget.
         if may_send && has_room {
@@ -172,4 +167,56 @@
             _ => NextStep::Failed,
         }
     }
+
+    /// Returns whether a target that does not respond may be given up for another one. The run at
+    /// the target, which may still work, ends with that, so this requires that the request can be
+    /// sent elsewhere: `has_alternative` returns whether another target is expected to respond, and
+    /// `budget` spends the retry if the budget allows it.
+    ///
+    /// A target that accepts no connections is given up even if all others failed recently as well.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celerypond_relay::{AttemptFailure, AttemptState, RouteKind};
+    ///
+    /// let draft = AttemptState {
+    ///     kind: RouteKind::Stream { resumable: true },
+    ///     runs: 1,
+    ///     attempts: 3,
+    ///     refusals: 0,
+    ///     unreached: 0,
+    ///     is_partitioned: false,
+    ///     time_left: Duration::from_secs(5),
+    /// };
+    /// assert!(draft.may_give_up(AttemptFailure::Silent, || true, || true));
+    /// assert!(!draft.may_give_up(AttemptFailure::Silent, || true, || false));
+    /// let last_attempt = AttemptState { runs: 3, ..draft };
+    /// assert!(!last_attempt.may_give_up(AttemptFailure::Silent, || true, || true));
+    /// ```
+    pub fn may_give_up(
+        &self,
+        failure: AttemptFailure,
+        has_alternative: impl FnOnce() -> bool,
+        budget: impl FnOnce() -> bool,
+    ) -> bool {
+        self.kind.may_repeat()
+            && self.has_room()
+            && self.time_left >= MIN_TIME_LEFT
+            && (failure == AttemptFailure::Dead || has_alternative())
+            && budget()
+    }
+
+    /// Returns whether another target may be asked, as far as attempts and failures are limited.
+    const fn has_room(&self) -> bool {
+        let max_unreached = if self.is_partitioned {
+            1
+        } else {
+            MAX_UNREACHED
+        };
+        let is_full = self.refusals >= MAX_REFUSALS || self.unreached >= max_unreached;
+        self.runs < self.attempts && !is_full
+    }
 }
--- a/crates/relay/tests/test_attempt_failure.rs
+++ b/crates/relay/tests/test_attempt_failure.rs
@@ -193,3 +193,33 @@
     assert!(limits.gap > limits.probe_gap * 2);
     assert!(limits.gap + Duration::from_millis(200) < aim);
 }
+
+// Guards against the end of a run whose target may still work before the request can be sent elsewhere.
+#[rstest]
+#[case::alternative_and_budget(state(RESUMABLE, 1), true, true, true)]
+#[case::no_budget(state(RESUMABLE, 1), true, false, false)]
+#[case::no_alternative(state(RESUMABLE, 1), false, true, false)]
+#[case::last_attempt(state(RESUMABLE, 3), true, true, false)]
+#[case::must_not_be_repeated(state(FIXED, 1), true, true, false)]
+#[case::unsafe_request(state(UNSAFE, 1), true, true, false)]
+#[case::refused_too_often(AttemptState { refusals: 6, ..state(RESUMABLE, 1) }, true, true, false)]
+#[case::no_time_left(AttemptState { time_left: Duration::ZERO, ..state(SAFE, 1) }, true, true, false)]
+fn silent_target_is_given_up_only_for_another_one(
+    #[case] state: AttemptState,
+    #[case] has_alternative: bool,
+    #[case] has_budget: bool,
+    #[case] expected: bool,
+) {
+    let may_give_up = state.may_give_up(AttemptFailure::Silent, || has_alternative, || has_budget);
+    assert_eq!(may_give_up, expected);
+}
+
+// Guards against waiting for a target that accepts no connections as if it were silent, and against a retry spent from
+// the budget for a request that stays.
+#[test]
+fn dead_target_is_given_up_without_another_healthy_one() {
+    let state = state(RESUMABLE, 1);
+    assert!(state.may_give_up(AttemptFailure::Dead, || false, || true));
+    assert!(!state.may_give_up(AttemptFailure::Dead, || false, || false));
+    assert!(!state.may_give_up(AttemptFailure::Silent, || false, || panic!("spent")));
+}
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -164,6 +164,24 @@
     }
 }
 
+/// Records that nothing arrives from a target for a request that is not given up, so that other
+/// requests avoid the target meanwhile.
+pub(super) fn record_unresponsive(state: &RelayState, key: TargetKey, failure: AttemptFailure) {
+    let now = Instant::now();
+    let is_avoided = |target: &Target| target.is_avoided(now);
+    let was_avoided = state.view.targets().get(key).is_none_or(is_avoided);
+    if !was_avoided && !is_partitioned_from(state, key) {
+        record_target_failure(state, key, failure);
+    }
+}
+
+/// Records that a target responds again for a request that was not given up.
+pub(super) fn record_responsive(state: &RelayState, key: TargetKey) {
+    if let Some(target) = state.view.targets().get_mut(key) {
+        target.record_response(None, Instant::now());
+    }
+}
+
 /// Records how an attempt at a target failed, or that the target was found dead.
 fn record_target_failure(state: &RelayState, key: TargetKey, failure: AttemptFailure) {
     let mut targets = state.view.targets();
--- a/daemon/src/relay/probed_wait.rs
+++ b/daemon/src/relay/probed_wait.rs
@@ -4,15 +4,22 @@
 
 use celerypond_relay::{AttemptFailure, SilenceLimits};
 use celerypond_types::{DataCentre, TargetKey};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, Instant},
+};
 
-use super::{lease::Lease, reachability, state::RelayState};
+use super::{
+    lease::{record_responsive, record_unresponsive, Lease},
+    reachability,
+    state::RelayState,
+};
 
 /// The outcome of a wait.
 pub(super) enum WaitOutcome<T> {
     /// The awaited event happened.
     Completed(T),
-    /// The engine accepts no new connections.
+    /// The engine accepts no new connections and was given up.
     Dead,
 }
 
@@ -38,6 +45,8 @@
     data_centre: Option<DataCentre>,
     silence_reports: watch::Receiver<Option<DataCentre>>,
     probe_after: Duration,
+    /// How long the engine may accept no new connections while the request cannot go elsewhere.
+    max_dead: Duration,
 }
 
 impl ProbedWait {
@@ -46,6 +55,7 @@
         lease: &Lease,
         silence_limits: SilenceLimits,
         is_first: bool,
+        max_dead: Duration,
     ) -> Self {
         Self {
             state: Arc::clone(state),
@@ -56,32 +66,54 @@
                 true => silence_limits.probe_first,
                 false => silence_limits.probe_gap,
             },
+            max_dead,
         }
     }
 
     /// Waits for `event` from the engine as long as it is alive. While this instance reaches no engine
     /// of the service, a failed probe says nothing about the engine, and the open connection may
-    /// still work.
-    pub(super) async fn run<T>(mut self, event: impl Future<Output = T>) -> WaitOutcome<T> {
+    /// still work. It may also still work if the engine only accepts no more connections, so the wait
+    /// ends once `may_give_up` returns that the request can go elsewhere.
+    pub(super) async fn run<T>(
+        mut self,
+        event: impl Future<Output = T>,
+        may_give_up: impl Fn() -> bool,
+    ) -> WaitOutcome<T> {
         let mut event = pin!(event);
+        let mut dead_since = None;
         loop {
             tokio::select! {
                 biased;
-                output = &mut event => return WaitOutcome::Completed(output),
+                output = &mut event => return self.complete(output, dead_since.is_some()),
                 () = sleep(self.probe_after) => {}
                 () = wait_for_silence_report(&mut self.silence_reports, self.data_centre.as_ref()) => {}
             }
             tokio::select! {
                 biased;
-                output = &mut event => return WaitOutcome::Completed(output),
+                output = &mut event => return self.complete(output, dead_since.is_some()),
                 is_alive = reachability::probe(&self.state, self.key) => {
-                    if !is_alive && !reachability::is_partitioned_from(&self.state, self.key) {
-                        self.report_silence();
-                        return WaitOutcome::Dead;
+                    if is_alive || reachability::is_partitioned_from(&self.state, self.key) {
+                        dead_since = None;
+                        continue;
                     }
                 }
             }
+            if dead_since.is_none() {
+                self.report_silence();
+            }
+            let dead_since = dead_since.get_or_insert_with(Instant::now);
+            if may_give_up() || dead_since.elapsed() >= self.max_dead {
+                return WaitOutcome::Dead;
+            }
+            record_unresponsive(&self.state, self.key, AttemptFailure::Dead);
+        }
+    }
+
+    fn complete<T>(&self, output: T, was_dead: bool) -> WaitOutcome<T> {
+        if was_dead {
+            record_responsive(&self.state, self.key);
         }
+        WaitOutcome::Completed(output)
     }
 
     /// Makes all waits for engines of this data centre probe at once, since engines of one data
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -18,7 +18,7 @@
 use super::{
     attempt::{send, OpenResponse},
     event_buffer::EventBuffer,
-    lease::Lease,
+    lease::{record_responsive, record_unresponsive, Lease},
     peer_relay::PeerResponse,
     probed_wait::{ProbedWait, WaitOutcome},
     relocation,
@@ -376,7 +376,7 @@
             resume_from,
         };
         let silence_limits = self.silence_limits(lease.key);
-        let probed_wait = ProbedWait::new(&self.request.state, lease, silence_limits, true);
+        let probed_wait = self.probed_wait(lease, silence_limits, true);
         let key = lease.key;
         let sending = send(
             &self.request.state,
@@ -385,11 +385,33 @@
             &head,
             time_left,
         );
-        self.wait_first_event(key, probed_wait.run(sending)).await?
+        let waiting = probed_wait.run(sending, || self.request.try_give_up(AttemptFailure::Dead));
+        self.wait_first_event(key, waiting).await?
+    }
+
+    fn probed_wait(
+        &self,
+        lease: &Lease,
+        silence_limits: SilenceLimits,
+        is_first: bool,
+    ) -> ProbedWait {
+        let (state, max_dead) = (&self.request.state, self.max_dead_time());
+        ProbedWait::new(state, lease, silence_limits, is_first, max_dead)
+    }
+
+    /// Returns how long an engine or instance may accept no connections while the stream cannot go
+    /// elsewhere.
+    pub(super) fn max_dead_time(&self) -> Duration {
+        let wait = EngineWait::for_route(self.request.route.aim);
+        match self.events.forwarded() {
+            0 => wait.before_first_event,
+            _ => wait.after_first_event,
+        }
     }
 
     /// Waits for the first event of an engine, for as long as the engine may need for all that it
-    /// has to read. The limit is updated while waiting.
+    /// has to read, and beyond that until the stream can go elsewhere. The limit is updated while
+    /// waiting.
     async fn wait_first_event<T>(
         &self,
         key: TargetKey,
@@ -397,19 +419,48 @@
     ) -> Result<T, AttemptFailure> {
         let mut waiting = pin!(waiting);
         let mut wait = FirstEventWait::new(Instant::now());
+        let mut was_silent = false;
         loop {
             let now = Instant::now();
             let end = now + self.request.time_left();
             let next_check = wait.update(self.silence_limits(key).first, now);
             let next_check = next_check
                 .filter(|_| now < end)
+                .or_else(|| {
+                    was_silent = true;
+                    self.wait_on(key, now, end)
+                })
                 .ok_or(AttemptFailure::Silent)?;
             if let Ok(outcome) = timeout_at(next_check.min(end), waiting.as_mut()).await {
-                return outcome.into_result();
+                return self.end_wait(key, outcome, was_silent);
             }
         }
     }
 
+    /// Returns when a silent engine is checked again; `None` if it is given up, or if the request's
+    /// time is over.
+    fn wait_on(&self, key: TargetKey, now: Instant, end: Instant) -> Option<Instant> {
+        if now >= end || self.request.try_give_up(AttemptFailure::Silent) {
+            return None;
+        }
+        record_unresponsive(&self.request.state, key, AttemptFailure::Silent);
+        let wait = EngineWait::for_route(self.request.route.aim);
+        Some(now + wait.poll_interval)
+    }
+
+    fn end_wait<T>(
+        &self,
+        key: TargetKey,
+        outcome: WaitOutcome<T>,
+        was_silent: bool,
+    ) -> Result<T, AttemptFailure> {
+        let output = outcome.into_result()?;
+        if was_silent {
+            record_responsive(&self.request.state, key);
+        }
+        Ok(output)
+    }
+
     /// Waits for a random time before a retry.
     ///
     /// When engines die, several instances place each engine's streams again within the same
@@ -471,19 +522,17 @@
         use http_body_util::BodyExt as _;
         let started = Instant::now();
         while !self.events.has_pending() && !self.is_complete {
-            let probed_wait = ProbedWait::new(
-                &self.request.state,
-                &current.lease,
-                current.silence_limits,
-                is_first,
-            );
-            let waiting = probed_wait.run(current.response.body.frame());
+            let silence_limits = current.silence_limits;
+            let probed_wait = self.probed_wait(&current.lease, silence_limits, is_first);
+            let key = current.lease.key;
+            let waiting = probed_wait.run(current.response.body.frame(), || {
+                self.request.try_give_up(AttemptFailure::Dead)
+            });
             let frame = match is_first {
-                true => self.wait_first_event(current.lease.key, waiting).await?,
+                true => self.wait_first_event(key, waiting).await?,
                 false => {
-                    let until = started + current.silence_limits.gap.min(self.time_left(started));
-                    let outcome = timeout_at(until, waiting).await;
-                    outcome.map_err(|_| AttemptFailure::Silent)?.into_result()?
+                    let until = started + silence_limits.gap;
+                    self.wait_next_event(key, waiting, until).await?
                 }
             };
             match frame {
@@ -502,8 +551,26 @@
         Ok(())
     }
 
-    fn time_left(&self, since: Instant) -> Duration {
-        self.request.deadline.remaining(since)
+    /// Waits for the next event of an engine until `until`, and beyond that until the stream can go
+    /// elsewhere.
+    async fn wait_next_event<T>(
+        &self,
+        key: TargetKey,
+        waiting: impl Future<Output = WaitOutcome<T>>,
+        mut until: Instant,
+    ) -> Result<T, AttemptFailure> {
+        let mut waiting = pin!(waiting);
+        let now = Instant::now();
+        let end = now + self.request.deadline.remaining(now);
+        let mut was_silent = false;
+        loop {
+            if let Ok(outcome) = timeout_at(until.min(end), waiting.as_mut()).await {
+                return self.end_wait(key, outcome, was_silent);
+            }
+            was_silent = true;
+            let next_check = self.wait_on(key, Instant::now(), end);
+            until = next_check.ok_or(AttemptFailure::Silent)?;
+        }
     }
 
     /// Returns the next bytes for the caller, or `None` at the end of the stream.
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -1,6 +1,12 @@
 //! Routes a request to targets: chooses them, records their failures and decides about retries.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering::Relaxed},
+        Arc,
+    },
+    time::Duration,
+};
 
 use celerypond_relay::{
     AttemptFailure, AttemptState, NextStep, Prompt, PromptPart, RemainingEvents, RequestDeadline,
@@ -86,6 +92,8 @@
     has_reached_target: bool,
     /// Whether a target accepted no connection.
     has_failed_connection: bool,
+    /// Whether the next retry has already been spent from the budget.
+    has_spent_retry: AtomicBool,
     origin: Origin,
     record: Arc<RequestRecord>,
     /// The target that was leased last.
@@ -146,6 +154,7 @@
             unreached: 0,
             has_reached_target: false,
             has_failed_connection: false,
+            has_spent_retry: AtomicBool::new(false),
             origin,
             record: Arc::clone(record),
             last_target: None,
@@ -200,7 +209,7 @@
         self.last_failure = Some(failure);
         let next = self
             .attempt_state()
-            .next_step(failure, || self.try_spend_retry());
+            .next_step(failure, || self.take_retry());
         log::info!(
             request = self.caller_request.id.as_str(),
             ended:? = failure,
@@ -263,6 +272,41 @@
         self.deadline.remaining(Instant::now())
     }
 
+    /// Returns whether the current target, which does not respond, is given up. The retry that
+    /// follows has then been spent from the budget.
+    pub(super) fn try_give_up(&self, failure: AttemptFailure) -> bool {
+        let has_spent_retry = || {
+            let has_spent_retry = self.try_spend_retry();
+            self.has_spent_retry.store(has_spent_retry, Relaxed);
+            has_spent_retry
+        };
+        let attempt_state = self.attempt_state();
+        attempt_state.may_give_up(failure, || self.has_alternative(), has_spent_retry)
+    }
+
+    /// Returns whether the retry of a failed attempt is allowed, and spends it from the budget unless
+    /// that was done before the target was given up.
+    fn take_retry(&self) -> bool {
+        self.has_spent_retry.swap(false, Relaxed) || self.try_spend_retry()
+    }
+
+    /// Returns whether a target that was not tried yet, or another instance, is expected to respond.
+    fn has_alternative(&self) -> bool {
+        if self.prefers_peer() {
+            return true;
+        }
+        let versions = self.state.rollouts.versions();
+        let choice = versions.choose_for_retry(&self.requirements.service);
+        drop(versions);
+        let query = TargetQuery {
+            choice: &choice,
+            ..self.requirements.query(&self.tried)
+        };
+        let targets = self.state.view.targets();
+        let selection = targets.select(&query, Instant::now());
+        selection.is_some_and(|selection| !selection.is_doubtful)
+    }
+
     /// Returns whether another target may be asked if the current one does not answer.
     pub(super) const fn may_ask_another(&self) -> bool {
         self.route.kind.may_repeat() && self.runs < self.route.attempts
@@ -601,7 +645,7 @@
             _ => self.refusals += u32::from(failure.proves_not_run()),
         }
         let attempt_state = self.attempt_state();
-        let next = attempt_state.next_step(failure, || self.try_spend_retry());
+        let next = attempt_state.next_step(failure, || self.take_retry());
         log::info!(
             request = self.caller_request.id.as_str(),
             target = lease.name.as_str(),
