relay: probe an engine that has left at the address it was leased at

Callers saw a stream end, or go on elsewhere for nothing, as soon as its engine paused for 154 ms after its entry was removed, although engines serve on for seconds then. Cause: a probe looked up the address by the entry, and without one counted as failed, so that the engine was taken for dead.

Evidence: stream_outlasts_a_pause_of_an_engine_that_has_left failed before and passes now.

--- a/daemon/src/relay/probed_wait.rs
+++ b/daemon/src/relay/probed_wait.rs
@@ -1,6 +1,6 @@
 //! Waits for an engine while probing whether it is alive.
 
-use std::{future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use celerypond_relay::{AttemptFailure, SilenceLimits};
 use celerypond_types::{DataCentre, TargetKey};
@@ -42,6 +42,7 @@
 pub(super) struct ProbedWait {
     state: Arc<RelayState>,
     key: TargetKey,
+    address: SocketAddr,
     data_centre: Option<DataCentre>,
     silence_reports: watch::Receiver<Option<DataCentre>>,
     probe_after: Duration,
@@ -60,6 +61,7 @@
         Self {
             state: Arc::clone(state),
             key: lease.key,
+            address: lease.address,
             data_centre: state.view.data_centre_of(lease.key),
             silence_reports: state.silent_data_centre.subscribe(),
             probe_after: match is_first {
@@ -91,7 +93,7 @@
             tokio::select! {
                 biased;
                 output = &mut event => return self.complete(output, dead_since.is_some()),
-                is_alive = reachability::probe(&self.state, self.key) => {
+                is_alive = reachability::probe_address(&self.state, self.key, self.address) => {
                     if is_alive || reachability::is_partitioned_from(&self.state, self.key) {
                         dead_since = None;
                         continue;
--- a/daemon/src/relay/reachability.rs
+++ b/daemon/src/relay/reachability.rs
@@ -1,7 +1,7 @@
 //! Detects whether this instance reaches the targets of each service, and exchanges that with other
 //! instances.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use celerypond_relay::PartitionNotice;
 use celerypond_telemetry::Counter;
@@ -101,11 +101,18 @@
     true
 }
 
-/// Probes a target with a new connection and records the result.
+/// Probes a target with a new connection and records the result. A target that is no longer listed
+/// cannot be probed.
 pub(super) async fn probe(state: &RelayState, key: TargetKey) -> bool {
-    let Some(address) = state.view.address_of(key) else {
-        return false;
-    };
+    match state.view.address_of(key) {
+        Some(address) => probe_address(state, key, address).await,
+        None => false,
+    }
+}
+
+/// Probes a target at the address that it had when it was leased. It may still work on requests
+/// after its entry was removed.
+pub(super) async fn probe_address(state: &RelayState, key: TargetKey, address: SocketAddr) -> bool {
     let is_connected = state.connections.is_alive(address).await;
     let now = Instant::now();
     let mut targets = state.view.targets();
