relay: keep waiting for a silent target of a safe request while no retry is left

The same cause as with streams: the target was given up before it was known that another one may be asked. Now it is given up once a retry is left and another target is expected to respond, and waited for until then.

--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -1,17 +1,22 @@
 //! Relays requests whose response is not a stream.
 
+use std::{pin::pin, time::Duration};
+
 use celerypond_relay::{AttemptFailure, NextStep, SilenceLimits, TargetRequestHead};
 use http::StatusCode;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 use super::{
-    attempt::{read_body, send},
-    lease::Lease,
+    attempt::{read_body, send, OpenResponse},
+    lease::{record_unresponsive, Lease},
     peer_relay::{self, PeerResponse, ResumedRun},
     reply::{self, Reason, Reply},
     routed_request::RoutedRequest,
 };
 
+/// The minimum interval between two checks whether a silent target can be given up.
+const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Relays a request whose response is not a stream.
 ///
 /// The response is read completely before its first byte is sent to the caller. A response that
@@ -122,6 +127,32 @@
     !(request.kind().may_repeat() && reply.status().is_server_error())
 }
 
+/// Sends a request and waits for the head of the response. A silent target is given up for another
+/// one once that may be asked.
+async fn send_until_given_up(
+    request: &RoutedRequest,
+    lease: &mut Lease,
+    head: &TargetRequestHead<'_>,
+    time_left: Duration,
+) -> Result<OpenResponse, AttemptFailure> {
+    let started = Instant::now();
+    let end = started + time_left;
+    let limit = SilenceLimits::for_request(request.route.aim, time_left, request.may_ask_another());
+    let mut until = started + limit;
+    let (key, caller_request) = (lease.key, &request.caller_request);
+    let mut sending = pin!(send(&request.state, lease, caller_request, head, time_left));
+    loop {
+        if let Ok(result) = timeout_at(until.min(end), sending.as_mut()).await {
+            return result;
+        }
+        if Instant::now() >= end || request.try_give_up(AttemptFailure::Silent) {
+            return Err(AttemptFailure::Silent);
+        }
+        record_unresponsive(&request.state, key, AttemptFailure::Silent);
+        until += limit.max(MIN_RECHECK_INTERVAL);
+    }
+}
+
 async fn try_target(request: &RoutedRequest, lease: &mut Lease) -> Result<Reply, AttemptFailure> {
     let time_left = request.time_left();
     let head = TargetRequestHead {
@@ -132,8 +163,7 @@
         backup: None,
         resume_from: None,
     };
-    let limit = SilenceLimits::for_request(request.route.aim, time_left, request.may_ask_another());
-    let mut response = send(&request.state, lease, &request.caller_request, &head, limit).await?;
+    let mut response = send_until_given_up(request, lease, &head, time_left).await?;
     let body = read_body(&mut response.body, request.time_left()).await?;
     let (status, headers) = (response.status, response.headers.clone());
     response.keep(&request.state, lease);
