relay: keep a stream at an instance that relays it while it cannot go elsewhere

A stream that is relayed through another instance was ended when that instance stopped as planned and the stream paused: a stopping instance accepts no new connections, which was taken for its death, although it still relays what it has. The rule for engines holds here as well: the instance is given up once the stream can go elsewhere, or after the time for which a stream waits for engines.

--- a/daemon/src/relay/peer_stream.rs
+++ b/daemon/src/relay/peer_stream.rs
@@ -72,12 +72,14 @@
     /// The instance finds out itself when its engine is lost, so only the instance is probed.
     async fn read_peer_events(&mut self, peer: &mut PeerResponse) -> Result<(), AttemptFailure> {
         let probe_interval = SilenceLimits::for_stream(0, self.request.route.gap_aim).gap;
+        let mut dead_since = None;
         while !self.events.has_pending() && !self.is_complete {
             let wait = probe_interval.min(self.request.time_left());
             let Ok(frame) = timeout(wait, peer.response.body.frame()).await else {
-                self.check_peer(peer).await?;
+                self.check_peer(peer, &mut dead_since).await?;
                 continue;
             };
+            dead_since = None;
             match frame {
                 Some(Ok(frame)) => {
                     self.events.push(&frame)?;
@@ -90,15 +92,27 @@
         Ok(())
     }
 
-    /// Checks that another instance is alive, and that there is time left.
-    async fn check_peer(&self, peer: &PeerResponse) -> Result<(), AttemptFailure> {
+    /// Checks that another instance is alive, and that there is time left. One that accepts no
+    /// connections may still relay the stream, so it is given up once the stream can go elsewhere.
+    async fn check_peer(
+        &self,
+        peer: &PeerResponse,
+        dead_since: &mut Option<Instant>,
+    ) -> Result<(), AttemptFailure> {
         if self.request.time_left().is_zero() {
             return Err(AttemptFailure::Silent);
         }
         let connections = &self.request.state.peer_connections;
-        match connections.is_alive(peer.address).await {
-            true => Ok(()),
-            false => Err(AttemptFailure::Dead),
+        if connections.is_alive(peer.address).await {
+            *dead_since = None;
+            return Ok(());
+        }
+        let dead_since = dead_since.get_or_insert_with(Instant::now);
+        let is_given_up =
+            dead_since.elapsed() >= self.max_dead_time() || self.request.try_give_up_peer();
+        match is_given_up {
+            true => Err(AttemptFailure::Dead),
+            false => Ok(()),
         }
     }
 
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -275,12 +275,25 @@
     /// Returns whether the current target, which does not respond, is given up. The retry that
     /// follows has then been spent from the budget.
     pub(super) fn try_give_up(&self, failure: AttemptFailure) -> bool {
+        self.try_give_up_run(&self.attempt_state(), failure)
+    }
+
+    /// Returns whether the instance through which the request is relayed, and which accepts no
+    /// connections, is given up.
+    pub(super) fn try_give_up_peer(&self) -> bool {
+        let attempt_state = AttemptState {
+            runs: self.runs + 1,
+            ..self.attempt_state()
+        };
+        self.try_give_up_run(&attempt_state, AttemptFailure::Dead)
+    }
+
+    fn try_give_up_run(&self, attempt_state: &AttemptState, failure: AttemptFailure) -> bool {
         let has_spent_retry = || {
             let has_spent_retry = self.try_spend_retry();
             self.has_spent_retry.store(has_spent_retry, Relaxed);
             has_spent_retry
         };
-        let attempt_state = self.attempt_state();
         attempt_state.may_give_up(failure, || self.has_alternative(), has_spent_retry)
     }
 
