relay: log open requests each second, the process id and signals

Cause: the log of a process that is killed ends without telling whether it had requests; the moment of a signal could only be inferred.

Change: `requests open` each second in which a request is open, with requests, streams, connections and the version of the configuration; `started` has the process id; `signal received` names SIGTERM and SIGHUP. One line a second at most, none in an idle instance.

--- a/daemon/src/relay/reload.rs
+++ b/daemon/src/relay/reload.rs
@@ -16,7 +16,7 @@
     loop {
         tokio::select! {
             () = state.ending.cancelled() => return,
-            _ = hangup.recv() => {}
+            _ = hangup.recv() => log::info!(signal = "SIGHUP"; "signal received"),
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
         let new_text = read_settings();
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -1,6 +1,10 @@
 //! Starts and ends a relaying instance.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{atomic::Ordering::Relaxed, Arc},
+    time::Duration,
+};
 
 use celerypond_relay::{FullnessNotice, Settings};
 use celerypond_telemetry::Counter;
@@ -25,6 +29,9 @@
 /// The interval of checks of idle connections, of targets whose entries are missing, and of
 /// staleness.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// The interval of log lines with the number of open requests. The last one before a process is
+/// killed tells how many it had.
+const OPEN_INTERVAL: Duration = Duration::from_secs(1);
 /// How often binding a port is retried, since a previous process may still hold it.
 const MAX_BIND_RETRIES: usize = 20;
 /// The interval between two attempts to bind a port.
@@ -56,6 +63,7 @@
     let state = Arc::clone(&instance.state);
     instance.state.tasks.spawn(reload::run(state, hangup));
     terminate.recv().await;
+    log::info!(signal = "SIGTERM"; "signal received");
     instance.stop().await;
     Ok(())
 }
@@ -81,7 +89,8 @@
         log::info!(
             instance = settings.instance.as_str(),
             data_centre = settings.data_centre.as_str(),
-            version = env!("CARGO_PKG_VERSION");
+            version = env!("CARGO_PKG_VERSION"),
+            pid = std::process::id();
             "started"
         );
         state.tasks.spawn(config_sync::run(Arc::clone(&state)));
@@ -192,6 +201,7 @@
 
 async fn run_maintenance(state: Arc<RelayState>) {
     let mut previous = None;
+    let mut open_logged = Instant::now();
     loop {
         tokio::select! {
             () = state.ending.cancelled() => return,
@@ -200,11 +210,30 @@
                 state.view.drop_missing();
                 report_dropped_lines(&state);
                 report_staleness(&state, &mut previous);
+                if open_logged.elapsed() >= OPEN_INTERVAL {
+                    open_logged = Instant::now();
+                    log_open(&state);
+                }
             }
         }
     }
 }
 
+/// Logs the number of open requests if there are any.
+fn log_open(state: &RelayState) {
+    let requests = state.open_requests.load(Relaxed);
+    if requests > 0 {
+        log::info!(
+            instance = state.settings.load().instance.as_str(),
+            requests,
+            streams = state.open_streams.load(Relaxed),
+            open = state.caller_connections.len(),
+            config = state.view.config_version();
+            "requests open"
+        );
+    }
+}
+
 fn report_dropped_lines(state: &RelayState) {
     let count = super::LOG_LIMITER.take_dropped();
     if count > 0 {
