relay: log the last sign of an instance with changes of membership

Cause: `membership changed` named an instance and nothing else, so other instances could not tell when a killed process was last alive, or whether it came back as another process.

Change: the line has the instance, its run, the time since its last sign, and both of the run that it replaced; a member keeps the latter. No decision uses it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,7 +33,7 @@
 pub use facts::{Brake, Facts};
 pub use gossip::{Event, Gossip, Outgoing};
 pub use gossip_settings::GossipSettings;
-pub use member::{Member, MemberState};
+pub use member::{Member, MemberState, PreviousRun};
 pub use membership::{ListedMember, Membership};
 pub use message::{Claim, Message};
 pub use origin::{Identity, Incarnation, Origin};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -52,6 +52,17 @@
     pub(crate) last_claim: Option<Instant>,
     /// When it last sent a message or published a control entry.
     pub(crate) last_heard: Instant,
+    /// Its run before the latest one, if that was known.
+    pub previous_run: Option<PreviousRun>,
+}
+
+/// A run of an instance that a later one has replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PreviousRun {
+    /// The number of the run.
+    pub incarnation: Incarnation,
+    /// When it last sent a message or published a control entry.
+    pub last_heard: Instant,
 }
 
 impl Member {
@@ -66,6 +77,11 @@
         }
     }
 
+    /// Returns when the latest run last sent a message or published a control entry.
+    pub const fn last_heard(&self) -> Instant {
+        self.last_heard
+    }
+
     /// Returns whether the instance seems not to respond, whether or not it is leaving.
     pub(crate) const fn is_unresponsive(&self) -> bool {
         self.failures >= SUSPECT_AFTER_FAILURES || self.claim.is_some()
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::{Identity, Incarnation, Member, MemberState, Origin};
+use crate::{member::PreviousRun, Identity, Incarnation, Member, MemberState, Origin};
 
 /// An instance in the platform's list of instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -94,7 +94,14 @@
             Some(run) if run == origin => Admission::Admitted,
             Some(run) if old.incarnation >= identity.incarnation => Admission::Superseded(run),
             run => {
-                *old = member_of(identity, old.listed, now);
+                let previous_run = run.map(|_| PreviousRun {
+                    incarnation: old.incarnation,
+                    last_heard: old.last_heard,
+                });
+                *old = Member {
+                    previous_run,
+                    ..member_of(identity, old.listed, now)
+                };
                 self.origins.insert(origin, key);
                 run.map_or(Admission::Admitted, |run| {
                     self.origins.remove(&run);
@@ -199,6 +206,7 @@
         claim: None,
         last_claim: None,
         last_heard: now,
+        previous_run: None,
     }
 }
 
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -142,7 +142,7 @@
     for event in events {
         match event {
             Event::Joined(_) | Event::Suspected(_) | Event::Returned(_) | Event::Forgotten(_) => {
-                log::info!(event:? = event; "membership changed");
+                log_change(state, &event, now);
                 has_changed = true;
             }
             Event::Renumbered => has_changed = true,
@@ -158,6 +158,31 @@
     }
 }
 
+/// Logs a change of membership, with the last sign of the instance's latest run and of the run that
+/// it replaced.
+fn log_change(state: &RelayState, event: &Event, now: Instant) {
+    let (Event::Joined(name)
+    | Event::Suspected(name)
+    | Event::Returned(name)
+    | Event::Forgotten(name)) = event
+    else {
+        return;
+    };
+    let elapsed_ms = |since: Instant| now.saturating_duration_since(since).as_millis() as u64;
+    let gossip = state.gossip();
+    let member = gossip.membership().by_name(name);
+    let previous = member.and_then(|member| member.previous_run);
+    log::info!(
+        event:? = event,
+        instance = name.as_str(),
+        incarnation = member.map(|member| member.incarnation.0),
+        heard_ms = member.map(|member| elapsed_ms(member.last_heard())),
+        previous = previous.map(|run| run.incarnation.0),
+        previous_heard_ms = previous.map(|run| elapsed_ms(run.last_heard));
+        "membership changed"
+    );
+}
+
 fn spawn_sends(state: &Arc<RelayState>, messages: Vec<Outgoing>) {
     for outgoing in messages {
         state.tasks.spawn(send(Arc::clone(state), outgoing));
