relay: log timers that fire late

Cause: an instance that gets no processor for some hundred milliseconds takes that for a silence of its engines, and no line told the two apart.

Change: the maintenance loop, which sleeps 200 ms at a time, logs `timers late` if it wakes 100 ms late or more, with the delay and the open requests. No decision uses it.

--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -32,6 +32,9 @@
 /// The interval of log lines with the number of open requests. The last one before a process is
 /// killed tells how many it had.
 const OPEN_INTERVAL: Duration = Duration::from_secs(1);
+/// The minimum delay of a timer that is logged. Targets count as silent after a few hundred
+/// milliseconds, which a delayed instance cannot tell from its own delay.
+const MIN_LOGGED_DELAY: Duration = Duration::from_millis(100);
 /// How often binding a port is retried, since a previous process may still hold it.
 const MAX_BIND_RETRIES: usize = 20;
 /// The interval between two attempts to bind a port.
@@ -203,9 +206,11 @@
     let mut previous = None;
     let mut open_logged = Instant::now();
     loop {
+        let due = Instant::now() + SWEEP_INTERVAL;
         tokio::select! {
             () = state.ending.cancelled() => return,
-            () = tokio::time::sleep(SWEEP_INTERVAL) => {
+            () = tokio::time::sleep_until(due) => {
+                report_delay(&state, due);
                 state.connections.close_expired(Instant::now());
                 state.view.drop_missing();
                 report_dropped_lines(&state);
@@ -219,6 +224,20 @@
     }
 }
 
+/// Logs that a timer fired late, as when the process got no processor.
+fn report_delay(state: &RelayState, due: Instant) {
+    let delay = due.elapsed();
+    if delay >= MIN_LOGGED_DELAY {
+        log::warn!(
+            instance = state.settings.load().instance.as_str(),
+            late_ms = delay.as_millis() as u64,
+            requests = state.open_requests.load(Relaxed),
+            streams = state.open_streams.load(Relaxed);
+            "timers late"
+        );
+    }
+}
+
 /// Logs the number of open requests if there are any.
 fn log_open(state: &RelayState) {
     let requests = state.open_requests.load(Relaxed);
