daemon: failing test of a hangup signal to a process that starts

A relaying process installs its handlers once it has read its settings, started its log and its runtime. SIGHUP, which the platform sends when settings change, ends a process before that by its default action and leaves no line.

Fails: the process has ended by signal 1.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -9,5 +9,6 @@
 mod test_front;
 mod test_inbox;
 mod test_limits;
+mod test_relaying_process;
 mod test_rollouts;
 mod test_targets;
--- /dev/null
+++ b/daemon/tests/test_relaying_process.rs
@@ -0,0 +1,100 @@
+//! Relaying instances as processes.
+
+use std::{
+    fs,
+    io::Write as _,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use celerypond_standins::{
+    fixtures::{settings_file, SETTINGS_VARIABLE},
+    loopback,
+};
+use rustix::process::{kill_process, Pid, Signal};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, Instant},
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_celerypondd");
+/// The ports for callers, for readiness checks, and the first one for other instances.
+const PORTS: [u16; 3] = [8_740, 8_749, 7_410];
+/// How long a condition is waited for.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// A process that is killed when this is dropped.
+struct Process(Child);
+
+impl Process {
+    fn is_running(&mut self) -> bool {
+        matches!(self.0.try_wait(), Ok(None))
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        assert!(self.is_running(), "the process has ended");
+        let pid = i32::try_from(self.0.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.unwrap(), signal).unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn settings(ip: Ipv4Addr, store: SocketAddr) -> String {
+    settings_file(&ip.to_string(), PORTS, "", store)
+}
+
+async fn accepts_connections(ip: Ipv4Addr) -> bool {
+    TcpStream::connect((ip, PORTS[1])).await.is_ok()
+}
+
+/// Waits until a condition holds; returns whether it did in time.
+async fn wait_until<F: Future<Output = bool>>(mut check: impl FnMut() -> F) -> bool {
+    let end = Instant::now() + TIMEOUT;
+    while !check().await {
+        if Instant::now() > end {
+            return false;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    true
+}
+
+/// Returns whether a process has opened its standard input once more, which it does to read its settings from there.
+fn reads_settings(process: &Process) -> bool {
+    let files = PathBuf::from(format!("/proc/{}/fd", process.0.id()));
+    let input = fs::read_link(files.join("0")).ok();
+    let files = fs::read_dir(files).into_iter().flatten().flatten();
+    let of_input = files.filter(|file| fs::read_link(file.path()).ok() == input);
+    input.is_some() && of_input.count() > 1
+}
+
+// Guards against a process that ends because its settings change while it reads them for the first time.
+#[tokio::test]
+async fn process_that_starts_survives_a_hangup_signal() {
+    let ip = loopback::address(40);
+    let child = Command::new(PROGRAM)
+        .arg("--relay")
+        .env(SETTINGS_VARIABLE, "/dev/stdin")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn();
+    let mut process = Process(child.unwrap());
+    assert!(wait_until(|| async { reads_settings(&process) }).await);
+    process.signal(Signal::HUP);
+    let mut input = process.0.stdin.take().unwrap();
+    // The process may have ended, which is checked below.
+    let _ = input.write_all(settings(ip, loopback::unused_address()).as_bytes());
+    drop(input);
+    assert!(
+        wait_until(|| accepts_connections(ip)).await,
+        "the process does not serve: {:?}",
+        process.0.try_wait()
+    );
+}
