daemon: failing test of a stop while nobody reads the log

A stop ends by waiting without a bound until the thread of the log has written all lines (`WriterGuard::drop`). If nobody reads standard output and the pipe is full, the process hangs there until it is killed.

Fails: the process runs 4 s after the signal (grace period 3 s).

--- a/daemon/tests/test_relaying_process.rs
+++ b/daemon/tests/test_relaying_process.rs
@@ -1,11 +1,12 @@
 //! Relaying instances as processes.
 
 use std::{
-    fs,
+    fs, io,
     io::Write as _,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    thread,
     time::Duration,
 };
 
@@ -24,6 +25,9 @@
 const PORTS: [u16; 3] = [8_740, 8_749, 7_410];
 /// How long a condition is waited for.
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a planned stop may take: the grace period in the settings plus one second.
+const STOP_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// A process that is killed when this is dropped.
 struct Process(Child);
 
@@ -98,3 +102,33 @@
         process.0.try_wait()
     );
 }
+
+// Guards against a planned stop that hangs after its end because nobody reads the log.
+#[tokio::test]
+async fn process_stops_although_nobody_reads_its_log() {
+    let ip = loopback::address(41);
+    let files = tempfile::tempdir().unwrap();
+    let path = files.path().join("settings.conf");
+    fs::write(&path, settings(ip, loopback::unused_address())).unwrap();
+    let (reader, writer) = io::pipe().unwrap();
+    let mut filler = writer.try_clone().unwrap();
+    // Ends when the reader is closed.
+    thread::spawn(move || while filler.write_all(&[b'\n'; 4096]).is_ok() {});
+    let child = Command::new(PROGRAM)
+        .arg("--relay")
+        .env(SETTINGS_VARIABLE, &path)
+        .stdout(Stdio::from(writer))
+        .spawn();
+    let mut process = Process(child.unwrap());
+    assert!(wait_until(|| accepts_connections(ip)).await);
+    process.signal(Signal::TERM);
+    let end = Instant::now() + STOP_TIMEOUT;
+    while process.is_running() && Instant::now() < end {
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(
+        !process.is_running(),
+        "the process runs {STOP_TIMEOUT:?} after the signal"
+    );
+    drop(reader);
+}
