daemon: failing test of accepting connections without file descriptors

`listener::serve` accepts again at once after a failure. While the process has no descriptor left and a readiness check or another instance connects, it uses its whole processor for that.

--- a/daemon/tests/test_relaying_process.rs
+++ b/daemon/tests/test_relaying_process.rs
@@ -107,6 +107,15 @@
     idle
 }
 
+/// Returns the processor time that a process has used, in ticks of 10 ms.
+fn processor_ticks(process: &Process) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{}/stat", process.0.id())).unwrap();
+    // The command in the second field may contain spaces.
+    let (_, fields) = text.rsplit_once(')').unwrap();
+    let times = fields.split_whitespace().skip(11).take(2);
+    times.filter_map(|time| time.parse::<u64>().ok()).sum()
+}
+
 /// Returns whether a process has opened its standard input once more, which it does to read its settings from there.
 fn reads_settings(process: &Process) -> bool {
     let files = PathBuf::from(format!("/proc/{}/fd", process.0.id()));
@@ -208,3 +217,25 @@
     let sent = received.iter().filter(|request| request.id() == "r1");
     assert_eq!(sent.count(), 1, "the stream was sent again");
 }
+
+// Guards against an instance that spends its processor on failing to accept connections while the process has no file
+// descriptor left.
+#[tokio::test]
+async fn process_without_file_descriptors_does_not_spin_on_a_connection() {
+    let ip = loopback::address(43);
+    let files = tempfile::tempdir().unwrap();
+    let path = files.path().join("settings.conf");
+    fs::write(&path, settings(ip, loopback::unused_address())).unwrap();
+    let process = start_with_few_descriptors(&path);
+    assert!(wait_until(|| accepts_connections(ip)).await);
+    let _idle = use_up_descriptors(&process, (ip, PORTS[0]).into()).await;
+    // More than the descriptors that the process may release meanwhile.
+    let mut checks = Vec::new();
+    for _ in 0..MAX_FILES {
+        checks.push(TcpStream::connect((ip, PORTS[1])).await.unwrap());
+    }
+    let before = processor_ticks(&process);
+    sleep(Duration::from_secs(2)).await;
+    let used = processor_ticks(&process) - before;
+    assert!(used < 50, "{used} ticks of 10 ms in two seconds");
+}
