relay: move a stream only while a retry is left

Callers saw streams end with a closed connection although both engines worked: the instance stopped a run to move it, the other engine refused the copy, and the attempt at the engine where it ran, which keeps the memory, is paid from the retry budget that engines' deaths had used up. Then the stream waited for six seconds and was ended. The same cause as with silent engines: a run is ended before it is known that it can go on.

stream_returns_to_its_engine_after_a_failed_move_without_retry_budget failed before and passes now: no move is ordered while the budget allows no retry.

--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -63,7 +63,8 @@
         let Some(better) = self.better_engine(from) else {
             return true;
         };
-        if !self.request.try_spend_move() {
+        // If the other engine refuses the run, resuming it here takes a retry.
+        if !self.request.may_retry() || !self.request.try_spend_move() {
             return true;
         }
         let to = better.key;
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -627,6 +627,13 @@
         moves.try_spend(&self.requirements.service, instances, Instant::now())
     }
 
+    /// Returns whether the retry budget currently allows a retry.
+    pub(super) fn may_retry(&self) -> bool {
+        let instances = self.state.instance_count();
+        let mut retries = self.state.retries();
+        retries.allows(&self.requirements.service, instances, Instant::now())
+    }
+
     fn try_spend_retry(&self) -> bool {
         let instances = self.state.instance_count();
         let mut retries = self.state.retries();
