relay: do not blame targets for a lack of descriptors or ports

Streams were cut off from working engines, and the engines reported dead to all instances, while the process had no file descriptor left: a connection that could not be opened counted as one that the target did not accept. Failures for want of descriptors, ports, buffers or memory now count as NoConnection, which says nothing about the target, and a probe that could not be sent finds nobody dead.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -1,6 +1,11 @@
 //! Failures of attempts, and whether a request may be sent again.
 
-use std::time::Duration;
+use std::{
+    io::{self, ErrorKind},
+    time::Duration,
+};
+
+use rustix::io::Errno;
 
 use crate::RouteKind;
 
@@ -11,7 +16,7 @@
     Unsent,
     /// The target reset a new connection before anything was sent, as it has too many.
     Reset,
-    /// This instance has as many connections to the target as it may open.
+    /// This instance has as many connections to the target as it may open, or cannot open any.
     NoConnection,
     /// The target stopped accepting new requests, which became known before anything was sent.
     Left,
@@ -32,6 +37,34 @@
 }
 
 impl AttemptFailure {
+    /// Returns the failure of an attempt for which no connection could be opened. If this process
+    /// or its machine lacks descriptors, ports or memory for it, that says nothing about the target.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::io::{Error, ErrorKind};
+    ///
+    /// use celerypond_relay::AttemptFailure;
+    ///
+    /// let refused = Error::from(ErrorKind::ConnectionRefused);
+    /// assert_eq!(AttemptFailure::of_connect(&refused), AttemptFailure::Unsent);
+    /// let no_port = Error::from(ErrorKind::AddrNotAvailable);
+    /// assert_eq!(AttemptFailure::of_connect(&no_port), AttemptFailure::NoConnection);
+    /// ```
+    pub fn of_connect(error: &io::Error) -> Self {
+        let is_local = match error.kind() {
+            ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable | ErrorKind::OutOfMemory => true,
+            _ => Errno::from_io_error(error)
+                .is_some_and(|errno| matches!(errno, Errno::MFILE | Errno::NFILE | Errno::NOBUFS)),
+        };
+        if is_local {
+            Self::NoConnection
+        } else {
+            Self::Unsent
+        }
+    }
+
     /// Returns whether the failure proves that the request has not run at this target.
     pub const fn proves_not_run(self) -> bool {
         self.proves_unsent() || matches!(self, Self::NotRun | Self::Misdirected)
--- a/crates/relay/tests/test_attempt_failure.rs
+++ b/crates/relay/tests/test_attempt_failure.rs
@@ -4,6 +4,7 @@
 
 use celerypond_relay::{AttemptFailure, AttemptState, NextStep, RouteKind, SilenceLimits};
 use rstest::rstest;
+use rustix::io::Errno;
 
 const SAFE: RouteKind = RouteKind::Safe;
 const UNSAFE: RouteKind = RouteKind::Unsafe;
@@ -223,3 +224,24 @@
     assert!(!state.may_give_up(AttemptFailure::Dead, || false, || false));
     assert!(!state.may_give_up(AttemptFailure::Silent, || false, || panic!("spent")));
 }
+
+// Guards against targets that are taken for dead because this process has no descriptor or port left.
+#[rstest]
+#[case::descriptors_of_the_process(Errno::MFILE, AttemptFailure::NoConnection)]
+#[case::descriptors_of_the_machine(Errno::NFILE, AttemptFailure::NoConnection)]
+#[case::buffers(Errno::NOBUFS, AttemptFailure::NoConnection)]
+#[case::memory(Errno::NOMEM, AttemptFailure::NoConnection)]
+#[case::ports(Errno::ADDRNOTAVAIL, AttemptFailure::NoConnection)]
+#[case::port_in_use(Errno::ADDRINUSE, AttemptFailure::NoConnection)]
+#[case::refused(Errno::CONNREFUSED, AttemptFailure::Unsent)]
+#[case::reset(Errno::CONNRESET, AttemptFailure::Unsent)]
+#[case::unreachable(Errno::HOSTUNREACH, AttemptFailure::Unsent)]
+#[case::timed_out(Errno::TIMEDOUT, AttemptFailure::Unsent)]
+fn lack_of_resources_is_no_failure_of_the_target(
+    #[case] errno: Errno,
+    #[case] expected: AttemptFailure,
+) {
+    let failure = AttemptFailure::of_connect(&errno.into());
+    assert_eq!(failure, expected);
+    assert!(failure.proves_unsent());
+}
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -139,8 +139,11 @@
         .reserve(lease.address, lease.connection_share, now)
         .ok_or(AttemptFailure::NoConnection)?;
     let connected = connections.connect(lease.address, open).await;
-    record_connection(state, lease.key, connected.is_ok());
-    let sender = connected.map_err(|_| AttemptFailure::Unsent)?;
+    let failure = connected.as_ref().err().map(AttemptFailure::of_connect);
+    if failure != Some(AttemptFailure::NoConnection) {
+        record_connection(state, lease.key, connected.is_ok());
+    }
+    let sender = connected.map_err(|error| AttemptFailure::of_connect(&error))?;
     let is_reduced = connections.is_reduced(lease.address, lease.connection_share, now);
     if lease.confirms_connection || is_reduced {
         // A reset arrives within a round trip after the connection is made.
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -220,13 +220,14 @@
 
     /// Returns whether a new connection can be made, and keeps it for the next request.
     pub(super) async fn is_alive(&self, address: SocketAddr) -> bool {
-        match self.connect(address, self.reserve_probe(address)).await {
-            Ok(sender) => {
-                self.keep(address, sender, None, Instant::now());
-                true
-            }
-            Err(_) => false,
-        }
+        self.probe(address).await.is_ok()
+    }
+
+    /// Opens a connection and keeps it for the next request.
+    pub(super) async fn probe(&self, address: SocketAddr) -> io::Result<()> {
+        let sender = self.connect(address, self.reserve_probe(address)).await?;
+        self.keep(address, sender, None, Instant::now());
+        Ok(())
     }
 
     /// Opens a connection.
--- a/daemon/src/relay/reachability.rs
+++ b/daemon/src/relay/reachability.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use celerypond_relay::PartitionNotice;
+use celerypond_relay::{AttemptFailure, PartitionNotice};
 use celerypond_telemetry::Counter;
 use celerypond_types::{ServiceName, TargetKey};
 use futures::future::join_all;
@@ -111,13 +111,18 @@
 }
 
 /// Probes a target at the address that it had when it was leased. It may still work on requests
-/// after its entry was removed.
+/// after its entry was removed. It counts as alive if this instance cannot open connections.
 pub(super) async fn probe_address(state: &RelayState, key: TargetKey, address: SocketAddr) -> bool {
-    let is_connected = state.connections.is_alive(address).await;
-    let now = Instant::now();
+    let connected = state.connections.probe(address).await;
+    if let Err(error) = &connected
+        && AttemptFailure::of_connect(error) == AttemptFailure::NoConnection
+    {
+        log::warn!(error:% = error; "cannot probe a target");
+        return true;
+    }
     let mut targets = state.view.targets();
-    targets.record_connection(key, is_connected, now);
-    is_connected
+    targets.record_connection(key, connected.is_ok(), Instant::now());
+    connected.is_ok()
 }
 
 /// Records whether a connection to a target could be made for a request.
