relay: keep the connection to a silent engine until another one accepts the stream

A stream was cut off from its working engine by a single probe that took more than 100 ms, when the other engines were full: the connection was closed first, and all others refused. The engine that is given up is now kept until another one may have begun the stream, 200 ms at most after that was sent, and the stream stays if all refuse it.

stream_outlasts_a_failed_probe_of_its_engine_while_others_are_full failed before and passes now.

--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -132,6 +132,11 @@
     None
 }
 
+/// Returns whether another instance is known that reaches the service.
+pub(super) fn has_candidates(request: &RoutedRequest) -> bool {
+    !candidates(request).is_empty()
+}
+
 /// Returns some instances that reach the service, in random order, so that all get a share.
 fn candidates(request: &RoutedRequest) -> Vec<SocketAddr> {
     let state = &request.state;
--- a/daemon/src/relay/peer_stream.rs
+++ b/daemon/src/relay/peer_stream.rs
@@ -22,6 +22,10 @@
         copy: Option<&CopyLocation>,
     ) -> Result<bool, NoEngine> {
         let started = Instant::now();
+        if !peer_relay::has_candidates(&self.request) {
+            return Ok(false);
+        }
+        self.previous = None;
         let run = ResumedRun {
             last_event: self.events.last_id(),
             copy,
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
 use rand::Rng as _;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::{
     attempt::{send, OpenResponse},
@@ -32,6 +32,8 @@
     pub(super) request: RoutedRequest,
     pub(super) events: EventBuffer,
     pub(super) current: Option<CurrentEngine>,
+    /// The engine that was given up for another one, until that may have begun the stream.
+    pub(super) previous: Option<CurrentEngine>,
     /// The response of another instance through which the stream is relayed instead.
     pub(super) peer: Option<PeerResponse>,
     /// Whether the engine that answered last resumed from a copy of the run's memory.
@@ -86,6 +88,29 @@
     pub(super) is_temporary: bool,
 }
 
+/// How long an engine may take to refuse a stream. Beyond that it may have begun the stream.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Waits for the result of an attempt. Drops the engine that was given up for it as soon as the
+/// attempt may have begun the stream elsewhere, and otherwise returns it as well.
+async fn keep_until_begun<T>(
+    attempt: impl Future<Output = Result<T, AttemptFailure>>,
+    previous: Option<CurrentEngine>,
+) -> (Result<T, AttemptFailure>, Option<CurrentEngine>) {
+    let Some(previous) = previous else {
+        return (attempt.await, None);
+    };
+    let mut attempt = pin!(attempt);
+    match timeout(REFUSAL_TIMEOUT, attempt.as_mut()).await {
+        Ok(Err(failure)) if failure.proves_not_run() => (Err(failure), Some(previous)),
+        Ok(result) => (result, None),
+        Err(_) => {
+            drop(previous);
+            (attempt.await, None)
+        }
+    }
+}
+
 impl RelayedStream {
     pub(super) fn new(request: RoutedRequest) -> Self {
         let last = headers::parse_caller_head(&request.caller_request.headers).last_event;
@@ -93,6 +118,7 @@
             request,
             events: EventBuffer::resume_after(last),
             current: None,
+            previous: None,
             peer: None,
             from_copy: false,
             is_complete: false,
@@ -180,7 +206,9 @@
             }
             match self.try_engines(std::mem::take(&mut copies)).await {
                 Ok(()) => return Ok(()),
-                Err(no_engine) if !no_engine.is_temporary => return Err(no_engine.next),
+                Err(no_engine) if !no_engine.is_temporary || self.previous.is_some() => {
+                    return Err(no_engine.next);
+                }
                 Err(no_engine) => next_step = Some(no_engine.next),
             }
         }
@@ -292,7 +320,10 @@
             .view
             .targets()
             .reading(lease.key, started);
-        let result = self.send(&mut lease, backup, copy.as_ref()).await;
+        let previous = self.previous.take();
+        let sending = self.send(&mut lease, backup, copy.as_ref());
+        let (result, previous) = keep_until_begun(sending, previous).await;
+        self.previous = previous;
         let from_copy = copy.is_some();
         let failed_attempt = |lease, failure| Err(Box::new(FailedAttempt { lease, failure }));
         let response = match result {
@@ -628,21 +659,36 @@
     /// Resumes the stream at another engine, and returns whether that succeeded.
     ///
     /// The connection to the lost engine is closed first, since two engines must not work on one
-    /// request.
+    /// request. If its run may still work, it is closed once another engine may have begun, and the
+    /// stream stays if all refuse it.
     async fn resume(&mut self, current: CurrentEngine, failure: AttemptFailure) -> bool {
         let started = Instant::now();
         let copies = current.run_copy.as_ref().and_then(RunCopy::location);
         let copies: Vec<CopyLocation> = copies.into_iter().collect();
-        drop(current.response);
-        drop(current.run_copy);
-        self.events.discard_partial();
         let next = self.request.record_failure(&current.lease, failure);
-        drop(current.lease);
+        let may_still_work = matches!(failure, AttemptFailure::Silent | AttemptFailure::Dead);
+        if may_still_work && next == NextStep::Elsewhere && !self.events.has_partial() {
+            self.previous = Some(current);
+        } else {
+            drop(current);
+            self.events.discard_partial();
+        }
         let result = match next {
             NextStep::Elsewhere => self.find_engine(copies, true).await,
             NextStep::Later => self.find_engine(copies, false).await,
             next => Err(next),
         };
+        if let (Err(_), Some(previous)) = (&result, self.previous.take()) {
+            log::info!(
+                request = self.request.caller_request.id.as_str(),
+                target = previous.lease.name.as_str(),
+                ended:? = failure,
+                took_ms = started.elapsed().as_millis() as u64;
+                "stream stays at its engine, no other accepts it"
+            );
+            self.current = Some(previous);
+            return true;
+        }
         let has_succeeded = self.has_success_status();
         let state = &self.request.state;
         state.latencies.add(Latency::Resume, started.elapsed());
