relay: bound the responses and events that are buffered of targets

A target that sends a response, or a single event, without end filled the memory of an instance within a second, and the allocation that failed ended the process by signal 6 with all its requests and without a line.

--- a/daemon/src/relay/engine_calls.rs
+++ b/daemon/src/relay/engine_calls.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout;
 
-use super::state::RelayState;
+use super::{attempt::MAX_RESPONSE_BYTES, state::RelayState};
 
 /// The response of an engine.
 pub(super) struct EngineResponse {
@@ -38,7 +38,11 @@
         Some(EngineResponse {
             status: parts.status,
             headers: parts.headers,
-            body: body.collect().await.ok()?.to_bytes(),
+            body: Limited::new(body, MAX_RESPONSE_BYTES)
+                .collect()
+                .await
+                .ok()?
+                .to_bytes(),
         })
     };
     timeout(limit, exchange).await.ok().flatten()
--- a/daemon/src/relay/event_buffer.rs
+++ b/daemon/src/relay/event_buffer.rs
@@ -6,6 +6,9 @@
 use celerypond_relay::{AttemptFailure, Event, EventSplitter};
 use hyper::body::Frame;
 
+/// The maximum size of an event. A faulty engine may send one without end.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Splits what engines send into events, and returns whole events only, each once and in order.
 pub(super) struct EventBuffer {
     splitter: EventSplitter,
@@ -58,7 +61,7 @@
     ///
     /// # Errors
     ///
-    /// `Foreign` if an event is missing.
+    /// `Foreign` if an event is missing or larger than [`MAX_EVENT_BYTES`].
     pub(super) fn push(&mut self, frame: &Frame<Bytes>) -> Result<u32, AttemptFailure> {
         let Some(bytes) = frame.data_ref() else {
             return Ok(0);
@@ -78,6 +81,9 @@
             self.pending.push_back(bytes);
             events += 1;
         }
+        if self.splitter.buffered_len() > MAX_EVENT_BYTES {
+            return Err(AttemptFailure::Foreign);
+        }
         Ok(events)
     }
 
