relay: do not avoid an engine because the deadline of its stream has passed

The end of the request's time is a failure of its own now, which says nothing of the engine; for the version it counts as before.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -30,6 +30,8 @@
     Broken,
     /// There was no response for longer than the target should need.
     Silent,
+    /// The request's time was over while the target was still responding.
+    Expired,
     /// There was no response for a while, and the target accepts no new connection.
     Dead,
     /// The response does not belong to this request.
@@ -196,7 +198,7 @@
         }
         match failure {
             _ if !may_have_run => NextStep::NotRun,
-            AttemptFailure::Silent => NextStep::Expired,
+            AttemptFailure::Silent | AttemptFailure::Expired => NextStep::Expired,
             _ => NextStep::Failed,
         }
     }
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -598,6 +598,9 @@
             if let Ok(outcome) = timeout_at(until.min(end), waiting.as_mut()).await {
                 return self.end_wait(key, outcome, was_silent);
             }
+            if Instant::now() < until {
+                return Err(AttemptFailure::Expired);
+            }
             was_silent = true;
             let next_check = self.wait_on(key, Instant::now(), end);
             until = next_check.ok_or(AttemptFailure::Silent)?;
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -643,7 +643,8 @@
     /// Records how an attempt failed and returns what to do next.
     pub(super) fn record_failure(&mut self, lease: &Lease, failure: AttemptFailure) -> NextStep {
         lease.record_failure(failure);
-        if failure == AttemptFailure::Silent {
+        // A response that takes longer than the request's time counts for the version as well.
+        if matches!(failure, AttemptFailure::Silent | AttemptFailure::Expired) {
             self.record_silence(lease);
         } else if failure.blames_version() {
             self.record_version_result(lease, true, Duration::ZERO);
