--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -228,7 +228,7 @@
         let reported = self
             .load
             .filter(|(_, at)| now.saturating_duration_since(*at) < LOAD_TTL)
-            .map_or(0, |(load, _)| load.running + load.waiting);
+            .map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         let slots = self.entry.slots.max(1);
         f64::from(reported.max(self.open_requests)) / f64::from(slots)
     }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -293,16 +293,21 @@
 
 /// Chooses one of a route's services at random by their weights.
 fn choose_service(route: &Route) -> Option<ServiceName> {
-    let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
+    let weights = route
+        .backends
+        .iter()
+        .map(|backend| u64::from(backend.weight));
+    let total: u64 = weights.sum();
     if total == 0 {
         return None;
     }
     let mut remaining_weight = rand::rng().random_range(0..total);
     for backend in &route.backends {
-        if remaining_weight < backend.weight {
+        let weight = u64::from(backend.weight);
+        if remaining_weight < weight {
             return Some(backend.service.clone());
         }
-        remaining_weight -= backend.weight;
+        remaining_weight -= weight;
     }
     None
 }
