--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -23,20 +23,26 @@
 /// The size of a prompt and its parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
-    /// The number of tokens to read.
+    /// The number of tokens to read, at most [`Prompt::MAX_TOKENS`].
     pub prompt_tokens: u64,
-    /// The maximum number of tokens to generate.
+    /// The maximum number of tokens to generate, at most [`Prompt::MAX_TOKENS`].
     pub max_output_tokens: u64,
     /// The parts in order; the last one is specific to the request or its session.
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// The maximum of a count of tokens. No engine has that much memory, and the sum of two counts
+    /// fits into the 32 bits that are kept of a stream.
+    pub const MAX_TOKENS: u64 = (u32::MAX / 2) as u64;
+}
+
 /// A part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
     /// The id.
     pub id: u64,
-    /// The number of its tokens.
+    /// The number of its tokens, at most [`Prompt::MAX_TOKENS`].
     pub tokens: u64,
 }
 
