relay: read the rest of a refused request's body while the response is sent

Callers saw: a broken pipe in place of 401, 404, 503 or 413 if they still wrote the body.

Cause: a request that is refused by its head was answered and its connection closed with the rest of the body unread, so the connection was reset as more arrived.

Change: after a refusal a task reads and drops the rest, for at most two seconds and as many bytes as the configuration allows for a body, while the response is sent. Bodies that exceed the limit (413) are treated alike. Nothing is read if the body has ended, or if the caller waits for `100 Continue` with it, since reading would tell it to send.

--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -1,6 +1,6 @@
 //! Receives, admits and answers the requests of callers.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, mem, sync::Arc, time::Duration};
 
 use celerypond_adapter::headers;
 use celerypond_relay::{
@@ -9,14 +9,14 @@
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::{AccountName, ServiceName};
 use http::{
-    header::{HOST, TRANSFER_ENCODING},
+    header::{EXPECT, HOST, TRANSFER_ENCODING},
     Request, Response, StatusCode,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use rand::Rng as _;
 use smol_str::SmolStr;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::{
     attempt::CallerRequest,
@@ -49,6 +49,9 @@
 /// still begins within about four seconds.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// How long the rest of the body of a refused request is read.
+const REST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -75,8 +78,9 @@
     let open_request = OpenRequest::new(&state, id.clone(), origin, started);
     let mut reply = match has_newer_config(&state, &mut request, origin) {
         true => refuse_newer_config(&state, &head),
-        false => route_request(&state, request, head, open_request.record()).await,
+        false => route_request(&state, &mut request, head, open_request.record()).await,
     };
+    discard_rest(&state, request);
     if is_chunked || state.stopping.is_cancelled() {
         reply::close_after(&mut reply);
     }
@@ -139,7 +143,7 @@
 
 async fn route_request(
     state: &Arc<RelayState>,
-    mut request: Request<Incoming>,
+    request: &mut Request<Incoming>,
     head: CallerHead,
     record: &Arc<RequestRecord>,
 ) -> Reply {
@@ -271,26 +275,47 @@
     reply::local(status, Some(id), Reason::Denied(denied))
 }
 
+/// Reads the body, and takes the headers from the request before.
 async fn read_body(
-    request: Request<Incoming>,
+    request: &mut Request<Incoming>,
     id: SmolStr,
     limit: usize,
 ) -> Result<CallerRequest, StatusCode> {
-    let (parts, body) = request.into_parts();
-    let body = Limited::new(body, limit).collect().await;
+    let headers = mem::take(request.headers_mut());
+    let body = Limited::new(request.body_mut(), limit).collect().await;
     let body = body.map_err(|error| match error.is::<LengthLimitError>() {
         true => StatusCode::PAYLOAD_TOO_LARGE,
         false => StatusCode::BAD_REQUEST,
     })?;
     Ok(CallerRequest {
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
+        method: request.method().clone(),
+        uri: request.uri().clone(),
+        headers,
         body: body.to_bytes(),
         id,
     })
 }
 
+/// Reads and drops what the caller still sends of the body while the response is sent, within the
+/// limit on a body's size.
+///
+/// If the connection were closed before that, it would be reset, and a caller that writes its whole
+/// body first would not get the response.
+fn discard_rest(state: &RelayState, request: Request<Incoming>) {
+    // A caller that waits until it is told to go on has not sent the body, and reading would tell
+    // it to. The header is taken from a request whose body was read.
+    if request.body().is_end_stream() || request.headers().contains_key(EXPECT) {
+        return;
+    }
+    let limit = state.view.table().config().limits.body_bytes;
+    tokio::spawn(async move {
+        let mut rest = Limited::new(request.into_body(), limit);
+        let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
+        // The connection is closed if the caller sends for longer than that.
+        let _ = timeout(REST_TIMEOUT, discard).await;
+    });
+}
+
 /// Chooses one of a route's services at random by their weights.
 fn choose_service(route: &Route) -> Option<ServiceName> {
     let weights = route
