daemon: ignore SIGHUP from the first thing that a relaying process does

Operators saw: a process that got SIGHUP while it started was gone, without a line.

Cause: handlers were installed after the settings were read, the log was started and the runtime built. Before that the default action of SIGHUP ends a process.

Change: the relaying role starts by installing tokio's handler in the context of a small runtime; it stays when that runtime is dropped. Settings that change until the instance handles the signal would then be missed, so the file is compared with the settings in force once when reloading starts; by reading, no test shows that. SIGTERM keeps its default action until the instance starts.

--- a/daemon/src/relay/reload.rs
+++ b/daemon/src/relay/reload.rs
@@ -13,6 +13,14 @@
 /// Applies changes of the settings file until the instance ends.
 pub(super) async fn run(state: Arc<RelayState>, mut hangup: Signal) {
     let mut text = read_settings();
+    // The file may have changed since it was read at the start. Faults in it would have been
+    // reported then.
+    if let Some(Ok(new)) = text.as_deref().map(settings::parse)
+        && new != **state.settings.load()
+    {
+        log::info!("settings reloaded");
+        state.settings.store(Arc::new(new));
+    }
     loop {
         tokio::select! {
             () = state.ending.cancelled() => return,
--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -6,7 +6,10 @@
 use celerypond_daemon::relay;
 use celerypond_relay::Settings;
 use celerypond_telemetry::{LogFormat, LogSettings, Output};
-use tokio::runtime::{Builder, Runtime};
+use tokio::{
+    runtime::{Builder, Runtime},
+    signal::unix::{signal, SignalKind},
+};
 
 use crate::BAD_SETTINGS;
 
@@ -16,6 +19,10 @@
 
 /// Runs the instance, or only checks its settings if `check` is set.
 pub(crate) fn main(check: bool) -> ExitCode {
+    if let Err(error) = ignore_hangup() {
+        eprintln!("cannot install signal handlers: {error}");
+        return ExitCode::FAILURE;
+    }
     let path = settings::path();
     let text = match std::fs::read_to_string(&path) {
         Ok(text) => text,
@@ -40,6 +47,15 @@
     serve(settings)
 }
 
+/// Keeps SIGHUP from ending the process, which is its default action. The platform sends it when
+/// the settings change, which may be before the instance handles it.
+fn ignore_hangup() -> std::io::Result<()> {
+    let runtime = Builder::new_current_thread().enable_io().build()?;
+    let _context = runtime.enter();
+    // The handler stays installed when this and the runtime are dropped.
+    signal(SignalKind::hangup()).map(drop)
+}
+
 fn serve(settings: Settings) -> ExitCode {
     let logs = LogSettings {
         level: log::LevelFilter::Info,
