telemetry: end without the remaining lines if nobody reads the log

Operators saw: a planned stop that hung after its end until the process was killed.

Cause: `WriterGuard::drop` waited without a bound for the thread that writes the lines. If nobody reads standard output and the pipe is full, that never ends.

Change: it waits for at most `CLOSE_TIMEOUT`. Lines that the reader takes within it are written as before.

Added: `end_does_not_wait_for_a_stopped_reader`.

--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -147,7 +147,8 @@
     /// Installs a rate-limited logger for the process.
     ///
     /// A background thread writes the lines, so that logging does not block if their reader is
-    /// slow. Dropping the returned guard waits until all lines are written.
+    /// slow. Dropping the returned guard waits until all lines are written,
+    /// or for a bounded time.
     ///
     /// # Errors
     ///
--- a/crates/telemetry/src/non_blocking_writer.rs
+++ b/crates/telemetry/src/non_blocking_writer.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{
+        mpsc::{self, RecvTimeoutError},
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+    },
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -15,6 +18,9 @@
 /// covers some tens of lines. A process that is killed loses at most the
 /// lines of this time.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
+/// How long the end of a process waits until the remaining lines are written. A reader that takes
+/// lines at all takes them within a few milliseconds.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A writer that never blocks. Writes that do not fit into its buffer are dropped and counted.
 ///
@@ -45,10 +51,12 @@
 }
 
 /// A handle to the background thread. Dropping it waits until all lines are written and the thread
-/// has ended.
+/// has ended, or for a bounded time if the reader does not take the lines.
 pub struct WriterGuard {
     writer: NonBlockingWriter,
     thread: Option<JoinHandle<()>>,
+    /// Disconnected when the thread has ended.
+    ended: mpsc::Receiver<()>,
 }
 
 impl NonBlockingWriter {
@@ -78,12 +86,16 @@
             }),
         };
         let shared = Arc::clone(&writer.shared);
-        let thread = thread::Builder::new()
-            .name("log".into())
-            .spawn(move || run_writer(&shared, output))?;
+        let (ending, ended) = mpsc::channel();
+        let thread = thread::Builder::new().name("log".into()).spawn(move || {
+            // Dropped at the end, also by a panic.
+            let _ending: mpsc::Sender<()> = ending;
+            run_writer(&shared, output);
+        })?;
         let guard = WriterGuard {
             writer: writer.clone(),
             thread: Some(thread),
+            ended,
         };
         Ok((writer, guard))
     }
@@ -150,7 +162,9 @@
     fn drop(&mut self) {
         self.writer.state().is_closed = true;
         self.writer.shared.wakeup.notify_one();
-        if let Some(thread) = self.thread.take() {
+        let waited = self.ended.recv_timeout(CLOSE_TIMEOUT);
+        // A thread that still writes ends with the process.
+        if let (Err(RecvTimeoutError::Disconnected), Some(thread)) = (waited, self.thread.take()) {
             // If the thread panicked, there is nothing left to wait for.
             let _ = thread.join();
         }
--- a/crates/telemetry/tests/test_logs.rs
+++ b/crates/telemetry/tests/test_logs.rs
@@ -71,6 +71,22 @@
     drop(guard);
 }
 
+// Guards against a process that hangs at its end because nobody reads its log.
+#[test]
+fn end_does_not_wait_for_a_stopped_reader() {
+    let (output, release) = BlockedOutput::new();
+    let (mut writer, guard) = NonBlockingWriter::start(output).unwrap();
+    writer.write_all(b"a line\n").unwrap();
+    let (ended, end) = mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = ended.send(());
+    });
+    let has_ended = end.recv_timeout(Duration::from_secs(2));
+    release();
+    assert_eq!(has_ended, Ok(()));
+}
+
 /// An output whose writes block until it is released.
 struct BlockedOutput {
     released: mpsc::Receiver<()>,
