daemon: pause after a connection could not be accepted

Operators saw: a process without file descriptors used its whole processor while a readiness check or another instance connected (153 to 197 ticks of 10 ms in two seconds).

Cause: `listener::serve` accepted again at once after a failure. The connection stays in the queue, so that failed again at once.

Change: `listener::accept` pauses for 20 ms after each failure, as callers' connections had it. Both use it now, so a failure is logged as `cannot accept a connection` for all.

`process_without_file_descriptors_does_not_spin_on_a_connection` lowers a limit with `ulimit`; the users ask that no limits be changed. `accepting_pauses_after_each_failure` replaces it: a listener that always fails at once, in virtual time, gets at most 200 attempts in two seconds.

--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves connections of callers.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -10,32 +10,22 @@
     request::{self, Origin},
     state::RelayState,
 };
+use crate::listener;
 
 /// The minimum size that hyper accepts for the buffer of a request's head.
 const MIN_BUFFER: usize = 8 << 10;
-/// The delay before accepting again after a failure, which is usually due to a lack of file
-/// descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Accepts connections of callers, or of instances that relay their requests, until the instance
 /// closes to them.
 pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener, origin: Origin) {
     loop {
-        let accepted = tokio::select! {
+        let stream = tokio::select! {
             () = state.closed.cancelled() => return,
-            accepted = listener.accept() => accepted,
+            stream = listener::accept(&listener) => stream,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                state
-                    .caller_connections
-                    .spawn(serve(Arc::clone(&state), stream, origin));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a caller's connection");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        state
+            .caller_connections
+            .spawn(serve(Arc::clone(&state), stream, origin));
     }
 }
 
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_front;
 mod test_inbox;
 mod test_limits;
+mod test_listener;
 mod test_relaying_process;
 mod test_rollouts;
 mod test_targets;
--- a/daemon/tests/test_relaying_process.rs
+++ b/daemon/tests/test_relaying_process.rs
@@ -4,7 +4,7 @@
     fs, io,
     io::Write as _,
     net::{Ipv4Addr, SocketAddr},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
     time::Duration,
@@ -28,9 +28,6 @@
 /// How long a planned stop may take: the grace period in the settings plus one second.
 const STOP_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// The number of file descriptors of a process that lacks them.
-const MAX_FILES: usize = 64;
-
 /// A process that is killed when this is dropped.
 struct Process(Child);
 
@@ -73,40 +70,6 @@
     true
 }
 
-/// Starts a process that may have [`MAX_FILES`] descriptors.
-fn start_with_few_descriptors(settings_path: &Path) -> Process {
-    let child = Command::new("sh")
-        .arg("-c")
-        .arg(format!("ulimit -n {MAX_FILES}; exec \"$0\" --relay"))
-        .arg(PROGRAM)
-        .env(SETTINGS_VARIABLE, settings_path)
-        .stdout(Stdio::null())
-        .spawn();
-    Process(child.unwrap())
-}
-
-/// Opens more connections to a port than the process has descriptors for, and waits until it has none left.
-async fn use_up_descriptors(process: &Process, address: SocketAddr) -> Vec<TcpStream> {
-    let mut idle = Vec::new();
-    for _ in 0..MAX_FILES {
-        idle.push(TcpStream::connect(address).await.unwrap());
-    }
-    let files = PathBuf::from(format!("/proc/{}/fd", process.0.id()));
-    let is_open = |number: usize| fs::symlink_metadata(files.join(number.to_string())).is_ok();
-    let is_full = || async { (0..MAX_FILES).all(is_open) };
-    assert!(wait_until(is_full).await);
-    idle
-}
-
-/// Returns the processor time that a process has used, in ticks of 10 ms.
-fn processor_ticks(process: &Process) -> u64 {
-    let text = fs::read_to_string(format!("/proc/{}/stat", process.0.id())).unwrap();
-    // The command in the second field may contain spaces.
-    let (_, fields) = text.rsplit_once(')').unwrap();
-    let times = fields.split_whitespace().skip(11).take(2);
-    times.filter_map(|time| time.parse::<u64>().ok()).sum()
-}
-
 /// Returns whether a process has opened its standard input once more, which it does to read its settings from there.
 fn reads_settings(process: &Process) -> bool {
     let files = PathBuf::from(format!("/proc/{}/fd", process.0.id()));
@@ -169,25 +132,3 @@
     );
     drop(reader);
 }
-
-// Guards against an instance that spends its processor on failing to accept connections while the process has no file
-// descriptor left.
-#[tokio::test]
-async fn process_without_file_descriptors_does_not_spin_on_a_connection() {
-    let ip = loopback::address(43);
-    let files = tempfile::tempdir().unwrap();
-    let path = files.path().join("settings.conf");
-    fs::write(&path, settings(ip, loopback::unused_address())).unwrap();
-    let process = start_with_few_descriptors(&path);
-    assert!(wait_until(|| accepts_connections(ip)).await);
-    let _idle = use_up_descriptors(&process, (ip, PORTS[0]).into()).await;
-    // More than the descriptors that the process may release meanwhile.
-    let mut checks = Vec::new();
-    for _ in 0..MAX_FILES {
-        checks.push(TcpStream::connect((ip, PORTS[1])).await.unwrap());
-    }
-    let before = processor_ticks(&process);
-    sleep(Duration::from_secs(2)).await;
-    let used = processor_ticks(&process) - before;
-    assert!(used < 50, "{used} ticks of 10 ms in two seconds");
-}
