relay: close idle connections of callers by the current configuration

Callers saw: a connection that was closed while they reused it within the idle timeout of the current configuration.

Cause: hyper fixes its timeout when a connection is accepted, so a connection kept the timeout of the configuration of that moment or, at an instance that starts, the default.

Change: `IdleTimer` is the timer that hyper asks for that timeout. It goes by the current configuration when its time is up, and goes on if that allows more. A timeout that is lowered takes effect after the next request of a connection: closing later harms no caller.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod fullness;
 mod held_prompts;
+mod idle_timer;
 mod inbox;
 mod lease;
 mod members;
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -1,12 +1,13 @@
 //! Accepts and serves connections of callers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
+    idle_timer::IdleTimer,
     request::{self, Origin},
     state::RelayState,
 };
@@ -38,8 +39,9 @@
     let limits = state.view.table().config().limits;
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .timer(IdleTimer(Arc::clone(&state)))
+        // Switches the timeout on; the timer decides when it ends.
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER));
     // A connection that is accepted during a stop gets its first request answered, and is closed
     // with the listener if none comes.
