soak: many streams beside busy threads, stalls and kills of all instances

Seeds from 80,000 on keep ten streams of 140 events open at each instance while a version of the configuration follows every 0.3 s (some with up to 2,000 more routes) and engines crash or leave, never more than half of them. 80,000 to 83,999 run beside 0, 1, 2 or 4 busy threads for each core; 84,000 stops the threads of all engines for 0.3 to 0.9 s at times, 85,000 stops some instances by SIGSTOP for as long, 86,000 kills all of them right after a configuration and starts them again 1.4 s later. A stream that was answered with 200 must not be closed before its end and its deadline, and no process may end by itself. The run prints how streams ended, the lines of all instances by cause, how late engines and callers ran, how long instances waited for a processor, and their peak memory and descriptors.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -83,7 +83,7 @@
         }
         let starts = instance_store_links.iter().enumerate();
         let processes = starts
-            .map(|(n, link)| Process::start(n, &files, link.address))
+            .map(|(n, link)| Process::start(n, &files, link.address, ""))
             .collect();
         let versions = ConfigVersions::new(instances);
         versions.written(1);
@@ -182,7 +182,8 @@
     }
 }
 
-async fn serves(address: SocketAddr) -> bool {
+/// Returns whether an instance serves a request that is not a stream.
+pub(crate) async fn serves(address: SocketAddr) -> bool {
     let probe = plain_request("GET /safe/probe", "probe");
     let response = timeout(Duration::from_secs(1), send(address, &probe)).await;
     response.is_ok_and(|response: ReceivedResponse| response.status == 200)
@@ -198,7 +199,8 @@
     routed_request("POST /draft/1", id, 8_000, id)
 }
 
-fn address(n: usize) -> SocketAddr {
+/// Returns the address of an instance for callers.
+pub(crate) fn address(n: usize) -> SocketAddr {
     format!("{}:{CALLER_PORT}", ip(n)).parse().unwrap()
 }
 
@@ -226,7 +228,13 @@
 }
 
 impl Process {
-    fn start(n: usize, files: &tempfile::TempDir, store: SocketAddr) -> Self {
+    /// Starts an instance; `additional_settings` are lines that override those of other soaks.
+    pub(crate) fn start(
+        n: usize,
+        files: &tempfile::TempDir,
+        store: SocketAddr,
+        additional_settings: &str,
+    ) -> Self {
         let settings_path = files.path().join(format!("{n}.conf"));
         let seeds: Vec<String> = (0..SEED_PEERS).map(|n| format!("{}:1", ip(n))).collect();
         let text = settings_file(
@@ -235,7 +243,7 @@
             &seeds.join(","),
             store,
         );
-        std::fs::write(&settings_path, text).unwrap();
+        std::fs::write(&settings_path, text + additional_settings).unwrap();
         let child = spawn(&settings_path);
         Self {
             child,
@@ -258,6 +266,11 @@
         kill_process(pid.unwrap(), signal).unwrap();
     }
 
+    /// Returns the path of the file with the lines of all processes of this instance.
+    pub(crate) fn log_path(&self) -> PathBuf {
+        self.settings_path.with_extension("log")
+    }
+
     /// Returns the process id, which changes with each restart.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
--- /dev/null
+++ b/daemon/tests/soak/log_lines.rs
@@ -0,0 +1,77 @@
+//! The lines that instances wrote.
+
+use std::{collections::BTreeMap, path::Path};
+
+use serde_json::Value;
+
+/// The lines of an instance's processes, in their order.
+pub(crate) struct LogLines(Vec<Value>);
+
+impl LogLines {
+    pub(crate) fn read(path: &Path) -> Self {
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let lines = text.lines();
+        Self(
+            lines
+                .filter_map(|line| serde_json::from_str(line).ok())
+                .collect(),
+        )
+    }
+
+    /// Returns the number of processes that have started.
+    pub(crate) fn starts(&self) -> usize {
+        let messages = self.0.iter().map(|line| field(line, "message"));
+        messages.filter(|message| message == "started").count()
+    }
+
+    /// Counts the lines that tell why attempts and streams ended and requests were answered by the instance itself.
+    pub(crate) fn count(&self, counts: &mut BTreeMap<String, usize>) {
+        for line in &self.0 {
+            let message = field(line, "message");
+            let key = match message.as_str() {
+                "attempt ended" => {
+                    format!(
+                        "attempt {} -> {}",
+                        field(line, "ended"),
+                        field(line, "next")
+                    )
+                }
+                "relay through another instance failed" => format!(
+                    "relay through peer {} -> {}",
+                    field(line, "ended"),
+                    field(line, "next")
+                ),
+                "stream goes on" | "stream moved" => {
+                    format!("{message}, failed {}", field(line, "failed"))
+                }
+                "answered" if line["status"].as_u64() >= Some(400) => {
+                    format!("answered {} {}", field(line, "status"), field(line, "why"))
+                }
+                "engine silent"
+                | "started"
+                | "store lost"
+                | "caller left its stream"
+                | "reachability of a service changed"
+                | "list of targets is outdated, no target chosen"
+                | "lines left out, more than the bound" => message,
+                _ if line["level"] == "ERROR" => format!("error {message}"),
+                _ => continue,
+            };
+            *counts.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Returns the lines about a request.
+    pub(crate) fn of_request(&self, id: &str) -> Vec<String> {
+        let lines = self.0.iter().filter(|line| line["request"] == id);
+        lines.map(Value::to_string).collect()
+    }
+}
+
+/// Returns a field as text.
+fn field(line: &Value, name: &str) -> String {
+    match &line[name] {
+        Value::String(text) => text.clone(),
+        value => value.to_string(),
+    }
+}
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -1,14 +1,19 @@
 //! A randomized soak test that injects faults into instances run as processes and into their connections.
 //!
 //! The environment variables `SOAK_FROM` and `SOAK_SEEDS` set the first seed and the number of seeds, and
-//! `SOAK_INSTANCES` the number of processes. By default, three processes run a short list of fixed seeds. Seeds
+//! `SOAK_INSTANCES` the number of processes; [`starvation`] has some more. By default, three processes run a short list of fixed seeds. Seeds
 //! that have ever failed stay in [`KEPT`] and [`KEPT_SINGLE`].
 
 mod callers;
+mod engines;
 mod faults;
 mod fleet;
+mod lag;
+mod log_lines;
 mod partitions;
 mod record;
+mod starvation;
+mod stream_callers;
 mod versions;
 
 use std::{env, ops::Range, time::Duration};
@@ -45,8 +50,21 @@
 const FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS: u64 = 60_000;
 /// Seeds from this one on partition instances from all targets.
 const FIRST_SEED_WITH_PARTITIONS: u64 = 70_000;
+/// Seeds from this one on open many streams while engines end and processor time is short; see
+/// [`starvation::Load`] for their ranges.
+const FIRST_SEED_WITH_STARVATION: u64 = 80_000;
 /// Seeds with partitions of a run without environment variables.
 const SHORT_PARTITION_RUN: [u64; 2] = [70_000, 70_001];
+/// Seeds from this one on stop all engines, or some instances, for less than a second.
+const FIRST_SEED_WITH_STALLS: u64 = 84_000;
+/// Seeds from this one on kill all instances right after a configuration was written.
+const FIRST_SEED_WITH_KILLS: u64 = 86_000;
+/// Seeds with busy threads of a run without environment variables.
+const SHORT_BUSY_RUN: [u64; 1] = [81_000];
+/// Seeds with stalls of a run without environment variables.
+const SHORT_STALL_RUN: [u64; 2] = [84_000, 85_000];
+/// Seeds with kills of a run without environment variables.
+const SHORT_KILL_RUN: [u64; 1] = [86_000];
 /// Number of instances without `SOAK_INSTANCES`.
 const DEFAULT_INSTANCES: usize = 3;
 /// How long one seed injects faults.
@@ -106,12 +124,49 @@
 async fn partitioned_instances_serve_and_keep_promises() {
     for seed in seeds(
         SHORT_PARTITION_RUN.into_iter(),
-        FIRST_SEED_WITH_PARTITIONS..u64::MAX,
+        FIRST_SEED_WITH_PARTITIONS..FIRST_SEED_WITH_STARVATION,
     ) {
         run(seed).await;
     }
 }
 
+// Guards against living instances that end streams whose engines work, and against processes that end by themselves,
+// while configurations follow each other, engines end, and busy threads take processor time away.
+#[tokio::test(flavor = "multi_thread")]
+async fn begun_streams_end_whole_beside_busy_threads() {
+    for seed in seeds(
+        SHORT_BUSY_RUN.into_iter(),
+        FIRST_SEED_WITH_STARVATION..FIRST_SEED_WITH_STALLS,
+    ) {
+        run_with_streams(seed).await;
+    }
+}
+
+// Guards against living instances that end streams whose engines, or who themselves, got no processor time for less than
+// a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn begun_streams_end_whole_after_stalls_of_engines_or_instances() {
+    for seed in seeds(
+        SHORT_STALL_RUN.into_iter(),
+        FIRST_SEED_WITH_STALLS..FIRST_SEED_WITH_KILLS,
+    ) {
+        run_with_streams(seed).await;
+    }
+}
+
+// Guards against requests that are lost by a kill of all instances although they were not open at that moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_kill_of_all_instances_ends_only_open_streams() {
+    for seed in seeds(SHORT_KILL_RUN.into_iter(), FIRST_SEED_WITH_KILLS..u64::MAX) {
+        run_with_streams(seed).await;
+    }
+}
+
+async fn run_with_streams(seed: u64) {
+    let _guard = SOAK_LOCK.lock().await;
+    starvation::run(seed).await;
+}
+
 async fn run(seed: u64) {
     let _guard = SOAK_LOCK.lock().await;
     let instances = env_number("SOAK_INSTANCES").map_or(DEFAULT_INSTANCES, |n| n as usize);
