relay: keep attempts and retries for streams whose engines die

A stream that has begun no longer uses its last attempt on a silence, and silences use at most half of the budget. The tasks that read the rest of refused bodies are joined with the others.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -209,6 +209,8 @@
     /// `budget` spends the retry if the budget allows it.
     ///
     /// A target that accepts no connections is given up even if all others failed recently as well.
+    /// A stream that has begun (`has_begun`) does not use its last attempt on a silence, since it
+    /// needs it if its engine dies.
     ///
     /// # Examples
     ///
@@ -226,19 +228,23 @@
     ///     is_partitioned: false,
     ///     time_left: Duration::from_secs(5),
     /// };
-    /// assert!(draft.may_give_up(AttemptFailure::Silent, || true, || true));
-    /// assert!(!draft.may_give_up(AttemptFailure::Silent, || true, || false));
-    /// let last_attempt = AttemptState { runs: 3, ..draft };
-    /// assert!(!last_attempt.may_give_up(AttemptFailure::Silent, || true, || true));
+    /// assert!(draft.may_give_up(AttemptFailure::Silent, true, || true, || true));
+    /// assert!(!draft.may_give_up(AttemptFailure::Silent, true, || true, || false));
+    /// let second = AttemptState { runs: 2, ..draft };
+    /// assert!(!second.may_give_up(AttemptFailure::Silent, true, || true, || true));
+    /// assert!(second.may_give_up(AttemptFailure::Dead, true, || true, || true));
     /// ```
     pub fn may_give_up(
         &self,
         failure: AttemptFailure,
+        has_begun: bool,
         has_alternative: impl FnOnce() -> bool,
         budget: impl FnOnce() -> bool,
     ) -> bool {
+        let is_last_kept = has_begun && failure == AttemptFailure::Silent;
         self.kind.may_repeat()
             && self.has_room()
+            && (!is_last_kept || self.runs + 1 < self.attempts)
             && self.time_left >= MIN_TIME_LEFT
             && (failure == AttemptFailure::Dead || has_alternative())
             && budget()
--- a/crates/relay/src/retry_budget.rs
+++ b/crates/relay/src/retry_budget.rs
@@ -19,6 +19,9 @@
 const MIN_INSTANCES: usize = 8;
 /// The number of slices of the window that are counted separately.
 const SLICES_PER_WINDOW: u32 = 20;
+/// The share of the budget that is kept for requests that have lost their run. If all engines are
+/// silent at once, requests whose runs still work would otherwise spend it all.
+const SPARE_SHARE: f64 = 0.5;
 /// The time in which other instances may not know yet what was spent. Counts are sent with the
 /// lists of streams, which arrive within a quarter of a second.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
@@ -130,15 +133,58 @@
         is_allowed
     }
 
+    /// Spends one repeat of a request whose run may still complete, if enough of the budget remains
+    /// for requests that have lost theirs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::{Bounds, RetryBudget};
+    /// use celerypond_types::ServiceName;
+    /// use tokio::time::Instant;
+    ///
+    /// let bounds = Bounds { retry_ratio: 0.5, retry_slack: 0.0, ..Bounds::default() };
+    /// let mut budget = RetryBudget::new(&bounds);
+    /// let (service, now) = (ServiceName::new("writer"), Instant::now());
+    /// (0..6).for_each(|_| budget.record_request(&service, now));
+    /// assert!(budget.try_spend_spare(&service, 7, now));
+    /// assert!(!budget.try_spend_spare(&service, 7, now));
+    /// assert!(budget.try_spend(&service, 7, now));
+    /// ```
+    pub fn try_spend_spare(
+        &mut self,
+        service: &ServiceName,
+        instances: usize,
+        now: Instant,
+    ) -> bool {
+        let is_allowed = self.allows_above(SPARE_SHARE, service, instances, now);
+        if is_allowed {
+            self.slice(service, now).repeats += 1;
+        }
+        is_allowed
+    }
+
     /// Returns whether the budget allows one more repeat now.
     pub fn allows(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
+        self.allows_above(0.0, service, instances, now)
+    }
+
+    /// Returns whether the budget allows one more repeat now that leaves this share of it.
+    fn allows_above(
+        &mut self,
+        reserve: f64,
+        service: &ServiceName,
+        instances: usize,
+        now: Instant,
+    ) -> bool {
         self.slice(service, now);
         let own_counts = self.own_counts(service);
         let instances = instances.max(MIN_INSTANCES);
         let known_instances = (self.peers.len() + 1).min(instances);
         let slack = self.slack * known_instances as f64 / instances as f64;
         let (requests, repeats) = self.total(own_counts);
-        let remaining = f64::from(requests) * self.ratio + slack - f64::from(repeats);
+        let total = f64::from(requests) * self.ratio + slack;
+        let remaining = total * (1.0 - reserve) - f64::from(repeats);
         let Some(counts) = self.services.get(service) else {
             return false;
         };
--- a/crates/relay/tests/test_attempt_failure.rs
+++ b/crates/relay/tests/test_attempt_failure.rs
@@ -211,7 +211,12 @@
     #[case] has_budget: bool,
     #[case] expected: bool,
 ) {
-    let may_give_up = state.may_give_up(AttemptFailure::Silent, || has_alternative, || has_budget);
+    let may_give_up = state.may_give_up(
+        AttemptFailure::Silent,
+        false,
+        || has_alternative,
+        || has_budget,
+    );
     assert_eq!(may_give_up, expected);
 }
 
@@ -220,9 +225,9 @@
 #[test]
 fn dead_target_is_given_up_without_another_healthy_one() {
     let state = state(RESUMABLE, 1);
-    assert!(state.may_give_up(AttemptFailure::Dead, || false, || true));
-    assert!(!state.may_give_up(AttemptFailure::Dead, || false, || false));
-    assert!(!state.may_give_up(AttemptFailure::Silent, || false, || panic!("spent")));
+    assert!(state.may_give_up(AttemptFailure::Dead, false, || false, || true));
+    assert!(!state.may_give_up(AttemptFailure::Dead, false, || false, || false));
+    assert!(!state.may_give_up(AttemptFailure::Silent, false, || false, || panic!("spent")));
 }
 
 // Guards against targets that are taken for dead because this process has no descriptor or port left.
@@ -245,3 +250,17 @@
     assert_eq!(failure, expected);
     assert!(failure.proves_unsent());
 }
+
+// Guards against a stream that ends when its engine dies because it has used its attempts on engines that were silent.
+#[rstest]
+#[case::attempts_left(1, AttemptFailure::Silent, true)]
+#[case::last_attempt_for_a_silence(2, AttemptFailure::Silent, false)]
+#[case::last_attempt_for_a_death(2, AttemptFailure::Dead, true)]
+fn running_stream_keeps_its_last_attempt_for_the_death_of_its_engine(
+    #[case] runs: u32,
+    #[case] failure: AttemptFailure,
+    #[case] expected: bool,
+) {
+    let may_give_up = state(RESUMABLE, runs).may_give_up(failure, true, || true, || true);
+    assert_eq!(may_give_up, expected);
+}
--- a/crates/relay/tests/test_retry_budget.rs
+++ b/crates/relay/tests/test_retry_budget.rs
@@ -172,3 +172,16 @@
     assert!(f64::from(moved) <= allowed, "{moved}");
     assert_eq!(sent, lost);
 }
+
+// Guards against streams that end when their engines die because the budget was spent on engines that were silent.
+#[test]
+fn silent_engines_leave_a_part_of_the_budget_to_dead_ones() {
+    let mut budget = RetryBudget::new(&bounds());
+    let (service, now) = (ServiceName::new("writer"), Instant::now());
+    (0..200).for_each(|_| budget.record_request(&service, now));
+    let spare = (0..400).filter(|_| budget.try_spend_spare(&service, 8, now));
+    let spare = spare.count();
+    let rest = (0..400).filter(|_| budget.try_spend(&service, 8, now));
+    let rest = rest.count();
+    assert!(spare > 0 && rest >= spare, "{spare} {rest}");
+}
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -416,7 +416,7 @@
             &head,
             time_left,
         );
-        let waiting = probed_wait.run(sending, || self.request.try_give_up(AttemptFailure::Dead));
+        let waiting = probed_wait.run(sending, || self.try_give_up(AttemptFailure::Dead));
         self.wait_first_event(key, waiting).await?
     }
 
@@ -471,7 +471,7 @@
     /// Returns when a silent engine is checked again; `None` if it is given up, or if the request's
     /// time is over.
     fn wait_on(&self, key: TargetKey, now: Instant, end: Instant) -> Option<Instant> {
-        if now >= end || self.request.try_give_up(AttemptFailure::Silent) {
+        if now >= end || self.try_give_up(AttemptFailure::Silent) {
             return None;
         }
         record_unresponsive(&self.request.state, key, AttemptFailure::Silent);
@@ -479,6 +479,11 @@
         Some(now + wait.poll_interval)
     }
 
+    fn try_give_up(&self, failure: AttemptFailure) -> bool {
+        let has_begun = self.events.forwarded() > 0;
+        self.request.try_give_up(failure, has_begun)
+    }
+
     fn end_wait<T>(
         &self,
         key: TargetKey,
@@ -557,7 +562,7 @@
             let probed_wait = self.probed_wait(&current.lease, silence_limits, is_first);
             let key = current.lease.key;
             let waiting = probed_wait.run(current.response.body.frame(), || {
-                self.request.try_give_up(AttemptFailure::Dead)
+                self.try_give_up(AttemptFailure::Dead)
             });
             let frame = match is_first {
                 true => self.wait_first_event(key, waiting).await?,
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -308,7 +308,7 @@
         return;
     }
     let limit = state.view.table().config().limits.body_bytes;
-    tokio::spawn(async move {
+    state.tasks.spawn(async move {
         let mut rest = Limited::new(request.into_body(), limit);
         let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
         // The connection is closed if the caller sends for longer than that.
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -274,8 +274,8 @@
 
     /// Returns whether the current target, which does not respond, is given up. The retry that
     /// follows has then been spent from the budget.
-    pub(super) fn try_give_up(&self, failure: AttemptFailure) -> bool {
-        self.try_give_up_run(&self.attempt_state(), failure)
+    pub(super) fn try_give_up(&self, failure: AttemptFailure, has_begun: bool) -> bool {
+        self.try_give_up_run(&self.attempt_state(), failure, has_begun)
     }
 
     /// Returns whether the instance through which the request is relayed, and which accepts no
@@ -285,16 +285,25 @@
             runs: self.runs + 1,
             ..self.attempt_state()
         };
-        self.try_give_up_run(&attempt_state, AttemptFailure::Dead)
-    }
-
-    fn try_give_up_run(&self, attempt_state: &AttemptState, failure: AttemptFailure) -> bool {
-        let has_spent_retry = || {
-            let has_spent_retry = self.try_spend_retry();
+        self.try_give_up_run(&attempt_state, AttemptFailure::Dead, false)
+    }
+
+    fn try_give_up_run(
+        &self,
+        attempt_state: &AttemptState,
+        failure: AttemptFailure,
+        has_begun: bool,
+    ) -> bool {
+        let try_spend_retry = || {
+            let has_spent_retry = match failure {
+                AttemptFailure::Silent => self.try_spend_spare_retry(),
+                _ => self.try_spend_retry(),
+            };
             self.has_spent_retry.store(has_spent_retry, Relaxed);
             has_spent_retry
         };
-        attempt_state.may_give_up(failure, || self.has_alternative(), has_spent_retry)
+        let has_alternative = || self.has_alternative();
+        attempt_state.may_give_up(failure, has_begun, has_alternative, try_spend_retry)
     }
 
     /// Returns whether the retry of a failed attempt is allowed, and spends it from the budget unless
@@ -634,6 +643,12 @@
         retries.allows(&self.requirements.service, instances, Instant::now())
     }
 
+    fn try_spend_spare_retry(&self) -> bool {
+        let instances = self.state.instance_count();
+        let mut retries = self.state.retries();
+        retries.try_spend_spare(&self.requirements.service, instances, Instant::now())
+    }
+
     fn try_spend_retry(&self) -> bool {
         let instances = self.state.instance_count();
         let mut retries = self.state.retries();
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -145,7 +145,7 @@
         if let Ok(result) = timeout_at(until.min(end), sending.as_mut()).await {
             return result;
         }
-        if Instant::now() >= end || request.try_give_up(AttemptFailure::Silent) {
+        if Instant::now() >= end || request.try_give_up(AttemptFailure::Silent, false) {
             return Err(AttemptFailure::Silent);
         }
         record_unresponsive(&request.state, key, AttemptFailure::Silent);
