relay: check the size of a request's head by the current configuration

Callers saw: 431 for a head that the current configuration allows, on a connection that was made before it or while the instance started.

Cause: hyper fixes the size of its buffer when a connection is accepted, and that was the only check.

Change: the buffer holds at least 64 KiB, and the head is compared with the limit of the current configuration once the instance knows one. Heads that another instance relays are not compared again, since they were and that instance adds to them. A limit that a later configuration raises above 64 KiB still takes effect on new connections only.

Result: `head_is_accepted_by_the_limit_of_a_newer_configuration` failed before (431) and passes now. Added: `head_above_the_limit_is_refused`.

--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -13,8 +13,9 @@
 };
 use crate::listener;
 
-/// The minimum size that hyper accepts for the buffer of a request's head.
-const MIN_BUFFER: usize = 8 << 10;
+/// The minimum size of the buffer of a request's head. hyper fixes the size when a connection is
+/// accepted, and a newer configuration may allow longer heads than the one of that moment.
+const MIN_BUFFER: usize = 64 << 10;
 
 /// Accepts connections of callers, or of instances that relay their requests, until the instance
 /// closes to them.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -89,6 +89,26 @@
     Ok(open_request.into_response(reply, &method))
 }
 
+/// Returns whether a request's head, counted without optional spaces, is longer than the
+/// configuration allows. Before there is one, no limit is known.
+fn exceeds_limit(state: &RelayState, request: &Request<Incoming>) -> bool {
+    let target = request.uri().path_and_query();
+    let mut size = request.method().as_str().len()
+        + target.map_or(0, |target| target.as_str().len())
+        + "  HTTP/1.1\r\n\r\n".len();
+    for (name, value) in request.headers() {
+        size += name.as_str().len() + value.len() + ":\r\n".len();
+    }
+    state.view.has_config() && size > state.view.table().config().limits.head_bytes
+}
+
+fn refuse_long_head(id: &SmolStr) -> Reply {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let mut reply = reply::local(status, Some(id), Reason::BadRequest);
+    reply::close_after(&mut reply);
+    reply
+}
+
 /// Returns whether another instance has admitted a request by a configuration that is newer than
 /// that of this instance.
 fn has_newer_config(state: &RelayState, request: &mut Request<Incoming>, origin: Origin) -> bool {
@@ -152,6 +172,10 @@
         return reply::local(StatusCode::BAD_REQUEST, None, Reason::BadRequest);
     };
     state.view.wait_known(started + STARTUP_WAIT).await;
+    // Another instance has accepted the head that it relays, and adds to it.
+    if origin == Origin::Caller && exceeds_limit(state, request) {
+        return refuse_long_head(&id);
+    }
     let wait = StaleWait::new(started, head.deadline.unwrap_or(DEFAULT_DEADLINE));
     if let Some(outdated) = state.wait_current(&wait).await {
         return refuse_stale(state, outdated, &id, &head, started);
