relay: read what has arrived before a timeout that fires late counts

A process that goes on after a pause sees its timers fire before it has read its sockets. A timeout that fires more than 50 ms late now waits for another 50 ms, for the events and responses of targets and for connections to them.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod held_versions;
 mod history;
 mod idle_limits;
+mod late_timer;
 mod link;
 mod observation;
 mod order;
@@ -88,6 +89,7 @@
 };
 pub use history::History;
 pub use idle_limits::{IdleLimit, IdleLimits};
+pub use late_timer::running_timeout_at;
 pub use observation::Observation;
 pub use order::{Order, Phase, Stage};
 pub use own_streams::PlacementKey;
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_freshness;
 mod test_groups;
 mod test_idle_limits;
+mod test_late_timer;
 mod test_overload;
 mod test_partitions;
 mod test_placement;
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::{
         atomic::{AtomicU32, Ordering::Relaxed},
         Arc, Mutex, MutexGuard, PoisonError,
@@ -12,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use celerypond_relay::ConnectionLimit;
+use celerypond_relay::{running_timeout_at, ConnectionLimit};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -236,7 +237,8 @@
         address: SocketAddr,
         open: OpenConnection,
     ) -> io::Result<Sender> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.open_stream(address))
+        let until = Instant::now() + CONNECT_TIMEOUT;
+        let stream = running_timeout_at(until, pin!(self.open_stream(address)))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -5,15 +5,15 @@
 use bytes::Bytes;
 use celerypond_adapter::headers;
 use celerypond_relay::{
-    AttemptFailure, CopyName, EngineWait, EventTimer, FirstEventWait, NextStep, PlacementSchedule,
-    SilenceLimits, TargetRequestHead,
+    running_timeout_at, AttemptFailure, CopyName, EngineWait, EventTimer, FirstEventWait, NextStep,
+    PlacementSchedule, SilenceLimits, TargetRequestHead,
 };
 use celerypond_telemetry::{Counter, Latency};
 use celerypond_types::TargetKey;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
 use rand::Rng as _;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 use super::{
     attempt::{send, OpenResponse},
@@ -462,7 +462,8 @@
                     self.wait_on(key, now, end)
                 })
                 .ok_or(AttemptFailure::Silent)?;
-            if let Ok(outcome) = timeout_at(next_check.min(end), waiting.as_mut()).await {
+            let waited = running_timeout_at(next_check.min(end), waiting.as_mut()).await;
+            if let Ok(outcome) = waited {
                 return self.end_wait(key, outcome, was_silent);
             }
         }
@@ -600,7 +601,8 @@
         let end = now + self.request.deadline.remaining(now);
         let mut was_silent = false;
         loop {
-            if let Ok(outcome) = timeout_at(until.min(end), waiting.as_mut()).await {
+            let waited = running_timeout_at(until.min(end), waiting.as_mut()).await;
+            if let Ok(outcome) = waited {
                 return self.end_wait(key, outcome, was_silent);
             }
             if Instant::now() < until {
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -2,9 +2,11 @@
 
 use std::{pin::pin, time::Duration};
 
-use celerypond_relay::{AttemptFailure, NextStep, SilenceLimits, TargetRequestHead};
+use celerypond_relay::{
+    running_timeout_at, AttemptFailure, NextStep, SilenceLimits, TargetRequestHead,
+};
 use http::StatusCode;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 use super::{
     attempt::{read_body, send, OpenResponse},
@@ -142,7 +144,7 @@
     let (key, caller_request) = (lease.key, &request.caller_request);
     let mut sending = pin!(send(&request.state, lease, caller_request, head, time_left));
     loop {
-        if let Ok(result) = timeout_at(until.min(end), sending.as_mut()).await {
+        if let Ok(result) = running_timeout_at(until.min(end), sending.as_mut()).await {
             return result;
         }
         if Instant::now() >= end || request.try_give_up(AttemptFailure::Silent, false) {
