relay: read answers of engines that arrived during a pause of the instance

A call to an engine that was answered while the instance was paused counted as unanswered: the order to move a run had stopped it, and its handle was lost, so that the prompt was read again. Found by a review; no test of its own, the timeout has one (test_late_timer).

--- a/daemon/src/relay/engine_calls.rs
+++ b/daemon/src/relay/engine_calls.rs
@@ -1,11 +1,12 @@
 //! Calls to engines other than callers' requests, such as queries and orders to copy.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use bytes::Bytes;
+use celerypond_relay::running_timeout_at;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
-use tokio::time::timeout;
+use tokio::time::Instant;
 
 use super::{attempt::MAX_RESPONSE_BYTES, state::RelayState};
 
@@ -45,5 +46,7 @@
                 .to_bytes(),
         })
     };
-    timeout(limit, exchange).await.ok().flatten()
+    let until = Instant::now() + limit;
+    let response = running_timeout_at(until, pin!(exchange)).await;
+    response.ok().flatten()
 }
