relay: resume streams whose engine was replaced at its address

An engine that lost its power and was started again accepts probes, while its old connections hang. Since engines that have left are probed at their address, a stream would have waited there until its deadline. A run counts as lost as soon as another start has the address. Events on an open connection no longer clear that an engine accepts no new ones. Found by a review; run_is_lost_when_a_later_start_has_its_address and the test beside it cover the decision.

--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -492,6 +492,31 @@
         }
     }
 
+    /// Returns whether another start of a target has taken the address of one that was started at
+    /// `born`, in Unix milliseconds. Runs at the earlier start are lost, although the address accepts
+    /// connections.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use celerypond_types::TargetKey;
+    ///
+    /// let address = "10.0.0.7:8080".parse().unwrap();
+    /// assert!(!Targets::default().is_replaced(TargetKey::default(), address, Some(1)));
+    /// ```
+    pub fn is_replaced(&self, key: TargetKey, address: SocketAddr, born: Option<u64>) -> bool {
+        let starts = self.addresses.at(address).iter();
+        let owner = starts.copied().find(|other| self.owns_address(*other));
+        owner.is_some_and(|owner| {
+            let owner_born = self.get(owner).and_then(|target| target.entry.born);
+            let has_other_start = born
+                .zip(owner_born)
+                .is_some_and(|(before, now)| before != now);
+            owner != key || has_other_start
+        })
+    }
+
     /// Returns whether no later target has the same address.
     pub(crate) fn owns_address(&self, key: TargetKey) -> bool {
         self.arena
--- a/crates/relay/tests/test_dead_engines.rs
+++ b/crates/relay/tests/test_dead_engines.rs
@@ -139,6 +139,36 @@
     }
 }
 
+// Guards against a stream that is waited for at an address where another start of an engine now accepts connections.
+#[test]
+fn run_is_lost_when_a_later_start_has_its_address() {
+    let mut targets = three_data_centres(1);
+    let before = targets
+        .get(key(&targets, "east-0-1"))
+        .unwrap()
+        .entry
+        .clone();
+    let run = key(&targets, "east-0-1");
+    let is_replaced = |targets: &Targets| targets.is_replaced(run, before.address, before.born);
+    assert!(!is_replaced(&targets));
+    targets.apply(&Change::Gone(before.name.clone()), Instant::now());
+    assert!(!is_replaced(&targets));
+    targets.apply(&Change::Is(engine("east", 0, 2)), Instant::now());
+    assert!(is_replaced(&targets));
+}
+
+// Guards against the same if the engine has restarted under its name.
+#[test]
+fn run_is_lost_when_its_engine_has_restarted_under_its_name() {
+    let mut targets = three_data_centres(1);
+    let run = key(&targets, "east-0-1");
+    let before = targets.get(run).unwrap().entry.clone();
+    let mut after = before.clone();
+    after.born = before.born.map(|born| born + 1);
+    targets.apply(&Change::Is(after), Instant::now());
+    assert!(targets.is_replaced(run, before.address, before.born));
+}
+
 /// An engine restarts under another name, and its old entry stays for some heartbeats. Guards
 /// against using the old entry, whose requests are refused at the address.
 #[test]
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -20,6 +20,8 @@
     pub(super) name: TargetName,
     pub(super) address: SocketAddr,
     pub(super) version: VersionName,
+    /// When the target was started, in Unix milliseconds.
+    pub(super) born: Option<u64>,
     /// The connections that the target accepts, and the instances that share them.
     pub(super) connection_share: ConnectionShare,
     /// Whether a new connection has to prove that the target keeps it before a request is sent, as
@@ -64,6 +66,7 @@
             name: target.entry.name.clone(),
             address: target.entry.address,
             version: target.entry.version.clone(),
+            born: target.entry.born,
             connection_share: ConnectionShare {
                 accepted: service.map_or(u32::MAX, |service| service.connections),
                 instances: state.instance_count(),
--- a/daemon/src/relay/probed_wait.rs
+++ b/daemon/src/relay/probed_wait.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    lease::{record_responsive, record_unresponsive, Lease},
+    lease::{record_unresponsive, Lease},
     reachability,
     state::RelayState,
 };
@@ -21,6 +21,8 @@
     Completed(T),
     /// The engine accepts no new connections and was given up.
     Dead,
+    /// Another start of an engine has the address, so the run is lost.
+    Replaced,
 }
 
 impl<T> WaitOutcome<T> {
@@ -28,11 +30,13 @@
     ///
     /// # Errors
     ///
-    /// [`AttemptFailure::Dead`] if the engine was found dead first.
+    /// [`AttemptFailure::Dead`] if the engine was found dead first, [`AttemptFailure::Broken`] if it
+    /// was replaced.
     pub(super) fn into_result(self) -> Result<T, AttemptFailure> {
         match self {
             Self::Completed(output) => Ok(output),
             Self::Dead => Err(AttemptFailure::Dead),
+            Self::Replaced => Err(AttemptFailure::Broken),
         }
     }
 }
@@ -43,6 +47,7 @@
     state: Arc<RelayState>,
     key: TargetKey,
     address: SocketAddr,
+    born: Option<u64>,
     data_centre: Option<DataCentre>,
     silence_reports: watch::Receiver<Option<DataCentre>>,
     probe_after: Duration,
@@ -62,6 +67,7 @@
             state: Arc::clone(state),
             key: lease.key,
             address: lease.address,
+            born: lease.born,
             data_centre: state.view.data_centre_of(lease.key),
             silence_reports: state.silent_data_centre.subscribe(),
             probe_after: match is_first {
@@ -86,14 +92,17 @@
         loop {
             tokio::select! {
                 biased;
-                output = &mut event => return self.complete(output, dead_since.is_some()),
+                output = &mut event => return WaitOutcome::Completed(output),
                 () = sleep(self.probe_after) => {}
                 () = wait_for_silence_report(&mut self.silence_reports, self.data_centre.as_ref()) => {}
             }
             tokio::select! {
                 biased;
-                output = &mut event => return self.complete(output, dead_since.is_some()),
+                output = &mut event => return WaitOutcome::Completed(output),
                 is_alive = reachability::probe_address(&self.state, self.key, self.address) => {
+                    if is_alive && self.is_replaced() {
+                        return WaitOutcome::Replaced;
+                    }
                     if is_alive || reachability::is_partitioned_from(&self.state, self.key) {
                         dead_since = None;
                         continue;
@@ -111,11 +120,9 @@
         }
     }
 
-    fn complete<T>(&self, output: T, was_dead: bool) -> WaitOutcome<T> {
-        if was_dead {
-            record_responsive(&self.state, self.key);
-        }
-        WaitOutcome::Completed(output)
+    fn is_replaced(&self) -> bool {
+        let targets = self.state.view.targets();
+        targets.is_replaced(self.key, self.address, self.born)
     }
 
     /// Makes all waits for engines of this data centre probe at once, since engines of one data
