relay: spend no retry on targets that cannot be asked, and count refusals anew

A target is now given up only if another one can be selected, refusals and tried targets are forgotten once the stream runs, and another instance is asked only if this one reaches no engine.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -205,12 +205,11 @@
 
     /// Returns whether a target that does not respond may be given up for another one. The run at
     /// the target, which may still work, ends with that, so this requires that the request can be
-    /// sent elsewhere: `has_alternative` returns whether another target is expected to respond, and
-    /// `budget` spends the retry if the budget allows it.
+    /// sent elsewhere: `has_alternative` returns whether there is a suitable target, and `budget`
+    /// spends the retry if the budget allows it.
     ///
-    /// A target that accepts no connections is given up even if all others failed recently as well.
-    /// A stream that has begun (`has_begun`) does not use its last attempt on a silence, since it
-    /// needs it if its engine dies.
+    /// With `keeps_last`, the last attempt is not used on a silence, as a stream that has begun needs
+    /// it if its engine dies.
     ///
     /// # Examples
     ///
@@ -237,16 +236,16 @@
     pub fn may_give_up(
         &self,
         failure: AttemptFailure,
-        has_begun: bool,
+        keeps_last: bool,
         has_alternative: impl FnOnce() -> bool,
         budget: impl FnOnce() -> bool,
     ) -> bool {
-        let is_last_kept = has_begun && failure == AttemptFailure::Silent;
+        let is_last_kept = keeps_last && failure == AttemptFailure::Silent;
         self.kind.may_repeat()
             && self.has_room()
             && (!is_last_kept || self.runs + 1 < self.attempts)
             && self.time_left >= MIN_TIME_LEFT
-            && (failure == AttemptFailure::Dead || has_alternative())
+            && has_alternative()
             && budget()
     }
 
--- a/daemon/src/relay/peer_stream.rs
+++ b/daemon/src/relay/peer_stream.rs
@@ -22,7 +22,10 @@
         copy: Option<&CopyLocation>,
     ) -> Result<bool, NoEngine> {
         let started = Instant::now();
-        if !peer_relay::has_candidates(&self.request) {
+        // The run at the engine that was given up may still work, and another instance may refuse the
+        // stream as well, unless this one reaches no engine.
+        let may_stay = self.previous.is_some() && !self.request.prefers_peer();
+        if may_stay || !peer_relay::has_candidates(&self.request) {
             return Ok(false);
         }
         self.previous = None;
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -374,6 +374,7 @@
             took_ms = started.elapsed().as_millis() as u64;
             "engine began"
         );
+        self.request.forget_refusals(current.lease.key);
         self.current = Some(current);
         self.from_copy = from_copy;
         Ok(())
@@ -416,7 +417,9 @@
             &head,
             time_left,
         );
-        let waiting = probed_wait.run(sending, || self.try_give_up(AttemptFailure::Dead));
+        let waiting = probed_wait.run(sending, || {
+            self.request.try_give_up(AttemptFailure::Dead, false)
+        });
         self.wait_first_event(key, waiting).await?
     }
 
@@ -449,17 +452,20 @@
         waiting: impl Future<Output = WaitOutcome<T>>,
     ) -> Result<T, AttemptFailure> {
         let mut waiting = pin!(waiting);
-        let mut wait = FirstEventWait::new(Instant::now());
+        let started = Instant::now();
+        let mut wait = FirstEventWait::new(started);
         let mut was_silent = false;
         loop {
             let now = Instant::now();
             let end = now + self.request.time_left();
             let next_check = wait.update(self.silence_limits(key).first, now);
+            if next_check.is_some() && now >= end {
+                return Err(AttemptFailure::Expired);
+            }
             let next_check = next_check
-                .filter(|_| now < end)
                 .or_else(|| {
                     was_silent = true;
-                    self.wait_on(key, now, end)
+                    self.wait_on(key, started, end)
                 })
                 .ok_or(AttemptFailure::Silent)?;
             let waited = running_timeout_at(next_check.min(end), waiting.as_mut()).await;
@@ -469,22 +475,19 @@
         }
     }
 
-    /// Returns when a silent engine is checked again; `None` if it is given up, or if the request's
-    /// time is over.
-    fn wait_on(&self, key: TargetKey, now: Instant, end: Instant) -> Option<Instant> {
-        if now >= end || self.try_give_up(AttemptFailure::Silent) {
+    /// Returns when an engine that is silent since `since` is checked again; `None` if it is given
+    /// up, or if the request's time is over.
+    fn wait_on(&self, key: TargetKey, since: Instant, end: Instant) -> Option<Instant> {
+        let now = Instant::now();
+        let wait = EngineWait::for_route(self.request.route.aim);
+        let keeps_last = self.events.forwarded() > 0 && now < since + wait.after_first_event;
+        if now >= end || self.request.try_give_up(AttemptFailure::Silent, keeps_last) {
             return None;
         }
         record_unresponsive(&self.request.state, key, AttemptFailure::Silent);
-        let wait = EngineWait::for_route(self.request.route.aim);
         Some(now + wait.poll_interval)
     }
 
-    fn try_give_up(&self, failure: AttemptFailure) -> bool {
-        let has_begun = self.events.forwarded() > 0;
-        self.request.try_give_up(failure, has_begun)
-    }
-
     fn end_wait<T>(
         &self,
         key: TargetKey,
@@ -563,7 +566,7 @@
             let probed_wait = self.probed_wait(&current.lease, silence_limits, is_first);
             let key = current.lease.key;
             let waiting = probed_wait.run(current.response.body.frame(), || {
-                self.try_give_up(AttemptFailure::Dead)
+                self.request.try_give_up(AttemptFailure::Dead, false)
             });
             let frame = match is_first {
                 true => self.wait_first_event(key, waiting).await?,
@@ -597,8 +600,8 @@
         mut until: Instant,
     ) -> Result<T, AttemptFailure> {
         let mut waiting = pin!(waiting);
-        let now = Instant::now();
-        let end = now + self.request.deadline.remaining(now);
+        let started = Instant::now();
+        let end = started + self.request.deadline.remaining(started);
         let mut was_silent = false;
         loop {
             let waited = running_timeout_at(until.min(end), waiting.as_mut()).await;
@@ -609,7 +612,7 @@
                 return Err(AttemptFailure::Expired);
             }
             was_silent = true;
-            let next_check = self.wait_on(key, Instant::now(), end);
+            let next_check = self.wait_on(key, started, end);
             until = next_check.ok_or(AttemptFailure::Silent)?;
         }
     }
@@ -696,6 +699,7 @@
                 took_ms = started.elapsed().as_millis() as u64;
                 "stream stays at its engine, no other accepts it"
             );
+            self.request.forget_refusals(previous.lease.key);
             self.current = Some(previous);
             return true;
         }
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -274,8 +274,8 @@
 
     /// Returns whether the current target, which does not respond, is given up. The retry that
     /// follows has then been spent from the budget.
-    pub(super) fn try_give_up(&self, failure: AttemptFailure, has_begun: bool) -> bool {
-        self.try_give_up_run(&self.attempt_state(), failure, has_begun)
+    pub(super) fn try_give_up(&self, failure: AttemptFailure, keeps_last: bool) -> bool {
+        self.try_give_up_run(&self.attempt_state(), failure, keeps_last)
     }
 
     /// Returns whether the instance through which the request is relayed, and which accepts no
@@ -292,7 +292,7 @@
         &self,
         attempt_state: &AttemptState,
         failure: AttemptFailure,
-        has_begun: bool,
+        keeps_last: bool,
     ) -> bool {
         let try_spend_retry = || {
             let has_spent_retry = match failure {
@@ -302,8 +302,8 @@
             self.has_spent_retry.store(has_spent_retry, Relaxed);
             has_spent_retry
         };
-        let has_alternative = || self.has_alternative();
-        attempt_state.may_give_up(failure, has_begun, has_alternative, try_spend_retry)
+        let has_alternative = || self.has_alternative(failure);
+        attempt_state.may_give_up(failure, keeps_last, has_alternative, try_spend_retry)
     }
 
     /// Returns whether the retry of a failed attempt is allowed, and spends it from the budget unless
@@ -312,11 +312,15 @@
         self.has_spent_retry.swap(false, Relaxed) || self.try_spend_retry()
     }
 
-    /// Returns whether a target that was not tried yet, or another instance, is expected to respond.
-    fn has_alternative(&self) -> bool {
+    /// Returns whether there is another instance or a target that was not tried yet. After a silence,
+    /// the target must not have failed recently either.
+    fn has_alternative(&self, failure: AttemptFailure) -> bool {
         if self.prefers_peer() {
             return true;
         }
+        if self.state.stale_targets().is_some() {
+            return false;
+        }
         let versions = self.state.rollouts.versions();
         let choice = versions.choose_for_retry(&self.requirements.service);
         drop(versions);
@@ -326,7 +330,7 @@
         };
         let targets = self.state.view.targets();
         let selection = targets.select(&query, Instant::now());
-        selection.is_some_and(|selection| !selection.is_doubtful)
+        selection.is_some_and(|selection| failure == AttemptFailure::Dead || !selection.is_doubtful)
     }
 
     /// Returns whether another target may be asked if the current one does not answer.
@@ -614,6 +618,14 @@
         true
     }
 
+    /// Forgets the targets that refused the request or were not reached, as it runs at `current`.
+    pub(super) fn forget_refusals(&mut self, current: TargetKey) {
+        self.tried.clear();
+        self.tried.push(current);
+        self.refusals = 0;
+        self.unreached = 0;
+    }
+
     /// Returns what to do when no target is left to try.
     pub(super) const fn step_without_target(&self) -> NextStep {
         match self.runs {
