--- a/daemon/tests/soak/starvation.rs
+++ b/daemon/tests/soak/starvation.rs
@@ -15,7 +15,7 @@
 };
 
 use celerypond_standins::{
-    fixtures::{config, large_config, target_entry},
+    fixtures::{config, large_config, set_stream_limits, target_entry},
     responses::{ok, platform_response},
     store::Store,
     target::Target,
@@ -389,22 +389,7 @@
 
 /// Changes a configuration of other soaks to the sizes of the users' platform.
 fn site_config(mut config: Value) -> Value {
-    if let Some(routes) = config["routes"].as_array_mut() {
-        for route in routes.iter_mut().filter(|route| route["kind"] == "stream") {
-            route["timeoutMs"] = 25_000.into();
-            route["targetLatencyMs"] = 4_500.into();
-            route["maxAttempts"] = 5.into();
-        }
-    }
-    if let Some(services) = config["services"].as_array_mut() {
-        for service in services {
-            service["maxConnections"] = 550.into();
-            if service["engine"].is_object() {
-                service["engine"]["slots"] = SLOTS.into();
-                service["engine"]["kvCapacityTokens"] = 55_000.into();
-            }
-        }
-    }
+    set_stream_limits(&mut config, SLOTS);
     config
 }
 
--- a/daemon/tests/soak/stream_callers.rs
+++ b/daemon/tests/soak/stream_callers.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use celerypond_standins::caller::{request_bytes, send_on, ReceivedResponse};
+use celerypond_standins::caller::{prompt_request, send_on, ReceivedResponse};
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
 use tokio::{
     net::TcpStream,
@@ -151,16 +151,8 @@
 }
 
 fn stream_request(id: &str) -> Vec<u8> {
-    let deadline = DEADLINE.as_millis().to_string();
-    let prefix = format!("aa:100,{id}:700");
-    let headers = [
-        ("Request-Id", id),
-        ("Key", "k1"),
-        ("Request-Deadline", &deadline),
-        ("Token-Counts", "800,560"),
-        ("Prompt-Prefix", &prefix),
-    ];
-    request_bytes("POST /draft/1", &headers, "")
+    let deadline_ms = DEADLINE.as_millis() as u32;
+    prompt_request("POST /draft/1", id, deadline_ms, id, 560)
 }
 
 fn stream_end(response: &ReceivedResponse) -> StreamEnd {
