--- a/crates/relay/src/retry_budget.rs
+++ b/crates/relay/src/retry_budget.rs
@@ -21,7 +21,7 @@
 const SLICES_PER_WINDOW: u32 = 20;
 /// The share of the budget that is kept for requests that have lost their run. If all engines are
 /// silent at once, requests whose runs still work would otherwise spend it all.
-const SPARE_SHARE: f64 = 0.5;
+const RESERVED_SHARE: f64 = 0.5;
 /// The time in which other instances may not know yet what was spent. Counts are sent with the
 /// lists of streams, which arrive within a quarter of a second.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
@@ -126,11 +126,7 @@
     /// Spends one repeat if the budget allows it; `instances` is the number of instances that share
     /// the slack.
     pub fn try_spend(&mut self, service: &ServiceName, instances: usize, now: Instant) -> bool {
-        let is_allowed = self.allows(service, instances, now);
-        if is_allowed {
-            self.slice(service, now).repeats += 1;
-        }
-        is_allowed
+        self.spend_above(0.0, service, instances, now)
     }
 
     /// Spends one repeat of a request whose run may still complete, if enough of the budget remains
@@ -157,7 +153,17 @@
         instances: usize,
         now: Instant,
     ) -> bool {
-        let is_allowed = self.allows_above(SPARE_SHARE, service, instances, now);
+        self.spend_above(RESERVED_SHARE, service, instances, now)
+    }
+
+    fn spend_above(
+        &mut self,
+        reserve: f64,
+        service: &ServiceName,
+        instances: usize,
+        now: Instant,
+    ) -> bool {
+        let is_allowed = self.allows_above(reserve, service, instances, now);
         if is_allowed {
             self.slice(service, now).repeats += 1;
         }
