--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -142,11 +142,11 @@
         .reserve(lease.address, lease.connection_share, now)
         .ok_or(AttemptFailure::NoConnection)?;
     let connected = connections.connect(lease.address, open).await;
-    let failure = connected.as_ref().err().map(AttemptFailure::of_connect);
-    if failure != Some(AttemptFailure::NoConnection) {
+    let connected = connected.map_err(|error| AttemptFailure::of_connect(&error));
+    if !matches!(connected, Err(AttemptFailure::NoConnection)) {
         record_connection(state, lease.key, connected.is_ok());
     }
-    let sender = connected.map_err(|error| AttemptFailure::of_connect(&error))?;
+    let sender = connected?;
     let is_reduced = connections.is_reduced(lease.address, lease.connection_share, now);
     if lease.confirms_connection || is_reduced {
         // A reset arrives within a round trip after the connection is made.
