rollouts: take over the final phase that the store or another instance has

Callers saw: the instance that drives a rollout was frozen for 5.5 s, and meanwhile another one rolled the bad version back.

Cause: after a conflict the driver read the order's object, took its revision and dropped its status, so the next round wrote with the new revision. It never compared what it drives with the final phase of the store or of other instances, and it reported `Completed` to all before it wrote.

Change: a conflict or a lost answer is followed by a current read, and a final phase found there is taken over. An order is completed by a current read, `Moving` (all requests, expires like a share) and a conditional write; `Completed` is reported after the store has it. A driver that was paused forgets its orders and reads them again. An instance that receives a phase older than the final one returns that to the sender.

On related paths: a stage carries the store's revision, so that one of an older order does not replace a newer one; the age of an order advances between reports; missed rounds are delayed.

--- a/crates/relay/src/version_routing.rs
+++ b/crates/relay/src/version_routing.rs
@@ -6,7 +6,7 @@
 use celerypond_types::{ServiceName, VersionName};
 use tokio::time::Instant;
 
-use crate::{Evidence, EvidenceReport, Phase, Stage};
+use crate::{Evidence, EvidenceReport, Order, Phase, Stage};
 
 /// How long a share is valid without a report of the instance that drives the order, which sends
 /// four per second.
@@ -66,7 +66,7 @@
 /// let order = Order { service: "shop".into(), version: "v2".into(), time: Duration::from_secs(12) };
 /// let mut versions = VersionRouting::default();
 /// let now = Instant::now();
-/// versions.update(Stage { order, phase: Phase::TakenBack, age_ms: 0 }, now);
+/// versions.update(Stage { order, revision: 7, phase: Phase::TakenBack, age_ms: 0 }, now);
 /// assert_eq!(versions.choose(&"shop".into(), now), VersionChoice::Not("v2".into()));
 /// assert_eq!(versions.choose(&"desk".into(), now), VersionChoice::Any);
 /// ```
@@ -84,27 +84,40 @@
 }
 
 impl VersionRouting {
-    /// Updates the progress of an order as of some moment; a final phase stays.
-    pub fn update(&mut self, stage: Stage, at: Instant) {
-        let service = stage.order.service.clone();
-        let known = self.services.get_mut(&service);
-        match known.filter(|known| known.stage.order.version == stage.order.version) {
-            Some(known) => {
-                known.received_at = known.received_at.max(at);
-                if !known.stage.phase.is_ended() {
-                    known.stage = stage;
-                }
-            }
-            None => {
-                let order_state = ServiceOrder {
-                    stage,
-                    received_at: at,
-                    splitter: TrafficSplitter::default(),
-                    evidence: Evidence::default(),
-                };
-                self.services.insert(service, order_state);
+    /// Updates the progress of an order as of some moment.
+    ///
+    /// A process that was paused may report the progress that it knew before. If the known stage
+    /// takes precedence over the given one, it stays and is returned, so that the sender can be
+    /// notified of it.
+    pub fn update(&mut self, stage: Stage, at: Instant) -> Option<Stage> {
+        let Some(known) = self.services.get_mut(&stage.order.service) else {
+            self.insert(stage, at);
+            return None;
+        };
+        if known.stage.order.version == stage.order.version {
+            known.received_at = known.received_at.max(at);
+            if !stage.phase.replaces(known.stage.phase) {
+                return Some(known.stage.clone());
             }
+            known.stage = stage;
+            return None;
+        }
+        if stage.revision < known.stage.revision {
+            return Some(known.stage.clone());
         }
+        self.insert(stage, at);
+        None
+    }
+
+    fn insert(&mut self, stage: Stage, at: Instant) {
+        let service = stage.order.service.clone();
+        let order_state = ServiceOrder {
+            stage,
+            received_at: at,
+            splitter: TrafficSplitter::default(),
+            evidence: Evidence::default(),
+        };
+        self.services.insert(service, order_state);
     }
 
     /// Chooses the versions that may get the next request for a service.
@@ -122,7 +135,8 @@
             Phase::Running { share } if is_fresh && order_state.splitter.selects_next(share) => {
                 VersionChoice::Only(version)
             }
-            Phase::Running { .. } | Phase::TakenBack => VersionChoice::Not(version),
+            Phase::Moving if is_fresh => VersionChoice::Only(version),
+            Phase::Running { .. } | Phase::Moving | Phase::TakenBack => VersionChoice::Not(version),
         }
     }
 
@@ -134,7 +148,7 @@
         };
         let version = order_state.stage.order.version.clone();
         match order_state.stage.phase {
-            Phase::Completed => VersionChoice::Only(version),
+            Phase::Completed | Phase::Moving => VersionChoice::Only(version),
             Phase::Running { .. } | Phase::TakenBack => VersionChoice::Not(version),
         }
     }
@@ -169,8 +183,15 @@
             .collect()
     }
 
-    /// Returns the known progress of orders, for an instance that starts to drive them.
-    pub fn stages(&self) -> impl Iterator<Item = &Stage> {
-        self.services.values().map(|order_state| &order_state.stage)
+    /// Returns the known progress of an order as of now, for the instance that drives it.
+    pub fn progress(&self, order: &Order, now: Instant) -> Option<Stage> {
+        let known = self.services.get(&order.service)?;
+        let elapsed = now.saturating_duration_since(known.received_at);
+        let elapsed_ms = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        let stage = known.stage.clone();
+        (stage.order == *order).then(|| Stage {
+            age_ms: stage.age_ms.saturating_add(elapsed_ms),
+            ..stage
+        })
     }
 }
--- a/crates/relay/tests/test_rollouts.rs
+++ b/crates/relay/tests/test_rollouts.rs
@@ -78,13 +78,14 @@
         rollout.phase = rollout.next_phase(&Bounds::default(), ENOUGH, now);
         let stage = Stage {
             order: order(),
+            revision: 1,
             phase: rollout.phase,
             age_ms: rollout.age(now).as_millis() as u32,
         };
         versions.update(stage, now);
         let share = match rollout.phase {
             Phase::Running { share } => f64::from(share) / 1e6,
-            Phase::Completed => 1.0,
+            Phase::Completed | Phase::Moving => 1.0,
             Phase::TakenBack => 0.0,
         };
         due += rate * TURN.as_secs_f64();
@@ -186,6 +187,7 @@
     let mut versions = VersionRouting::default();
     let stage = |phase| Stage {
         order: order(),
+        revision: 1,
         phase,
         age_ms: 100,
     };
@@ -219,6 +221,7 @@
     versions.update(
         Stage {
             order: order(),
+            revision: 1,
             phase,
             age_ms: 0,
         },
@@ -254,6 +257,7 @@
     let mut versions = VersionRouting::default();
     let stage = |share| Stage {
         order: order(),
+        revision: 1,
         phase: Phase::Running { share },
         age_ms: 0,
     };
@@ -274,3 +278,66 @@
         VersionChoice::Only(order().version)
     );
 }
+
+/// An instance that drove an order is paused while another one ends it, and then reports what it
+/// knew before. Guards against forgetting how the order ended, and against not notifying the sender.
+#[rstest]
+#[case::rolled_back(Phase::TakenBack, Phase::Running { share: 1_000_000 })]
+#[case::rolled_back_while_moving(Phase::TakenBack, Phase::Moving)]
+#[case::completed(Phase::Completed, Phase::TakenBack)]
+fn stage_of_a_paused_driver_is_superseded(#[case] ended: Phase, #[case] late: Phase) {
+    let now = Instant::now();
+    let mut versions = VersionRouting::default();
+    let stage = |phase| Stage {
+        order: order(),
+        revision: 1,
+        phase,
+        age_ms: 0,
+    };
+    assert_eq!(versions.update(stage(ended), now), None);
+    assert_eq!(versions.update(stage(late), now), Some(stage(ended)));
+    let progress = versions.progress(&order(), now).unwrap();
+    assert_eq!(progress.phase, ended);
+}
+
+/// An instance was paused while an order ended and another one was given. Guards against replacing
+/// the newer order, with the evidence about it, by the older one.
+#[test]
+fn stage_of_an_older_order_is_ignored() {
+    let now = Instant::now();
+    let mut versions = VersionRouting::default();
+    let stage = |version: &str, revision| Stage {
+        order: Order {
+            version: VersionName::new(version),
+            ..order()
+        },
+        revision,
+        phase: Phase::TakenBack,
+        age_ms: 0,
+    };
+    versions.update(stage("v3", 9), now);
+    assert_eq!(versions.update(stage("v2", 5), now), Some(stage("v3", 9)));
+    assert_eq!(
+        versions.choose(&order().service, now),
+        VersionChoice::Not("v3".into())
+    );
+    assert_eq!(versions.update(stage("v4", 12), now), None);
+}
+
+/// Another instance starts to drive an order a while after the last report of the previous driver.
+/// Guards against counting the order's time from that report.
+#[test]
+fn age_of_an_order_advances_without_reports() {
+    let now = Instant::now();
+    let mut versions = VersionRouting::default();
+    let stage = Stage {
+        order: order(),
+        revision: 1,
+        phase: Phase::Running { share: 0 },
+        age_ms: 4_000,
+    };
+    versions.update(stage, now);
+    let later = now + Duration::from_secs(3);
+    let progress = versions.progress(&order(), later).unwrap();
+    assert_eq!(progress.age_ms, 7_000);
+}
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -8,6 +8,7 @@
 mod config_sync;
 mod connections;
 mod datagrams;
+mod driven_order;
 mod endpoints;
 mod engine_calls;
 mod event_buffer;
@@ -47,7 +48,7 @@
 
 use celerypond_telemetry::LogRateLimiter;
 
-pub use inbox::Inbox;
+pub use inbox::{Inbox, Received};
 pub use start::{run, Instance, RelayError};
 
 /// The maximum number of log lines per second, for routine lines and for failures. A request writes
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -14,7 +14,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::Instant};
 
-use super::{fleet, fullness, inbox::Inbox, reachability, state::RelayState, target_sync};
+use super::{
+    fleet, fullness,
+    inbox::{Inbox, Received},
+    reachability,
+    state::RelayState,
+    target_sync,
+};
 
 /// How long changes are collected before a list is sent. Streams begin and end in groups when
 /// engines are lost.
@@ -56,7 +62,7 @@
     let mut has_unreported = false;
     let mut inbox = Inbox::new(Arc::clone(&socket));
     loop {
-        receive_datagrams(&state, &mut inbox, &mut buffer);
+        receive_datagrams(&state, &socket, &mut inbox, &mut buffer);
         let due = last_notice + Watchers::notice_gap(state.fleet.load().recipients.len());
         tokio::select! {
             () = state.ending.cancelled() => return,
@@ -82,17 +88,23 @@
 }
 
 /// Receives the datagrams that have arrived.
-fn receive_datagrams(state: &Arc<RelayState>, inbox: &mut Inbox, buffer: &mut [u8]) {
+fn receive_datagrams(
+    state: &Arc<RelayState>,
+    socket: &UdpSocket,
+    inbox: &mut Inbox,
+    buffer: &mut [u8],
+) {
     for _ in 0..MAX_BATCH {
-        let Some((len, earliest_arrival)) = inbox.next(buffer) else {
+        let Some(received) = inbox.next(buffer) else {
             return;
         };
-        state.view.record_contact(earliest_arrival);
-        handle_datagram(state, &buffer[..len], earliest_arrival);
+        state.view.record_contact(received.earliest_arrival);
+        handle_datagram(state, socket, received, &buffer[..received.len]);
     }
 }
 
-fn handle_datagram(state: &Arc<RelayState>, bytes: &[u8], earliest_arrival: Instant) {
+fn handle_datagram(state: &Arc<RelayState>, socket: &UdpSocket, received: Received, bytes: &[u8]) {
+    let earliest_arrival = received.earliest_arrival;
     match bincode::deserialize(bytes) {
         Ok(Datagram::Streams(mut placements)) => {
             let sends = std::mem::take(&mut placements.sends);
@@ -110,7 +122,7 @@
             .targets()
             .merge_prompt_locations(&locations, Instant::now()),
         Ok(Datagram::Notice(notice)) => receive_notice(state, notice, earliest_arrival),
-        Ok(Datagram::Stage(stage)) => state.rollouts.record_stage(stage, earliest_arrival),
+        Ok(Datagram::Stage(stage)) => receive_stage(state, socket, received, stage),
         Ok(Datagram::Report(service, report)) => state.rollouts.record_report(&service, report),
         Ok(Datagram::Partition(notice)) => reachability::receive(state, notice),
         Ok(Datagram::Fullness(notice)) => fullness::receive(state, notice),
@@ -118,6 +130,23 @@
     }
 }
 
+/// Records the stage of an order, or returns the known one to a sender that does not know it.
+fn receive_stage(state: &RelayState, socket: &UdpSocket, received: Received, stage: Stage) {
+    let known = state
+        .rollouts
+        .record_stage(stage, received.earliest_arrival);
+    if let Some(known) = known {
+        log::info!(
+            from:% = received.from,
+            service = known.order.service.as_str(),
+            version = known.order.version.as_str(),
+            phase:? = known.phase;
+            "stage of an order superseded"
+        );
+        try_send(socket, received.from, &Datagram::Stage(known));
+    }
+}
+
 fn receive_notice(state: &Arc<RelayState>, notice: Notice, earliest_arrival: Instant) {
     let now = Instant::now();
     let view = &state.view;
@@ -222,13 +251,25 @@
 /// Sends a datagram. One that cannot be sent is dropped, since the next one has the same
 /// information and more.
 pub(super) async fn send(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
-    match bincode::serialize(datagram) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
-            for peer in peers {
-                let _ = socket.send_to(&bytes, peer).await;
-            }
+    if let Some(bytes) = encode(datagram) {
+        for peer in peers {
+            let _ = socket.send_to(&bytes, peer).await;
         }
+    }
+}
+
+/// Sends a datagram without waiting; one that cannot be sent is dropped.
+fn try_send(socket: &UdpSocket, peer: SocketAddr, datagram: &Datagram) {
+    if let Some(bytes) = encode(datagram) {
+        let _ = socket.try_send_to(&bytes, peer);
+    }
+}
+
+fn encode(datagram: &Datagram) -> Option<Vec<u8>> {
+    match bincode::serialize(datagram) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => return Some(bytes),
         Ok(bytes) => log::warn!(len = bytes.len(); "datagram exceeds the maximum size"),
         Err(error) => log::error!(error:% = error; "cannot encode a datagram"),
     }
+    None
 }
--- a/daemon/src/relay/fleet.rs
+++ b/daemon/src/relay/fleet.rs
@@ -81,9 +81,9 @@
 
 /// Returns the address of the instance that drives rollouts, or `None` if it is this one.
 ///
-/// While instances disagree about the membership, two of them may drive the same order. Each sends
-/// its stage, a final phase stays once it was sent, and the store accepts the write of only one of
-/// them.
+/// While instances disagree about the membership, two of them may drive the same order. A phase is
+/// only written to the store if the order is unchanged since its driver read it, and a driver takes
+/// over the final phase that the store or another instance has.
 pub(super) fn driver(state: &RelayState) -> Option<SocketAddr> {
     let gossip = state.gossip();
     let tree = distribution_tree(state, &gossip);
--- a/daemon/src/relay/inbox.rs
+++ b/daemon/src/relay/inbox.rs
@@ -1,10 +1,21 @@
 //! Receives datagrams of other instances, with the earliest time at which each may have arrived.
 
-use std::{mem::MaybeUninit, sync::Arc};
+use std::{mem::MaybeUninit, net::SocketAddr, sync::Arc};
 
 use socket2::SockRef;
 use tokio::{net::UdpSocket, time::Instant};
 
+/// A datagram that was received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Received {
+    /// Its length in bytes.
+    pub len: usize,
+    /// The address that it was sent from.
+    pub from: SocketAddr,
+    /// The earliest moment at which it may have arrived.
+    pub earliest_arrival: Instant,
+}
+
 /// Receives datagrams and reports how long each may have waited unread.
 ///
 /// A process that was paused reads datagrams that were sent during the pause. A datagram may be as
@@ -24,8 +35,8 @@
 /// let mut inbox = Inbox::new(Arc::clone(&socket));
 /// socket.send_to(b"notice", socket.local_addr()?).await?;
 /// socket.readable().await?;
-/// let (len, _since) = inbox.next(&mut [0; 16]).expect("a datagram has arrived");
-/// assert_eq!(len, 6);
+/// let received = inbox.next(&mut [0; 16]).expect("a datagram has arrived");
+/// assert_eq!(received.len, 6);
 /// # Ok(())
 /// # }
 /// ```
@@ -44,11 +55,15 @@
         }
     }
 
-    /// Receives a datagram that has arrived, with the earliest moment at which it may have arrived.
-    pub fn next(&mut self, buffer: &mut [u8]) -> Option<(usize, Instant)> {
+    /// Receives a datagram that has arrived.
+    pub fn next(&mut self, buffer: &mut [u8]) -> Option<Received> {
         let now = Instant::now();
         match self.socket.try_recv_from(buffer) {
-            Ok((len, _)) => Some((len, self.emptied)),
+            Ok((len, from)) => Some(Received {
+                len,
+                from,
+                earliest_arrival: self.emptied,
+            }),
             Err(_) => {
                 if !self.is_waiting() {
                     self.emptied = now;
--- a/daemon/src/relay/order_store.rs
+++ b/daemon/src/relay/order_store.rs
@@ -29,20 +29,36 @@
 }
 
 /// The result of a write of an order's status.
-pub(super) struct StatusWrite {
-    /// The version of the order's object in the store.
-    pub(super) object_version: Version,
-    /// The phase that the store has now, or `None` if that is not known.
-    pub(super) stored_phase: Option<Phase>,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StatusWrite {
+    /// The store has the phase, at this version of the order's object.
+    Stored(Version),
+    /// The object may have another status or another order, and has to be read.
+    Unknown,
+    /// The write took no effect.
+    Failed,
+}
+
+/// How recent a read of the orders has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Read {
+    /// The result may be seconds old.
+    Stale,
+    /// The result is the state at some moment during the call.
+    Current,
 }
 
 /// Returns the orders in the store, or `None` if it does not answer.
-pub(super) async fn fetch_orders(state: &RelayState) -> Option<Vec<StoredOrder>> {
-    match state.store.list_stale(rollout::ORDERS_PREFIX).await {
+pub(super) async fn fetch_orders(state: &RelayState, read: Read) -> Option<Vec<StoredOrder>> {
+    let listing = match read {
+        Read::Stale => state.store.list_stale(rollout::ORDERS_PREFIX).await,
+        Read::Current => state.store.list_all(rollout::ORDERS_PREFIX).await,
+    };
+    match listing {
         Ok(listing) => Some(decode_orders(&listing)),
         Err(report) => {
             let error = report.current_context();
-            log::info!(error:% = error; "cannot read orders from the store");
+            log::info!(read:? = read, error:% = error; "cannot read orders from the store");
             None
         }
     }
@@ -75,49 +91,29 @@
     key.matches('/').count() > 1
 }
 
-/// Writes the phase of an order to the store.
-///
-/// A write may have succeeded although its answer was lost. The next round then reads the object
-/// and writes the same value again, which changes nothing.
+/// Writes the phase of an order to the store, if the order's object is unchanged.
 pub(super) async fn store_phase(state: &RelayState, status_update: &StatusUpdate) -> StatusWrite {
     let status_key = rollout::status_key(&status_update.key);
     let value = rollout::encode_status(&status_update.target_version, status_update.phase);
-    match state
+    let known_version = status_update.known_object_version;
+    let written = state
         .store
-        .update(
-            &status_key,
-            status_update.known_object_version,
-            value.into(),
-        )
-        .await
-    {
-        Ok(object_version) => StatusWrite {
-            object_version,
-            stored_phase: Some(status_update.phase),
-        },
-        Err(report) => {
-            let error = *report.current_context();
-            log::warn!(key = status_update.key.as_str(), phase:? = status_update.phase, error:% = error; "order not reported");
-            StatusWrite {
-                object_version: current_object_version(state, status_update, error).await,
-                stored_phase: None,
-            }
-        }
-    }
-}
-
-/// Returns the version of the order's object after a failed write.
-async fn current_object_version(
-    state: &RelayState,
-    status_update: &StatusUpdate,
-    error: PlatformError,
-) -> Version {
-    match error {
-        PlatformError::Conflict | PlatformError::Ambiguous => {
-            let found = state.store.get(&status_update.key).await;
-            found.map_or(status_update.known_object_version, |object| object.version)
-        }
-        _ => status_update.known_object_version,
+        .update(&status_key, known_version, value.into())
+        .await;
+    let error = match written {
+        Ok(object_version) => return StatusWrite::Stored(object_version),
+        Err(report) => *report.current_context(),
+    };
+    log::warn!(
+        key = status_update.key.as_str(),
+        phase:? = status_update.phase,
+        object_version = known_version.0,
+        error:% = error;
+        "order not reported"
+    );
+    match error.no_effect() && error != PlatformError::Conflict {
+        true => StatusWrite::Failed,
+        false => StatusWrite::Unknown,
     }
 }
 
@@ -126,8 +122,10 @@
 pub(super) const fn is_stored(stored_phase: Option<Phase>, phase: Phase) -> bool {
     matches!(
         (stored_phase, phase),
-        (Some(Phase::Running { .. }), Phase::Running { .. })
-            | (Some(Phase::Completed), Phase::Completed)
+        (
+            Some(Phase::Running { .. }),
+            Phase::Running { .. } | Phase::Moving
+        ) | (Some(Phase::Completed), Phase::Completed)
             | (Some(Phase::TakenBack), Phase::TakenBack)
     )
 }
--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -8,17 +8,19 @@
     time::Duration,
 };
 
-use celerypond_platform::Version;
-use celerypond_relay::{EvidenceReport, Fleet, Order, Phase, Rollout, Stage, VersionRouting};
+use celerypond_relay::{EvidenceReport, Fleet, Order, Phase, Stage, VersionRouting};
 use celerypond_telemetry::Counter;
 use celerypond_types::ServiceName;
-use smol_str::SmolStr;
-use tokio::{net::UdpSocket, time::Instant};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, MissedTickBehavior},
+};
 
 use super::{
     datagrams::{self, Datagram},
+    driven_order::DrivenOrder,
     fleet,
-    order_store::{self, is_stored, StatusUpdate, StoredOrder},
+    order_store::{self, Read, StatusUpdate, StatusWrite, StoredOrder},
     state::RelayState,
 };
 
@@ -31,6 +33,9 @@
 /// report stops the targets of the old version, and requests that still run there are lost; calls
 /// take about 60 ms.
 const SETTLE_DELAY: Duration = Duration::from_millis(300);
+/// The time between two rounds after which this instance was paused. Other instances ignore its last
+/// shares by then, and may have another driver.
+const MAX_ROUND_GAP: Duration = Duration::from_millis(1_500);
 
 /// This instance's part in rollouts.
 #[derive(Default)]
@@ -40,35 +45,16 @@
     driven: Mutex<HashMap<ServiceName, DrivenOrder>>,
 }
 
-struct DrivenOrder {
-    rollout: Rollout,
-    key: SmolStr,
-    /// The version of the order's object in the store.
-    object_version: Version,
-    /// The phase that the store is known to have for the order.
-    stored_phase: Option<Phase>,
-}
-
-impl DrivenOrder {
-    fn status_update(&self) -> StatusUpdate {
-        StatusUpdate {
-            key: self.key.clone(),
-            known_object_version: self.object_version,
-            target_version: self.rollout.order.version.clone(),
-            phase: self.rollout.phase,
-        }
-    }
-}
-
 impl Rollouts {
     /// Returns which versions requests are sent to.
     pub(super) fn versions(&self) -> MutexGuard<'_, VersionRouting> {
         lock(&self.versions)
     }
 
-    /// Records the stage that the driver sent at a moment.
-    pub(super) fn record_stage(&self, stage: Stage, at: Instant) {
-        self.versions().update(stage, at);
+    /// Records the stage that a driver sent at a moment. Returns the known one if it takes
+    /// precedence.
+    pub(super) fn record_stage(&self, stage: Stage, at: Instant) -> Option<Stage> {
+        self.versions().update(stage, at)
     }
 
     /// Adds the evidence of another instance, if this one drives the order.
@@ -83,19 +69,33 @@
     fn stages(&self) -> Vec<Stage> {
         let now = Instant::now();
         let driven = lock(&self.driven);
-        let stage = |driven: &DrivenOrder| Stage {
-            order: driven.rollout.order.clone(),
-            phase: driven.rollout.phase,
-            age_ms: u32::try_from(driven.rollout.age(now).as_millis()).unwrap_or(u32::MAX),
-        };
-        driven.values().map(stage).collect()
+        driven.values().map(|driven| driven.stage(now)).collect()
+    }
+
+    /// Returns whether this instance drives an order of this service that equals the given one.
+    fn drives(&self, order: &Order) -> bool {
+        let driven = lock(&self.driven);
+        let known = driven.get(&order.service);
+        known.is_some_and(|driven| driven.rollout.order == *order)
+    }
+
+    /// Takes over the final phases that other instances have reported.
+    fn adopt_reported_phases(&self) {
+        let versions = self.versions();
+        let now = Instant::now();
+        for driven in lock(&self.driven).values_mut() {
+            if let Some(stage) = versions.progress(&driven.rollout.order, now) {
+                driven.adopt(stage.phase, "instance");
+            }
+        }
     }
 }
 
 /// Drives the orders if this instance is the driver, and otherwise sends reports to the driver.
 pub(super) async fn run(state: Arc<RelayState>, socket: Arc<UdpSocket>) {
     let mut round = tokio::time::interval(ROUND_INTERVAL);
-    let mut last_poll: Option<Instant> = None;
+    round.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut last_round, mut last_poll): (Option<Instant>, Option<Instant>) = (None, None);
     loop {
         tokio::select! {
             () = state.ending.cancelled() => return,
@@ -103,17 +103,23 @@
         }
         match fleet::driver(&state) {
             Some(driver) => {
+                (last_round, last_poll) = (None, None);
                 lock(&state.rollouts.driven).clear();
                 send_reports(&state, &socket, driver).await;
             }
             None => {
+                if last_round.is_some_and(|at| at.elapsed() > MAX_ROUND_GAP) {
+                    // Another instance may have driven the orders meanwhile.
+                    log::warn!(gap_ms = last_round.map(|at| at.elapsed().as_millis() as u64); "rollouts paused");
+                    lock(&state.rollouts.driven).clear();
+                    last_poll = None;
+                }
                 if last_poll.is_none_or(|at| at.elapsed() >= POLL_INTERVAL) {
                     last_poll = Some(Instant::now());
-                    if let Some(found) = order_store::fetch_orders(&state).await {
-                        update_driven_orders(&state, found);
-                    }
+                    poll_orders(&state).await;
                 }
                 drive(&state, &socket).await;
+                last_round = Some(Instant::now());
             }
         }
     }
@@ -126,58 +132,73 @@
     }
 }
 
+/// Reads the orders. A stale read suffices to find one, but not to take it: it may lack the phase
+/// that another driver has stored.
+async fn poll_orders(state: &RelayState) {
+    let Some(found) = order_store::fetch_orders(state, Read::Stale).await else {
+        return;
+    };
+    if found
+        .iter()
+        .all(|found| state.rollouts.drives(&found.order))
+    {
+        update_driven_orders(state, found);
+    } else {
+        read_current_orders(state).await;
+    }
+}
+
+/// Reads the current state of the orders. Returns whether the store has answered.
+async fn read_current_orders(state: &RelayState) -> bool {
+    let found = order_store::fetch_orders(state, Read::Current).await;
+    let is_known = found.is_some();
+    if let Some(found) = found {
+        update_driven_orders(state, found);
+    }
+    is_known
+}
+
 fn update_driven_orders(state: &RelayState, found: Vec<StoredOrder>) {
     let now = Instant::now();
-    let stages: Vec<Stage> = state.rollouts.versions().stages().cloned().collect();
+    let versions = state.rollouts.versions();
     let mut driven = lock(&state.rollouts.driven);
     driven.retain(|service, _| found.iter().any(|found| found.order.service == *service));
     for found in found {
-        let service = found.order.service.clone();
-        let is_same = |driven: &DrivenOrder| driven.rollout.order == found.order;
-        if driven.get(&service).is_some_and(is_same) {
-            continue;
+        let known = driven.get_mut(&found.order.service);
+        match known.filter(|driven| driven.rollout.order == found.order) {
+            Some(known) => known.observe(&found),
+            None => {
+                let progress = versions.progress(&found.order, now);
+                let service = found.order.service.clone();
+                driven.insert(service, DrivenOrder::new(found, progress, now));
+            }
         }
-        // The previous driver has reported how long the order has been running.
-        let known_stage = stages.iter().find(|stage| stage.order == found.order);
-        let age = known_stage.map_or(0, |stage| stage.age_ms);
-        let mut rollout = Rollout::new(found.order, Duration::from_millis(age.into()), now);
-        let ended_phase = known_stage.map(|stage| stage.phase).into_iter();
-        let ended_phase = ended_phase
-            .chain(found.stored_phase)
-            .find(|phase| phase.is_ended());
-        rollout.phase = ended_phase.unwrap_or(rollout.phase);
-        log::info!(
-            service = service.as_str(),
-            version = rollout.order.version.as_str(),
-            time_ms = rollout.order.time.as_millis() as u64,
-            age_ms = age,
-            phase:? = rollout.phase;
-            "order taken"
-        );
-        let driven_order = DrivenOrder {
-            rollout,
-            key: found.key,
-            object_version: found.object_version,
-            stored_phase: found.stored_phase,
-        };
-        driven.insert(service, driven_order);
     }
 }
 
 /// Decides on all orders, then reports to the other instances and to the store.
 async fn drive(state: &RelayState, socket: &UdpSocket) {
-    let reports = state.rollouts.versions().reports(state.fleet.load().origin);
-    for (service, report) in reports {
-        state.rollouts.record_report(&service, report);
-    }
-    let has_any_completed = advance_phases(state);
+    merge_own_reports(state);
+    state.rollouts.adopt_reported_phases();
+    let proven = advance_phases(state);
+    let confirmed_at = Instant::now();
+    let moved = move_requests(state, proven).await;
     send_stages(state, socket).await;
-    if has_any_completed {
+    if !moved.is_empty() {
         tokio::time::sleep(SETTLE_DELAY).await;
+        complete_orders(state, moved, confirmed_at).await;
+        send_stages(state, socket).await;
     }
     store_phases(state).await;
 }
 
+fn merge_own_reports(state: &RelayState) {
+    let reports = state.rollouts.versions().reports(state.fleet.load().origin);
+    for (service, report) in reports {
+        state.rollouts.record_report(&service, report);
+    }
+}
+
 /// Sends the stages of the orders to all instances, including this one.
 async fn send_stages(state: &RelayState, socket: &UdpSocket) {
     let stages = state.rollouts.stages();
@@ -191,34 +212,90 @@
     }
 }
 
-/// Updates the phase of each order. Returns whether a version was found good.
-fn advance_phases(state: &RelayState) -> bool {
+/// Updates the phase of each order. Returns the services whose new version was found good, which
+/// are completed once the store accepts it.
+fn advance_phases(state: &RelayState) -> Vec<ServiceName> {
+    let mut proven = Vec::new();
+    for (service, driven) in lock(&state.rollouts.driven).iter_mut() {
+        let next_phase = next_phase(state, driven);
+        if driven.rollout.phase.is_ended() {
+            continue;
+        }
+        if next_phase == Phase::Completed {
+            proven.push(service.clone());
+            continue;
+        }
+        driven.rollout.phase = next_phase;
+        if next_phase == Phase::TakenBack {
+            log_decision(state, driven);
+            state.metrics.add(Counter::Brakes, 1);
+        }
+    }
+    proven
+}
+
+fn next_phase(state: &RelayState, driven: &DrivenOrder) -> Phase {
     let bounds = state.settings.load().bounds;
-    let mut has_any_completed = false;
-    for driven in lock(&state.rollouts.driven).values_mut() {
-        let rollout = &mut driven.rollout;
-        let fleet = target_counts(state, &rollout.order);
-        let next_phase = rollout.next_phase(&bounds, fleet, Instant::now());
-        let previous = std::mem::replace(&mut rollout.phase, next_phase);
-        if next_phase.is_ended() && next_phase != previous {
-            let evidence = rollout.evidence.total();
-            log::info!(
-                service = rollout.order.service.as_str(),
-                version = rollout.order.version.as_str(),
-                phase:? = next_phase,
-                age_ms = rollout.age(Instant::now()).as_millis() as u64,
-                new:? = evidence.new,
-                old:? = evidence.old,
-                targets:? = fleet;
-                "order decided"
-            );
-            has_any_completed |= next_phase == Phase::Completed;
-            if next_phase == Phase::TakenBack {
-                state.metrics.add(Counter::Brakes, 1);
-            }
+    let targets = target_counts(state, &driven.rollout.order);
+    driven.rollout.next_phase(&bounds, targets, Instant::now())
+}
+
+fn log_decision(state: &RelayState, driven: &DrivenOrder) {
+    let rollout = &driven.rollout;
+    let evidence = rollout.evidence.total();
+    log::info!(
+        service = rollout.order.service.as_str(),
+        version = rollout.order.version.as_str(),
+        phase:? = rollout.phase,
+        age_ms = rollout.age(Instant::now()).as_millis() as u64,
+        new:? = evidence.new,
+        old:? = evidence.old,
+        targets:? = target_counts(state, &rollout.order);
+        "order decided"
+    );
+}
+
+/// Sends all requests of services to their new version, unless the store has another final phase
+/// of the order. Returns the services for which this was done.
+async fn move_requests(state: &RelayState, mut proven: Vec<ServiceName>) -> Vec<ServiceName> {
+    if proven.is_empty() || !read_current_orders(state).await {
+        return Vec::new();
+    }
+    let mut driven = lock(&state.rollouts.driven);
+    proven.retain(|service| {
+        let rollout = driven.get_mut(service).map(|driven| &mut driven.rollout);
+        let Some(rollout) = rollout.filter(|rollout| !rollout.phase.is_ended()) else {
+            return false;
+        };
+        rollout.phase = Phase::Moving;
+        true
+    });
+    proven
+}
+
+/// Stores the completion of orders whose requests were moved after a read at a moment.
+///
+/// The completion is only reported to other instances once the store has it. Otherwise a driver that
+/// was paused could report it although another one has rolled the version back.
+async fn complete_orders(state: &RelayState, services: Vec<ServiceName>, confirmed_at: Instant) {
+    if confirmed_at.elapsed() > MAX_ROUND_GAP {
+        return;
+    }
+    merge_own_reports(state);
+    state.rollouts.adopt_reported_phases();
+    for service in services {
+        let status_update = {
+            let driven = lock(&state.rollouts.driven);
+            let driven = driven.get(&service);
+            let proven = driven.filter(|driven| {
+                !driven.rollout.phase.is_ended() && next_phase(state, driven) == Phase::Completed
+            });
+            proven.map(|driven| driven.status_update(Phase::Completed))
+        };
+        if let Some(status_update) = status_update {
+            store_status(state, &service, &status_update).await;
         }
     }
-    has_any_completed
 }
 
 fn target_counts(state: &RelayState, order: &Order) -> Fleet {
@@ -238,19 +315,37 @@
 async fn store_phases(state: &RelayState) {
     let updates: Vec<(ServiceName, StatusUpdate)> = {
         let driven = lock(&state.rollouts.driven);
-        let status_updates = driven
-            .iter()
-            .filter(|(_, driven)| !is_stored(driven.stored_phase, driven.rollout.phase));
-        let status_updates =
-            status_updates.map(|(service, driven)| (service.clone(), driven.status_update()));
-        status_updates.collect()
+        let unstored = driven.iter().filter(|(_, driven)| !driven.is_stored());
+        let updates = unstored.map(|(service, driven)| {
+            let status_update = driven.status_update(driven.rollout.phase);
+            (service.clone(), status_update)
+        });
+        updates.collect()
     };
     for (service, status_update) in updates {
-        let write = order_store::store_phase(state, &status_update).await;
-        if let Some(driven) = lock(&state.rollouts.driven).get_mut(&service) {
-            driven.object_version = write.object_version;
-            driven.stored_phase = write.stored_phase.or(driven.stored_phase);
+        store_status(state, &service, &status_update).await;
+    }
+}
+
+/// Writes the status of an order. If another instance has written it, this one takes over what the
+/// store has.
+async fn store_status(state: &RelayState, service: &ServiceName, status_update: &StatusUpdate) {
+    match order_store::store_phase(state, status_update).await {
+        StatusWrite::Stored(object_version) => {
+            let mut driven = lock(&state.rollouts.driven);
+            let Some(driven) = driven.get_mut(service) else {
+                return;
+            };
+            driven.record_stored(status_update.phase, object_version);
+            if status_update.phase == Phase::Completed {
+                driven.rollout.phase = Phase::Completed;
+                log_decision(state, driven);
+            }
+        }
+        StatusWrite::Unknown => {
+            read_current_orders(state).await;
         }
+        StatusWrite::Failed => {}
     }
 }
 
--- a/daemon/tests/test_inbox.rs
+++ b/daemon/tests/test_inbox.rs
@@ -25,7 +25,8 @@
     std::thread::sleep(Duration::from_millis(50));
     assert!(inbox.next(&mut buffer).is_none());
     socket.readable().await.unwrap();
-    let (len, since) = inbox.next(&mut buffer).unwrap();
-    assert_eq!(&buffer[..len], b"report");
-    assert!(since <= sent);
+    let received = inbox.next(&mut buffer).unwrap();
+    assert_eq!(&buffer[..received.len], b"report");
+    assert_eq!(received.from, sender.local_addr().unwrap());
+    assert!(received.earliest_arrival <= sent);
 }
