rollouts: read the orders through other instances, and hold a new version until they were read

Callers saw: the instance that drives rollouts was partitioned from the store for 10 s.

Cause: only the driver reads the orders, and whether it reaches the store plays no part in who drives. A new version was held back for 3 s, whether the orders could be read in that time or not.

Change: the driver reads and writes orders through another instance whose notices are recent if it does not reach the store itself. A version is released once the orders were read 1.5 s after its first sight, by a read that is not stale; notices carry the age of that read. A line says which instance drives.

Ruled out: another driver while the first one cannot read. Both sides of a partition would have to agree on it, and each candidate would have to poll.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -57,6 +57,10 @@
     /// Exchanges information about rollouts. This crate does not interpret either message.
     async fn exchange_rollouts(updates: Vec<u8>) -> Vec<u8>;
 
+    /// Reads or updates the orders in the platform's store for an instance that does not reach it.
+    /// This crate does not interpret either message.
+    async fn access_orders(call: Vec<u8>) -> Vec<u8>;
+
     /// Forwards a call with an idempotency key to the instance that batches the calls of its shard.
     /// This crate does not interpret either message. A call without a response may have been executed.
     async fn forward_call(call: Vec<u8>) -> Vec<u8>;
--- a/crates/fleet/tests/test_peer.rs
+++ b/crates/fleet/tests/test_peer.rs
@@ -39,6 +39,10 @@
         updates
     }
 
+    async fn access_orders(self, _: Context, call: Vec<u8>) -> Vec<u8> {
+        call
+    }
+
     async fn forward_call(self, _: Context, call: Vec<u8>) -> Vec<u8> {
         call
     }
--- a/crates/relay/src/held_versions.rs
+++ b/crates/relay/src/held_versions.rs
@@ -6,9 +6,12 @@
 
 use crate::{Target, TargetEntry, Targets};
 
-/// How long a new version of a service gets no requests without an order. Its targets are listed
-/// before its order is known, which takes about 1.25 s.
+/// The minimum time for which a new version of a service gets no requests without an order. Its
+/// targets are listed before its order is known, which takes about 1.25 s.
 const HOLD_TIME: Duration = Duration::from_secs(3);
+/// The time after which the order of a new version has been given, if it gets one. Half of the hold
+/// time is left for reading the orders and reporting them.
+const ORDER_TIME: Duration = Duration::from_millis(1_500);
 
 impl Targets {
     /// Holds back a version that is new at a service with other versions.
@@ -23,7 +26,24 @@
             return;
         }
         let key = (entry.service.clone(), entry.version.clone());
-        self.held_versions.insert(key, now + HOLD_TIME);
+        self.held_versions.insert(key, now);
+    }
+
+    /// Records that the orders in the store were read at a moment or later, and that the order of
+    /// each service was reported.
+    pub fn record_orders_read(&mut self, at: Instant) {
+        self.orders_read = self.orders_read.max(Some(at));
+    }
+
+    /// Returns when the orders were last read; `None` if that is not known.
+    pub fn orders_read(&self) -> Option<Instant> {
+        self.orders_read
+    }
+
+    /// Returns whether any version is held back, so that the orders have to be read.
+    pub fn has_held_versions(&self, now: Instant) -> bool {
+        let mut first_seen = self.held_versions.values();
+        first_seen.any(|at| !self.is_released(*at, now))
     }
 
     /// Returns whether a target's version is held back.
@@ -34,6 +54,22 @@
         let key = (target.entry.service.clone(), target.entry.version.clone());
         self.held_versions
             .get(&key)
-            .is_some_and(|until| *until > now)
+            .is_some_and(|first_seen| !self.is_released(*first_seen, now))
+    }
+
+    /// Forgets versions that are no longer held back.
+    pub(crate) fn sweep_held_versions(&mut self, now: Instant) {
+        let mut held = std::mem::take(&mut self.held_versions);
+        held.retain(|_, first_seen| !self.is_released(*first_seen, now));
+        self.held_versions = held;
+    }
+
+    /// Returns whether a version without an order may get requests. Time alone does not show that
+    /// it has none: the orders may have been unreadable.
+    fn is_released(&self, first_seen: Instant, now: Instant) -> bool {
+        let is_read = self
+            .orders_read
+            .is_some_and(|at| at >= first_seen + ORDER_TIME);
+        is_read && now >= first_seen + HOLD_TIME
     }
 }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -75,8 +75,10 @@
     pub(crate) held_parts: HashMap<u64, HeldPart>,
     /// Recent measurements of streams.
     pub history: History,
-    /// New versions that get no requests without an order, and until when.
+    /// New versions that get no requests without an order, and when they were first seen.
     pub(crate) held_versions: HashMap<(ServiceName, VersionName), Instant>,
+    /// When the orders were last read.
+    pub(crate) orders_read: Option<Instant>,
     /// Restarted engines that the store does not list, to be reported to other instances.
     pub(crate) restarts: Vec<Restart>,
     /// When the list was last known to be the store's newest one.
@@ -546,7 +548,7 @@
         self.quality.sweep(now);
         self.event_times.sweep(now);
         self.sweep_held_parts(now);
-        self.held_versions.retain(|_, until| *until > now);
+        self.sweep_held_versions(now);
         self.restarts.retain(|restart| restart.is_recent(now));
         let is_kept = |at: Instant| now.saturating_duration_since(at) < DEPARTED_TTL;
         self.departed.retain(|_, at| is_kept(*at));
--- a/crates/relay/src/watchers.rs
+++ b/crates/relay/src/watchers.rs
@@ -34,6 +34,9 @@
     /// The time since its revision of the targets was last known to be the newest one, in
     /// milliseconds; `None` if it never was.
     pub targets_age_ms: Option<u32>,
+    /// The time since the orders of operators were last read, in milliseconds; `None` if they never
+    /// were.
+    pub orders_age_ms: Option<u32>,
     /// Whether a newer version is being transferred to the instance.
     pub is_superseded: bool,
     /// The time since the store's last response to it, in milliseconds.
@@ -62,6 +65,11 @@
             at: now.checked_sub(age)?,
         })
     }
+
+    /// Returns when the orders of operators were last read; `None` if the sender does not know it.
+    pub fn orders_read_at(&self, now: Instant) -> Option<Instant> {
+        now.checked_sub(Duration::from_millis(self.orders_age_ms?.into()))
+    }
 }
 
 /// The notices of instances that watch the store.
@@ -89,6 +97,7 @@
 ///     config_revision: 6,
 ///     config_age_ms: Some(300),
 ///     targets_age_ms: Some(300),
+///     orders_age_ms: None,
 ///     is_superseded: false,
 ///     age_ms: 300,
 /// };
@@ -180,6 +189,18 @@
                 .any(|notice| is_relied_on(notice, self.max_age(), now))
     }
 
+    /// Returns the instances whose notices are relied on, by the time since the store last responded
+    /// to their watchers.
+    pub fn in_contact(&self, now: Instant) -> Vec<u64> {
+        let notices = self.notices.values();
+        let relied_on = notices.filter(|notice| is_relied_on(notice, self.max_age(), now));
+        let mut origins: Vec<(Duration, u64)> = relied_on
+            .map(|known| (age(known, now), known.0.origin))
+            .collect();
+        origins.sort_unstable();
+        origins.into_iter().map(|(_, origin)| origin).collect()
+    }
+
     /// Returns the notice with the highest revision of the targets, if it is above this one.
     pub fn newer(&self, revision: u64, now: Instant) -> Option<Notice> {
         let notices = self.notices.values();
--- a/crates/relay/tests/test_freshness.rs
+++ b/crates/relay/tests/test_freshness.rs
@@ -310,6 +310,7 @@
         config_revision: 0,
         config_age_ms: None,
         targets_age_ms: None,
+        orders_age_ms: None,
         is_superseded: false,
         age_ms: 10,
     };
--- a/crates/relay/tests/test_placement.rs
+++ b/crates/relay/tests/test_placement.rs
@@ -208,8 +208,9 @@
 }
 
 /// Operators start targets of another version and order it a moment later. Guards against requests
-/// to the version before the order is known. Without an order it gets requests after a while, and a
-/// service with a single version gets them at once.
+/// to the version before the order is known, also if the orders cannot be read for longer than it is
+/// usually held back. Without an order it gets requests after a while, and a service with a single
+/// version gets them at once.
 #[test]
 fn new_version_is_held_back_until_its_order() {
     let now = Instant::now();
@@ -227,7 +228,15 @@
         selections.any(|key| key == new)
     };
     assert!(!gets(&targets, now));
-    assert!(gets(&targets, now + Duration::from_secs(4)));
+    let later = now + Duration::from_secs(4);
+    // The order may have been given after this read.
+    targets.record_orders_read(now + Duration::from_secs(1));
+    assert!(!gets(&targets, later));
+    assert!(targets.has_held_versions(later));
+    targets.record_orders_read(now + Duration::from_secs(2));
+    assert!(gets(&targets, later));
+    assert!(!targets.has_held_versions(later));
+    assert!(!gets(&targets, now + Duration::from_millis(2_900)));
     let choice = VersionChoice::Only("v2".into());
     let ordered = TargetQuery {
         choice: &choice,
--- a/crates/relay/tests/test_shared_state.rs
+++ b/crates/relay/tests/test_shared_state.rs
@@ -236,6 +236,7 @@
         config_revision: 5,
         config_age_ms: Some(10),
         targets_age_ms: Some(10),
+        orders_age_ms: None,
         is_superseded: false,
         age_ms,
     };
@@ -262,6 +263,7 @@
             config_revision: 4,
             config_age_ms: Some(10),
             targets_age_ms: Some(10),
+            orders_age_ms: None,
             is_superseded: false,
             age_ms: 10,
         };
@@ -287,6 +289,7 @@
             config_revision: 4,
             config_age_ms: Some(10),
             targets_age_ms: Some(10),
+            orders_age_ms: None,
             is_superseded: false,
             age_ms: 10,
         };
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -87,6 +87,11 @@
         self.0.rollouts.handle_exchange(&self.0, &state)
     }
 
+    /// Returns nothing: only instances in the relay role have such orders.
+    async fn access_orders(self, _: Context, _: Vec<u8>) -> Vec<u8> {
+        Vec::new()
+    }
+
     async fn forward_call(self, _: Context, call: Vec<u8>) -> Vec<u8> {
         forward::answer(&self.0, &call).await
     }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -184,6 +184,21 @@
         )
     }
 
+    /// Reads or updates the orders in the platform's store through a peer.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerCallError`]; after `Unreachable`, nothing was sent.
+    pub async fn access_orders(&self, to: SocketAddr, call: Vec<u8>) -> PeerResult<Vec<u8>> {
+        let client = self.client(to).await?;
+        self.check(
+            to,
+            client
+                .access_orders(context_with_timeout(SHORT_CALL_TIMEOUT), call)
+                .await,
+        )
+    }
+
     /// Sends the known rollout state and returns that of the peer.
     ///
     /// # Errors
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -20,6 +20,7 @@
 mod lease;
 mod members;
 mod open_request;
+mod order_proxy;
 mod order_store;
 mod peer_relay;
 mod peer_service;
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -157,6 +157,9 @@
     if let Some(seen) = notice.targets_observation(earliest_arrival) {
         view.observe_targets(seen);
     }
+    if let Some(at) = notice.orders_read_at(earliest_arrival) {
+        view.targets().record_orders_read(at);
+    }
     view.report_config(notice.config, now);
     view.targets_freshness().report(notice.revision, now);
     if notice.is_superseded {
@@ -226,6 +229,8 @@
     // with the age of the previous one.
     let freshness = state.view.config_freshness().clone();
     let targets_age = state.view.targets_freshness().age(now);
+    let orders_read = state.view.targets().orders_read();
+    let orders_age = orders_read.map(|at| now.saturating_duration_since(at));
     let (revision, config) = (state.view.targets_revision(), state.view.config_version());
     let watchers_age = || state.watch_duty.watchers().age(revision, config, now);
     let Some(age) = state.watch_duty.age(now).or_else(watchers_age) else {
@@ -238,6 +243,7 @@
         config_revision: freshness.revision().unwrap_or_default(),
         config_age_ms: freshness.age(now).map(millis),
         targets_age_ms: targets_age.map(millis),
+        orders_age_ms: orders_age.map(millis),
         is_superseded: state.view.is_receiving.load(Relaxed),
         age_ms: millis(age),
     };
--- a/daemon/src/relay/order_store.rs
+++ b/daemon/src/relay/order_store.rs
@@ -4,11 +4,13 @@
 use celerypond_platform::{Listing, PlatformError, Version};
 use celerypond_relay::{Order, Phase};
 use celerypond_types::VersionName;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::state::RelayState;
+use super::{order_proxy, state::RelayState};
 
 /// An order in the store, with its stored phase.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct StoredOrder {
     pub(super) key: SmolStr,
     /// The version of the order's object in the store.
@@ -18,6 +20,7 @@
 }
 
 /// A phase of an order that the store does not have yet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct StatusUpdate {
     /// The key of the order.
     pub(super) key: SmolStr,
@@ -29,7 +32,7 @@
 }
 
 /// The result of a write of an order's status.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum StatusWrite {
     /// The store has the phase, at this version of the order's object.
     Stored(Version),
@@ -40,7 +43,7 @@
 }
 
 /// How recent a read of the orders has to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Read {
     /// The result may be seconds old.
     Stale,
@@ -48,8 +51,25 @@
     Current,
 }
 
-/// Returns the orders in the store, or `None` if it does not answer.
+/// Returns the orders in the store, or `None` if neither this instance nor another one can read
+/// them.
 pub(super) async fn fetch_orders(state: &RelayState, read: Read) -> Option<Vec<StoredOrder>> {
+    // A call to a store that does not answer takes as long as its timeout.
+    if state.watch_duty.is_lost() {
+        let found = order_proxy::read(state, read).await;
+        return match found {
+            Some(found) => Some(found),
+            None => read_directly(state, read).await,
+        };
+    }
+    match read_directly(state, read).await {
+        Some(found) => Some(found),
+        None => order_proxy::read(state, read).await,
+    }
+}
+
+/// Returns the orders in the store, or `None` if it does not answer this instance.
+pub(super) async fn read_directly(state: &RelayState, read: Read) -> Option<Vec<StoredOrder>> {
     let listing = match read {
         Read::Stale => state.store.list_stale(rollout::ORDERS_PREFIX).await,
         Read::Current => state.store.list_all(rollout::ORDERS_PREFIX).await,
@@ -91,8 +111,26 @@
     key.matches('/').count() > 1
 }
 
-/// Writes the phase of an order to the store, if the order's object is unchanged.
+/// Writes the phase of an order to the store, if the order's object is unchanged, itself or through
+/// another instance.
 pub(super) async fn store_phase(state: &RelayState, status_update: &StatusUpdate) -> StatusWrite {
+    if state.watch_duty.is_lost() {
+        return match order_proxy::write(state, status_update).await {
+            StatusWrite::Failed => write_directly(state, status_update).await,
+            written => written,
+        };
+    }
+    match write_directly(state, status_update).await {
+        StatusWrite::Failed => order_proxy::write(state, status_update).await,
+        written => written,
+    }
+}
+
+/// Writes the phase of an order to the store, if the order's object is unchanged.
+pub(super) async fn write_directly(
+    state: &RelayState,
+    status_update: &StatusUpdate,
+) -> StatusWrite {
     let status_key = rollout::status_key(&status_update.key);
     let value = rollout::encode_status(&status_update.target_version, status_update.phase);
     let known_version = status_update.known_object_version;
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -9,7 +9,7 @@
 use tarpc::context::Context;
 use tokio::{net::TcpListener, sync::Semaphore, time::Instant};
 
-use super::{members, state::RelayState};
+use super::{members, order_proxy, state::RelayState};
 use crate::listener;
 
 /// The maximum number of concurrent transfers of all targets or of a configuration to other
@@ -99,6 +99,10 @@
         Vec::new()
     }
 
+    async fn access_orders(self, _: Context, call: Vec<u8>) -> Vec<u8> {
+        order_proxy::answer(&self.state, &call).await
+    }
+
     async fn forward_call(self, _: Context, _: Vec<u8>) -> Vec<u8> {
         Vec::new()
     }
--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -33,6 +33,9 @@
 /// report stops the targets of the old version, and requests that still run there are lost; calls
 /// take about 60 ms.
 const SETTLE_DELAY: Duration = Duration::from_millis(300);
+/// How long a new driver reads the current orders, since other instances may hold back a version that
+/// is not new to this one.
+const NEW_DRIVER_TIME: Duration = Duration::from_secs(5);
 /// The time between two rounds after which this instance was paused. Other instances ignore its last
 /// shares by then, and may have another driver.
 const MAX_ROUND_GAP: Duration = Duration::from_millis(1_500);
@@ -96,14 +99,21 @@
     let mut round = tokio::time::interval(ROUND_INTERVAL);
     round.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut last_round, mut last_poll): (Option<Instant>, Option<Instant>) = (None, None);
+    let mut driver_since = Instant::now();
+    let mut previous = None;
     loop {
         tokio::select! {
             () = state.ending.cancelled() => return,
             _ = round.tick() => {}
         }
-        match fleet::driver(&state) {
+        let driver = fleet::driver(&state);
+        if previous.replace(driver) != Some(driver) {
+            log_driver(&state, driver);
+        }
+        match driver {
             Some(driver) => {
                 (last_round, last_poll) = (None, None);
+                driver_since = Instant::now();
                 lock(&state.rollouts.driven).clear();
                 send_reports(&state, &socket, driver).await;
             }
@@ -116,7 +126,7 @@
                 }
                 if last_poll.is_none_or(|at| at.elapsed() >= POLL_INTERVAL) {
                     last_poll = Some(Instant::now());
-                    poll_orders(&state).await;
+                    poll_orders(&state, driver_since).await;
                 }
                 drive(&state, &socket).await;
                 last_round = Some(Instant::now());
@@ -125,6 +135,15 @@
     }
 }
 
+fn log_driver(state: &RelayState, driver: Option<SocketAddr>) {
+    log::info!(
+        instance = state.settings.load().instance.as_str(),
+        is_driver = driver.is_none(),
+        driver = driver.map(|driver| driver.to_string());
+        "driver of rollouts changed"
+    );
+}
+
 async fn send_reports(state: &RelayState, socket: &UdpSocket, driver: SocketAddr) {
     let reports = state.rollouts.versions().reports(state.fleet.load().origin);
     for (service, report) in reports {
@@ -133,8 +152,14 @@
 }
 
 /// Reads the orders. A stale read suffices to find one, but not to take it: it may lack the phase
-/// that another driver has stored.
-async fn poll_orders(state: &RelayState) {
+/// that another driver has stored. Nor does it show that a new version has no order.
+async fn poll_orders(state: &RelayState, driver_since: Instant) {
+    let now = Instant::now();
+    let is_new = now.saturating_duration_since(driver_since) < NEW_DRIVER_TIME;
+    if is_new || state.view.targets().has_held_versions(now) {
+        read_current_orders(state).await;
+        return;
+    }
     let Some(found) = order_store::fetch_orders(state, Read::Stale).await else {
         return;
     };
@@ -150,12 +175,13 @@
 
 /// Reads the current state of the orders. Returns whether the store has answered.
 async fn read_current_orders(state: &RelayState) -> bool {
-    let found = order_store::fetch_orders(state, Read::Current).await;
-    let is_known = found.is_some();
-    if let Some(found) = found {
-        update_driven_orders(state, found);
-    }
-    is_known
+    let started = Instant::now();
+    let Some(found) = order_store::fetch_orders(state, Read::Current).await else {
+        return false;
+    };
+    update_driven_orders(state, found);
+    state.view.targets().record_orders_read(started);
+    true
 }
 
 fn update_driven_orders(state: &RelayState, found: Vec<StoredOrder>) {
