targets: pass on removals whose object has an older revision

Callers would see: the watchers drop a target whose entry was removed, and all other instances go on sending it requests until they get a whole list.

Cause: the changes that watchers keep for others were logged under the revision of each object. If a removed object still has the revision that it had before, or none, others know a later one already and are not sent the removal.

Change: a change that claims to be no newer than the start of its answer is logged under the revision of the answer.

Found by `target_that_left_around_a_partition_of_the_watchers_is_not_used_after_the_drain_bound`, which covers partitions of 0.2 to 4 s of one watcher and of both.

--- a/daemon/src/relay/store_view.rs
+++ b/daemon/src/relay/store_view.rs
@@ -265,16 +265,23 @@
         if revision <= *current_revision {
             return;
         }
-        *current_revision = revision;
+        let previous_revision = std::mem::replace(&mut *current_revision, revision);
         self.targets_freshness().set_current(revision);
         let now = Instant::now();
         let mut targets = self.targets();
         for (at, change) in changes {
-            targets.record_change(*at, change.name());
+            // A removed object may still have the revision that it had before. Other instances would
+            // not be notified of its removal, as they know the targets up to a later revision.
+            let at = if *at > previous_revision {
+                *at
+            } else {
+                revision
+            };
+            targets.record_change(at, change.name());
             if targets.apply(change, now) {
-                log::info!(revision = *at, source:? = source, change:? = change; "target changed");
+                log::info!(revision = at, source:? = source, change:? = change; "target changed");
             } else if targets.is_missing(change.name()) {
-                log::info!(revision = *at, source:? = source, target = change.name().as_str(); "target missing");
+                log::info!(revision = at, source:? = source, target = change.name().as_str(); "target missing");
             }
         }
         drop(targets);
