rollouts: read the current orders every five seconds

Callers would see: an instance that sees a new version seconds after the driver, as after a partition, sends it no requests until the instance ends, or only as the last resort.

Cause: since a version is released by a read of the orders that began 1.5 s after the instance first saw it, and the driver made such reads only while it held a version itself or was new.

Evidence: found by reading.

Change: the driver reads the current orders if its last such read is 5 s old, in place of reads in the first 5 s of a driver.

--- a/daemon/src/relay/rollouts.rs
+++ b/daemon/src/relay/rollouts.rs
@@ -33,9 +33,9 @@
 /// report stops the targets of the old version, and requests that still run there are lost; calls
 /// take about 60 ms.
 const SETTLE_DELAY: Duration = Duration::from_millis(300);
-/// How long a new driver reads the current orders, since other instances may hold back a version that
-/// is not new to this one.
-const NEW_DRIVER_TIME: Duration = Duration::from_secs(5);
+/// The maximum time between two reads of the current orders. Another instance may hold back a version
+/// that this one has used for a while, and needs a later read.
+const MAX_READ_INTERVAL: Duration = Duration::from_secs(5);
 /// The time between two rounds after which this instance was paused. Other instances ignore its last
 /// shares by then, and may have another driver.
 const MAX_ROUND_GAP: Duration = Duration::from_millis(1_500);
@@ -99,7 +99,6 @@
     let mut round = tokio::time::interval(ROUND_INTERVAL);
     round.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut last_round, mut last_poll): (Option<Instant>, Option<Instant>) = (None, None);
-    let mut driver_since = Instant::now();
     let mut previous = None;
     loop {
         tokio::select! {
@@ -113,7 +112,6 @@
         match driver {
             Some(driver) => {
                 (last_round, last_poll) = (None, None);
-                driver_since = Instant::now();
                 lock(&state.rollouts.driven).clear();
                 send_reports(&state, &socket, driver).await;
             }
@@ -126,7 +124,7 @@
                 }
                 if last_poll.is_none_or(|at| at.elapsed() >= POLL_INTERVAL) {
                     last_poll = Some(Instant::now());
-                    poll_orders(&state, driver_since).await;
+                    poll_orders(&state).await;
                 }
                 drive(&state, &socket).await;
                 last_round = Some(Instant::now());
@@ -153,10 +151,8 @@
 
 /// Reads the orders. A stale read suffices to find one, but not to take it: it may lack the phase
 /// that another driver has stored. Nor does it show that a new version has no order.
-async fn poll_orders(state: &RelayState, driver_since: Instant) {
-    let now = Instant::now();
-    let is_new = now.saturating_duration_since(driver_since) < NEW_DRIVER_TIME;
-    if is_new || state.view.targets().has_held_versions(now) {
+async fn poll_orders(state: &RelayState) {
+    if needs_current_orders(state) {
         read_current_orders(state).await;
         return;
     }
@@ -173,6 +169,13 @@
     }
 }
 
+fn needs_current_orders(state: &RelayState) -> bool {
+    let now = Instant::now();
+    let targets = state.view.targets();
+    let is_due = |at| now.saturating_duration_since(at) >= MAX_READ_INTERVAL;
+    targets.has_held_versions(now) || targets.orders_read().is_none_or(is_due)
+}
+
 /// Reads the current state of the orders. Returns whether the store has answered.
 async fn read_current_orders(state: &RelayState) -> bool {
     let started = Instant::now();
