stream: do not promise that a failed stream has not run

Callers saw: an engine runs a stream that must not be resumed and answers it with 503 (or 408, 421, 429) without saying that it has not run it.

Cause: requests with a single response replace such a status by a failure that promises nothing; streams lacked that check.

Change: both paths use `implies_not_run`, and such a stream ends as failed (502, without the engine's signature).

--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -145,3 +145,9 @@
     let close = HeaderValue::from_static("close");
     reply.headers_mut().insert(CONNECTION, close);
 }
+
+/// Returns whether callers conclude from this status that the request has not run. A target that
+/// does not say so itself may have run it.
+pub(super) fn implies_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -5,7 +5,6 @@
 use celerypond_relay::{
     running_timeout_at, AttemptFailure, NextStep, SilenceLimits, TargetRequestHead,
 };
-use http::StatusCode;
 use tokio::time::Instant;
 
 use super::{
@@ -96,7 +95,7 @@
     let (status, headers) = (peer.response.status, peer.response.headers.clone());
     let reason = Reason::Peer(peer.address);
     peer.keep(&request.state);
-    if implies_not_run(status) && request.may_have_run() {
+    if reply::implies_not_run(status) && request.may_have_run() {
         return Ok(reply::final_reply(NextStep::Failed, request));
     }
     Ok(reply::relayed(
@@ -169,7 +168,7 @@
     let body = read_body(&mut response.body, request.time_left()).await?;
     let (status, headers) = (response.status, response.headers.clone());
     response.keep(&request.state, lease);
-    if implies_not_run(status) {
+    if reply::implies_not_run(status) {
         return Err(AttemptFailure::Failed(status.as_u16()));
     }
     Ok(reply::relayed(
@@ -179,9 +178,3 @@
         Reason::Relayed(lease.name.clone()),
     ))
 }
-
-/// Returns whether callers conclude from this status that the request has not run. A target that
-/// does not say so itself may have run it.
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 408 | 421 | 429 | 503)
-}
--- a/daemon/src/relay/stream.rs
+++ b/daemon/src/relay/stream.rs
@@ -34,6 +34,9 @@
         return reply::final_reply(NextStep::Failed, &relayed.request);
     };
     match read_body(&mut response.body, time_left).await {
+        Ok(_) if reply::implies_not_run(head.status) => {
+            reply::final_reply(NextStep::Failed, &relayed.request)
+        }
         Ok(body) => reply::relayed(
             head.status,
             &head.headers,
