peer_relay: drop a caller's own `run-copy` header

Callers would see: a stream that is relayed through another instance goes on from the memory of another request, if its caller sends a header `run-copy` that names one.

Cause: the header is for instances among each other. It was replaced if the stream has a copy, and otherwise passed on with the caller's headers.

Evidence: found by reading in the review; `header_for_instances_is_not_taken_from_callers` fails before this commit, the engine gets the named copy in `kv-from`.

Change: the header is removed from what callers sent.

--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -191,6 +191,8 @@
         headers::relayed_request_headers(&caller_request.headers, time_left, run.last_event);
     let version = request.state.view.config_version();
     headers.insert(CONFIG_VERSION, HeaderValue::from(version));
+    // One of the caller's own would be taken for the copy of this run.
+    headers.remove(RUN_COPY);
     if let Some(copy) = run.copy.and_then(|copy| copy_header(&request.state, copy)) {
         headers.insert(RUN_COPY, copy);
     }
