relay: let a begun stream wait for an engine until its caller abandons it

Cause: a stream without an engine waited for six seconds, whatever its caller would wait. Nothing is lost by waiting longer: it holds no engine and spends no retry.

Change: it waits for the longest of 2 s, four times the target for the first event and eight times that for gaps, after which callers abandon a stream, and no longer than the deadline. How long an engine that accepts no connections is waited for stays 6 s.

--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -95,8 +95,11 @@
 pub struct EngineWait {
     /// The maximum wait of a stream before its first event.
     pub before_first_event: Duration,
-    /// The maximum wait of a stream after its first event.
+    /// The maximum wait of a stream after its first event for an engine that accepts no connections.
     pub after_first_event: Duration,
+    /// The maximum wait of a stream after its first event if it has no engine. Nothing is lost by
+    /// waiting until the caller abandons the stream.
+    pub without_engine: Duration,
     /// The interval between two attempts to find an engine.
     pub poll_interval: Duration,
 }
@@ -104,18 +107,27 @@
 /// The share of the target for the first event that may be spent waiting for an engine; the rest is
 /// for reading the prompt.
 const ENGINE_WAIT_SHARE: f64 = 0.4;
-/// How long a stream waits after its first event. Callers abandon streams after longer gaps, and
-/// engines start within one or two seconds.
+/// How long a stream waits after its first event for an engine that accepts no connections. Engines
+/// start within one or two seconds.
 const RESUMED_STREAM_WAIT: Duration = Duration::from_secs(6);
+/// The gap between events after which callers abandon a stream: the longest of this time and of these
+/// multiples of the targets for the first event and for gaps.
+const MIN_ABANDON_GAP: Duration = Duration::from_secs(2);
+const ABANDON_GAP_AIMS: u32 = 4;
+const ABANDON_GAPS: u32 = 8;
 /// The interval between two attempts to find an engine.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 impl EngineWait {
-    /// Returns the wait on a route with this target for the first event.
-    pub fn for_route(aim: Duration) -> Self {
+    /// Returns the wait on a route with this target for the first event, and for gaps between
+    /// events.
+    pub fn for_route(aim: Duration, gap_aim: Option<Duration>) -> Self {
+        let gap_aim = gap_aim.unwrap_or_default();
+        let abandoned = (aim * ABANDON_GAP_AIMS).max(gap_aim * ABANDON_GAPS);
         Self {
             before_first_event: aim.mul_f64(ENGINE_WAIT_SHARE),
             after_first_event: RESUMED_STREAM_WAIT,
+            without_engine: abandoned.max(MIN_ABANDON_GAP),
             poll_interval: POLL_INTERVAL,
         }
     }
@@ -123,7 +135,7 @@
     /// Returns whether a stream that has waited for this time may wait for another interval.
     pub fn may_continue(&self, waited: Duration, has_begun: bool) -> bool {
         let most = if has_begun {
-            self.after_first_event
+            self.without_engine
         } else {
             self.before_first_event
         };
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -220,7 +220,7 @@
     ///
     /// Returns `next` once the stream has waited for as long as it may.
     async fn wait_for_retry(&mut self, started: Instant, next: NextStep) -> Result<(), NextStep> {
-        let wait = EngineWait::for_route(self.request.route.aim);
+        let wait = self.engine_wait();
         let has_begun = self.events.forwarded() > 0;
         loop {
             if !wait.may_continue(started.elapsed(), has_begun)
@@ -436,7 +436,7 @@
     /// Returns how long an engine or instance may accept no connections while the stream cannot go
     /// elsewhere.
     pub(super) fn max_dead_time(&self) -> Duration {
-        let wait = EngineWait::for_route(self.request.route.aim);
+        let wait = self.engine_wait();
         match self.events.forwarded() {
             0 => wait.before_first_event,
             _ => wait.after_first_event,
@@ -479,7 +479,7 @@
     /// up, or if the request's time is over.
     fn wait_on(&self, key: TargetKey, since: Instant, end: Instant) -> Option<Instant> {
         let now = Instant::now();
-        let wait = EngineWait::for_route(self.request.route.aim);
+        let wait = self.engine_wait();
         let keeps_last = self.events.forwarded() > 0 && now < since + wait.after_first_event;
         if now >= end || self.request.try_give_up(AttemptFailure::Silent, keeps_last) {
             return None;
@@ -513,6 +513,11 @@
         tokio::time::sleep(wait).await;
     }
 
+    fn engine_wait(&self) -> EngineWait {
+        let route = &self.request.route;
+        EngineWait::for_route(route.aim, route.gap_aim)
+    }
+
     fn silence_limits(&self, key: TargetKey) -> SilenceLimits {
         let reading = self
             .request
