--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -33,6 +33,7 @@
 mod reply;
 mod request;
 mod restarted_engines;
+mod rollout_driver;
 mod rollouts;
 mod routed_request;
 mod run_copy;
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -21,7 +21,7 @@
     callers, config_sync, datagrams, endpoints, fleet, fullness, members, peer_relay, peer_service,
     reachability, reload,
     request::Origin,
-    restarted_engines, rollouts,
+    restarted_engines, rollout_driver,
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
 };
@@ -151,7 +151,7 @@
     let datagram_socket = UdpSocket::bind(address).await;
     let datagram_socket = datagram_socket.change_context(RelayError::Listen(address))?;
     let datagram_socket = Arc::new(datagram_socket);
-    state.tasks.spawn(rollouts::run(
+    state.tasks.spawn(rollout_driver::run(
         Arc::clone(state),
         Arc::clone(&datagram_socket),
     ));
