daemon: send notices of any kind to all instances from one task

The task that notifies other instances of full brittle targets took only this kind of notice; another kind would have needed a second channel and task. No change of behaviour.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -19,6 +19,7 @@
 mod inbox;
 mod lease;
 mod members;
+mod notices;
 mod open_request;
 mod order_proxy;
 mod order_store;
--- a/daemon/src/relay/fullness.rs
+++ b/daemon/src/relay/fullness.rs
@@ -1,34 +1,10 @@
 //! Notices among instances that brittle targets are full or accept requests again.
 
-use std::sync::Arc;
-
 use celerypond_relay::FullnessNotice;
 use celerypond_types::TargetKey;
-use tokio::{net::UdpSocket, sync::mpsc, time::Instant};
-
-use super::{
-    datagrams::{self, Datagram},
-    state::RelayState,
-};
+use tokio::time::Instant;
 
-/// Sends the notices of this instance until it ends.
-pub(super) async fn run(
-    state: Arc<RelayState>,
-    socket: Arc<UdpSocket>,
-    mut notices: mpsc::UnboundedReceiver<FullnessNotice>,
-) {
-    loop {
-        let notice = tokio::select! {
-            () = state.ending.cancelled() => return,
-            notice = notices.recv() => notice,
-        };
-        let Some(notice) = notice else {
-            return;
-        };
-        let peers = state.fleet.load_full();
-        datagrams::send(&socket, &peers.live_peers, &Datagram::Fullness(notice)).await;
-    }
-}
+use super::{datagrams::Datagram, state::RelayState};
 
 /// Records that a target rejected a request of this instance for want of room.
 pub(super) fn record_rejection(state: &RelayState, key: TargetKey) {
@@ -59,8 +35,7 @@
         target_hash,
         is_full,
     };
-    // The receiver is gone only if the instance ends.
-    let _ = state.fullness_notices.send(notice);
+    state.notify_peers(Datagram::Fullness(notice));
 }
 
 /// Handles the notice of another instance.
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use celerypond_relay::{FullnessNotice, Settings};
+use celerypond_relay::Settings;
 use celerypond_telemetry::Counter;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
@@ -18,8 +18,9 @@
 };
 
 use super::{
-    callers, config_sync, datagrams, endpoints, fleet, fullness, members, peer_relay, peer_service,
-    reachability, reload,
+    callers, config_sync,
+    datagrams::{self, Datagram},
+    endpoints, fleet, members, notices, peer_relay, peer_service, reachability, reload,
     request::Origin,
     restarted_engines, rollout_driver,
     state::{Outdated, RelayState},
@@ -84,10 +85,10 @@
     /// A [`RelayError`] if an address cannot be listened on.
     pub async fn start(settings: Settings) -> Result<Self, Report<RelayError>> {
         let gossip = members::gossip(&settings, Instant::now());
-        let (fullness_sender, fullness_notices) = mpsc::unbounded_channel();
-        let state = Arc::new(RelayState::new(settings, gossip, fullness_sender));
+        let (notice_sender, notices) = mpsc::unbounded_channel();
+        let state = Arc::new(RelayState::new(settings, gossip, notice_sender));
         fleet::refresh(&state);
-        listen(&state, fullness_notices).await?;
+        listen(&state, notices).await?;
         let settings = state.settings.load_full();
         log::info!(
             instance = settings.instance.as_str(),
@@ -140,7 +141,7 @@
 
 async fn listen(
     state: &Arc<RelayState>,
-    fullness_notices: mpsc::UnboundedReceiver<FullnessNotice>,
+    notices: mpsc::UnboundedReceiver<Datagram>,
 ) -> Result<(), Report<RelayError>> {
     let settings = state.settings.load_full();
     let address = members::address(&settings);
@@ -155,10 +156,10 @@
         Arc::clone(state),
         Arc::clone(&datagram_socket),
     ));
-    state.tasks.spawn(fullness::run(
+    state.tasks.spawn(notices::run(
         Arc::clone(state),
         Arc::clone(&datagram_socket),
-        fullness_notices,
+        notices,
     ));
     state.tasks.spawn(reachability::run(
         Arc::clone(state),
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -9,8 +9,8 @@
 use celerypond_fleet::Gossip;
 use celerypond_platform::{Client, Rates};
 use celerypond_relay::{
-    FullnessNotice, Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale,
-    StaleWait, UsualDeadlines,
+    Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait,
+    UsualDeadlines,
 };
 use celerypond_telemetry::{Counter, Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
@@ -21,8 +21,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
-    connections::Connections, fleet::Fleet, rollouts::Rollouts, store_view::StoreView,
-    watch_duty::WatchDuty,
+    connections::Connections, datagrams::Datagram, fleet::Fleet, rollouts::Rollouts,
+    store_view::StoreView, watch_duty::WatchDuty,
 };
 use crate::peers::Peers;
 
@@ -53,8 +53,8 @@
     pub(super) connections: Connections,
     /// Connections to other instances, through which requests are relayed.
     pub(super) peer_connections: Connections,
-    /// Notices for other instances that brittle targets are full or not.
-    pub(super) fullness_notices: mpsc::UnboundedSender<FullnessNotice>,
+    /// Notices for all other instances.
+    notices: mpsc::UnboundedSender<Datagram>,
     /// Notifies that a target could not be connected to.
     pub(super) connection_failed: Notify,
     partitions: Mutex<Partitions>,
@@ -110,7 +110,7 @@
     pub(super) fn new(
         settings: Settings,
         gossip: Gossip,
-        fullness_notices: mpsc::UnboundedSender<FullnessNotice>,
+        notices: mpsc::UnboundedSender<Datagram>,
     ) -> Self {
         let store = celerypond_platform::ClientSettings {
             addresses: vec![settings.store.address],
@@ -127,7 +127,7 @@
             watch_duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::new(settings.ip),
             peer_connections: Connections::new(settings.ip),
-            fullness_notices,
+            notices,
             connection_failed: Notify::new(),
             partitions: Mutex::default(),
             peer_partitions: Mutex::default(),
@@ -164,6 +164,12 @@
         self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends a notice to all other instances.
+    pub(super) fn notify_peers(&self, notice: Datagram) {
+        // The receiver is gone only if the instance ends.
+        let _ = self.notices.send(notice);
+    }
+
     /// Returns the services whose targets this instance does not reach.
     pub(super) fn partitions(&self) -> MutexGuard<'_, Partitions> {
         self.partitions
