relay: bound the targets that end under one request

Cause: an end counted against the target only, never against the request that ran there. The one bound was the route's number of attempts, 5 on the users' sites, kept by request id and by process, so a caller's retry or resume, at the same or another instance, began anew.

Change: instances count ends by the content of a request (account, method, path, own part of the prompt, body) in TargetLosses, and notify each other of them; a relayed request carries them along. A connection that breaks is followed by one probe, which tells an end from a reset (AttemptFailure::Ended). After three ends the request is not sent on: 502 or a broken stream if it has run, 503 at once if it has not, for 60 s after the last end. A stream that lost two targets runs apart from the others that lost the same two, in an order that all instances derive alike, so that streams that only ran beside a fatal one do not lose their third engine to it.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -28,6 +28,8 @@
     Failed(u16),
     /// The connection broke after the request may have arrived.
     Broken,
+    /// The connection broke after the request may have arrived, and the target's process has ended.
+    Ended,
     /// There was no response for longer than the target should need.
     Silent,
     /// The request's time was over while the target was still responding.
@@ -90,9 +92,19 @@
     pub const fn suggests_target_down(self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::Misdirected | Self::Broken | Self::Silent | Self::Dead
+            Self::Unsent
+                | Self::Misdirected
+                | Self::Broken
+                | Self::Ended
+                | Self::Silent
+                | Self::Dead
         )
     }
+
+    /// Returns whether the target ended while it may have run the request.
+    pub const fn ended_target(self) -> bool {
+        matches!(self, Self::Ended | Self::Dead)
+    }
 }
 
 /// The state of a request after a failed attempt.
@@ -131,6 +143,8 @@
     TooLate,
     /// Respond that it failed, and may have run.
     Failed,
+    /// Respond that it is not sent on, as too many targets ended while they ran it.
+    TargetsLost,
     /// Respond that its deadline has passed, and that it may have run.
     Expired,
 }
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -5,7 +5,7 @@
 use celerypond_types::{DataCentre, ServiceName, TargetKey};
 use tokio::time::Instant;
 
-use crate::{EngineUsage, Group, Target, Targets, VersionChoice};
+use crate::{EngineUsage, Group, Separation, Target, Targets, VersionChoice};
 
 /// The used share of an engine's slots or memory above which it gets streams only if all engines
 /// exceed it. Backups of other requests need room as well, and engines preempt streams when they
@@ -81,21 +81,10 @@
     /// that a caller's retry reaches the engine that has read its prompt. Otherwise the least
     /// loaded target is selected.
     pub fn select(&self, query: &TargetQuery<'_>, now: Instant) -> Option<Selection> {
-        let fits = |target: &&(TargetKey, &Target)| {
-            self.is_usable(target.0)
-                && target.1.entry.service == *query.service
-                && query.choice.allows(&target.1.entry.version)
-                && !query.tried.contains(&target.0)
-        };
         let loads = Loads::of(self, query, now);
-        let all = self.iter().filter(|target| fits(&target));
-        let all: Vec<(TargetKey, &Target)> = all
-            .filter(|(_, target)| !loads.has_long_backlog(target) && loads.may_send(target))
-            .collect();
+        let all = self.sendable(query, &loads);
         let available = all.iter().copied();
-        let is_ordered = matches!(query.choice, VersionChoice::Only(_));
-        let is_held = |target: &Target| !is_ordered && self.is_held(target, now);
-        let available = available.filter(|(_, target)| !target.is_avoided(now) && !is_held(target));
+        let available = available.filter(|(_, target)| self.is_available(target, query, now));
         if let Some(key) = loads.most_preferred(available) {
             return Some(Selection {
                 key,
@@ -109,6 +98,69 @@
         })
     }
 
+    /// Selects the target of a request that is to run apart from others under which the same targets
+    /// ended. Returns `None` if only targets are left that failed recently.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::{Separation, TargetQuery, Targets, VersionChoice};
+    /// use celerypond_types::{DataCentre, ServiceName};
+    /// use tokio::time::Instant;
+    ///
+    /// let (service, data_centre) = (ServiceName::new("writer"), DataCentre::new("east"));
+    /// let query = TargetQuery {
+    ///     service: &service,
+    ///     choice: &VersionChoice::Any,
+    ///     local_data_centre: &data_centre,
+    ///     tried: &[],
+    ///     affinity: Some(7),
+    ///     tie_breaker: 1,
+    ///     tokens: 800,
+    ///     is_late: false,
+    ///     instances: 1,
+    ///     capacity: Some(88_000),
+    ///     max_backlog: None,
+    /// };
+    /// let separation = Separation { seed: 1, position: 0 };
+    /// assert_eq!(Targets::default().select_apart(&query, separation, Instant::now()), None);
+    /// ```
+    pub fn select_apart(
+        &self,
+        query: &TargetQuery<'_>,
+        separation: Separation,
+        now: Instant,
+    ) -> Option<TargetKey> {
+        let loads = Loads::of(self, query, now);
+        let mut available = self.sendable(query, &loads);
+        available.retain(|(_, target)| self.is_available(target, query, now));
+        let class = |target: &Target| (!loads.has_room(target), loads.is_in_unhealthy_zone(target));
+        available
+            .sort_by_key(|(_, target)| (class(target), rendezvous_rank(separation.seed, target)));
+        let best = class(available.first()?.1);
+        let is_best = |(_, target): &&(TargetKey, &Target)| class(target) == best;
+        let count = available.iter().take_while(is_best).count();
+        Some(available[separation.position % count].0)
+    }
+
+    /// Returns the targets to which a request may be sent now, including those to avoid.
+    fn sendable(&self, query: &TargetQuery<'_>, loads: &Loads<'_>) -> Vec<(TargetKey, &Target)> {
+        let fitting = self.iter().filter(|(key, target)| {
+            self.is_usable(*key)
+                && target.entry.service == *query.service
+                && query.choice.allows(&target.entry.version)
+                && !query.tried.contains(key)
+        });
+        fitting
+            .filter(|(_, target)| !loads.has_long_backlog(target) && loads.may_send(target))
+            .collect()
+    }
+
+    fn is_available(&self, target: &Target, query: &TargetQuery<'_>, now: Instant) -> bool {
+        let is_ordered = matches!(query.choice, VersionChoice::Only(_));
+        !target.is_avoided(now) && (is_ordered || !self.is_held(target, now))
+    }
+
     /// Returns whether a target is in an unhealthy data centre, even if it is not avoided itself.
     pub fn is_doubtful(&self, key: TargetKey, query: &TargetQuery<'_>, now: Instant) -> bool {
         let data_centre = self.get(key).map(|target| &target.entry.data_centre);
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -155,7 +155,7 @@
             return;
         }
         self.failures += 1;
-        self.is_dead |= matches!(failure, AttemptFailure::Unsent | AttemptFailure::Dead);
+        self.is_dead |= failure == AttemptFailure::Unsent || failure.ended_target();
         if self.is_dead {
             self.dead_since.get_or_insert(now);
             self.found_dead_at = Some(now);
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -25,3 +25,4 @@
 mod test_rollouts;
 mod test_shared_state;
 mod test_store_backoff;
+mod test_target_losses;
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -115,6 +115,10 @@
         RequestsCut = "relay.requests_cut",
         /// Targets that accepted no connection.
         TargetsDead = "relay.targets_dead",
+        /// Targets that ended while they ran a request, counted once for each of its requests.
+        TargetsEnded = "relay.targets_ended",
+        /// Requests not sent on because too many targets ended while they ran them.
+        RequestsBlocked = "relay.requests_blocked",
         /// Services that became unreachable for this instance.
         Partitions = "relay.partitions",
         /// Requests relayed through other instances, as this one did not reach their targets.
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -33,6 +33,7 @@
 mod relocation;
 mod reply;
 mod request;
+mod request_losses;
 mod restarted_engines;
 mod rollout_driver;
 mod rollouts;
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -7,8 +7,8 @@
 };
 
 use celerypond_relay::{
-    EvidenceReport, FullnessNotice, Notice, PartitionNotice, PlacementSchedule, Placements,
-    PromptLocation, PromptLocationSchedule, Stage, Watchers,
+    EvidenceReport, FullnessNotice, LossNotice, Notice, PartitionNotice, PlacementSchedule,
+    Placements, PromptLocation, PromptLocationSchedule, Stage, Watchers,
 };
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -50,6 +50,8 @@
     Partition(PartitionNotice),
     /// Whether a brittle target is full.
     Fullness(FullnessNotice),
+    /// The targets that ended while they ran a request.
+    Losses(LossNotice),
 }
 
 /// Sends and receives datagrams until the instance ends.
@@ -126,6 +128,7 @@
         Ok(Datagram::Report(service, report)) => state.rollouts.record_report(&service, report),
         Ok(Datagram::Partition(notice)) => reachability::receive(state, notice),
         Ok(Datagram::Fullness(notice)) => fullness::receive(state, notice),
+        Ok(Datagram::Losses(notice)) => state.losses().merge(&notice, Instant::now()),
         Err(error) => log::warn!(error:% = error; "cannot decode a peer's datagram"),
     }
 }
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -159,11 +159,6 @@
         if failure.suggests_target_down() {
             self.state.placements_changed.notify_one();
         }
-        // A broken stream may mean that the engine is dead, which other instances should be told.
-        if failure == AttemptFailure::Broken && self.stream.is_some() {
-            let check = check_alive(Arc::clone(&self.state), self.key);
-            self.state.tasks.spawn(check);
-        }
     }
 }
 
@@ -214,16 +209,6 @@
     );
 }
 
-async fn check_alive(state: Arc<RelayState>, key: TargetKey) {
-    if probe(&state, key).await || is_partitioned_from(&state, key) {
-        return;
-    }
-    record_target_failure(&state, key, AttemptFailure::Dead);
-    let address = state.view.address_of(key);
-    log::info!(address:? = address, reason = "no connection"; "target dead");
-    state.placements_changed.notify_one();
-}
-
 impl Drop for Lease {
     fn drop(&mut self) {
         let mut targets = self.state.view.targets();
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -34,6 +34,8 @@
 /// Where a copy of the memory of a stream's run is: the engine that holds it and, if the copy was
 /// ordered, where from and under which name, separated by spaces.
 const RUN_COPY: HeaderName = HeaderName::from_static("run-copy");
+/// The targets that ended while they ran a request, as a notice in JSON.
+const TARGET_LOSSES: HeaderName = HeaderName::from_static("target-losses");
 /// The distance of the port for relayed requests from the first port for other instances.
 const PORT_OFFSET: u16 = 1;
 /// The maximum number of instances that are tried for one request if they cannot be connected to.
@@ -73,6 +75,21 @@
     Some(CopyLocation { holder, ordered })
 }
 
+/// Removes the targets that ended while they ran a relayed request from its headers, and records
+/// them.
+pub(super) fn take_losses(state: &RelayState, headers: &mut HeaderMap) {
+    let value = headers.remove(TARGET_LOSSES);
+    let notice = value.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
+    if let Some(notice) = notice {
+        state.losses().merge(&notice, Instant::now());
+    }
+}
+
+fn losses_header(request: &RoutedRequest) -> Option<HeaderValue> {
+    let notice = serde_json::to_string(&request.losses.notice()?).ok()?;
+    HeaderValue::from_str(&notice).ok()
+}
+
 fn copy_header(state: &RelayState, copy: &CopyLocation) -> Option<HeaderValue> {
     let targets = state.view.targets();
     let holder = targets.get(copy.holder)?.entry.name.as_str();
@@ -191,8 +208,12 @@
         headers::relayed_request_headers(&caller_request.headers, time_left, run.last_event);
     let version = request.state.view.config_version();
     headers.insert(CONFIG_VERSION, HeaderValue::from(version));
-    // One of the caller's own would be taken for the copy of this run.
+    // One of the caller's own would be taken for that of this instance.
     headers.remove(RUN_COPY);
+    headers.remove(TARGET_LOSSES);
+    if let Some(losses) = losses_header(request) {
+        headers.insert(TARGET_LOSSES, losses);
+    }
     if let Some(copy) = run.copy.and_then(|copy| copy_header(&request.state, copy)) {
         headers.insert(RUN_COPY, copy);
     }
--- a/daemon/src/relay/probed_wait.rs
+++ b/daemon/src/relay/probed_wait.rs
@@ -30,13 +30,13 @@
     ///
     /// # Errors
     ///
-    /// [`AttemptFailure::Dead`] if the engine was found dead first, [`AttemptFailure::Broken`] if it
+    /// [`AttemptFailure::Dead`] if the engine was found dead first, [`AttemptFailure::Ended`] if it
     /// was replaced.
     pub(super) fn into_result(self) -> Result<T, AttemptFailure> {
         match self {
             Self::Completed(output) => Ok(output),
             Self::Dead => Err(AttemptFailure::Dead),
-            Self::Replaced => Err(AttemptFailure::Broken),
+            Self::Replaced => Err(AttemptFailure::Ended),
         }
     }
 }
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -241,9 +241,17 @@
         let mut copies = copies.into_iter();
         let mut is_retry = self.events.forwarded() > 0;
         loop {
-            let copy_holder = match self.request.is_partitioned() {
-                true => None,
-                false => self.lease_copy_holder(&mut copies),
+            if self.request.is_blocked() {
+                return Err(NoEngine {
+                    next: NextStep::TargetsLost,
+                    is_temporary: false,
+                });
+            }
+            let uses_copy =
+                !self.request.is_partitioned() && self.request.losses.separation().is_none();
+            let copy_holder = match uses_copy {
+                true => self.lease_copy_holder(&mut copies),
+                false => None,
             };
             let prefers_peer = copy_holder.is_none() && self.request.prefers_peer();
             if prefers_peer && self.start_at_peer(known_copy.as_ref()).await? {
@@ -272,10 +280,11 @@
             };
             self.events.discard_partial();
             let is_temporary = failed_attempt.failure.proves_not_run();
-            match self
+            let next = self
                 .request
                 .record_failure(&failed_attempt.lease, failed_attempt.failure)
-            {
+                .await;
+            match next {
                 NextStep::Elsewhere => {}
                 NextStep::Later => {
                     return Err(NoEngine {
@@ -683,7 +692,7 @@
         let started = Instant::now();
         let copies = current.run_copy.as_ref().and_then(RunCopy::location);
         let copies: Vec<CopyLocation> = copies.into_iter().collect();
-        let next = self.request.record_failure(&current.lease, failure);
+        let next = self.request.record_failure(&current.lease, failure).await;
         let may_still_work = matches!(failure, AttemptFailure::Silent | AttemptFailure::Dead);
         if may_still_work && next == NextStep::Elsewhere && !self.events.has_partial() {
             self.previous = Some(current);
@@ -750,6 +759,7 @@
         if let Some(last) = self.events.last_id() {
             self.request.record_event_count(last);
         }
+        self.request.losses.forget();
         self.request.state.metrics.add(Counter::StreamsComplete, 1);
         log::info!(
             request = self.request.caller_request.id.as_str(),
--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -57,7 +57,7 @@
         };
         current.next_check = now + CHECK_INTERVAL;
         let from = current.lease.key;
-        if !is_framed(&current.response.headers) {
+        if !is_framed(&current.response.headers) || self.request.losses.separation().is_some() {
             return true;
         }
         let Some(better) = self.better_engine(from) else {
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -49,6 +49,8 @@
     Stopping,
     /// The last attempt failed, and the request may have run.
     Failed,
+    /// Too many targets ended while they ran the request.
+    TargetsLost,
     /// The deadline of the caller or the timeout of the route has expired.
     TimeOver,
 }
@@ -122,6 +124,13 @@
         NextStep::Failed | NextStep::Later => {
             local(StatusCode::BAD_GATEWAY, Some(id), Reason::Failed)
         }
+        NextStep::TargetsLost if !request.may_have_run() => not_run(
+            id,
+            request.time_left(),
+            request.losses.blocked_for(),
+            Reason::TargetsLost,
+        ),
+        NextStep::TargetsLost => local(StatusCode::BAD_GATEWAY, Some(id), Reason::TargetsLost),
         NextStep::Expired => local(StatusCode::GATEWAY_TIMEOUT, Some(id), Reason::TimeOver),
     }
 }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -203,7 +203,10 @@
     let deadline = RequestDeadline::new(started, head.deadline, route.timeout);
     let passed_copy = match origin {
         Origin::Caller => None,
-        Origin::Peer => peer_relay::take_copy(state, request.headers_mut()),
+        Origin::Peer => {
+            peer_relay::take_losses(state, request.headers_mut());
+            peer_relay::take_copy(state, request.headers_mut())
+        }
     };
     let limit = state.view.table().config().limits.body_bytes;
     let caller_request = match read_body(request, id.clone(), limit).await {
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -25,6 +25,7 @@
     open_request::{Progress, RequestRecord},
     reachability,
     request::Origin,
+    request_losses::{self, RequestLosses},
     run_copy::CopyLocation,
     state::RelayState,
 };
@@ -81,6 +82,7 @@
     pub(super) account: Option<AccountName>,
     pub(super) deadline: RequestDeadline,
     pub(super) requirements: TargetRequirements,
+    pub(super) losses: RequestLosses,
     tried: Vec<TargetKey>,
     /// Engines that the run has moved away from, the most recent one last. They have read its
     /// prompt.
@@ -126,6 +128,7 @@
         }
         state.moves().record_request(&service, Instant::now());
         let version_choice = state.rollouts.versions().choose(&service, Instant::now());
+        let losses = RequestLosses::new(state, &caller_request, account.as_ref(), origin);
         let requirements = TargetRequirements {
             service,
             version_choice,
@@ -147,6 +150,7 @@
             account,
             deadline,
             requirements,
+            losses,
             tried: Vec::new(),
             previous_engines: Vec::new(),
             runs: 0,
@@ -315,6 +319,9 @@
     /// Returns whether there is another instance or a target that was not tried yet. After a silence,
     /// the target must not have failed recently either.
     fn has_alternative(&self, failure: AttemptFailure) -> bool {
+        if !self.losses.allows(usize::from(failure.ended_target())) {
+            return false;
+        }
         if self.prefers_peer() {
             return true;
         }
@@ -352,6 +359,9 @@
     /// Leases the best target that was not tried yet.
     pub(super) fn lease_target(&mut self) -> Option<Lease> {
         let now = Instant::now();
+        if let Some(key) = self.select_apart(now) {
+            return self.acquire_lease(key);
+        }
         if let Some(lease) = self.lease_previous_engine(now) {
             return Some(lease);
         }
@@ -380,6 +390,14 @@
         self.acquire_lease(selection.key)
     }
 
+    /// Selects an engine for a stream that runs apart from others.
+    fn select_apart(&self, now: Instant) -> Option<TargetKey> {
+        self.requirements.affinity?;
+        let separation = self.losses.separation()?;
+        let targets = self.state.view.targets();
+        targets.select_apart(&self.requirements.query(&self.tried), separation, now)
+    }
+
     /// Leases an engine that the run has moved away from, unless it is likely to be dead. The
     /// prompt does not have to be read there again.
     fn lease_previous_engine(&mut self, now: Instant) -> Option<Lease> {
@@ -667,9 +685,39 @@
         retries.try_spend(&self.requirements.service, instances, Instant::now())
     }
 
-    /// Records how an attempt failed and returns what to do next.
-    pub(super) fn record_failure(&mut self, lease: &Lease, failure: AttemptFailure) -> NextStep {
+    /// Returns whether too many targets ended under the request for it to be sent on.
+    pub(super) fn is_blocked(&self) -> bool {
+        let is_blocked = self.losses.blocked_for().is_some();
+        if is_blocked {
+            self.losses.record_blocked();
+        }
+        is_blocked
+    }
+
+    /// Records how an attempt failed. If its connection broke, finds out whether its target has
+    /// ended.
+    async fn classify_failure(&self, lease: &Lease, failure: AttemptFailure) -> AttemptFailure {
         lease.record_failure(failure);
+        let mut failure = failure;
+        if failure == AttemptFailure::Broken && self.route.kind != RouteKind::Unsafe {
+            failure = request_losses::confirm_end(&self.state, lease).await;
+            if failure == AttemptFailure::Ended {
+                lease.record_failure(failure);
+            }
+        }
+        if failure.ended_target() {
+            self.losses.record(lease);
+        }
+        failure
+    }
+
+    /// Records how an attempt failed and returns what to do next.
+    pub(super) async fn record_failure(
+        &mut self,
+        lease: &Lease,
+        failure: AttemptFailure,
+    ) -> NextStep {
+        let failure = self.classify_failure(lease, failure).await;
         // A response that takes longer than the request's time counts for the version as well.
         if matches!(failure, AttemptFailure::Silent | AttemptFailure::Expired) {
             self.record_silence(lease);
@@ -692,8 +740,12 @@
             _ if failure.proves_unsent() => self.unreached += 1,
             _ => self.refusals += u32::from(failure.proves_not_run()),
         }
-        let attempt_state = self.attempt_state();
-        let next = attempt_state.next_step(failure, || self.take_retry());
+        let next = match self.is_blocked() {
+            true => NextStep::TargetsLost,
+            false => self
+                .attempt_state()
+                .next_step(failure, || self.take_retry()),
+        };
         log::info!(
             request = self.caller_request.id.as_str(),
             target = lease.name.as_str(),
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -27,6 +27,9 @@
     loop {
         // Contact with the store and the peers may have been lost since the request was admitted.
         request.wait_targets().await;
+        if request.is_blocked() {
+            return finish(request, NextStep::TargetsLost, failed_reply).await;
+        }
         if request.prefers_peer()
             && let Some(reply) = relay_through_peer(&mut request).await
         {
@@ -43,6 +46,7 @@
         let failure = match result {
             Ok(reply) if is_final(&request, &reply) => {
                 request.record_response(&lease, reply.status(), started.elapsed());
+                request.losses.forget();
                 return reply;
             }
             Ok(reply) => {
@@ -52,7 +56,7 @@
             }
             Err(failure) => failure,
         };
-        let next = request.record_failure(&lease, failure);
+        let next = request.record_failure(&lease, failure).await;
         if next != NextStep::Elsewhere {
             return finish(request, next, failed_reply).await;
         }
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -10,7 +10,7 @@
 use celerypond_platform::{Client, Rates};
 use celerypond_relay::{
     Partitions, PeerPartitions, PlannedStop, RetryBudget, Route, Settings, Stale, StaleWait,
-    UsualDeadlines,
+    TargetLosses, UsualDeadlines,
 };
 use celerypond_telemetry::{Counter, Gauge, Histograms, Metrics};
 use celerypond_types::DataCentre;
@@ -67,6 +67,7 @@
     /// Instances do not report their moves, so each has an equal share.
     moves: Mutex<RetryBudget>,
     deadlines: Mutex<UsualDeadlines>,
+    losses: Mutex<TargetLosses>,
     pub(super) peers: Peers,
     pub(super) rollouts: Rollouts,
     pub(super) metrics: Metrics,
@@ -135,6 +136,7 @@
             retries: Mutex::new(RetryBudget::new(&settings.bounds)),
             moves: Mutex::new(RetryBudget::new(&settings.bounds)),
             deadlines: Mutex::default(),
+            losses: Mutex::default(),
             peers: Peers::default(),
             rollouts: Rollouts::default(),
             metrics: Metrics::local(),
@@ -283,6 +285,11 @@
         deadlines.record(&route.name, deadline, Instant::now())
     }
 
+    /// Returns the targets that ended while they ran the same request.
+    pub(super) fn losses(&self) -> MutexGuard<'_, TargetLosses> {
+        self.losses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the budget of moves of running streams.
     pub(super) fn moves(&self) -> MutexGuard<'_, RetryBudget> {
         self.moves.lock().unwrap_or_else(PoisonError::into_inner)
