relay, soak: count only unplanned ends of targets under a request

Callers saw streams closed although only two of their engines had crashed: an engine that left as planned counted as a third end.

A target that is no longer ready, or no longer listed, when its connection breaks has ended as planned, so it does not count.

The check of the soak becomes: a stream that was begun ends whole unless three engines crashed while they ran it, by the engines' own count, as it must not be sent on then; and no stream loses a fourth engine to a crash.

--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -62,10 +62,11 @@
         self.state.losses().separation(self.key, Instant::now())
     }
 
-    /// Records that a target ended while it ran the request, unless this instance reaches no target
-    /// of the service.
+    /// Records that a target ended while it ran the request. A target that was leaving has ended as
+    /// planned, and while this instance reaches no target of the service none may have ended.
     pub(super) fn record(&self, lease: &Lease) {
-        if is_partitioned_from(&self.state, lease.key) {
+        let is_usable = self.state.view.targets().is_usable(lease.key);
+        if !is_usable || is_partitioned_from(&self.state, lease.key) {
             return;
         }
         let now = Instant::now();
--- a/daemon/tests/soak/engines.rs
+++ b/daemon/tests/soak/engines.rs
@@ -1,6 +1,9 @@
 //! Engines that stream long answers, and crash or leave while others start.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use celerypond_standins::{
     fixtures::target_entry,
@@ -47,6 +50,8 @@
     pub(crate) lag: TimerLag,
     /// The number of engines that have crashed or left.
     pub(crate) ended: usize,
+    /// The number of engines that have crashed while they ran a request, by its id.
+    pub(crate) crashes: HashMap<String, usize>,
 }
 
 struct Engine {
@@ -71,6 +76,7 @@
             started: 0,
             lag: TimerLag::default(),
             ended: 0,
+            crashes: HashMap::new(),
         };
         let runtime = engines.runtime.as_ref().unwrap();
         runtime.spawn(engines.lag.clone().measure());
@@ -123,6 +129,9 @@
     }
 
     fn crash(&mut self, engine: Engine) {
+        for id in engine.target.running() {
+            *self.crashes.entry(id).or_default() += 1;
+        }
         engine.target.crash();
         let end = Instant::now() + EXPIRY;
         self.ending_entries.push((end, engine.name));
