relay: keep to the limits that targets state for all instances together

Cause: the header was not read anywhere, so placement by load gave a limited target as much as the others.

Change: RateLimit, one token bucket for each limited target that all instances keep alike, from which each takes its own requests and those that others report. There are no shares: at 59 instances a share of 7.1 a second is one request in 8 s, and callers prefer some instances. What is sent at the same moment overdraws the bucket and is waited for later; instances draw at random how full it has to be for their next request, so that this stays rare. The one place of use is the lease of a target, through which first attempts, retries, resumed streams, moves, copies and relayed requests go; selection leaves out targets whose limit is used. If all are, the request is refused at once with a Retry-After that spreads over the time in which each instance gets one. A limit ends by a response to a later request that does not state it; at least one request in four seconds goes to a target that accepts none, as no response could end the limit otherwise.

--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -85,7 +85,7 @@
 }
 
 /// The head of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TargetResponseHead {
     /// The id of the request that this is the response to.
     pub request: Option<SmolStr>,
@@ -99,6 +99,8 @@
     pub load: Option<Load>,
     /// The number of rejections within a second that the target bears, if it is brittle.
     pub max_rejections: Option<u32>,
+    /// The requests per second that the target accepts from all instances, if it states a limit.
+    pub max_rate: Option<f64>,
     /// How long the target keeps the connection open without a request.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -349,9 +349,12 @@
     }
 
     /// Returns whether this instance may send a request to a target now, which is limited for plain
-    /// targets with a long queue and for brittle ones.
+    /// targets with a long queue, for brittle ones, and for those that state a limit.
     fn may_send(&self, target: &Target) -> bool {
         let (query, rate) = (self.query, &target.admission_rate);
+        if !target.rate_limit.allows(query.instances, self.now) {
+            return false;
+        }
         let (open, slots) = (target.open_requests, target.entry.slots);
         let limit = &target.rejection_limit;
         if !limit.allows(open, slots, query.instances, self.now) {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    link::Link, AdmissionRate, AttemptFailure, Load, Presence, RejectionLimit, TargetEntry,
+    link::Link, AdmissionRate, AttemptFailure, Load, Presence, RateLimit, RejectionLimit,
+    TargetEntry,
 };
 
 /// How long a target is avoided after a connection to it broke; this is doubled with each further
@@ -79,6 +80,8 @@
     pub admission_rate: AdmissionRate,
     /// The limit on requests that it rejects, if it is brittle.
     pub rejection_limit: RejectionLimit,
+    /// The limit on requests of all instances, if it states one.
+    pub rate_limit: RateLimit,
     load: Option<(Load, Instant)>,
     /// This instance's link to it.
     pub(crate) link: Link,
@@ -112,6 +115,7 @@
             last_queried: None,
             admission_rate: AdmissionRate::default(),
             rejection_limit: RejectionLimit::default(),
+            rate_limit: RateLimit::default(),
             load: None,
             link: Link::default(),
         }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -31,6 +31,9 @@
 /// How long a target that left is remembered; longer than [`RESTART_TTL`].
 const DEPARTED_TTL: Duration = Duration::from_secs(60);
 
+/// The maximum time over which callers are spread that retry at targets with limits.
+const MAX_RETRY_SPREAD: Duration = Duration::from_secs(10);
+
 /// The maximum number of restarted engines in one list, of which the latest are included. A longer
 /// list would not fit into a datagram.
 const MAX_RESTARTS: usize = 128;
@@ -642,6 +645,36 @@
         usable.any(|(_, target)| target.admission_rate.is_limited())
     }
 
+    /// Returns when a caller may retry that was refused because all targets of a service have as many
+    /// requests as they accept; `None` if some state no limit. `jitter` is between 0 and 1: callers
+    /// are spread over the time in which each instance may send one request.
+    pub fn time_until_rate_allows(
+        &self,
+        service: &ServiceName,
+        instances: usize,
+        jitter: f64,
+        now: Instant,
+    ) -> Option<Duration> {
+        let (mut soonest, mut total_rate) = (None, 0.0);
+        for (_, target) in self.usable_targets(service) {
+            let limit = &target.rate_limit;
+            let wait = limit.wait(instances, now)?;
+            soonest = Some(soonest.map_or(wait, |soonest: Duration| soonest.min(wait)));
+            total_rate += limit.stated().map_or(0.0, |(rate, _)| rate);
+        }
+        let spread = MAX_RETRY_SPREAD
+            .as_secs_f64()
+            .min(instances as f64 / total_rate);
+        Some(soonest? + Duration::from_secs_f64(spread * jitter))
+    }
+
+    /// Returns the number of targets that state a limit for their rate of requests.
+    pub fn count_rate_limited(&self) -> usize {
+        let limited = self.arena.values();
+        let limited = limited.filter(|target| target.rate_limit.stated().is_some());
+        limited.count()
+    }
+
     /// Returns the targets of a service that may get new requests.
     pub(crate) fn usable_targets<'a>(
         &'a self,
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_plain_overload;
 mod test_planned_stop;
 mod test_quality;
+mod test_rate_limit;
 mod test_rejection_limit;
 mod test_relocation;
 mod test_retry_budget;
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -119,6 +119,8 @@
         TargetsEnded = "relay.targets_ended",
         /// Requests not sent on because too many targets ended while they ran them.
         RequestsBlocked = "relay.requests_blocked",
+        /// Attempts that got no target because all had as many requests as they accept.
+        RateLimited = "relay.rate_limited",
         /// Services that became unreachable for this instance.
         Partitions = "relay.partitions",
         /// Requests relayed through other instances, as this one did not reach their targets.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -37,6 +37,8 @@
         TargetsAvoided = "relay.targets_avoided",
         /// Targets avoided because another instance reported them as dead.
         TargetsReportedDead = "relay.targets_reported_dead",
+        /// Targets that state a limit for the requests per second that they accept.
+        TargetsRateLimited = "relay.targets_rate_limited",
         /// Milliseconds since the store last confirmed the list of targets.
         TargetsAge = "relay.targets_age_ms",
     }
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -27,6 +27,7 @@
 mod peer_service;
 mod peer_stream;
 mod probed_wait;
+mod rate_limits;
 mod reachability;
 mod relayed_stream;
 mod reload;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -14,6 +14,7 @@
     connections::{Connections, ReusedConnection, Sender},
     fullness,
     lease::Lease,
+    rate_limits,
     reachability::record_connection,
     state::RelayState,
 };
@@ -222,6 +223,7 @@
     if let Some(max_rejections) = response.head.max_rejections {
         lease.record_brittle(max_rejections);
     }
+    rate_limits::record_statement(state, lease.key, response.head.max_rate, sent);
     if response.head.not_run {
         if response.status == StatusCode::SERVICE_UNAVAILABLE {
             fullness::record_rejection(state, lease.key);
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -8,7 +8,7 @@
 
 use celerypond_relay::{
     EvidenceReport, FullnessNotice, LossNotice, Notice, PartitionNotice, PlacementSchedule,
-    Placements, PromptLocation, PromptLocationSchedule, Stage, Watchers,
+    Placements, PromptLocation, PromptLocationSchedule, RateNotice, Stage, Watchers,
 };
 use celerypond_types::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -17,7 +17,7 @@
 use super::{
     fleet, fullness,
     inbox::{Inbox, Received},
-    reachability,
+    rate_limits, reachability,
     state::RelayState,
     target_sync,
 };
@@ -52,6 +52,8 @@
     Fullness(FullnessNotice),
     /// The targets that ended while they ran a request.
     Losses(LossNotice),
+    /// A limit that a target states, or the requests sent within it.
+    Rate(RateNotice),
 }
 
 /// Sends and receives datagrams until the instance ends.
@@ -128,6 +130,7 @@
         Ok(Datagram::Report(service, report)) => state.rollouts.record_report(&service, report),
         Ok(Datagram::Partition(notice)) => reachability::receive(state, notice),
         Ok(Datagram::Fullness(notice)) => fullness::receive(state, notice),
+        Ok(Datagram::Rate(notice)) => rate_limits::receive(state, notice),
         Ok(Datagram::Losses(notice)) => state.losses().merge(&notice, Instant::now()),
         Err(error) => log::warn!(error:% = error; "cannot decode a peer's datagram"),
     }
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -9,6 +9,7 @@
 
 use super::{
     connections::ConnectionShare,
+    rate_limits,
     reachability::{is_partitioned_from, probe},
     state::RelayState,
 };
@@ -31,13 +32,13 @@
 }
 
 impl Lease {
-    /// Leases a target for a request. Returns `None` if the target is gone.
+    /// Leases a target for a request. Returns `None` if the target is gone or accepts no more now.
     pub(super) fn for_request(state: &Arc<RelayState>, key: TargetKey) -> Option<Self> {
         Self::new(state, &mut state.view.targets(), key)
     }
 
     /// Leases an engine for a stream with this number of tokens. Returns `None` if the engine is
-    /// gone.
+    /// gone or accepts no more now.
     pub(super) fn for_stream(
         state: &Arc<RelayState>,
         key: TargetKey,
@@ -54,6 +55,9 @@
 
     fn new(state: &Arc<RelayState>, targets: &mut Targets, key: TargetKey) -> Option<Self> {
         let target = targets.get_mut(key)?;
+        if !rate_limits::try_spend(state, target) {
+            return None;
+        }
         target.open_requests += 1;
         target
             .admission_rate
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -370,7 +370,10 @@
             self.requirements.version_choice =
                 versions.choose_for_retry(&self.requirements.service);
         }
-        let selection = self.select(now)?;
+        let Some(selection) = self.select(now) else {
+            self.record_rate_limited(now);
+            return None;
+        };
         if self.requirements.affinity.is_some() {
             let targets = self.state.view.targets();
             let name = targets
@@ -414,6 +417,16 @@
         None
     }
 
+    /// Counts the request if it has no target because all have as many as they accept.
+    fn record_rate_limited(&self, now: Instant) {
+        let (service, instances) = (&self.requirements.service, self.requirements.instances);
+        let targets = self.state.view.targets();
+        let wait = targets.time_until_rate_allows(service, instances, 0.0, now);
+        if wait.is_some() {
+            self.state.metrics.add(Counter::RateLimited, 1);
+        }
+    }
+
     /// Selects a target of the versions that may run the request, or of other versions if those
     /// have none left and that is allowed.
     fn select(&mut self, now: Instant) -> Option<Selection> {
@@ -621,7 +634,10 @@
         if targets.is_limited(&self.requirements.service) {
             return Some(self.time_left());
         }
-        targets.time_until_usable(&self.requirements.service, Instant::now())
+        let (service, now) = (&self.requirements.service, Instant::now());
+        let instances = self.requirements.instances;
+        let rate_wait = targets.time_until_rate_allows(service, instances, rand::random(), now);
+        rate_wait.or_else(|| targets.time_until_usable(service, now))
     }
 
     /// Starts another round of attempts at all targets, and returns whether the retry budget allows
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -298,10 +298,12 @@
     /// Renders counters, gauges and latencies as text.
     pub(super) fn render_metrics(&self) -> String {
         let (avoided, reported) = self.view.targets().count_avoided(Instant::now());
+        let rate_limited = self.view.targets().count_rate_limited();
         let gauges = [
             (Gauge::UnreachableServices, self.partitions().len() as u64),
             (Gauge::TargetsAvoided, avoided as u64),
             (Gauge::TargetsReportedDead, reported as u64),
+            (Gauge::TargetsRateLimited, rate_limited as u64),
             (Gauge::ConfigVersion, self.view.config_version()),
             (Gauge::ConfigNewest, self.newest_config()),
             (Gauge::RoutedTargets, self.view.targets().len() as u64),
