--- a/crates/relay/src/rate_limit.rs
+++ b/crates/relay/src/rate_limit.rs
@@ -65,8 +65,8 @@
 /// let now = start + Duration::from_millis(300);
 /// assert!(limit.allows(7, now));
 /// assert_eq!(limit.spend(7, 0.5, now), Some(RateEvent::Sent(1)));
-/// limit.merge(1, RateEvent::Sent(3), 7, now);
-/// assert!(!limit.allows(7, now + Duration::from_millis(200)));
+/// limit.merge(1, RateEvent::Sent(1), 7, now);
+/// assert!(!limit.allows(7, now));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RateLimit {
