relay: do not count runs at targets that ended as attempts

Callers saw 502, or a stream that breaks off, although targets were left and the request had time: with `maxAttempts` 1 after one engine had ended, with 5 after silences and deaths together (known red, begun_streams_end_whole_after_stalls).

targets_that_ended_do_not_count_as_attempts failed on the code before in all three cases: 502, broken after event 1, 502.

--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -63,10 +63,9 @@
     }
 
     /// Records that a target ended while it ran the request. A target that was leaving has ended as
-    /// planned, and while this instance reaches no target of the service none may have ended.
+    /// planned.
     pub(super) fn record(&self, lease: &Lease) {
-        let is_usable = self.state.view.targets().is_usable(lease.key);
-        if !is_usable || is_partitioned_from(&self.state, lease.key) {
+        if !self.state.view.targets().is_usable(lease.key) {
             return;
         }
         let now = Instant::now();
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -88,6 +88,8 @@
     /// prompt.
     previous_engines: Vec<TargetKey>,
     runs: u32,
+    /// The number of these at targets that ended, which do not count as attempts.
+    ended_runs: u32,
     refusals: u32,
     unreached: u32,
     /// Whether an attempt may have reached a target.
@@ -154,6 +156,7 @@
             tried: Vec::new(),
             previous_engines: Vec::new(),
             runs: 0,
+            ended_runs: 0,
             refusals: 0,
             unreached: 0,
             has_reached_target: false,
@@ -197,10 +200,15 @@
         let may_run = self.runs == 0 || self.route.kind.may_repeat();
         self.origin == Origin::Caller
             && may_run
-            && self.runs < self.route.attempts
+            && self.runs < self.max_runs()
             && !self.time_left().is_zero()
     }
 
+    /// Returns the number of targets at which the request may run.
+    const fn max_runs(&self) -> u32 {
+        self.route.attempts + self.ended_runs
+    }
+
     /// Returns whether the request may have run.
     pub(super) const fn may_have_run(&self) -> bool {
         self.runs > 0
@@ -227,7 +235,7 @@
         AttemptState {
             kind: self.route.kind,
             runs: self.runs,
-            attempts: self.route.attempts,
+            attempts: self.max_runs(),
             refusals: self.refusals,
             unreached: self.unreached,
             is_partitioned: self.is_partitioned(),
@@ -342,7 +350,7 @@
 
     /// Returns whether another target may be asked if the current one does not answer.
     pub(super) const fn may_ask_another(&self) -> bool {
-        self.route.kind.may_repeat() && self.runs < self.route.attempts
+        self.route.kind.may_repeat() && self.runs < self.max_runs()
     }
 
     pub(super) const fn kind(&self) -> RouteKind {
@@ -712,7 +720,7 @@
 
     /// Records how an attempt failed. If its connection broke, finds out whether its target has
     /// ended.
-    async fn classify_failure(&self, lease: &Lease, failure: AttemptFailure) -> AttemptFailure {
+    async fn classify_failure(&mut self, lease: &Lease, failure: AttemptFailure) -> AttemptFailure {
         lease.record_failure(failure);
         let mut failure = failure;
         if failure == AttemptFailure::Broken && self.route.kind != RouteKind::Unsafe {
@@ -721,7 +729,8 @@
                 lease.record_failure(failure);
             }
         }
-        if failure.ended_target() {
+        if failure.ended_target() && !reachability::is_partitioned_from(&self.state, lease.key) {
+            self.ended_runs += 1;
             self.losses.record(lease);
         }
         failure
