--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod engine_calls;
 mod event_buffer;
+mod failed_attempt;
 mod fleet;
 mod fullness;
 mod held_prompts;
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -1,17 +1,13 @@
-//! Routes a request to targets: chooses them, records their failures and decides about retries.
+//! Routes a request to targets: chooses and leases them, and records what they measure.
 
 use std::{
-    sync::{
-        atomic::{AtomicBool, Ordering::Relaxed},
-        Arc,
-    },
+    sync::{atomic::AtomicBool, Arc},
     time::Duration,
 };
 
 use celerypond_relay::{
-    AttemptFailure, AttemptState, NextStep, Prompt, PromptPart, RemainingEvents, RequestDeadline,
-    Route, RouteKind, Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded,
-    VersionChoice,
+    AttemptFailure, Prompt, PromptPart, RemainingEvents, RequestDeadline, Route, RouteKind,
+    Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded, VersionChoice,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey, TargetName};
@@ -23,9 +19,8 @@
     held_prompts,
     lease::Lease,
     open_request::{Progress, RequestRecord},
-    reachability,
     request::Origin,
-    request_losses::{self, RequestLosses},
+    request_losses::RequestLosses,
     run_copy::CopyLocation,
     state::RelayState,
 };
@@ -34,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TargetRequirements {
     pub(super) service: ServiceName,
-    affinity: Option<u64>,
+    pub(super) affinity: Option<u64>,
     /// The maximum number of tokens of prompt and answer.
     tokens: u64,
     /// The number of tokens of the prompt.
@@ -83,22 +78,22 @@
     pub(super) deadline: RequestDeadline,
     pub(super) requirements: TargetRequirements,
     pub(super) losses: RequestLosses,
-    tried: Vec<TargetKey>,
+    pub(super) tried: Vec<TargetKey>,
     /// Engines that the run has moved away from, the most recent one last. They have read its
     /// prompt.
     previous_engines: Vec<TargetKey>,
-    runs: u32,
+    pub(super) runs: u32,
     /// The number of these at targets that ended, which do not count as attempts.
-    ended_runs: u32,
-    refusals: u32,
-    unreached: u32,
+    pub(super) ended_runs: u32,
+    pub(super) refusals: u32,
+    pub(super) unreached: u32,
     /// Whether an attempt may have reached a target.
-    has_reached_target: bool,
+    pub(super) has_reached_target: bool,
     /// Whether a target accepted no connection.
-    has_failed_connection: bool,
+    pub(super) has_failed_connection: bool,
     /// Whether the next retry has already been spent from the budget.
-    has_spent_retry: AtomicBool,
-    origin: Origin,
+    pub(super) has_spent_retry: AtomicBool,
+    pub(super) origin: Origin,
     record: Arc<RequestRecord>,
     /// The target that was leased last.
     last_target: Option<TargetName>,
@@ -109,7 +104,7 @@
     pub(super) events: u64,
     pub(super) last_event: Option<u64>,
     /// How the last failed attempt ended.
-    last_failure: Option<AttemptFailure>,
+    pub(super) last_failure: Option<AttemptFailure>,
     /// The copy of the run's memory, if another instance has passed one on.
     pub(super) passed_copy: Option<CopyLocation>,
 }
@@ -173,76 +168,6 @@
         }
     }
 
-    /// Returns whether this instance reaches no target of the service.
-    pub(super) fn is_partitioned(&self) -> bool {
-        let partitions = self.state.partitions();
-        partitions.contains(&self.requirements.service)
-    }
-
-    /// Returns whether the request is to be relayed through another instance, as this one reaches no
-    /// target or, after a failed connection, probably reaches none.
-    pub(super) fn prefers_peer(&self) -> bool {
-        let is_suspected = || {
-            let targets = self.state.view.targets();
-            targets.suspects_partition(&self.requirements.service, Instant::now())
-        };
-        self.may_send_to_peer()
-            && (self.is_partitioned() || (self.has_failed_connection && is_suspected()))
-    }
-
-    /// Returns whether the request may be relayed through another instance once no target is left,
-    /// because this instance could not connect to some.
-    pub(super) fn may_use_peer(&self) -> bool {
-        self.may_send_to_peer() && self.has_failed_connection
-    }
-
-    fn may_send_to_peer(&self) -> bool {
-        let may_run = self.runs == 0 || self.route.kind.may_repeat();
-        self.origin == Origin::Caller
-            && may_run
-            && self.runs < self.max_runs()
-            && !self.time_left().is_zero()
-    }
-
-    /// Returns the number of targets at which the request may run.
-    const fn max_runs(&self) -> u32 {
-        self.route.attempts + self.ended_runs
-    }
-
-    /// Returns whether the request may have run.
-    pub(super) const fn may_have_run(&self) -> bool {
-        self.runs > 0
-    }
-
-    /// Records that another instance did not answer the request, which may have run.
-    pub(super) fn record_peer_failure(&mut self, failure: AttemptFailure) -> NextStep {
-        self.runs += 1;
-        self.has_reached_target = true;
-        self.last_failure = Some(failure);
-        let next = self
-            .attempt_state()
-            .next_step(failure, || self.take_retry());
-        log::info!(
-            request = self.caller_request.id.as_str(),
-            ended:? = failure,
-            next:? = next;
-            "relay through another instance failed"
-        );
-        next
-    }
-
-    fn attempt_state(&self) -> AttemptState {
-        AttemptState {
-            kind: self.route.kind,
-            runs: self.runs,
-            attempts: self.max_runs(),
-            refusals: self.refusals,
-            unreached: self.unreached,
-            is_partitioned: self.is_partitioned(),
-            time_left: self.time_left(),
-        }
-    }
-
     fn progress(&self) -> Progress {
         Progress {
             route: self.route.name.clone(),
@@ -284,75 +209,6 @@
         self.deadline.remaining(Instant::now())
     }
 
-    /// Returns whether the current target, which does not respond, is given up. The retry that
-    /// follows has then been spent from the budget.
-    pub(super) fn try_give_up(&self, failure: AttemptFailure, keeps_last: bool) -> bool {
-        self.try_give_up_run(&self.attempt_state(), failure, keeps_last)
-    }
-
-    /// Returns whether the instance through which the request is relayed, and which accepts no
-    /// connections, is given up.
-    pub(super) fn try_give_up_peer(&self) -> bool {
-        let attempt_state = AttemptState {
-            runs: self.runs + 1,
-            ..self.attempt_state()
-        };
-        self.try_give_up_run(&attempt_state, AttemptFailure::Dead, false)
-    }
-
-    fn try_give_up_run(
-        &self,
-        attempt_state: &AttemptState,
-        failure: AttemptFailure,
-        keeps_last: bool,
-    ) -> bool {
-        let try_spend_retry = || {
-            let has_spent_retry = match failure {
-                AttemptFailure::Silent => self.try_spend_spare_retry(),
-                _ => self.try_spend_retry(),
-            };
-            self.has_spent_retry.store(has_spent_retry, Relaxed);
-            has_spent_retry
-        };
-        let has_alternative = || self.has_alternative(failure);
-        attempt_state.may_give_up(failure, keeps_last, has_alternative, try_spend_retry)
-    }
-
-    /// Returns whether the retry of a failed attempt is allowed, and spends it from the budget unless
-    /// that was done before the target was given up.
-    fn take_retry(&self) -> bool {
-        self.has_spent_retry.swap(false, Relaxed) || self.try_spend_retry()
-    }
-
-    /// Returns whether there is another instance or a target that was not tried yet. After a silence,
-    /// the target must not have failed recently either.
-    fn has_alternative(&self, failure: AttemptFailure) -> bool {
-        if !self.losses.allows(usize::from(failure.ended_target())) {
-            return false;
-        }
-        if self.prefers_peer() {
-            return true;
-        }
-        if self.state.stale_targets().is_some() {
-            return false;
-        }
-        let versions = self.state.rollouts.versions();
-        let choice = versions.choose_for_retry(&self.requirements.service);
-        drop(versions);
-        let query = TargetQuery {
-            choice: &choice,
-            ..self.requirements.query(&self.tried)
-        };
-        let targets = self.state.view.targets();
-        let selection = targets.select(&query, Instant::now());
-        selection.is_some_and(|selection| failure == AttemptFailure::Dead || !selection.is_doubtful)
-    }
-
-    /// Returns whether another target may be asked if the current one does not answer.
-    pub(super) const fn may_ask_another(&self) -> bool {
-        self.route.kind.may_repeat() && self.runs < self.max_runs()
-    }
-
     pub(super) const fn kind(&self) -> RouteKind {
         self.route.kind
     }
@@ -452,7 +308,7 @@
         self.record_version_result(lease, status.is_server_error(), elapsed);
     }
 
-    fn record_version_result(&self, lease: &Lease, is_bad: bool, elapsed: Duration) {
+    pub(super) fn record_version_result(&self, lease: &Lease, is_bad: bool, elapsed: Duration) {
         let mut versions = self.state.rollouts.versions();
         let route = celerypond_route::hash(self.route.name.as_bytes());
         versions.record_response(
@@ -464,20 +320,6 @@
         );
     }
 
-    /// Records a missing response if the target accepts a new connection. Otherwise its link may be
-    /// at fault rather than the version that it runs.
-    fn record_silence(&self, lease: &Lease) {
-        let (state, key) = (Arc::clone(&self.state), lease.key);
-        let (service, version) = (self.requirements.service.clone(), lease.version.clone());
-        let route = celerypond_route::hash(self.route.name.as_bytes());
-        self.state.tasks.spawn(async move {
-            if reachability::probe(&state, key).await {
-                let mut versions = state.rollouts.versions();
-                versions.record_response(&service, &version, route, true, Duration::ZERO);
-            }
-        });
-    }
-
     /// Leases an engine that holds a copy, unless it no longer accepts new work.
     pub(super) fn lease_copy_holder(&mut self, key: TargetKey) -> Option<Lease> {
         let is_usable = self.state.view.targets().is_usable(key);
@@ -648,34 +490,6 @@
         rate_wait.or_else(|| targets.time_until_usable(service, now))
     }
 
-    /// Starts another round of attempts at all targets, and returns whether the retry budget allows
-    /// it. A request that has not reached any target does not spend from the budget.
-    pub(super) fn start_retry_round(&mut self) -> bool {
-        if self.has_reached_target && !self.try_spend_retry() {
-            return false;
-        }
-        self.tried.clear();
-        self.refusals = 0;
-        self.unreached = 0;
-        true
-    }
-
-    /// Forgets the targets that refused the request or were not reached, as it runs at `current`.
-    pub(super) fn forget_refusals(&mut self, current: TargetKey) {
-        self.tried.clear();
-        self.tried.push(current);
-        self.refusals = 0;
-        self.unreached = 0;
-    }
-
-    /// Returns what to do when no target is left to try.
-    pub(super) const fn step_without_target(&self) -> NextStep {
-        match self.runs {
-            0 => NextStep::NotRun,
-            _ => NextStep::Failed,
-        }
-    }
-
     /// Returns whether the budget of moves currently allows one.
     pub(super) fn may_move(&self) -> bool {
         let instances = self.state.instance_count();
@@ -689,103 +503,6 @@
         let mut moves = self.state.moves();
         moves.try_spend(&self.requirements.service, instances, Instant::now())
     }
-
-    /// Returns whether the retry budget currently allows a retry.
-    pub(super) fn may_retry(&self) -> bool {
-        let instances = self.state.instance_count();
-        let mut retries = self.state.retries();
-        retries.allows(&self.requirements.service, instances, Instant::now())
-    }
-
-    fn try_spend_spare_retry(&self) -> bool {
-        let instances = self.state.instance_count();
-        let mut retries = self.state.retries();
-        retries.try_spend_spare(&self.requirements.service, instances, Instant::now())
-    }
-
-    fn try_spend_retry(&self) -> bool {
-        let instances = self.state.instance_count();
-        let mut retries = self.state.retries();
-        retries.try_spend(&self.requirements.service, instances, Instant::now())
-    }
-
-    /// Returns whether too many targets ended under the request for it to be sent on.
-    pub(super) fn is_blocked(&self) -> bool {
-        let is_blocked = self.losses.blocked_for().is_some();
-        if is_blocked {
-            self.losses.record_blocked();
-        }
-        is_blocked
-    }
-
-    /// Records how an attempt failed. If its connection broke, finds out whether its target has
-    /// ended.
-    async fn classify_failure(&mut self, lease: &Lease, failure: AttemptFailure) -> AttemptFailure {
-        lease.record_failure(failure);
-        let mut failure = failure;
-        if failure == AttemptFailure::Broken && self.route.kind != RouteKind::Unsafe {
-            failure = request_losses::confirm_end(&self.state, lease).await;
-            if failure == AttemptFailure::Ended {
-                lease.record_failure(failure);
-            }
-        }
-        if failure.ended_target() && !reachability::is_partitioned_from(&self.state, lease.key) {
-            self.ended_runs += 1;
-            self.losses.record(lease);
-        }
-        failure
-    }
-
-    /// Records how an attempt failed and returns what to do next.
-    pub(super) async fn record_failure(
-        &mut self,
-        lease: &Lease,
-        failure: AttemptFailure,
-    ) -> NextStep {
-        let failure = self.classify_failure(lease, failure).await;
-        // A response that takes longer than the request's time counts for the version as well.
-        if matches!(failure, AttemptFailure::Silent | AttemptFailure::Expired) {
-            self.record_silence(lease);
-        } else if failure.blames_version() {
-            self.record_version_result(lease, true, Duration::ZERO);
-        }
-        self.state.metrics.add(Counter::AttemptsEnded, 1);
-        self.last_failure = Some(failure);
-        if failure.proves_not_run() {
-            self.runs -= 1;
-            if let Some(part) = self.requirements.affinity {
-                let mut targets = self.state.view.targets();
-                targets.forget_prompt_location(lease.key, part);
-            }
-        }
-        self.has_reached_target |= !failure.proves_unsent();
-        self.has_failed_connection |=
-            matches!(failure, AttemptFailure::Unsent | AttemptFailure::Dead);
-        match failure {
-            _ if failure.proves_unsent() => self.unreached += 1,
-            _ => self.refusals += u32::from(failure.proves_not_run()),
-        }
-        let next = match self.is_blocked() {
-            true => NextStep::TargetsLost,
-            false => self
-                .attempt_state()
-                .next_step(failure, || self.take_retry()),
-        };
-        log::info!(
-            request = self.caller_request.id.as_str(),
-            target = lease.name.as_str(),
-            route = self.route.name.as_str(),
-            account = self.account.as_ref().map(AccountName::as_str),
-            ended:? = failure,
-            runs = self.runs,
-            refusals = self.refusals,
-            unreached = self.unreached,
-            left_ms = self.time_left().as_millis() as u64,
-            next:? = next;
-            "attempt ended"
-        );
-        next
-    }
 }
 
 impl Drop for RoutedRequest {
