--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -224,7 +224,13 @@
     pub(super) fn lease_target(&mut self) -> Option<Lease> {
         let now = Instant::now();
         if let Some(key) = self.select_apart(now) {
-            return self.acquire_lease(key);
+            let lease = self.acquire_lease(key)?;
+            log::info!(
+                request = self.caller_request.id.as_str(),
+                target = lease.name.as_str();
+                "engine chosen apart from requests that lost the same engines"
+            );
+            return Some(lease);
         }
         if let Some(lease) = self.lease_previous_engine(now) {
             return Some(lease);
