relay: identify a prompt by its last part alone when ends under a request are counted

A caller whose retries have another body, such as one with a time, lost three engines with each. The last part of the prompt belongs to the request or its session, so the body adds nothing; requests without a prompt are still told apart by their body. test_fatal_requests with a body that differs with each try: more than three ended targets in the cases with retries of streams before, three after.

--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -115,17 +115,17 @@
 }
 
 /// Returns the key of a request. A caller that retries sends the same content with another id, and
-/// a caller that resumes a stream with the id of its last event.
+/// a caller that resumes a stream with the id of its last event. A prompt is identified by its last
+/// part, which only this request or its session has.
 fn key_of(request: &CallerRequest, account: Option<&AccountName>) -> RequestKey {
     let prompt = headers::parse_caller_head(&request.headers).prompt;
     let part = prompt.and_then(|prompt| prompt.parts.last().copied());
-    let part = part.map_or(0, |part| part.id).to_le_bytes();
+    let part = part.map(|part| part.id.to_le_bytes());
     RequestKey::of_content([
         account.map_or("", AccountName::as_str).as_bytes(),
         request.method.as_str().as_bytes(),
         request.uri.to_string().as_bytes(),
-        &part,
-        &request.body,
+        part.as_ref().map_or(&request.body, |part| part.as_slice()),
     ])
 }
 
