relay: run a stream apart only from others that lost the same engines

It now waits 20 ms for the notices of others and goes apart only if one lost the same two engines, which is rare unless one of them ends its engines.

--- a/crates/relay/src/target_losses.rs
+++ b/crates/relay/src/target_losses.rs
@@ -148,9 +148,9 @@
         (losses.targets.len() >= MAX_LOSSES).then(|| until.saturating_duration_since(now))
     }
 
-    /// Returns where a request runs that must not lose another target; `None` if it may. Requests that
-    /// lost the same targets run apart from each other, so that those which only ran beside a fatal
-    /// one do not lose the next target as well.
+    /// Returns where a request runs that must not lose another target, if there are others that lost
+    /// the same ones; `None` otherwise. They run apart from each other, so that those which only ran
+    /// beside a fatal one do not lose the next target as well.
     ///
     /// # Examples
     ///
@@ -177,11 +177,15 @@
             let is_shared = |target: &TargetRun| losses.targets.contains(target);
             losses.is_fresh(now) && own.targets.iter().all(is_shared)
         };
-        let others = self.requests.iter();
-        let before = others.filter(|(key, losses)| key.0 < request.0 && has_same_targets(losses));
+        let same = self.requests.iter();
+        let same = same.filter(|(_, losses)| has_same_targets(losses));
+        let keys: Vec<u64> = same.map(|(key, _)| key.0).collect();
+        if keys.len() < 2 {
+            return None;
+        }
         Some(Separation {
             seed: own.targets.iter().fold(0, |seed, target| seed ^ target.0),
-            position: before.count(),
+            position: keys.iter().filter(|key| **key < request.0).count(),
         })
     }
 
--- a/crates/relay/tests/test_target_losses.rs
+++ b/crates/relay/tests/test_target_losses.rs
@@ -115,7 +115,6 @@
     let mut losses = TargetLosses::default();
     let requests: Vec<_> = (0..count).map(|n| request(&n.to_string())).collect();
     for key in &requests {
-        assert_eq!(losses.separation(*key, now), None);
         for run in runs(&["a", "b"]) {
             losses.record(*key, run, now);
         }
@@ -130,3 +129,20 @@
         .iter()
         .all(|one| one.seed == separations[0].seed));
 }
+
+// Guards against streams that read their prompts again although no other stream lost the same targets.
+#[test]
+fn request_that_lost_other_targets_runs_where_it_likes() {
+    let now = Instant::now();
+    let mut losses = TargetLosses::default();
+    for (name, names) in [
+        ("one", ["a", "b"]),
+        ("two", ["b", "c"]),
+        ("three", ["a", "c"]),
+    ] {
+        for run in runs(&names) {
+            losses.record(request(name), run, now);
+        }
+        assert_eq!(losses.separation(request(name), now), None);
+    }
+}
--- a/daemon/src/relay/failed_attempt.rs
+++ b/daemon/src/relay/failed_attempt.rs
@@ -82,6 +82,7 @@
         if failure.ended_target() && !reachability::is_partitioned_from(&self.state, lease.key) {
             self.ended_runs += 1;
             self.losses.record(lease);
+            self.losses.wait_notices().await;
         }
         failure
     }
--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -7,7 +7,7 @@
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, TargetKey};
 use smol_str::SmolStr;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 use super::{
     attempt::CallerRequest,
@@ -22,6 +22,10 @@
 /// is resumed here, and other instances have to know only if it fails.
 const MIN_NOTIFIED: usize = 2;
 
+/// How long a request that must not lose another target waits for the notices of others that lost
+/// the same ones at the same moment.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
+
 /// The targets that ended while they ran a request and earlier attempts of its caller.
 pub(super) struct RequestLosses {
     state: Arc<RelayState>,
@@ -57,6 +61,14 @@
         losses.allows(self.key, ending, Instant::now())
     }
 
+    /// Waits until other instances have reported which requests lost the same targets, if the request
+    /// must not lose another one.
+    pub(super) async fn wait_notices(&self) {
+        if !self.allows(1) {
+            sleep(NOTICE_TIME).await;
+        }
+    }
+
     /// Returns where the request runs apart from others, if it must not lose another target.
     pub(super) fn separation(&self) -> Option<Separation> {
         self.state.losses().separation(self.key, Instant::now())
