front: read the rest of a body that is too long before the refusal

It now drops up to as much again, for two seconds at most, as relaying instances do; both use one function.

--- a/daemon/src/body.rs
+++ b/daemon/src/body.rs
@@ -1,6 +1,6 @@
 //! HTTP bodies of requests and replies.
 
-use std::io;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::Frame;
 use thiserror::Error;
+use tokio::time::timeout;
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -49,3 +50,18 @@
         Err(_) => Err(BodyError::Truncated),
     }
 }
+
+/// Reads and drops what follows of a body, up to `limit` bytes and for `time` at most.
+///
+/// If a connection is closed while its peer still sends, it is reset, and the peer may not get the
+/// reply that was sent before.
+pub async fn discard<B>(body: B, limit: usize, time: Duration)
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut rest = Limited::new(body, limit);
+    let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
+    // A peer that sends for longer than that is cut off.
+    let _ = timeout(time, discard).await;
+}
--- a/daemon/src/front/headers.rs
+++ b/daemon/src/front/headers.rs
@@ -87,18 +87,26 @@
     }
 }
 
+/// How long the rest of a body that is too long is read, so that its sender gets the reply.
+const REST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reads a body, up to the maximum length in the settings.
 ///
 /// # Errors
 ///
 /// `TooLarge` if it is longer, `BadRequest` if it ends early.
-pub async fn read_body(node: &Node, body: Body) -> Result<Bytes, ApiError> {
+pub async fn read_body(node: &Node, mut body: Body) -> Result<Bytes, ApiError> {
     let limit = node.settings.body_limit;
-    body::read(body, limit).await.map_err(|error| {
-        let kind = match error {
-            BodyError::TooLong => ErrorKind::TooLarge,
-            BodyError::Truncated => ErrorKind::BadRequest,
-        };
-        ApiError::new(kind, error)
-    })
+    let error = match body::read(&mut body, limit).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(error) => error,
+    };
+    let kind = match error {
+        BodyError::TooLong => ErrorKind::TooLarge,
+        BodyError::Truncated => ErrorKind::BadRequest,
+    };
+    if error == BodyError::TooLong {
+        body::discard(&mut body, limit, REST_TIMEOUT).await;
+    }
+    Err(ApiError::new(kind, error))
 }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -16,7 +16,7 @@
 use hyper::body::{Body as _, Incoming};
 use rand::Rng as _;
 use smol_str::SmolStr;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 use super::{
     attempt::CallerRequest,
@@ -29,6 +29,7 @@
     state::{Outdated, RelayState},
     stream,
 };
+use crate::body;
 
 /// How long a request waits until an instance that has just started knows the configuration and the
 /// targets.
@@ -335,12 +336,8 @@
         return;
     }
     let limit = state.view.table().config().limits.body_bytes;
-    state.tasks.spawn(async move {
-        let mut rest = Limited::new(request.into_body(), limit);
-        let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
-        // The connection is closed if the caller sends for longer than that.
-        let _ = timeout(REST_TIMEOUT, discard).await;
-    });
+    let rest = body::discard(request.into_body(), limit, REST_TIMEOUT);
+    state.tasks.spawn(rest);
 }
 
 /// Chooses one of a route's services at random by their weights.
--- a/daemon/tests/test_front.rs
+++ b/daemon/tests/test_front.rs
@@ -7,6 +7,11 @@
 use http_body_util::{BodyExt, Full};
 use rstest::rstest;
 use serde_json::{json, Value};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::fleet::{get, Fleet, ACCOUNT_KEY};
 
@@ -127,6 +132,30 @@
     );
 }
 
+// Guards against a refusal that is lost because the connection is reset while the caller still sends its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_long_body_reaches_a_caller_that_still_sends_it() {
+    let fleet = Fleet::start(TOKEN_INTERVAL).await;
+    let body = vec![b' '; 5 << 20];
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer showroom-key\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(fleet.instances[0].address)
+        .await
+        .unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (first, rest) = body.split_at(body.len() - (256 << 10));
+    stream.write_all(first).await.unwrap();
+    for piece in rest.chunks(64 << 10) {
+        sleep(Duration::from_millis(50)).await;
+        stream.write_all(piece).await.unwrap();
+    }
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 413");
+}
+
 #[rstest]
 #[case::health("/v1/health", 200)]
 #[case::ready("/v1/ready", 200)]
