--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -121,7 +121,7 @@
 pub use store_contact::StoreContact;
 pub use target::Target;
 pub use target_entry::{Presence, TargetEntry};
-pub use target_losses::{LossNotice, RequestKey, Separation, TargetLosses, TargetRun};
+pub use target_losses::{LossNotice, RequestFingerprint, Separation, TargetLosses, TargetRun};
 pub use target_update::{decode, encode, TargetUpdate};
 pub use targets::{Change, Targets};
 pub use usual_deadlines::UsualDeadlines;
--- a/crates/relay/src/target_losses.rs
+++ b/crates/relay/src/target_losses.rs
@@ -16,19 +16,19 @@
 /// Identifies a request across the retries of its caller, which have other ids and may reach other
 /// instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct RequestKey(u64);
+pub struct RequestFingerprint(u64);
 
-impl RequestKey {
+impl RequestFingerprint {
     /// Returns the key of a request with this content, such as its account, path and body. Requests
     /// of different accounts must differ, so that no caller can block those of others.
     ///
     /// # Examples
     ///
     /// ```
-    /// use celerypond_relay::RequestKey;
+    /// use celerypond_relay::RequestFingerprint;
     ///
-    /// let key = RequestKey::of_content(["yard", "/draft/7", "brief"].map(str::as_bytes));
-    /// let other = RequestKey::of_content(["yar", "d/draft/7", "brief"].map(str::as_bytes));
+    /// let key = RequestFingerprint::of_content(["yard", "/draft/7", "brief"].map(str::as_bytes));
+    /// let other = RequestFingerprint::of_content(["yar", "d/draft/7", "brief"].map(str::as_bytes));
     /// assert_ne!(key, other);
     /// ```
     pub fn of_content<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
@@ -62,7 +62,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LossNotice {
     /// The request.
-    pub request: RequestKey,
+    pub request: RequestFingerprint,
     /// The targets, as far as the sender knows them.
     pub targets: Vec<TargetRun>,
 }
@@ -96,11 +96,11 @@
 /// # Examples
 ///
 /// ```
-/// use celerypond_relay::{RequestKey, TargetLosses, TargetRun};
+/// use celerypond_relay::{RequestFingerprint, TargetLosses, TargetRun};
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
-/// let request = RequestKey::of_content([b"draft".as_slice()]);
+/// let request = RequestFingerprint::of_content([b"draft".as_slice()]);
 /// let mut losses = TargetLosses::default();
 /// for name in ["i-1", "i-2", "i-2", "i-3"] {
 ///     assert!(losses.blocked_for(request, now).is_none());
@@ -110,12 +110,17 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct TargetLosses {
-    requests: HashMap<RequestKey, Losses>,
+    requests: HashMap<RequestFingerprint, Losses>,
 }
 
 impl TargetLosses {
     /// Records that a target ended while it ran a request. Returns the number of targets that did.
-    pub fn record(&mut self, request: RequestKey, target: TargetRun, now: Instant) -> usize {
+    pub fn record(
+        &mut self,
+        request: RequestFingerprint,
+        target: TargetRun,
+        now: Instant,
+    ) -> usize {
         self.add(request, &[target], now);
         self.count(request, now)
     }
@@ -130,19 +135,19 @@
     }
 
     /// Returns the number of targets that ended while they ran a request.
-    pub fn count(&self, request: RequestKey, now: Instant) -> usize {
+    pub fn count(&self, request: RequestFingerprint, now: Instant) -> usize {
         self.fresh(request, now)
             .map_or(0, |losses| losses.targets.len())
     }
 
     /// Returns whether a request may be sent to another target if this number of targets that run it
     /// are about to end.
-    pub fn allows(&self, request: RequestKey, ending: usize, now: Instant) -> bool {
+    pub fn allows(&self, request: RequestFingerprint, ending: usize, now: Instant) -> bool {
         self.count(request, now) + ending < MAX_LOSSES
     }
 
     /// Returns how long a request must not be sent to any target; `None` if it may be.
-    pub fn blocked_for(&self, request: RequestKey, now: Instant) -> Option<Duration> {
+    pub fn blocked_for(&self, request: RequestFingerprint, now: Instant) -> Option<Duration> {
         let losses = self.fresh(request, now)?;
         let until = losses.latest + LOSS_TTL;
         (losses.targets.len() >= MAX_LOSSES).then(|| until.saturating_duration_since(now))
@@ -155,12 +160,12 @@
     /// # Examples
     ///
     /// ```
-    /// use celerypond_relay::{RequestKey, TargetLosses, TargetRun};
+    /// use celerypond_relay::{RequestFingerprint, TargetLosses, TargetRun};
     /// use tokio::time::Instant;
     ///
     /// let now = Instant::now();
     /// let mut losses = TargetLosses::default();
-    /// let requests = ["fatal", "beside"].map(|name| RequestKey::of_content([name.as_bytes()]));
+    /// let requests = ["fatal", "beside"].map(|name| RequestFingerprint::of_content([name.as_bytes()]));
     /// for (request, target) in requests.iter().flat_map(|key| [(*key, "i-1"), (*key, "i-2")]) {
     ///     losses.record(request, TargetRun::new(target, None), now);
     /// }
@@ -168,7 +173,7 @@
     /// assert_eq!(fatal.seed, beside.seed);
     /// assert_ne!(fatal.position, beside.position);
     /// ```
-    pub fn separation(&self, request: RequestKey, now: Instant) -> Option<Separation> {
+    pub fn separation(&self, request: RequestFingerprint, now: Instant) -> Option<Separation> {
         let own = self.fresh(request, now)?;
         if own.targets.len() + 1 < MAX_LOSSES {
             return None;
@@ -190,12 +195,12 @@
     }
 
     /// Forgets the ends under a request that a target ran to its end.
-    pub fn forget(&mut self, request: RequestKey) {
+    pub fn forget(&mut self, request: RequestFingerprint) {
         self.requests.remove(&request);
     }
 
     /// Returns the notice for other instances if they were not notified of all targets.
-    pub fn take_notice(&mut self, request: RequestKey, now: Instant) -> Option<LossNotice> {
+    pub fn take_notice(&mut self, request: RequestFingerprint, now: Instant) -> Option<LossNotice> {
         if self.is_reported(request) {
             return None;
         }
@@ -207,22 +212,22 @@
     }
 
     /// Returns the notice of all known ends under a request, if there are any.
-    pub fn notice(&self, request: RequestKey, now: Instant) -> Option<LossNotice> {
+    pub fn notice(&self, request: RequestFingerprint, now: Instant) -> Option<LossNotice> {
         let targets = self.fresh(request, now)?.targets.clone();
         Some(LossNotice { request, targets })
     }
 
-    fn fresh(&self, request: RequestKey, now: Instant) -> Option<&Losses> {
+    fn fresh(&self, request: RequestFingerprint, now: Instant) -> Option<&Losses> {
         let losses = self.requests.get(&request);
         losses.filter(|losses| losses.is_fresh(now))
     }
 
-    fn is_reported(&self, request: RequestKey) -> bool {
+    fn is_reported(&self, request: RequestFingerprint) -> bool {
         let losses = self.requests.get(&request);
         losses.is_none_or(|losses| losses.is_reported)
     }
 
-    fn add(&mut self, request: RequestKey, targets: &[TargetRun], now: Instant) {
+    fn add(&mut self, request: RequestFingerprint, targets: &[TargetRun], now: Instant) {
         if !self.requests.contains_key(&request) {
             self.make_room(now);
         }
--- a/crates/relay/tests/test_target_losses.rs
+++ b/crates/relay/tests/test_target_losses.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use celerypond_relay::{LossNotice, RequestKey, TargetLosses, TargetRun};
+use celerypond_relay::{LossNotice, RequestFingerprint, TargetLosses, TargetRun};
 use rstest::rstest;
 use tokio::time::Instant;
 
-fn request(name: &str) -> RequestKey {
-    RequestKey::of_content([name.as_bytes()])
+fn request(name: &str) -> RequestFingerprint {
+    RequestFingerprint::of_content([name.as_bytes()])
 }
 
 fn runs(names: &[&str]) -> Vec<TargetRun> {
--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerypond_adapter::headers;
-use celerypond_relay::{AttemptFailure, LossNotice, RequestKey, Separation, TargetRun};
+use celerypond_relay::{AttemptFailure, LossNotice, RequestFingerprint, Separation, TargetRun};
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, TargetKey};
 use smol_str::SmolStr;
@@ -30,7 +30,7 @@
 pub(super) struct RequestLosses {
     state: Arc<RelayState>,
     id: SmolStr,
-    key: RequestKey,
+    key: RequestFingerprint,
     origin: Origin,
 }
 
@@ -129,11 +129,11 @@
 /// Returns the key of a request. A caller that retries sends the same content with another id, and
 /// a caller that resumes a stream with the id of its last event. A prompt is identified by its last
 /// part, which only this request or its session has.
-fn key_of(request: &CallerRequest, account: Option<&AccountName>) -> RequestKey {
+fn key_of(request: &CallerRequest, account: Option<&AccountName>) -> RequestFingerprint {
     let prompt = headers::parse_caller_head(&request.headers).prompt;
     let part = prompt.and_then(|prompt| prompt.parts.last().copied());
     let part = part.map(|part| part.id.to_le_bytes());
-    RequestKey::of_content([
+    RequestFingerprint::of_content([
         account.map_or("", AccountName::as_str).as_bytes(),
         request.method.as_str().as_bytes(),
         request.uri.to_string().as_bytes(),
