relay: keep the sums of a rate limit finite

An infinite limit, as a datagram could carry it, blocked its target for ever (infinity times zero). The platform's header is checked already. The new test failed in that case.

--- a/crates/relay/src/rate_limit.rs
+++ b/crates/relay/src/rate_limit.rs
@@ -11,6 +11,8 @@
 /// The rate, in requests per second, that is used at least. A target that accepts no requests would
 /// otherwise never get one to whose response it can add that its limit has ended.
 const MIN_RATE: f64 = 0.25;
+/// The rate above which a limit makes no difference, so that sums stay finite.
+const MAX_RATE: f64 = 1e9;
 /// The time in which other instances may not know yet of a request that was sent.
 const NOTICE_DELAY: Duration = Duration::from_millis(20);
 /// The maximum time over which instances send one after the other, at the stated rate.
@@ -201,7 +203,7 @@
 
 /// Returns the rate that all instances use together, in requests per second.
 fn used_rate(stated: f64) -> f64 {
-    (stated * RATE_SHARE).max(MIN_RATE)
+    (stated * RATE_SHARE).max(MIN_RATE).min(MAX_RATE)
 }
 
 /// Returns the number of requests within which instances draw how full the bucket has to be.
--- a/crates/relay/tests/test_rate_limit.rs
+++ b/crates/relay/tests/test_rate_limit.rs
@@ -201,3 +201,21 @@
     limit.merge(2, RateEvent::Sent(0), 3, start);
     assert!(limit.wait(2, start).unwrap() < Duration::from_secs(1));
 }
+
+// Guards against a target that gets no requests because it states the largest number there is, or what is not a number.
+#[rstest]
+#[case(f64::MAX)]
+#[case(f64::INFINITY)]
+#[case(f64::NAN)]
+fn extreme_limit_allows_requests(#[case] rate: f64) {
+    let start = Instant::now();
+    let mut limit = RateLimit::default();
+    limit.record_statement(Some(rate), start, start);
+    for second in 1..100 {
+        let now = start + Duration::from_secs(second * 10);
+        assert!(limit.allows(7, now), "{second}");
+        assert_eq!(limit.wait(7, now), Some(Duration::ZERO));
+        limit.spend(7, 0.9, now);
+        limit.merge(1, RateEvent::Sent(second as u32), 7, now);
+    }
+}
