soak: count an engine that crashed before it read a stream's request as lost to it

The check now takes the engines that the instance names for a stream and that have crashed in fact; that no stream loses a fourth engine is still counted by the engines alone.

--- a/daemon/tests/soak/engines.rs
+++ b/daemon/tests/soak/engines.rs
@@ -1,7 +1,7 @@
 //! Engines that stream long answers, and crash or leave while others start.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -50,6 +50,8 @@
     pub(crate) lag: TimerLag,
     /// The number of engines that have crashed or left.
     pub(crate) ended: usize,
+    /// The engines that have crashed.
+    pub(crate) crashed: HashSet<String>,
     /// The number of engines that have crashed while they ran a request, by its id.
     pub(crate) crashes: HashMap<String, usize>,
 }
@@ -76,6 +78,7 @@
             started: 0,
             lag: TimerLag::default(),
             ended: 0,
+            crashed: HashSet::new(),
             crashes: HashMap::new(),
         };
         let runtime = engines.runtime.as_ref().unwrap();
@@ -133,6 +136,7 @@
             *self.crashes.entry(id).or_default() += 1;
         }
         engine.target.crash();
+        self.crashed.insert(engine.name.clone());
         let end = Instant::now() + EXPIRY;
         self.ending_entries.push((end, engine.name));
     }
--- a/daemon/tests/soak/log_lines.rs
+++ b/daemon/tests/soak/log_lines.rs
@@ -1,6 +1,9 @@
 //! The lines that instances wrote.
 
-use std::{collections::BTreeMap, path::Path};
+use std::{
+    collections::{BTreeMap, HashSet},
+    path::Path,
+};
 
 use serde_json::Value;
 
@@ -24,6 +27,14 @@
         messages.filter(|message| message == "started").count()
     }
 
+    /// Returns the engines that ended under a request, according to these lines.
+    pub(crate) fn engines_lost(&self, request: &str) -> HashSet<String> {
+        let lines = self.0.iter().filter(|line| {
+            line["request"] == request && line["message"] == "target ended under a request"
+        });
+        lines.map(|line| field(line, "target")).collect()
+    }
+
     /// Counts the lines that tell why attempts and streams ended and requests were answered by the instance itself.
     pub(crate) fn count(&self, counts: &mut BTreeMap<String, usize>) {
         for line in &self.0 {
--- a/daemon/tests/soak/starvation.rs
+++ b/daemon/tests/soak/starvation.rs
@@ -325,10 +325,9 @@
             let is_broken =
                 record.end == StreamEnd::ClosedEarly && record.ended - record.sent < DEADLINE;
             let was_killed = kill.is_some_and(|kill| kill.ended_stream(record));
-            let crashes = self.crashes(record);
             record.end == StreamEnd::WrongEvents
-                || is_broken && !was_killed && crashes < MAX_CRASHES
-                || crashes > MAX_CRASHES
+                || is_broken && !was_killed && self.engines_lost(record) < MAX_CRASHES
+                || self.crashes(record) > MAX_CRASHES
         });
         let violations = violations.map(|record| {
             let path = self.processes[record.instance].log_path();
@@ -346,6 +345,14 @@
         violations.collect()
     }
 
+    /// Returns the number of engines that crashed under a stream. It counts those that the instance names and that
+    /// have crashed, as an engine that has not read a request yet does not know of it.
+    fn engines_lost(&self, record: &StreamRecord) -> usize {
+        let path = self.processes[record.instance].log_path();
+        let lost = LogLines::read(&path).engines_lost(&record.id);
+        lost.intersection(&self.engines.crashed).count()
+    }
+
     /// Returns the number of engines that crashed while they ran a stream.
     fn crashes(&self, record: &StreamRecord) -> usize {
         self.engines
