--- a/crates/relay/src/rate_limit.rs
+++ b/crates/relay/src/rate_limit.rs
@@ -11,8 +11,6 @@
 /// The rate, in requests per second, that is used at least. A target that accepts no requests would
 /// otherwise never get one to whose response it can add that its limit has ended.
 const MIN_RATE: f64 = 0.25;
-/// The rate above which a limit makes no difference, so that sums stay finite.
-const MAX_RATE: f64 = 1e9;
 /// The time in which other instances may not know yet of a request that was sent.
 const NOTICE_DELAY: Duration = Duration::from_millis(20);
 /// The maximum time over which instances send one after the other, at the stated rate.
@@ -102,6 +100,7 @@
     /// Records the limit in a response to a request that was sent at a moment; `None` if the response
     /// states no limit. Returns whether it changed, so that other instances have to be notified.
     pub fn record_statement(&mut self, rate: Option<f64>, sent: Instant, now: Instant) -> bool {
+        let rate = finite(rate);
         let previous = self.statement;
         // Responses to earlier requests may arrive after the one that stated the limit.
         if rate.is_none() && previous.is_some_and(|statement| sent <= statement.at) {
@@ -114,7 +113,7 @@
     /// Merges what another instance reports.
     pub fn merge(&mut self, origin: u64, event: RateEvent, instances: usize, now: Instant) {
         let sent = match event {
-            RateEvent::Stated(rate) => return self.set(rate, now),
+            RateEvent::Stated(rate) => return self.set(finite(rate), now),
             RateEvent::Sent(sent) => sent,
         };
         let Some(statement) = self.statement else {
@@ -201,9 +200,14 @@
     }
 }
 
+/// Returns a stated rate unless it is not a number or infinite, which is no limit.
+fn finite(rate: Option<f64>) -> Option<f64> {
+    rate.filter(|rate| rate.is_finite())
+}
+
 /// Returns the rate that all instances use together, in requests per second.
 fn used_rate(stated: f64) -> f64 {
-    (stated * RATE_SHARE).max(MIN_RATE).min(MAX_RATE)
+    (stated * RATE_SHARE).max(MIN_RATE)
 }
 
 /// Returns the number of requests within which instances draw how full the bucket has to be.
