relay: count ends of targets that are back at once under another name

A fatal request was sent on without an end when its targets restarted within a round trip: a target that no longer owns its address was taken for one that had left as planned, so its end counted neither under the request nor as an attempt. Found by reading; request_is_not_sent_on_once_three_targets_restarted_under_it failed with 49, 344 and 49 ends in place of three.

Only a target that was draining or no longer listed has left as planned, and its end counts as an attempt as before, so that attempts stay bounded.

--- a/daemon/src/relay/failed_attempt.rs
+++ b/daemon/src/relay/failed_attempt.rs
@@ -80,8 +80,8 @@
             lease.record_failure(failure);
         }
         if failure.ended_target() && !reachability::is_partitioned_from(&self.state, lease.key) {
-            self.ended_runs += 1;
-            self.losses.record(lease);
+            // The number of ends is bounded, so these may leave the number of attempts out.
+            self.ended_runs += u32::from(self.losses.record(lease));
             self.losses.wait_notices().await;
         }
         failure
--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use celerypond_adapter::headers;
-use celerypond_relay::{AttemptFailure, LossNotice, RequestFingerprint, Separation, TargetRun};
+use celerypond_relay::{
+    AttemptFailure, LossNotice, RequestFingerprint, Separation, Target, TargetRun,
+};
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, TargetKey};
 use smol_str::SmolStr;
@@ -74,11 +76,14 @@
         self.state.losses().separation(self.key, Instant::now())
     }
 
-    /// Records that a target ended while it ran the request. A target that was leaving has ended as
-    /// planned.
-    pub(super) fn record(&self, lease: &Lease) {
-        if !self.state.view.targets().is_usable(lease.key) {
-            return;
+    /// Records that a target ended while it ran the request. Returns whether it counts: a target that
+    /// was leaving has ended as planned.
+    pub(super) fn record(&self, lease: &Lease) -> bool {
+        let targets = self.state.view.targets();
+        let is_listed = targets.get(lease.key).is_some_and(Target::is_ready);
+        drop(targets);
+        if !is_listed {
+            return false;
         }
         let now = Instant::now();
         let target = TargetRun::new(lease.name.as_str(), lease.born);
@@ -93,6 +98,7 @@
         if count >= MIN_NOTIFIED || self.origin == Origin::Peer {
             self.notify();
         }
+        true
     }
 
     /// Records that the request is not sent on because too many targets ended under it.
