--- a/daemon/src/relay/failed_attempt.rs
+++ b/daemon/src/relay/failed_attempt.rs
@@ -80,7 +80,7 @@
             lease.record_failure(failure);
         }
         if failure.ended_target() && !reachability::is_partitioned_from(&self.state, lease.key) {
-            // The number of ends is bounded, so these may leave the number of attempts out.
+            // Ends have a limit of their own, so they need not count as attempts.
             self.ended_runs += u32::from(self.losses.record(lease));
             self.losses.wait_notices().await;
         }
