relay: parse a request's prompt once

The fingerprint of a request parsed its headers again for the prompt that the caller's head has already; the prompt is set as the request is made, not after it.

--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -233,12 +233,12 @@
     let mut routed = RoutedRequest::new(
         state,
         caller_request,
+        head.prompt.as_ref(),
         &route,
         service,
         account,
         (deadline, record),
     );
-    routed.set_prompt(head.prompt.as_ref());
     routed.passed_copy = passed_copy;
     // A relayed request has the time that the other instance has left.
     let usual_deadline = head.deadline.filter(|_| origin == Origin::Caller);
--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -2,9 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use celerypond_adapter::headers;
 use celerypond_relay::{
-    AttemptFailure, LossNotice, RequestFingerprint, Separation, Target, TargetRun,
+    AttemptFailure, LossNotice, Prompt, RequestFingerprint, Separation, Target, TargetRun,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, TargetKey};
@@ -40,13 +39,14 @@
     pub(super) fn new(
         state: &Arc<RelayState>,
         request: &CallerRequest,
+        prompt: Option<&Prompt>,
         account: Option<&AccountName>,
         origin: Origin,
     ) -> Self {
         Self {
             state: Arc::clone(state),
             id: request.id.clone(),
-            key: key_of(request, account),
+            key: key_of(request, prompt, account),
             origin,
         }
     }
@@ -135,9 +135,12 @@
 /// Returns the key of a request. A caller that retries sends the same content with another id, and
 /// a caller that resumes a stream with the id of its last event. A prompt is identified by its last
 /// part, which only this request or its session has.
-fn key_of(request: &CallerRequest, account: Option<&AccountName>) -> RequestFingerprint {
-    let prompt = headers::parse_caller_head(&request.headers).prompt;
-    let part = prompt.and_then(|prompt| prompt.parts.last().copied());
+fn key_of(
+    request: &CallerRequest,
+    prompt: Option<&Prompt>,
+    account: Option<&AccountName>,
+) -> RequestFingerprint {
+    let part = prompt.and_then(|prompt| prompt.parts.last());
     let part = part.map(|part| part.id.to_le_bytes());
     RequestFingerprint::of_content([
         account.map_or("", AccountName::as_str).as_bytes(),
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -113,6 +113,7 @@
     pub(super) fn new(
         state: &Arc<RelayState>,
         caller_request: CallerRequest,
+        prompt: Option<&Prompt>,
         route: &Route,
         service: ServiceName,
         account: Option<AccountName>,
@@ -125,7 +126,7 @@
         }
         state.moves().record_request(&service, Instant::now());
         let version_choice = state.rollouts.versions().choose(&service, Instant::now());
-        let losses = RequestLosses::new(state, &caller_request, account.as_ref(), origin);
+        let losses = RequestLosses::new(state, &caller_request, prompt, account.as_ref(), origin);
         let requirements = TargetRequirements {
             service,
             version_choice,
@@ -140,7 +141,7 @@
             local_data_centre: state.settings.load().data_centre.clone(),
             tie_breaker: rand::random(),
         };
-        Self {
+        let mut request = Self {
             state: Arc::clone(state),
             caller_request,
             route: route.clone(),
@@ -165,7 +166,9 @@
             last_event: None,
             last_failure: None,
             passed_copy: None,
-        }
+        };
+        request.set_prompt(prompt);
+        request
     }
 
     fn progress(&self) -> Progress {
@@ -190,7 +193,7 @@
 
     /// Sets the prompt of a request to an engine. Plain services have no prompts, so it is ignored
     /// for them.
-    pub(super) fn set_prompt(&mut self, prompt: Option<&Prompt>) {
+    fn set_prompt(&mut self, prompt: Option<&Prompt>) {
         let table = self.state.view.table();
         let engine = table.service(&self.requirements.service);
         let engine = engine.and_then(|service| service.engine.as_ref());
