--- a/crates/relay/src/rate_limit.rs
+++ b/crates/relay/src/rate_limit.rs
@@ -128,18 +128,14 @@
 
     /// Returns whether a request may be sent now by one of this number of instances.
     pub fn allows(&self, instances: usize, now: Instant) -> bool {
-        let Some(statement) = self.statement else {
-            return true;
-        };
-        let needed = 1.0 + self.jitter * spread(statement.rate, instances);
-        self.tokens_at(statement.rate, instances, now) >= needed
+        let statement = self.statement;
+        statement.is_none_or(|statement| self.lacking(statement.rate, instances, now) <= 0.0)
     }
 
     /// Returns the time until a request may be sent; `None` if the rate is not limited.
     pub fn wait(&self, instances: usize, now: Instant) -> Option<Duration> {
         let rate = self.statement?.rate;
-        let needed = 1.0 + self.jitter * spread(rate, instances);
-        let lacking = needed - self.tokens_at(rate, instances, now);
+        let lacking = self.lacking(rate, instances, now);
         Some(Duration::from_secs_f64(lacking.max(0.0) / used_rate(rate)))
     }
 
@@ -186,6 +182,12 @@
         }
     }
 
+    /// Returns the number of requests by which the bucket has to be fuller for the next one.
+    fn lacking(&self, rate: f64, instances: usize, now: Instant) -> f64 {
+        let needed = 1.0 + self.jitter * spread(rate, instances);
+        needed - self.tokens_at(rate, instances, now)
+    }
+
     fn take(&mut self, requests: f64, rate: f64, instances: usize, now: Instant) {
         self.tokens = self.tokens_at(rate, instances, now) - requests;
         self.updated = Some(now);
