--- a/crates/relay/src/target_losses.rs
+++ b/crates/relay/src/target_losses.rs
@@ -121,17 +121,17 @@
         target: TargetRun,
         now: Instant,
     ) -> usize {
-        self.add(request, &[target], now);
+        if self.add(request, &[target], now)
+            && let Some(losses) = self.requests.get_mut(&request)
+        {
+            losses.is_reported = false;
+        }
         self.count(request, now)
     }
 
     /// Merges the notice of another instance.
     pub fn merge(&mut self, notice: &LossNotice, now: Instant) {
-        let was_reported = self.is_reported(notice.request);
         self.add(notice.request, &notice.targets, now);
-        if let Some(losses) = self.requests.get_mut(&notice.request) {
-            losses.is_reported = was_reported;
-        }
     }
 
     /// Returns the number of targets that ended while they ran a request.
@@ -227,7 +227,8 @@
         losses.is_none_or(|losses| losses.is_reported)
     }
 
-    fn add(&mut self, request: RequestFingerprint, targets: &[TargetRun], now: Instant) {
+    /// Adds targets, and returns whether any was not known.
+    fn add(&mut self, request: RequestFingerprint, targets: &[TargetRun], now: Instant) -> bool {
         if !self.requests.contains_key(&request) {
             self.make_room(now);
         }
@@ -242,11 +243,12 @@
         let known = losses.targets.clone();
         // The limit is reached with the first ones.
         let new = targets.iter().filter(|target| !known.contains(target));
-        for target in new.take(MAX_LOSSES) {
-            losses.targets.push(*target);
+        losses.targets.extend(new.take(MAX_LOSSES));
+        let is_new = losses.targets.len() > known.len();
+        if is_new {
             losses.latest = now;
-            losses.is_reported = false;
         }
+        is_new
     }
 
     /// Removes what has expired once there are too many requests, and otherwise the oldest one.
