--- a/daemon/src/relay/failed_attempt.rs
+++ b/daemon/src/relay/failed_attempt.rs
@@ -45,11 +45,11 @@
             _ if failure.proves_unsent() => self.unreached += 1,
             _ => self.refusals += u32::from(failure.proves_not_run()),
         }
-        let next = match self.is_blocked() {
-            true => NextStep::TargetsLost,
-            false => self
+        let next = match self.check_losses() {
+            Ok(()) => self
                 .attempt_state()
                 .next_step(failure, || self.take_retry()),
+            Err(next) => next,
         };
         log::info!(
             request = self.caller_request.id.as_str(),
@@ -104,13 +104,17 @@
         self.route.attempts + self.ended_runs
     }
 
-    /// Returns whether too many targets ended under the request for it to be sent on.
-    pub(super) fn is_blocked(&self) -> bool {
-        let is_blocked = self.losses.blocked_for().is_some();
-        if is_blocked {
-            self.losses.record_blocked();
+    /// Checks that the request may be sent on.
+    ///
+    /// # Errors
+    ///
+    /// `TargetsLost` if too many targets ended under it.
+    pub(super) fn check_losses(&self) -> Result<(), NextStep> {
+        if self.losses.blocked_for().is_none() {
+            return Ok(());
         }
-        is_blocked
+        self.losses.record_blocked();
+        Err(NextStep::TargetsLost)
     }
 
     /// Returns what to do when no target is left to try.
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -241,12 +241,10 @@
         let mut copies = copies.into_iter();
         let mut is_retry = self.events.forwarded() > 0;
         loop {
-            if self.request.is_blocked() {
-                return Err(NoEngine {
-                    next: NextStep::TargetsLost,
-                    is_temporary: false,
-                });
-            }
+            self.request.check_losses().map_err(|next| NoEngine {
+                next,
+                is_temporary: false,
+            })?;
             let uses_copy =
                 !self.request.is_partitioned() && self.request.losses.separation().is_none();
             let copy_holder = match uses_copy {
--- a/daemon/src/relay/single_response.rs
+++ b/daemon/src/relay/single_response.rs
@@ -27,8 +27,8 @@
     loop {
         // Contact with the store and the peers may have been lost since the request was admitted.
         request.wait_targets().await;
-        if request.is_blocked() {
-            return finish(request, NextStep::TargetsLost, failed_reply).await;
+        if let Err(next) = request.check_losses() {
+            return finish(request, next, failed_reply).await;
         }
         if request.prefers_peer()
             && let Some(reply) = relay_through_peer(&mut request).await
