--- a/daemon/src/body.rs
+++ b/daemon/src/body.rs
@@ -51,11 +51,14 @@
     }
 }
 
-/// Reads and drops what follows of a body, up to `limit` bytes and for `time` at most.
+/// How long what follows of a body is read to be dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads and drops what follows of a body, up to `limit` bytes and for two seconds at most.
 ///
 /// If a connection is closed while its peer still sends, it is reset, and the peer may not get the
 /// reply that was sent before.
-pub async fn discard<B>(body: B, limit: usize, time: Duration)
+pub async fn discard<B>(body: B, limit: usize)
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -63,5 +66,5 @@
     let mut rest = Limited::new(body, limit);
     let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
     // A peer that sends for longer than that is cut off.
-    let _ = timeout(time, discard).await;
+    let _ = timeout(DISCARD_TIMEOUT, discard).await;
 }
--- a/daemon/src/front/headers.rs
+++ b/daemon/src/front/headers.rs
@@ -87,9 +87,6 @@
     }
 }
 
-/// How long the rest of a body that is too long is read, so that its sender gets the reply.
-const REST_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Reads a body, up to the maximum length in the settings.
 ///
 /// # Errors
@@ -106,7 +103,7 @@
         BodyError::Truncated => ErrorKind::BadRequest,
     };
     if error == BodyError::TooLong {
-        body::discard(&mut body, limit, REST_TIMEOUT).await;
+        body::discard(&mut body, limit).await;
     }
     Err(ApiError::new(kind, error))
 }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -50,9 +50,6 @@
 /// still begins within about four seconds.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// How long the rest of the body of a refused request is read.
-const REST_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -336,7 +333,7 @@
         return;
     }
     let limit = state.view.table().config().limits.body_bytes;
-    let rest = body::discard(request.into_body(), limit, REST_TIMEOUT);
+    let rest = body::discard(request.into_body(), limit);
     state.tasks.spawn(rest);
 }
 
