relay: log what targets state about pauses and leaving

Two headers of responses are parsed (`Retry-After`, `Server-Leaving`), and each statement gets a line and a counter (`relay.cooldowns_stated`, `relay.leaving_stated`). No decision reads them yet. What is not a decimal number of seconds, or not the one value that means leaving, states nothing.

--- a/crates/relay/src/head.rs
+++ b/crates/relay/src/head.rs
@@ -127,6 +127,11 @@
     pub max_rejections: Option<u32>,
     /// The requests per second that the target accepts from all instances, if it states a limit.
     pub max_rate: Option<f64>,
+    /// How long the target wants no requests from this instance. Only responses that reject a request
+    /// state this.
+    pub retry_after: Option<Duration>,
+    /// Whether the target leaves.
+    pub is_leaving: bool,
     /// How long the target keeps the connection open without a request.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -131,6 +131,10 @@
         RequestsQuarantined = "relay.requests_quarantined",
         /// Attempts that got no target because all had as many requests as they accept.
         RateLimited = "relay.rate_limited",
+        /// Responses of targets that state how long they want no requests.
+        CooldownsStated = "relay.cooldowns_stated",
+        /// Responses of targets that state that they leave.
+        LeavingStated = "relay.leaving_stated",
         /// Streams whose callers were put off, as engines have no room for them in time.
         StreamsPutOff = "relay.streams_put_off",
         /// Streams that were refused, as they cannot be served in time after their callers were put
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -47,6 +47,7 @@
 mod single_response;
 mod start;
 mod state;
+mod statements;
 mod stop;
 mod store_backoff;
 mod store_view;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -17,6 +17,7 @@
     rate_limits,
     reachability::record_connection,
     state::RelayState,
+    statements,
 };
 
 /// The time within which a target resets a request on a connection that it does not accept: a
@@ -213,6 +214,7 @@
     sender: Sender,
 ) -> Result<OpenResponse, AttemptFailure> {
     let response = OpenResponse::new(response, sender);
+    statements::record(state, lease, &caller_request.id, &response);
     if response.head.request.as_ref() != Some(&caller_request.id) {
         return Err(AttemptFailure::Foreign);
     }
