relay: ask in one place whether a target may get a request

Selection asked for the stated rate, for brittle targets and for queues; the lease asked for the stated rate only, and roads that lease without a selection (holders of copies, previous engines) for that and presence. A further reason would have been a fifth condition on some of the roads. `Targets::check_send` answers for all, with the reason and its end; `service_hold` gives the first end over a service, from which callers are told when to retry. No change but that holders of copies and previous engines keep to the limits of brittle targets as well.

Checked: the relay's tests.

--- a/crates/relay/src/rejection_limit.rs
+++ b/crates/relay/src/rejection_limit.rs
@@ -112,11 +112,13 @@
             return true;
         }
         let share = f64::from(slots) * OPEN_SHARE / instances.max(1) as f64;
-        !self.is_blocked(now) && f64::from(open) < share.max(1.0)
+        self.blocked_until(now).is_none() && f64::from(open) < share.max(1.0)
     }
 
-    fn is_blocked(&self, now: Instant) -> bool {
-        self.blocked.is_some_and(|(_, until)| until > now)
+    /// Returns until when requests are held back after rejections.
+    pub fn blocked_until(&self, now: Instant) -> Option<Instant> {
+        let (_, until) = self.blocked.filter(|(_, until)| *until > now)?;
+        Some(until)
     }
 
     fn rejections(&self, now: Instant) -> Option<u32> {
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -167,13 +167,14 @@
     /// Returns the targets to which a request may be sent now, including those to avoid.
     fn sendable(&self, query: &TargetQuery<'_>, loads: &Loads<'_>) -> Vec<(TargetKey, &Target)> {
         let fitting = self.iter().filter(|(key, target)| {
-            self.is_usable(*key)
-                && target.entry.service == *query.service
+            target.entry.service == *query.service
                 && query.choice.allows(&target.entry.version)
                 && !query.tried.contains(key)
+                && !loads.has_long_backlog(target)
         });
+        let send_query = query.send_query();
         fitting
-            .filter(|(_, target)| !loads.has_long_backlog(target) && loads.may_send(target))
+            .filter(|(key, _)| self.check_send(*key, send_query, loads.now).is_ok())
             .collect()
     }
 
@@ -505,21 +506,6 @@
         self.usage_before(target).reading_tokens > most
     }
 
-    /// Returns whether this instance may send a request to a target now, which is limited for plain
-    /// targets with a long queue, for brittle ones, and for those that state a limit.
-    fn may_send(&self, target: &Target) -> bool {
-        let (query, rate) = (self.query, &target.admission_rate);
-        if !target.rate_limit.allows(query.instances, self.now) {
-            return false;
-        }
-        let (open, slots) = (target.open_requests, target.entry.slots);
-        let limit = &target.rejection_limit;
-        if !limit.allows(open, slots, query.instances, self.now) {
-            return false;
-        }
-        query.capacity.is_some() || rate.allows(query.is_late, query.instances, self.now)
-    }
-
     /// Returns the used share of an engine's slots or of its memory, whichever is larger.
     fn used_share(&self, target: &Target, others: &EngineUsage) -> f64 {
         let tokens = target.stream_tokens + others.tokens + self.query.tokens;
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -778,15 +778,6 @@
         target.reading_tokens + others
     }
 
-    /// Returns the time until a target of a service is no longer avoided; `None` if one is not
-    /// avoided now, or there is none.
-    pub fn time_until_usable(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
-        let usable = self.usable_targets(service);
-        let soonest = usable.map(|(_, target)| target.avoided_until()).min()?;
-        let left = soonest?.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
-    }
-
     /// Returns whether this instance limits the rate of requests to a target of a service, which has
     /// a long queue.
     pub fn is_limited(&self, service: &ServiceName) -> bool {
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -41,12 +41,17 @@
 }
 
 impl Lease {
-    /// Leases a target for a request. Returns `None` if the target is gone or accepts no more now.
-    pub(super) fn for_request(state: &Arc<RelayState>, key: TargetKey) -> Option<Self> {
-        Self::new(state, &mut state.view.targets(), key)
+    /// Leases a target for a request. Returns `None` if the target may get no request now.
+    pub(super) fn for_request(
+        state: &Arc<RelayState>,
+        key: TargetKey,
+        requirements: &TargetRequirements,
+    ) -> Option<Self> {
+        Self::new(state, &mut state.view.targets(), key, requirements)
     }
 
-    /// Leases an engine for a stream, which may have begun. Returns `None` if the engine is gone or accepts no more now.
+    /// Leases an engine for a stream, which may have begun. Returns `None` if the engine may get no
+    /// request now.
     pub(super) fn for_stream(
         state: &Arc<RelayState>,
         key: TargetKey,
@@ -56,7 +61,7 @@
     ) -> Option<Self> {
         let urgency = requirements.urgency.unwrap_or_default();
         let mut targets = state.view.targets();
-        let mut lease = Self::new(state, &mut targets, key)?;
+        let mut lease = Self::new(state, &mut targets, key, requirements)?;
         // During a burst, less urgent streams would open all connections that this instance may open.
         // Those that have begun would break without one.
         let is_first = requirements.urgency.is_none_or(Urgency::is_first);
@@ -67,15 +72,18 @@
         Some(lease)
     }
 
-    fn new(state: &Arc<RelayState>, targets: &mut Targets, key: TargetKey) -> Option<Self> {
+    fn new(
+        state: &Arc<RelayState>,
+        targets: &mut Targets,
+        key: TargetKey,
+        requirements: &TargetRequirements,
+    ) -> Option<Self> {
+        let (now, query) = (Instant::now(), requirements.query(&[]).send_query());
+        targets.check_send(key, query, now).ok()?;
         let target = targets.get_mut(key)?;
-        if !rate_limits::try_spend(state, target) {
-            return None;
-        }
+        rate_limits::spend(state, target);
         target.open_requests += 1;
-        target
-            .admission_rate
-            .spend(state.instance_count(), Instant::now());
+        target.admission_rate.spend(state.instance_count(), now);
         let table = state.view.table();
         let service = table.service(&target.entry.service);
         Some(Self {
@@ -92,7 +100,7 @@
             },
             confirms_connection: false,
             had_prompt: false,
-            leased: Instant::now(),
+            leased: now,
             began: None,
             stream: None,
         })
--- a/daemon/src/relay/rate_limits.rs
+++ b/daemon/src/relay/rate_limits.rs
@@ -26,17 +26,13 @@
     }
 }
 
-/// Counts a request that is sent to a target. Returns whether the target's limit allows it.
-pub(super) fn try_spend(state: &RelayState, target: &mut Target) -> bool {
-    let (instances, now) = (state.instance_count(), Instant::now());
-    if !target.rate_limit.allows(instances, now) {
-        return false;
-    }
-    let event = target.rate_limit.spend(instances, rand::random(), now);
-    if let Some(event) = event {
+/// Counts a request that is sent to a target.
+pub(super) fn spend(state: &RelayState, target: &mut Target) {
+    let instances = state.instance_count();
+    let limit = &mut target.rate_limit;
+    if let Some(event) = limit.spend(instances, rand::random(), Instant::now()) {
         notify(state, target, event);
     }
-    true
 }
 
 /// Handles the notice of another instance.
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -361,8 +361,7 @@
 
     /// Leases an engine that holds a copy, unless it no longer accepts new work.
     pub(super) fn lease_copy_holder(&mut self, key: TargetKey) -> Option<Lease> {
-        let is_usable = self.state.view.targets().is_usable(key);
-        let mut lease = is_usable.then(|| self.acquire_lease(key)).flatten()?;
+        let mut lease = self.acquire_lease(key)?;
         // With the copy hardly anything is left to read, so the engine's other streams are not
         // delayed.
         lease.record_prompt_read();
@@ -545,7 +544,7 @@
             Some(part) => {
                 Lease::for_stream(&self.state, key, part, &self.requirements, self.has_begun)?
             }
-            None => Lease::for_request(&self.state, key)?,
+            None => Lease::for_request(&self.state, key, &self.requirements)?,
         };
         lease.confirms_connection = !self.route.kind.may_repeat();
         lease.had_prompt = had_prompt;
@@ -576,7 +575,11 @@
         let (service, now) = (&self.requirements.service, Instant::now());
         let instances = self.requirements.instances;
         let rate_wait = targets.time_until_rate_allows(service, instances, rand::random(), now);
-        rate_wait.or_else(|| targets.time_until_usable(service, now))
+        rate_wait.or_else(|| {
+            let query = self.requirements.query(&[]).send_query();
+            let until = targets.service_hold(service, query, now)?.until?;
+            Some(until.saturating_duration_since(now))
+        })
     }
 
     /// Returns whether the budget of moves currently allows one.
