relay: send a target no requests for the time that it states

What callers saw: nothing. A target that turned requests away with 503 and `Retry-After: 3` got 10 to 41 requests of one instance within that time (allowed: 2), and each caller lost a few milliseconds to it.

Cause: nobody read the header. A target that works on nothing looks idle, so it was chosen first, each time anew.

Change: `Cooldown`, one reason more in `Targets::check_send`, so that it binds first attempts, retries, resumed streams and holders of copies. A request that was leased before the statement and not sent yet goes elsewhere. New copies, moves and queries keep to it too. The longest end counts, neither a shorter statement nor an accepted request ends it. It is that instance's alone, as stated. After it, instances return over 5 ms for each of them, with single requests until one is accepted. If all targets of a service want none, callers get 503 at once (`why=CoolingDown`) with the first end, spread over a second; a stream that has not begun does not wait for an engine either.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -9,10 +9,12 @@
 /// How long before the first line of a request an event may still have affected it.
 const CONTEXT_BEFORE_MS: i64 = 3_000;
 /// Messages of events that may affect any request of the same instance.
-const CONTEXT_MESSAGES: [&str; 8] = [
+const CONTEXT_MESSAGES: [&str; 10] = [
     "store lost",
     "store regained",
     "configuration in force",
+    "cool-down of a target began",
+    "cool-down of a target ended",
     "started",
     "stopping",
     "stopped",
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -86,7 +86,7 @@
         let engines = self.iter().filter(|(key, target)| {
             let was_queried = |at: Instant| now.saturating_duration_since(at) < QUERY_INTERVAL;
             target.entry.service == *query.service
-                && self.is_usable(*key)
+                && self.accepts_work(*key, now)
                 && !target.is_avoided(now)
                 && !target.last_queried.is_some_and(was_queried)
         });
--- a/crates/relay/src/relocation.rs
+++ b/crates/relay/src/relocation.rs
@@ -89,11 +89,14 @@
         now: Instant,
     ) -> Option<BetterEngine> {
         let current_target = self.get(current)?;
+        if self.is_cooling_down(current, now) {
+            return None;
+        }
         let loads = Loads::of(self, query, now);
         let model = CostModel::new(self, &loads, current, query, remaining);
         let fits = |key: TargetKey, target: &Target| {
             key != current
-                && self.is_usable(key)
+                && self.accepts_work(key, now)
                 && target.entry.service == *query.service
                 && target.entry.version == current_target.entry.version
                 && !query.tried.contains(&key)
--- a/crates/relay/src/selection.rs
+++ b/crates/relay/src/selection.rs
@@ -202,7 +202,7 @@
         let main_entry = &self.get(main)?.entry;
         let others = self.iter().filter(|(key, target)| {
             *key != main
-                && self.is_usable(*key)
+                && self.accepts_work(*key, now)
                 && !target.is_avoided(now)
                 && target.entry.service == *query.service
                 && target.entry.version == main_entry.version
--- a/crates/relay/src/send_check.rs
+++ b/crates/relay/src/send_check.rs
@@ -32,6 +32,8 @@
 pub enum HoldReason {
     /// It is gone or leaves, or another one has its address.
     Left,
+    /// It wants no requests from this instance for some time.
+    CoolingDown,
     /// It has got as many requests as it states that it accepts.
     RateLimited,
     /// It is brittle, and has rejected requests or may reject those that it has.
@@ -68,6 +70,9 @@
 impl Target {
     /// Returns whether the target may get a request now, as far as its limits are concerned.
     fn check_limits(&self, query: SendQuery, now: Instant) -> Result<(), Hold> {
+        if let Some(until) = self.cooldown.held_until(now) {
+            return Err(Hold::new(HoldReason::CoolingDown, Some(until)));
+        }
         if let Some(wait) = self.rate_limit.wait(query.instances, now)
             && !wait.is_zero()
         {
@@ -114,6 +119,73 @@
         }
     }
 
+    /// Returns whether a target may get new work besides requests, such as copies of runs, or be
+    /// queried.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use celerypond_types::TargetKey;
+    /// use tokio::time::Instant;
+    ///
+    /// assert!(!Targets::default().accepts_work(TargetKey::default(), Instant::now()));
+    /// ```
+    pub fn accepts_work(&self, key: TargetKey, now: Instant) -> bool {
+        self.is_usable(key) && !self.is_cooling_down(key, now)
+    }
+
+    /// Returns whether a target has stated that it wants no requests for a time that is not over.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use celerypond_types::TargetKey;
+    /// use tokio::time::Instant;
+    ///
+    /// assert!(!Targets::default().is_cooling_down(TargetKey::default(), Instant::now()));
+    /// ```
+    pub fn is_cooling_down(&self, key: TargetKey, now: Instant) -> bool {
+        self.get(key)
+            .is_some_and(|target| target.cooldown.is_active(now))
+    }
+
+    /// Returns whether a target stopped accepting requests after one was selected for it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use celerypond_types::TargetKey;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// assert!(Targets::default().has_withdrawn(TargetKey::default(), now, now));
+    /// ```
+    pub fn has_withdrawn(&self, key: TargetKey, selected: Instant, now: Instant) -> bool {
+        let cools_down = |target: &Target| target.cooldown.began_after(selected, now);
+        !self.is_usable(key) || self.get(key).is_some_and(cools_down)
+    }
+
+    /// Returns the number of targets that have stated that they want no requests for a time that is
+    /// not over.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use tokio::time::Instant;
+    ///
+    /// assert_eq!(Targets::default().count_cooling_down(Instant::now()), 0);
+    /// ```
+    pub fn count_cooling_down(&self, now: Instant) -> usize {
+        let targets = self.iter();
+        targets
+            .filter(|(_, target)| target.cooldown.is_active(now))
+            .count()
+    }
+
     /// Returns what holds requests to a service back, at the target that is the first to get some
     /// again; `None` if a target may get one now, or if there is none.
     ///
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    link::Link, AdmissionRate, AttemptFailure, Load, Pace, Presence, RateLimit, RejectionLimit,
-    ResponseTime, SteadyTime, TargetEntry, UsageLevels,
+    link::Link, AdmissionRate, AttemptFailure, Cooldown, Load, Pace, Presence, RateLimit,
+    RejectionLimit, ResponseTime, SteadyTime, TargetEntry, UsageLevels,
 };
 
 /// How long a target is avoided after a connection to it broke; this is doubled with each further
@@ -88,6 +88,8 @@
     pub rejection_limit: RejectionLimit,
     /// The limit on requests of all instances, if it states one.
     pub rate_limit: RateLimit,
+    /// The time for which it wants no requests from this instance.
+    pub cooldown: Cooldown,
     load: Option<(Load, Instant)>,
     /// The pace that it last stated.
     pub(crate) stated: Option<(Pace, Instant)>,
@@ -129,6 +131,7 @@
             admission_rate: AdmissionRate::default(),
             rejection_limit: RejectionLimit::default(),
             rate_limit: RateLimit::default(),
+            cooldown: Cooldown::default(),
             load: None,
             stated: None,
             steady_pace: None,
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_admission;
 mod test_attempt_failure;
 mod test_connection_limit;
+mod test_cooldown;
 mod test_copy_room;
 mod test_dead_engines;
 mod test_directory;
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -133,6 +133,8 @@
         RateLimited = "relay.rate_limited",
         /// Responses of targets that state how long they want no requests.
         CooldownsStated = "relay.cooldowns_stated",
+        /// Attempts that got no target because all want no requests for some time.
+        CooledDown = "relay.cooled_down",
         /// Responses of targets that state that they leave.
         LeavingStated = "relay.leaving_stated",
         /// Streams whose callers were put off, as engines have no room for them in time.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -39,6 +39,8 @@
         TargetsReportedDead = "relay.targets_reported_dead",
         /// Targets that state a limit for the requests per second that they accept.
         TargetsRateLimited = "relay.targets_rate_limited",
+        /// Targets that want no requests from this instance for some time.
+        TargetsCoolingDown = "relay.targets_cooling_down",
         /// Engines that are at least twice as slow as usual, of services whose targets state their
         /// pace.
         EnginesSlow = "relay.engines_slow",
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -97,11 +97,10 @@
             mut sender,
             idle_for,
         } = acquire_connection(state, lease).await?;
-        // The target may have left since it was selected.
-        if !state.view.targets().is_usable(lease.key) {
+        let started = Instant::now();
+        if lease.has_withdrawn(started) {
             return Err(AttemptFailure::Left);
         }
-        let started = Instant::now();
         let response = match tokio::time::timeout_at(until, sender.try_send_request(request)).await
         {
             Ok(Ok(response)) => response,
@@ -222,6 +221,7 @@
         return Err(AttemptFailure::Misdirected);
     }
     lease.record_response(response.head.load);
+    statements::record_acceptance(state, lease, &response, sent);
     if let Some(max_rejections) = response.head.max_rejections {
         lease.record_brittle(max_rejections);
     }
--- a/daemon/src/relay/lease.rs
+++ b/daemon/src/relay/lease.rs
@@ -84,6 +84,7 @@
         rate_limits::spend(state, target);
         target.open_requests += 1;
         target.admission_rate.spend(state.instance_count(), now);
+        target.cooldown.spend(now);
         let table = state.view.table();
         let service = table.service(&target.entry.service);
         Some(Self {
@@ -184,6 +185,12 @@
         self.began = Some(Instant::now());
     }
 
+    /// Returns whether the target stopped accepting requests after it was leased.
+    pub(super) fn has_withdrawn(&self, now: Instant) -> bool {
+        let targets = self.state.view.targets();
+        targets.has_withdrawn(self.key, self.leased, now)
+    }
+
     /// Returns how long ago the target was leased.
     pub(super) fn age(&self) -> Duration {
         self.leased.elapsed()
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -283,9 +283,11 @@
                 if self.request.may_use_peer() && self.start_at_peer(known_copy.as_ref()).await? {
                     return Ok(());
                 }
+                let is_cooling_down = self.request.cooling_down_until().is_some();
                 return Err(NoEngine {
                     next: self.request.step_without_target(),
-                    is_temporary: true,
+                    // The caller of a stream that has not begun is told when engines accept requests.
+                    is_temporary: !is_cooling_down || self.events.forwarded() > 0,
                 });
             };
             let failed_attempt = match self.try_engine(lease, copy).await {
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -41,6 +41,8 @@
     BadRequest,
     /// No target was left to try, or those that were tried refused.
     NoTarget,
+    /// All targets want no requests for some time.
+    CoolingDown,
     /// The first event would be late because engines have too much to read.
     Overloaded,
     /// The request has not run, and the time left is too short to serve it.
@@ -110,7 +112,10 @@
             id,
             request.time_left(),
             request.retry_after(),
-            Reason::NoTarget,
+            match request.cooling_down_until() {
+                Some(_) => Reason::CoolingDown,
+                None => Reason::NoTarget,
+            },
         ),
         NextStep::Overloaded(retry_after) => not_run(
             id,
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -6,9 +6,9 @@
 };
 
 use celerypond_relay::{
-    AttemptFailure, Prompt, PromptPart, RemainingEvents, RequestDeadline, Route, RouteKind,
-    Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded, Urgency,
-    VersionChoice,
+    AttemptFailure, Hold, HoldReason, Prompt, PromptPart, RemainingEvents, RequestDeadline, Route,
+    RouteKind, Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded,
+    Urgency, VersionChoice,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey, TargetName};
@@ -27,6 +27,10 @@
     state::RelayState,
 };
 
+/// The time over which callers retry after targets accept requests again, so that they do not all
+/// return at the same moment.
+const COOLDOWN_RETRY_SPREAD: Duration = Duration::from_secs(1);
+
 /// What a request requires of the targets that it may be sent to.
 #[derive(Clone, Debug)]
 pub(super) struct TargetRequirements {
@@ -269,7 +273,7 @@
                 versions.choose_for_retry(&self.requirements.service);
         }
         let Some(selection) = self.select(now) else {
-            self.record_rate_limited(now);
+            self.record_hold(now);
             return None;
         };
         if self.requirements.affinity.is_some() {
@@ -320,14 +324,29 @@
         None
     }
 
-    /// Counts the request if it has no target because all have as many as they accept.
-    fn record_rate_limited(&self, now: Instant) {
-        let (service, instances) = (&self.requirements.service, self.requirements.instances);
+    /// Counts the request if it has no target because all have as many as they accept, or want none.
+    fn record_hold(&self, now: Instant) {
+        let hold = self.service_hold(now);
+        let counter = match hold.map(|hold| hold.reason) {
+            Some(HoldReason::CoolingDown) => Counter::CooledDown,
+            Some(HoldReason::RateLimited) => Counter::RateLimited,
+            _ => return,
+        };
+        self.state.metrics.add(counter, 1);
+    }
+
+    /// Returns what holds requests to the service back; `None` if a target may get one now.
+    fn service_hold(&self, now: Instant) -> Option<Hold> {
+        let query = self.requirements.query(&[]).send_query();
         let targets = self.state.view.targets();
-        let wait = targets.time_until_rate_allows(service, instances, 0.0, now);
-        if wait.is_some() {
-            self.state.metrics.add(Counter::RateLimited, 1);
-        }
+        targets.service_hold(&self.requirements.service, query, now)
+    }
+
+    /// Returns until when all targets of the service want no requests; `None` if one may get some.
+    pub(super) fn cooling_down_until(&self) -> Option<Instant> {
+        let hold = self.service_hold(Instant::now())?;
+        hold.until
+            .filter(|_| hold.reason == HoldReason::CoolingDown)
     }
 
     /// Selects a target of the versions that may run the request, or of other versions if those
@@ -564,20 +583,24 @@
         )
     }
 
-    /// Returns when a caller whose request has not run may retry, which is when a target that
-    /// failed recently is used again. While queues are long, the caller's response would be late,
-    /// and it is only served if others leave capacity, so it retries as late as it can.
+    /// Returns when a caller whose request has not run may retry, which is when a target accepts
+    /// requests again. While queues are long, the caller's response would be late, and it is only
+    /// served if others leave capacity, so it retries as late as it can.
     pub(super) fn retry_after(&self) -> Option<Duration> {
+        let now = Instant::now();
+        if let Some(until) = self.cooling_down_until() {
+            let spread = COOLDOWN_RETRY_SPREAD.mul_f64(rand::random());
+            return Some(until.saturating_duration_since(now) + spread);
+        }
+        let (service, instances) = (&self.requirements.service, self.requirements.instances);
         let targets = self.state.view.targets();
-        if targets.is_limited(&self.requirements.service) {
+        if targets.is_limited(service) {
             return Some(self.time_left());
         }
-        let (service, now) = (&self.requirements.service, Instant::now());
-        let instances = self.requirements.instances;
         let rate_wait = targets.time_until_rate_allows(service, instances, rand::random(), now);
+        drop(targets);
         rate_wait.or_else(|| {
-            let query = self.requirements.query(&[]).send_query();
-            let until = targets.service_hold(service, query, now)?.until?;
+            let until = self.service_hold(now)?.until?;
             Some(until.saturating_duration_since(now))
         })
     }
--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -161,8 +161,9 @@
                 () = sleep(wait) => {}
             }
             wait = CHECK_INTERVAL;
-            // Nothing can be checked or ordered until the partition ends.
-            if is_partitioned_from(&self.state, self.run.engine) {
+            // Nothing can be checked or ordered until the partition ends, and nothing is ordered from an
+            // engine that wants no requests.
+            if is_partitioned_from(&self.state, self.run.engine) || self.is_engine_cooling_down() {
                 continue;
             }
             if let Some(memory) = room_change(&self.state, &mut room, &self.run.requirements) {
@@ -235,6 +236,11 @@
         !probe(&self.state, copy.holder).await
     }
 
+    fn is_engine_cooling_down(&self) -> bool {
+        let targets = self.state.view.targets();
+        targets.is_cooling_down(self.run.engine, Instant::now())
+    }
+
     fn choose_holder(&self) -> Option<TargetKey> {
         let query = self.run.requirements.query(&[]);
         let targets = self.state.view.targets();
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -317,6 +317,7 @@
     pub(super) fn render_metrics(&self) -> String {
         let (avoided, reported) = self.view.targets().count_avoided(Instant::now());
         let rate_limited = self.view.targets().count_rate_limited();
+        let cooling_down = self.view.targets().count_cooling_down(Instant::now());
         let slow_engines = self.view.targets().count_slow_engines(Instant::now());
         let slow_targets = self.view.targets().count_slow_targets(Instant::now());
         let quarantined = self.parts().quarantined_count();
@@ -327,6 +328,7 @@
             (Gauge::TargetsAvoided, avoided as u64),
             (Gauge::TargetsReportedDead, reported as u64),
             (Gauge::TargetsRateLimited, rate_limited as u64),
+            (Gauge::TargetsCoolingDown, cooling_down as u64),
             (Gauge::EnginesSlow, slow_engines as u64),
             (Gauge::TargetsSlow, slow_targets as u64),
             (Gauge::PartsQuarantined, quarantined as u64),
