relay: take the word of a target that states that it leaves

What callers saw: nothing yet; their requests went to a target about to exit.

Cause: nobody read the header; only the store's entry counted.

Change: a target's own statement is one more way not to be ready, so that all that goes by presence follows: selection, copies, moves, holders of copies, requests that are leased and not sent yet. It belongs to the process (name and start): neither a rewritten entry nor one that is removed and listed again undoes it, another process under the name is used. What a target stated is kept for a minute after its entry is gone, its cool-down as well. The statement of a 421 counts for the target that has taken over the address. Other instances get a notice; one that is lost costs a response. Where a response is relayed through another instance, that one names the target, as the asking instance has passed the response on as well.

--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -15,6 +15,7 @@
     address_index::AddressIndex,
     admission::HeldPart,
     change_log::ChangeLog,
+    departed::Departed,
     engine_pace::EnginePaces,
     own_streams::OwnStreams,
     response_time,
@@ -94,8 +95,8 @@
     pub(crate) restarts: Vec<Restart>,
     /// When the list was last known to be the store's newest one.
     pub(crate) verified: Option<Instant>,
-    /// Targets that the store no longer lists, and since when.
-    pub(crate) departed: HashMap<TargetName, Instant>,
+    /// Targets that the store no longer lists.
+    pub(crate) departed: HashMap<TargetName, Departed>,
     /// Until when missing entries may come back.
     missing_until: Option<Instant>,
     /// Recent changes by revision of the store.
@@ -302,25 +303,29 @@
     }
 
     fn remove(&mut self, name: &TargetName, now: Instant) -> bool {
-        self.departed.insert(name.clone(), now);
         self.restarts.retain(|restart| restart.name != *name);
-        let Some(key) = self.names.remove(name) else {
-            return false;
-        };
-        let Some(gone) = self.arena.remove(key) else {
+        let key = self.names.remove(name);
+        let Some((key, gone)) = key.and_then(|key| Some((key, self.arena.remove(key)?))) else {
+            let departed = Departed::again(self.departed.get(name).copied(), now);
+            self.departed.insert(name.clone(), departed);
             return false;
         };
+        self.departed.insert(name.clone(), Departed::of(&gone, now));
         self.addresses.remove(gone.entry.address, key);
         self.settle_address(gone.entry.address);
         true
     }
 
     fn put(&mut self, entry: &TargetEntry) -> bool {
-        self.departed.remove(&entry.name);
+        let departed = self.departed.remove(&entry.name);
         let known = self.names.get(&entry.name).copied();
         let known = known.and_then(|key| Some((key, self.arena.get_mut(key)?)));
         let Some((key, target)) = known else {
-            self.insert(Target::new(entry.clone()));
+            let mut target = Target::new(entry.clone());
+            if let Some(departed) = departed {
+                departed.restore(&mut target);
+            }
+            self.insert(target);
             return true;
         };
         target.missing_until = None;
@@ -549,9 +554,7 @@
     /// assert!(!Targets::default().is_replaced(TargetKey::default(), address, Some(1)));
     /// ```
     pub fn is_replaced(&self, key: TargetKey, address: SocketAddr, born: Option<u64>) -> bool {
-        let starts = self.addresses.at(address).iter();
-        let owner = starts.copied().find(|other| self.owns_address(*other));
-        owner.is_some_and(|owner| {
+        self.owner_of(address).is_some_and(|owner| {
             let owner_born = self.get(owner).and_then(|target| target.entry.born);
             let has_other_start = born
                 .zip(owner_born)
@@ -560,6 +563,20 @@
         })
     }
 
+    /// Returns the latest target that has an address, which responds there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    ///
+    /// assert_eq!(Targets::default().owner_of("10.0.0.7:8080".parse().unwrap()), None);
+    /// ```
+    pub fn owner_of(&self, address: SocketAddr) -> Option<TargetKey> {
+        let mut keys = self.addresses.at(address).iter().copied();
+        keys.find(|key| self.owns_address(*key))
+    }
+
     /// Returns whether no later target has the same address.
     pub(crate) fn owns_address(&self, key: TargetKey) -> bool {
         self.arena
@@ -593,7 +610,7 @@
         self.sweep_held_versions(now);
         self.restarts.retain(|restart| restart.is_recent(now));
         let is_kept = |at: Instant| now.saturating_duration_since(at) < DEPARTED_TTL;
-        self.departed.retain(|_, at| is_kept(*at));
+        self.departed.retain(|_, departed| is_kept(departed.since));
     }
 
     /// Records the result of a request in one piece at a target.
@@ -815,6 +832,22 @@
         limited.count()
     }
 
+    /// Returns the number of targets that have stated that they leave.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    ///
+    /// assert_eq!(Targets::default().count_leaving(), 0);
+    /// ```
+    pub fn count_leaving(&self) -> usize {
+        let targets = self.arena.values();
+        targets
+            .filter(|target| target.leaving_since.is_some())
+            .count()
+    }
+
     /// Returns the targets of a service that may get new requests.
     pub(crate) fn usable_targets<'a>(
         &'a self,
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -41,6 +41,8 @@
         TargetsRateLimited = "relay.targets_rate_limited",
         /// Targets that want no requests from this instance for some time.
         TargetsCoolingDown = "relay.targets_cooling_down",
+        /// Targets that have stated that they leave.
+        TargetsLeaving = "relay.targets_leaving",
         /// Engines that are at least twice as slow as usual, of services whose targets state their
         /// pace.
         EnginesSlow = "relay.engines_slow",
--- a/daemon/src/relay/datagrams.rs
+++ b/daemon/src/relay/datagrams.rs
@@ -7,7 +7,7 @@
 };
 
 use celerypond_relay::{
-    EvidenceReport, FullnessNotice, LossNotice, Notice, PartNotice, PartitionNotice,
+    EvidenceReport, FullnessNotice, LeavingNotice, LossNotice, Notice, PartNotice, PartitionNotice,
     PlacementSchedule, Placements, PromptLocation, PromptLocationSchedule, RateNotice,
     ReturnNotice, Stage, Watchers,
 };
@@ -20,7 +20,7 @@
     inbox::{Inbox, Received},
     lease, prompt_parts, rate_limits, reachability, returns,
     state::RelayState,
-    target_sync,
+    statements, target_sync,
 };
 
 /// How long changes are collected before a list is sent. Streams begin and end in groups when
@@ -59,6 +59,8 @@
     Parts(PartNotice),
     /// Callers that were put off.
     Returns(Vec<ReturnNotice>),
+    /// A target has stated that it leaves.
+    Leaving(LeavingNotice),
 }
 
 /// Sends and receives datagrams until the instance ends.
@@ -152,6 +154,7 @@
             }
         }
         Ok(Datagram::Returns(notices)) => returns::receive(state, &notices, earliest_arrival),
+        Ok(Datagram::Leaving(notice)) => statements::receive(state, notice),
         Ok(Datagram::Losses(notice)) => state.losses().merge(&notice, Instant::now()),
         Err(error) => log::warn!(error:% = error; "cannot decode a peer's datagram"),
     }
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -22,10 +22,12 @@
     attempt::OpenResponse,
     callers,
     connections::{ReusedConnection, Sender},
+    reply::{Reason, Reply},
     request::Origin,
     routed_request::RoutedRequest,
     run_copy::{CopyLocation, OrderedCopy},
     state::RelayState,
+    statements,
 };
 
 /// The version of the configuration by which the sending instance has admitted a request. An older
@@ -41,6 +43,8 @@
 /// Whether the stream was admitted by its urgency. An instance that reaches no engine relays streams
 /// without having admitted them.
 const ADMITTED: HeaderName = HeaderName::from_static("run-admitted");
+/// The target whose response an instance relays to another one.
+const RUN_TARGET: HeaderName = HeaderName::from_static("run-target");
 /// The distance of the port for relayed requests from the first port for other instances.
 const PORT_OFFSET: u16 = 1;
 /// The maximum number of instances that are tried for one request if they cannot be connected to.
@@ -101,6 +105,22 @@
     }
 }
 
+/// Names the target in a response that is relayed to another instance.
+pub(super) fn name_target(reply: &mut Reply) {
+    let Some(Reason::Relayed(target)) = reply.extensions().get::<Reason>() else {
+        return;
+    };
+    if let Ok(name) = HeaderValue::from_str(target.as_str()) {
+        reply.headers_mut().insert(RUN_TARGET, name);
+    }
+}
+
+/// Removes the name of the target from the headers of a relayed response and returns it.
+fn take_target(headers: &mut HeaderMap) -> Option<TargetName> {
+    let name = headers.remove(RUN_TARGET)?;
+    Some(TargetName::new(name.to_str().ok()?))
+}
+
 fn losses_header(request: &RoutedRequest) -> Option<HeaderValue> {
     let notice = serde_json::to_string(&request.losses.notice()?).ok()?;
     HeaderValue::from_str(&notice).ok()
@@ -207,7 +227,11 @@
     let response = timeout_at(until, connection.send_request(message)).await;
     let response = response.map_err(|_| AttemptFailure::Silent)?;
     let response = response.map_err(|_| AttemptFailure::Broken)?;
-    let response = OpenResponse::new(response, connection);
+    let mut response = OpenResponse::new(response, connection);
+    let target = take_target(&mut response.headers);
+    if let Some(target) = target.filter(|_| response.head.is_leaving) {
+        statements::record_relayed(&request.state, &target);
+    }
     if response.head.request.as_ref() != Some(&request.caller_request.id) {
         return Err(AttemptFailure::Foreign);
     }
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -78,6 +78,9 @@
         true => refuse_newer_config(&state, &head),
         false => route_request(&state, &mut request, head, open_request.record()).await,
     };
+    if origin == Origin::Peer {
+        peer_relay::name_target(&mut reply);
+    }
     discard_rest(&state, request);
     if is_chunked || state.stopping.is_cancelled() {
         reply::close_after(&mut reply);
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -318,6 +318,7 @@
         let (avoided, reported) = self.view.targets().count_avoided(Instant::now());
         let rate_limited = self.view.targets().count_rate_limited();
         let cooling_down = self.view.targets().count_cooling_down(Instant::now());
+        let leaving = self.view.targets().count_leaving();
         let slow_engines = self.view.targets().count_slow_engines(Instant::now());
         let slow_targets = self.view.targets().count_slow_targets(Instant::now());
         let quarantined = self.parts().quarantined_count();
@@ -329,6 +330,7 @@
             (Gauge::TargetsReportedDead, reported as u64),
             (Gauge::TargetsRateLimited, rate_limited as u64),
             (Gauge::TargetsCoolingDown, cooling_down as u64),
+            (Gauge::TargetsLeaving, leaving as u64),
             (Gauge::EnginesSlow, slow_engines as u64),
             (Gauge::TargetsSlow, slow_targets as u64),
             (Gauge::PartsQuarantined, quarantined as u64),
--- a/daemon/src/relay/statements.rs
+++ b/daemon/src/relay/statements.rs
@@ -1,42 +1,148 @@
 //! Records what targets state about themselves in the heads of their responses.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
+use celerypond_relay::{LeavingNotice, Target, TargetResponseHead, Targets};
 use celerypond_telemetry::Counter;
+use celerypond_types::{TargetKey, TargetName};
 use http::StatusCode;
 use tokio::time::Instant;
 
-use super::{attempt::OpenResponse, lease::Lease, state::RelayState};
+use super::{attempt::OpenResponse, datagrams::Datagram, lease::Lease, state::RelayState};
+
+/// The process of a target that responded.
+#[derive(Clone, Copy)]
+struct Respondent {
+    key: TargetKey,
+    /// When it started, in milliseconds of Unix time.
+    born: Option<u64>,
+}
+
+impl Respondent {
+    /// Returns the process that responded to a request. Another one than the intended one has taken
+    /// over its address.
+    fn to_request(targets: &Targets, lease: &Lease, status: StatusCode) -> Option<Self> {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return Some(Self {
+                key: lease.key,
+                born: lease.born,
+            });
+        }
+        let owner = Self::at(targets, lease.address);
+        owner.filter(|owner| owner.key != lease.key)
+    }
+
+    /// Returns the process that responds at an address.
+    fn at(targets: &Targets, address: SocketAddr) -> Option<Self> {
+        let key = targets.owner_of(address)?;
+        let born = targets.get(key)?.entry.born;
+        Some(Self { key, born })
+    }
+
+    /// Returns the state of the target unless another process has its name by now.
+    fn target(self, targets: &mut Targets) -> Option<&mut Target> {
+        let target = targets.get_mut(self.key)?;
+        (target.entry.born == self.born).then_some(target)
+    }
+}
 
 /// Records what a target states in its response to a request.
 pub(super) fn record(state: &RelayState, lease: &Lease, request: &str, response: &OpenResponse) {
-    if let Some(time) = stated_cooldown(response) {
-        record_cooldown(state, lease, request, time);
+    let respondent = {
+        let targets = state.view.targets();
+        Respondent::to_request(&targets, lease, response.status)
+    };
+    if let Some(respondent) = respondent {
+        let head = &response.head;
+        record_head(state, respondent, Some(request), response.status, head);
+    }
+}
+
+/// Records that a target states that it leaves, in a response that another instance relayed.
+pub(super) fn record_relayed(state: &RelayState, name: &TargetName) {
+    let respondent = {
+        let targets = state.view.targets();
+        let key = targets.key_of(name);
+        key.and_then(|key| {
+            let born = targets.get(key)?.entry.born;
+            Some(Respondent { key, born })
+        })
+    };
+    if let Some(respondent) = respondent {
+        record_leaving(state, respondent, None, "instance");
     }
-    if response.head.is_leaving {
+}
+
+fn record_head(
+    state: &RelayState,
+    respondent: Respondent,
+    request: Option<&str>,
+    status: StatusCode,
+    head: &TargetResponseHead,
+) {
+    if let Some(time) = stated_cooldown(status, head) {
+        state.metrics.add(Counter::CooldownsStated, 1);
+        record_cooldown(state, respondent, request, time);
+    }
+    if head.is_leaving {
         state.metrics.add(Counter::LeavingStated, 1);
-        log::info!(request, target = lease.name.as_str(), status = response.status.as_u16(); "target states that it leaves");
+        record_leaving(state, respondent, request, "response");
     }
 }
 
 /// Returns for how long the target wants no requests, if it has rejected this one.
-fn stated_cooldown(response: &OpenResponse) -> Option<Duration> {
-    let is_rejection = response.status == StatusCode::SERVICE_UNAVAILABLE;
-    response.head.retry_after.filter(|_| is_rejection)
+fn stated_cooldown(status: StatusCode, head: &TargetResponseHead) -> Option<Duration> {
+    let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE;
+    head.retry_after.filter(|_| is_rejection)
 }
 
-fn record_cooldown(state: &RelayState, lease: &Lease, request: &str, time: Duration) {
-    state.metrics.add(Counter::CooldownsStated, 1);
+fn record_cooldown(
+    state: &RelayState,
+    respondent: Respondent,
+    request: Option<&str>,
+    time: Duration,
+) {
     let (instances, now) = (state.instance_count(), Instant::now());
     let mut targets = state.view.targets();
-    let Some(target) = targets.get_mut(lease.key) else {
+    let Some(target) = respondent.target(&mut targets) else {
         return;
     };
     let cooldown = &mut target.cooldown;
-    let begins = cooldown.record_statement(time, instances, rand::random(), now);
+    if cooldown.record_statement(time, instances, rand::random(), now) {
+        let name = target.entry.name.clone();
+        drop(targets);
+        log::info!(request, target = name.as_str(), time_ms = time.as_millis() as u64; "cool-down of a target began");
+    }
+}
+
+fn record_leaving(state: &RelayState, respondent: Respondent, request: Option<&str>, source: &str) {
+    let mut targets = state.view.targets();
+    let Some(target) = respondent.target(&mut targets) else {
+        return;
+    };
+    if !target.record_leaving(respondent.born, Instant::now()) {
+        return;
+    }
+    let notice = LeavingNotice {
+        target_hash: target.name_hash,
+        born: respondent.born,
+    };
+    let name = target.entry.name.clone();
     drop(targets);
-    if begins {
-        log::info!(request, target = lease.name.as_str(), time_ms = time.as_millis() as u64; "cool-down of a target began");
+    log::info!(request, target = name.as_str(), source; "target leaves by its own statement");
+    state.notify_peers(Datagram::Leaving(notice));
+}
+
+/// Handles the notice of another instance to which a target stated that it leaves.
+pub(super) fn receive(state: &RelayState, notice: LeavingNotice) {
+    let mut targets = state.view.targets();
+    let Some(target) = targets.by_hash_mut(notice.target_hash) else {
+        return;
+    };
+    if target.record_leaving(notice.born, Instant::now()) {
+        let name = target.entry.name.clone();
+        drop(targets);
+        log::info!(target = name.as_str(), source = "notice"; "target leaves by its own statement");
     }
 }
 
@@ -47,7 +153,7 @@
     response: &OpenResponse,
     sent: Instant,
 ) {
-    if stated_cooldown(response).is_some() {
+    if stated_cooldown(response.status, &response.head).is_some() {
         return;
     }
     let mut targets = state.view.targets();
