relay: read the statements of engines in responses to queries and orders

Queries for prompts, orders to copy and move, and reports have responses of their own, which went round the one place that reads what targets state. The test fails without the one line in `engine_calls`.

--- a/daemon/src/relay/engine_calls.rs
+++ b/daemon/src/relay/engine_calls.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
-use super::state::RelayState;
+use super::{state::RelayState, statements};
 
 /// The response of an engine.
 pub(super) struct EngineResponse {
@@ -36,6 +36,7 @@
         sender.ready().await.ok()?;
         let response = sender.send_request(request).await.ok()?;
         let (parts, mut body) = response.into_parts();
+        statements::record_call(state, address, parts.status, &parts.headers);
         Some(EngineResponse {
             status: parts.status,
             headers: parts.headers,
--- a/daemon/src/relay/statements.rs
+++ b/daemon/src/relay/statements.rs
@@ -2,10 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use celerypond_adapter::headers;
 use celerypond_relay::{LeavingNotice, Target, TargetResponseHead, Targets};
 use celerypond_telemetry::Counter;
 use celerypond_types::{TargetKey, TargetName};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use tokio::time::Instant;
 
 use super::{attempt::OpenResponse, datagrams::Datagram, lease::Lease, state::RelayState};
@@ -58,6 +59,20 @@
     }
 }
 
+/// Records what a target states in its response to a call other than a request.
+pub(super) fn record_call(
+    state: &RelayState,
+    address: SocketAddr,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let respondent = Respondent::at(&state.view.targets(), address);
+    if let Some(respondent) = respondent {
+        let head = headers::parse_target_response(headers);
+        record_head(state, respondent, None, status, &head);
+    }
+}
+
 /// Records that a target states that it leaves, in a response that another instance relayed.
 pub(super) fn record_relayed(state: &RelayState, name: &TargetName) {
     let respondent = {
