--- a/daemon/src/relay/statements.rs
+++ b/daemon/src/relay/statements.rs
@@ -49,13 +49,13 @@
 
 /// Records what a target states in its response to a request.
 pub(super) fn record(state: &RelayState, lease: &Lease, request: &str, response: &OpenResponse) {
-    let respondent = {
-        let targets = state.view.targets();
-        Respondent::to_request(&targets, lease, response.status)
-    };
+    let (status, head) = (response.status, &response.head);
+    if !states_something(status, head) {
+        return;
+    }
+    let respondent = Respondent::to_request(&state.view.targets(), lease, status);
     if let Some(respondent) = respondent {
-        let head = &response.head;
-        record_head(state, respondent, Some(request), response.status, head);
+        record_head(state, respondent, Some(request), status, head);
     }
 }
 
@@ -66,9 +66,12 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) {
+    let head = headers::parse_target_response(headers);
+    if !states_something(status, &head) {
+        return;
+    }
     let respondent = Respondent::at(&state.view.targets(), address);
     if let Some(respondent) = respondent {
-        let head = headers::parse_target_response(headers);
         record_head(state, respondent, None, status, &head);
     }
 }
@@ -105,6 +108,10 @@
     }
 }
 
+fn states_something(status: StatusCode, head: &TargetResponseHead) -> bool {
+    head.is_leaving || stated_cooldown(status, head).is_some()
+}
+
 /// Returns for how long the target wants no requests, if it has rejected this one.
 fn stated_cooldown(status: StatusCode, head: &TargetResponseHead) -> Option<Duration> {
     let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE;
