soak: targets that decline requests, beside kills and outages of the store

Seeds from 100,000 on: targets of both services turn requests away and state a time, one or all of a service, or state that they leave while the store lists them as ready; instances are killed, the store is down or silent. Checked at the targets by instance: no more than two requests within a stated time, none beyond the bound after leaving, both with the test's own lag added; what callers get is whole, their own, and a refusal has not run.

--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod partitions;
 mod record;
 mod starvation;
+mod statements;
 mod stream_callers;
 mod urgency;
 mod urgency_checks;
@@ -63,6 +64,10 @@
 const FIRST_SEED_WITH_KILLS: u64 = 86_000;
 /// Seeds from this one on have streams of two priorities, more of them than engines take, and engines of uneven pace.
 const FIRST_SEED_WITH_URGENCY: u64 = 90_000;
+/// Seeds from this one on have targets that want no requests for some time, or state that they leave.
+const FIRST_SEED_WITH_STATEMENTS: u64 = 100_000;
+/// Seeds with such targets of a run without environment variables.
+const SHORT_STATEMENT_RUN: [u64; 2] = [100_000, 100_001];
 /// Seeds with streams of two priorities of a run without environment variables.
 const SHORT_URGENCY_RUN: [u64; 1] = [90_000];
 /// Seeds of a run without environment variables that also checks the order of these streams. It has failed before:
@@ -195,8 +200,20 @@
     }
 }
 
+// Guards against requests to targets that have stated that they want none for some time or that they leave, beside
+// kills of instances and outages of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_get_no_requests_that_they_have_declined() {
+    let range = FIRST_SEED_WITH_STATEMENTS..u64::MAX;
+    for seed in seeds(SHORT_STATEMENT_RUN.into_iter(), range) {
+        let _guard = SOAK_LOCK.lock().await;
+        statements::run(seed).await;
+    }
+}
+
 fn urgency_seeds(default: [u64; 1]) -> Vec<u64> {
-    seeds(default.into_iter(), FIRST_SEED_WITH_URGENCY..u64::MAX)
+    let range = FIRST_SEED_WITH_URGENCY..FIRST_SEED_WITH_STATEMENTS;
+    seeds(default.into_iter(), range)
 }
 
 async fn run_with_streams(seed: u64) {
