--- a/crates/relay/src/departed.rs
+++ b/crates/relay/src/departed.rs
@@ -19,7 +19,7 @@
 struct Statements {
     address: SocketAddr,
     born: Option<u64>,
-    leaving_since: Option<Instant>,
+    is_leaving: bool,
     cooldown: Cooldown,
 }
 
@@ -39,7 +39,7 @@
             statements: Some(Statements {
                 address: target.entry.address,
                 born: target.entry.born,
-                leaving_since: target.leaving_since,
+                is_leaving: target.is_leaving,
                 cooldown: target.cooldown,
             }),
         }
@@ -51,7 +51,7 @@
             statements.address == target.entry.address && statements.born == target.entry.born
         };
         if let Some(statements) = self.statements.filter(is_same) {
-            target.leaving_since = statements.leaving_since;
+            target.is_leaving = statements.is_leaving;
             target.cooldown = statements.cooldown;
         }
     }
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -74,8 +74,8 @@
     pub dead_since: Option<Instant>,
     /// When it last accepted no connection of this instance.
     pub found_dead_at: Option<Instant>,
-    /// Since when it is known to leave from its own statement.
-    pub(crate) leaving_since: Option<Instant>,
+    /// Whether it has stated that it leaves.
+    pub(crate) is_leaving: bool,
     /// Set if it is used because it answered, although the store does not list it.
     pub(crate) unlisted: Option<Unlisted>,
     /// Whether no later target has its address.
@@ -126,7 +126,7 @@
             is_dead: false,
             dead_since: None,
             found_dead_at: None,
-            leaving_since: None,
+            is_leaving: false,
             unlisted: None,
             owns_address: false,
             missing_until: None,
@@ -151,7 +151,7 @@
     /// Returns whether it accepts new requests. What it states itself counts even if the store lists
     /// it as ready: its entry may be older, or the store out of reach.
     pub fn is_ready(&self) -> bool {
-        self.entry.presence == Presence::Ready && self.leaving_since.is_none()
+        self.entry.presence == Presence::Ready && !self.is_leaving
     }
 
     /// Records that the process that started at `born` stated that it leaves. Returns whether that was
@@ -162,8 +162,6 @@
     /// ```
     /// # use celerypond_relay::{Presence, Target, TargetEntry};
     /// # use celerypond_types::{DataCentre, ServiceName, TargetName, VersionName};
-    /// use tokio::time::Instant;
-    ///
     /// # let entry = TargetEntry {
     /// #     name: TargetName::new("i-1"),
     /// #     service: ServiceName::new("writer"),
@@ -176,17 +174,15 @@
     /// #     born: Some(7),
     /// # };
     /// let mut target = Target::new(entry);
-    /// assert!(!target.record_leaving(Some(6), Instant::now()));
+    /// assert!(!target.record_leaving(Some(6)));
     /// assert!(target.is_ready());
-    /// assert!(target.record_leaving(Some(7), Instant::now()));
+    /// assert!(target.record_leaving(Some(7)));
     /// assert!(!target.is_ready());
     /// ```
-    pub fn record_leaving(&mut self, born: Option<u64>, now: Instant) -> bool {
-        if self.entry.born != born || self.leaving_since.is_some() {
-            return false;
-        }
-        self.leaving_since = Some(now);
-        true
+    pub fn record_leaving(&mut self, born: Option<u64>) -> bool {
+        let is_new = self.entry.born == born && !self.is_leaving;
+        self.is_leaving |= is_new;
+        is_new
     }
 
     /// Returns whether it is currently avoided after failures.
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -843,9 +843,7 @@
     /// ```
     pub fn count_leaving(&self) -> usize {
         let targets = self.arena.values();
-        targets
-            .filter(|target| target.leaving_since.is_some())
-            .count()
+        targets.filter(|target| target.is_leaving).count()
     }
 
     /// Returns the targets of a service that may get new requests.
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_retry_budget;
 mod test_return_queue;
 mod test_rollouts;
+mod test_send_check;
 mod test_shared_state;
 mod test_shortest_run;
 mod test_store_backoff;
--- a/daemon/src/relay/statements.rs
+++ b/daemon/src/relay/statements.rs
@@ -142,7 +142,7 @@
     let Some(target) = respondent.target(&mut targets) else {
         return;
     };
-    if !target.record_leaving(respondent.born, Instant::now()) {
+    if !target.record_leaving(respondent.born) {
         return;
     }
     let notice = LeavingNotice {
@@ -161,7 +161,7 @@
     let Some(target) = targets.by_hash_mut(notice.target_hash) else {
         return;
     };
-    if target.record_leaving(notice.born, Instant::now()) {
+    if target.record_leaving(notice.born) {
         let name = target.entry.name.clone();
         drop(targets);
         log::info!(target = name.as_str(), source = "notice"; "target leaves by its own statement");
