relay: tell callers the end of a cool-down only if all targets cool down

Where some targets cool down and others have long queues, callers were told the end of the former, and streams that had not begun did not wait for the latter.

--- a/crates/relay/src/send_check.rs
+++ b/crates/relay/src/send_check.rs
@@ -186,6 +186,26 @@
             .count()
     }
 
+    /// Returns until when all targets of a service want no requests; `None` if one may get some, or if
+    /// there is none.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    /// use celerypond_types::ServiceName;
+    /// use tokio::time::Instant;
+    ///
+    /// let service = ServiceName::new("writer");
+    /// assert_eq!(Targets::default().all_cooling_until(&service, Instant::now()), None);
+    /// ```
+    pub fn all_cooling_until(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
+        let targets = self.usable_targets(service);
+        let ends = targets.map(|(_, target)| target.cooldown.held_until(now));
+        // None is less than any end.
+        ends.min()?
+    }
+
     /// Returns what holds requests to a service back, at the target that is the first to get some
     /// again; `None` if a target may get one now, or if there is none.
     ///
--- a/crates/relay/tests/test_send_check.rs
+++ b/crates/relay/tests/test_send_check.rs
@@ -30,6 +30,7 @@
     cool_down(&mut targets, first, PAUSE, now);
     cool_down(&mut targets, second, PAUSE * 2, now);
     assert_eq!(targets.service_hold(&service, query, now), None);
+    assert_eq!(targets.all_cooling_until(&service, now), None);
     let failing = targets.get_mut(third).unwrap();
     failing.record_failure(AttemptFailure::Unsent, now);
     let hold = targets.service_hold(&service, query, now).unwrap();
@@ -38,10 +39,13 @@
         (hold.reason, hold.until),
         (HoldReason::Failed, failed_until)
     );
+    assert_eq!(targets.all_cooling_until(&service, now), None);
     cool_down(&mut targets, third, PAUSE / 2, now);
     let hold = targets.service_hold(&service, query, now).unwrap();
     assert_eq!(hold.reason, HoldReason::CoolingDown);
     assert_eq!(hold.until, failed_until.max(Some(now + PAUSE / 2)));
+    let cooling_until = targets.all_cooling_until(&service, now);
+    assert_eq!(cooling_until, Some(now + PAUSE / 2));
     let later = now + PAUSE;
     assert_eq!(targets.service_hold(&service, query, later), None);
 }
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -6,9 +6,9 @@
 };
 
 use celerypond_relay::{
-    AttemptFailure, Hold, HoldReason, Prompt, PromptPart, RemainingEvents, RequestDeadline, Route,
-    RouteKind, Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded,
-    Urgency, VersionChoice,
+    AttemptFailure, Prompt, PromptPart, RemainingEvents, RequestDeadline, Route, RouteKind,
+    Selection, SilenceLimits, StaleWait, StreamRequest, TargetQuery, TimeNeeded, Urgency,
+    VersionChoice,
 };
 use celerypond_telemetry::Counter;
 use celerypond_types::{AccountName, DataCentre, ServiceName, TargetKey, TargetName};
@@ -324,29 +324,24 @@
         None
     }
 
-    /// Counts the request if it has no target because all have as many as they accept, or want none.
+    /// Counts the request if it has no target because all want none, or have as many as they accept.
     fn record_hold(&self, now: Instant) {
-        let hold = self.service_hold(now);
-        let counter = match hold.map(|hold| hold.reason) {
-            Some(HoldReason::CoolingDown) => Counter::CooledDown,
-            Some(HoldReason::RateLimited) => Counter::RateLimited,
-            _ => return,
-        };
-        self.state.metrics.add(counter, 1);
-    }
-
-    /// Returns what holds requests to the service back; `None` if a target may get one now.
-    fn service_hold(&self, now: Instant) -> Option<Hold> {
-        let query = self.requirements.query(&[]).send_query();
+        let (service, instances) = (&self.requirements.service, self.requirements.instances);
         let targets = self.state.view.targets();
-        targets.service_hold(&self.requirements.service, query, now)
+        if targets.all_cooling_until(service, now).is_some() {
+            self.state.metrics.add(Counter::CooledDown, 1);
+            return;
+        }
+        let wait = targets.time_until_rate_allows(service, instances, 0.0, now);
+        if wait.is_some() {
+            self.state.metrics.add(Counter::RateLimited, 1);
+        }
     }
 
     /// Returns until when all targets of the service want no requests; `None` if one may get some.
     pub(super) fn cooling_down_until(&self) -> Option<Instant> {
-        let hold = self.service_hold(Instant::now())?;
-        hold.until
-            .filter(|_| hold.reason == HoldReason::CoolingDown)
+        let targets = self.state.view.targets();
+        targets.all_cooling_until(&self.requirements.service, Instant::now())
     }
 
     /// Selects a target of the versions that may run the request, or of other versions if those
@@ -598,9 +593,9 @@
             return Some(self.time_left());
         }
         let rate_wait = targets.time_until_rate_allows(service, instances, rand::random(), now);
-        drop(targets);
         rate_wait.or_else(|| {
-            let until = self.service_hold(now)?.until?;
+            let query = self.requirements.query(&[]).send_query();
+            let until = targets.service_hold(service, query, now)?.until?;
             Some(until.saturating_duration_since(now))
         })
     }
