relay: look up once whether all targets cool down when a request is refused

A refused request asked twice whether all targets of its service want no requests, once for the time to retry and once for the reason, each a pass over all targets. `cooldown_retry_after` answers both. The lookup of a target's current process stood twice in `statements`. No change of behaviour.

--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -108,15 +108,13 @@
 pub(super) fn final_reply(next: NextStep, request: &RoutedRequest) -> Reply {
     let id = request.caller_request.id.as_str();
     match next {
-        NextStep::NotRun | NextStep::Elsewhere => not_run(
-            id,
-            request.time_left(),
-            request.retry_after(),
-            match request.cooling_down_until() {
-                Some(_) => Reason::CoolingDown,
-                None => Reason::NoTarget,
-            },
-        ),
+        NextStep::NotRun | NextStep::Elsewhere => {
+            let (retry_after, reason) = match request.cooldown_retry_after() {
+                Some(retry_after) => (Some(retry_after), Reason::CoolingDown),
+                None => (request.retry_after(), Reason::NoTarget),
+            };
+            not_run(id, request.time_left(), retry_after, reason)
+        }
         NextStep::Overloaded(retry_after) => not_run(
             id,
             request.time_left(),
--- a/daemon/src/relay/routed_request.rs
+++ b/daemon/src/relay/routed_request.rs
@@ -578,15 +578,19 @@
         )
     }
 
-    /// Returns when a caller whose request has not run may retry, which is when a target accepts
-    /// requests again. While queues are long, the caller's response would be late, and it is only
-    /// served if others leave capacity, so it retries as late as it can.
+    /// Returns when a caller may retry whose request has not run because all targets want none; `None`
+    /// if one may get some.
+    pub(super) fn cooldown_retry_after(&self) -> Option<Duration> {
+        let until = self.cooling_down_until()?;
+        let spread = COOLDOWN_RETRY_SPREAD.mul_f64(rand::random());
+        Some(until.saturating_duration_since(Instant::now()) + spread)
+    }
+
+    /// Returns when a caller whose request has not run for another reason may retry, which is when a
+    /// target accepts requests again. While queues are long, the caller's response would be late, and
+    /// it is only served if others leave capacity, so it retries as late as it can.
     pub(super) fn retry_after(&self) -> Option<Duration> {
         let now = Instant::now();
-        if let Some(until) = self.cooling_down_until() {
-            let spread = COOLDOWN_RETRY_SPREAD.mul_f64(rand::random());
-            return Some(until.saturating_duration_since(now) + spread);
-        }
         let (service, instances) = (&self.requirements.service, self.requirements.instances);
         let targets = self.state.view.targets();
         if targets.is_limited(service) {
--- a/daemon/src/relay/statements.rs
+++ b/daemon/src/relay/statements.rs
@@ -35,7 +35,11 @@
 
     /// Returns the process that responds at an address.
     fn at(targets: &Targets, address: SocketAddr) -> Option<Self> {
-        let key = targets.owner_of(address)?;
+        Self::current(targets, targets.owner_of(address)?)
+    }
+
+    /// Returns the current process of a target.
+    fn current(targets: &Targets, key: TargetKey) -> Option<Self> {
         let born = targets.get(key)?.entry.born;
         Some(Self { key, born })
     }
@@ -81,10 +85,7 @@
     let respondent = {
         let targets = state.view.targets();
         let key = targets.key_of(name);
-        key.and_then(|key| {
-            let born = targets.get(key)?.entry.born;
-            Some(Respondent { key, born })
-        })
+        key.and_then(|key| Respondent::current(&targets, key))
     };
     if let Some(respondent) = respondent {
         record_leaving(state, respondent, None, "instance");
