relay: bound what callers make an instance hold by one account

Callers saw an instance end: many bodies of legal size that stop just short of their end and stay open, in any pieces, took more memory than its machine has. Bodies far over the limit, whole bodies that wait for a target, and heads that stop short did the same; connections that send nothing took all descriptors, so that targets and the store could not be connected to.

Cause: each body was bounded by itself and collected frame by frame, nothing summed over bodies, connections or heads, nothing ended a body that stopped, and the memory and descriptors of the settings were not read. A chunk of one byte was counted as one byte and held a handle and a share of a read buffer.

No connection may hold more than the others leave free, so small requests are received beside large ones (dynamic thresholds for a shared memory). If there is no room, the connection goes that holds the most for the longest time: a body that is received is refused with 503, which is true as it has not run, and other connections are closed, unless a whole request runs on them. Bodies are copied into segments, which are counted as they are allocated. One that stops is answered 408 at the request's deadline; an announced length over the limit 413 before its bytes are read. A response that nobody reads for unreadTimeoutMs (60 s) ends. The memory for responses is 3/10 of the settings' memory, at most 48 MiB as before. Gauge, counters and one line at each change of state.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -7,6 +7,8 @@
 
 use celerypond_types::{DataCentre, InstanceName};
 
+use crate::process_limits::ProcessLimits;
+
 /// The settings of an instance that relays routed requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -28,6 +30,10 @@
     pub bounds: Bounds,
     /// The number of CPU cores.
     pub cores: usize,
+    /// The memory and the descriptors that the process may use.
+    pub limits: ProcessLimits,
+    /// How long a caller may read nothing of its response until its connection is closed.
+    pub unread_timeout: Duration,
     /// Whether prompts are placed by the time that they take at each engine, for services whose
     /// targets state their pace.
     pub places_by_time: bool,
--- a/crates/relay/tests/runner.rs
+++ b/crates/relay/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_access;
 mod test_admission;
 mod test_attempt_failure;
+mod test_caller_budget;
 mod test_connection_limit;
 mod test_cooldown;
 mod test_copy_room;
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -92,6 +92,16 @@
         PlacementsStale = "relay.placements_stale",
         /// Routed requests that failed and may have run.
         RoutedFailed = "relay.failed",
+        /// Requests refused because there was no memory to receive them.
+        BodiesRejected = "relay.bodies_rejected",
+        /// Requests whose bodies did not arrive by their deadline.
+        BodiesTimedOut = "relay.bodies_timed_out",
+        /// Requests whose bodies are longer than allowed.
+        BodiesTooLong = "relay.bodies_too_long",
+        /// Connections of callers that were closed because memory or descriptors were short.
+        CallersClosed = "relay.callers_closed",
+        /// Connections of callers that were not accepted because a request runs on each open one.
+        CallersTurnedAway = "relay.callers_turned_away",
         /// Routed requests that exceeded their deadline.
         RoutedExpired = "relay.expired",
         /// Attempts that ended without a response that could be forwarded.
--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -54,6 +54,8 @@
         CallersPutOff = "relay.callers_put_off",
         /// Bytes of responses of targets that are held, beyond 64 KiB of each.
         ResponseBytes = "relay.response_bytes",
+        /// Bytes that callers make the instance hold, by connections, requests and unread responses.
+        CallerBytes = "relay.caller_bytes",
         /// Milliseconds since the store last confirmed the list of targets.
         TargetsAge = "relay.targets_age_ms",
     }
--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -4,6 +4,10 @@
 //! `celerypond-adapter`. This module has the sockets, the tasks and the clock.
 
 mod attempt;
+mod body_receiver;
+mod caller_account;
+mod caller_connection;
+mod caller_socket;
 mod callers;
 mod config_sync;
 mod connections;
@@ -36,6 +40,7 @@
 mod relocation;
 mod reply;
 mod request;
+mod request_body;
 mod request_losses;
 mod response_memory;
 mod restarted_engines;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -6,7 +6,6 @@
 use celerypond_adapter::headers;
 use celerypond_relay::{AttemptFailure, TargetRequestHead, TargetResponseHead};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{timeout, Instant};
 
@@ -16,6 +15,7 @@
     lease::Lease,
     rate_limits,
     reachability::record_connection,
+    request_body::RequestBody,
     state::RelayState,
     statements,
 };
@@ -39,7 +39,7 @@
     /// The path and query, as the caller sent them.
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: RequestBody,
     /// The request id.
     pub(super) id: smol_str::SmolStr,
 }
@@ -192,8 +192,8 @@
 fn make_request(
     caller_request: &CallerRequest,
     head: &TargetRequestHead<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(caller_request.body.clone()));
+) -> Request<RequestBody> {
+    let mut request = Request::new(caller_request.body.clone());
     *request.method_mut() = caller_request.method.clone();
     *request.uri_mut() = caller_request.uri.clone();
     *request.headers_mut() = headers::target_request_headers(&caller_request.headers, head);
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
+    caller_connection::CallerConnection,
+    caller_socket::CallerSocket,
     idle_timer::IdleTimer,
     request::{self, Origin},
     state::RelayState,
@@ -25,13 +27,25 @@
             () = state.closed.cancelled() => return,
             stream = listener::accept(&listener) => stream,
         };
+        let Ok(connection) = CallerConnection::open(&state) else {
+            // Its caller learns at once that its request was not read.
+            drop(stream);
+            continue;
+        };
         state
             .caller_connections
-            .spawn(serve(Arc::clone(&state), stream, origin));
+            .spawn(serve(Arc::clone(&state), stream, connection, origin));
+        // Connections that were told to close return their descriptors before more are accepted.
+        tokio::task::yield_now().await;
     }
 }
 
-async fn serve(state: Arc<RelayState>, stream: TcpStream, origin: Origin) {
+async fn serve(
+    state: Arc<RelayState>,
+    stream: TcpStream,
+    connection: CallerConnection,
+    origin: Origin,
+) {
     // With Nagle's algorithm small events wait for acknowledgements, but the connection still
     // works.
     if let Err(error) = stream.set_nodelay(true) {
@@ -50,18 +64,34 @@
         true => &state.closed,
         false => &state.stopping,
     };
+    let caller = Arc::new(connection);
     let service = {
-        let state = Arc::clone(&state);
-        service_fn(move |request| request::answer(Arc::clone(&state), request, origin))
+        let (state, caller) = (Arc::clone(&state), Arc::clone(&caller));
+        // Boxed, so that a connection without a request has no room for one.
+        service_fn(move |request| {
+            Box::pin(request::answer(
+                Arc::clone(&state),
+                request,
+                origin,
+                Arc::clone(&caller),
+            ))
+        })
     };
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let unread_timeout = state.settings.load().unread_timeout;
+    let socket = CallerSocket::new(stream, Arc::clone(&caller), unread_timeout);
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     tokio::select! {
+        // A connection that has to close reads no further request.
+        biased;
+        () = caller.closed() => return,
         // A caller may disconnect at any time. Its requests are logged separately.
         _ = connection.as_mut() => return,
         () = state.killed.cancelled() => return,
         () = draining.cancelled() => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
+        biased;
+        () = caller.closed() => {}
         _ = connection => {}
         () = state.killed.cancelled() => {}
     }
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -12,9 +12,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use celerypond_relay::{running_timeout_at, ConnectionLimit};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -24,6 +22,8 @@
 };
 use tokio_util::task::TaskTracker;
 
+use super::request_body::RequestBody;
+
 /// The timeout of a connection attempt. Targets accept within a few milliseconds. One that does not
 /// is unreachable or has lost its power, and sends no error.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -46,7 +46,7 @@
 /// The maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-pub(super) type Sender = SendRequest<Full<Bytes>>;
+pub(super) type Sender = SendRequest<RequestBody>;
 
 struct IdleConnection {
     sender: Sender,
--- a/daemon/src/relay/engine_calls.rs
+++ b/daemon/src/relay/engine_calls.rs
@@ -5,10 +5,9 @@
 use bytes::Bytes;
 use celerypond_relay::running_timeout_at;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::Full;
 use tokio::time::Instant;
 
-use super::{state::RelayState, statements};
+use super::{request_body::RequestBody, state::RelayState, statements};
 
 /// The response of an engine.
 pub(super) struct EngineResponse {
@@ -30,7 +29,7 @@
     let exchange = async {
         let open = state.connections.reserve_probe(address);
         let mut sender = state.connections.connect(address, open).await.ok()?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(RequestBody::from(Bytes::from(body)));
         *request.method_mut() = method;
         *request.uri_mut() = path;
         sender.ready().await.ok()?;
--- a/daemon/src/relay/open_request.rs
+++ b/daemon/src/relay/open_request.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use super::{
+    caller_connection::ActiveRequest,
     reply::{Body, Broken, Reply},
     request::Origin,
     state::RelayState,
@@ -109,6 +110,7 @@
 pub(super) struct OpenRequest {
     record: Arc<RequestRecord>,
     stage: Stage,
+    active: ActiveRequest,
 }
 
 impl OpenRequest {
@@ -117,6 +119,7 @@
         id: Option<SmolStr>,
         origin: Origin,
         received: Instant,
+        active: ActiveRequest,
     ) -> Self {
         state.metrics.add(Counter::Routed, 1);
         state.open_requests.fetch_add(1, Relaxed);
@@ -130,6 +133,7 @@
         Self {
             record,
             stage: Stage::Waiting,
+            active,
         }
     }
 
@@ -212,6 +216,11 @@
             // A stream that breaks has logged its end.
             Some(Err(Broken)) | None => true,
         };
+        if let Some(Ok(frame)) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.request.active.connection().add_response(data.len());
+        }
         if has_ended {
             self.request.stage = Stage::Ended;
         }
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -11,7 +11,6 @@
 use celerypond_telemetry::Counter;
 use celerypond_types::TargetName;
 use http::{header::HeaderValue, HeaderMap, HeaderName, Request};
-use http_body_util::Full;
 use rand::seq::SliceRandom as _;
 use tokio::{
     net::TcpListener,
@@ -24,6 +23,7 @@
     connections::{ReusedConnection, Sender},
     reply::{Reason, Reply},
     request::Origin,
+    request_body::RequestBody,
     routed_request::RoutedRequest,
     run_copy::{CopyLocation, OrderedCopy},
     state::RelayState,
@@ -238,9 +238,9 @@
     Ok(PeerResponse { address, response })
 }
 
-fn message(request: &RoutedRequest, run: &ResumedRun<'_>) -> Request<Full<bytes::Bytes>> {
+fn message(request: &RoutedRequest, run: &ResumedRun<'_>) -> Request<RequestBody> {
     let caller_request = &request.caller_request;
-    let mut message = Request::new(Full::new(caller_request.body.clone()));
+    let mut message = Request::new(caller_request.body.clone());
     *message.method_mut() = caller_request.method.clone();
     *message.uri_mut() = caller_request.uri.clone();
     let time_left: Duration = request.time_left();
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -39,6 +39,10 @@
     Denied(Denied),
     /// The request is malformed or too large.
     BadRequest,
+    /// The body of the request did not arrive by its deadline.
+    BodyTimeout,
+    /// There is no memory for the body of the request.
+    NoMemory,
     /// No target was left to try, or those that were tried refused.
     NoTarget,
     /// All targets want no requests for some time.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -12,7 +12,6 @@
     header::{EXPECT, HOST, TRANSFER_ENCODING},
     Request, Response, StatusCode,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use rand::Rng as _;
 use smol_str::SmolStr;
@@ -20,10 +19,13 @@
 
 use super::{
     attempt::CallerRequest,
+    body_receiver::{self, BodyFailure},
+    caller_connection::CallerConnection,
     members,
     open_request::{OpenRequest, RequestRecord, TrackedBody},
     peer_relay,
     reply::{self, Reason, Reply},
+    request_body::RequestBody,
     routed_request::RoutedRequest,
     single_response,
     state::{Outdated, RelayState},
@@ -50,6 +52,10 @@
 /// still begins within about four seconds.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// When a caller may retry whose request was refused for want of memory. What others hold without
+/// need is free by then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -64,8 +70,10 @@
     state: Arc<RelayState>,
     mut request: Request<Incoming>,
     origin: Origin,
+    caller: Arc<CallerConnection>,
 ) -> Result<Response<TrackedBody>, Infallible> {
     let started = Instant::now();
+    let active = caller.begin_request(!request.body().is_end_stream(), started);
     // A body without a length is read by its chunks. If the request also has a length, a proxy
     // before this instance may delimit it differently, and the bytes that follow would look like a
     // request that no caller sent (request smuggling). So nothing is read after such a body.
@@ -73,10 +81,10 @@
     let head = headers::parse_caller_head(request.headers());
     let id = head.request.clone();
     let method = request.method().clone();
-    let open_request = OpenRequest::new(&state, id.clone(), origin, started);
+    let open_request = OpenRequest::new(&state, id.clone(), origin, started, active);
     let mut reply = match has_newer_config(&state, &mut request, origin) {
         true => refuse_newer_config(&state, &head),
-        false => route_request(&state, &mut request, head, open_request.record()).await,
+        false => route_request(&state, &mut request, head, open_request.record(), &caller).await,
     };
     if origin == Origin::Peer {
         peer_relay::name_target(&mut reply);
@@ -167,6 +175,7 @@
     request: &mut Request<Incoming>,
     head: CallerHead,
     record: &Arc<RequestRecord>,
+    caller: &CallerConnection,
 ) -> Reply {
     let (started, origin) = (record.received, record.origin);
     let Some(id) = head.request.clone() else {
@@ -218,9 +227,10 @@
         }
     };
     let limit = state.view.table().config().limits.body_bytes;
-    let caller_request = match read_body(request, id.clone(), limit).await {
+    let received = receive_body(request, id.clone(), limit, &deadline, caller).await;
+    let caller_request = match received {
         Ok(caller_request) => caller_request,
-        Err(status) => return reply::local(status, Some(&id), Reason::BadRequest),
+        Err(failure) => return refuse_body(state, failure, &id, &deadline),
     };
     let now = Instant::now();
     let planned_stop = state.planned_stop.load_full();
@@ -329,27 +339,65 @@
     reply::local(status, Some(id), Reason::Denied(denied))
 }
 
-/// Reads the body, and takes the headers from the request before.
-async fn read_body(
+/// Receives the body, and takes the headers from the request before.
+async fn receive_body(
     request: &mut Request<Incoming>,
     id: SmolStr,
     limit: usize,
-) -> Result<CallerRequest, StatusCode> {
+    deadline: &RequestDeadline,
+    caller: &CallerConnection,
+) -> Result<CallerRequest, BodyFailure> {
     let headers = mem::take(request.headers_mut());
-    let body = Limited::new(request.body_mut(), limit).collect().await;
-    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
-        true => StatusCode::PAYLOAD_TOO_LARGE,
-        false => StatusCode::BAD_REQUEST,
-    })?;
+    let body = request.body_mut();
+    let body = match body.is_end_stream() {
+        true => RequestBody::default(),
+        false => body_receiver::receive(body, limit, deadline.end, caller).await?,
+    };
+    caller.record_whole();
     Ok(CallerRequest {
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers,
-        body: body.to_bytes(),
+        body,
         id,
     })
 }
 
+/// Answers a request whose body was not received, and which has not run.
+fn refuse_body(
+    state: &RelayState,
+    failure: BodyFailure,
+    id: &SmolStr,
+    deadline: &RequestDeadline,
+) -> Reply {
+    let (status, reason, counter) = match failure {
+        BodyFailure::Broken => {
+            return reply::local(StatusCode::BAD_REQUEST, Some(id), Reason::BadRequest)
+        }
+        BodyFailure::NoMemory => {
+            let time_left = deadline.remaining(Instant::now());
+            let retry_after = Some(MEMORY_RETRY_AFTER);
+            let mut reply = reply::not_run(id, time_left, retry_after, Reason::NoMemory);
+            reply::close_after(&mut reply);
+            return reply;
+        }
+        BodyFailure::TooLong => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BadRequest,
+            Counter::BodiesTooLong,
+        ),
+        BodyFailure::TimedOut => (
+            StatusCode::REQUEST_TIMEOUT,
+            Reason::BodyTimeout,
+            Counter::BodiesTimedOut,
+        ),
+    };
+    state.metrics.add(counter, 1);
+    let mut reply = reply::local(status, Some(id), reason);
+    reply::close_after(&mut reply);
+    reply
+}
+
 /// Reads and drops what the caller still sends of the body while the response is sent, within the
 /// limit on a body's size.
 ///
--- a/daemon/src/relay/request_losses.rs
+++ b/daemon/src/relay/request_losses.rs
@@ -145,12 +145,20 @@
 ) -> RequestFingerprint {
     let part = prompt.and_then(|prompt| prompt.parts.last());
     let part = part.map(|part| part.id.to_le_bytes());
-    RequestFingerprint::of_content([
+    let uri = request.uri.to_string();
+    let fields = [
         account.map_or("", AccountName::as_str).as_bytes(),
         request.method.as_str().as_bytes(),
-        request.uri.to_string().as_bytes(),
-        part.as_ref().map_or(&request.body, |part| part.as_slice()),
-    ])
+        uri.as_bytes(),
+    ];
+    let fields = fields.into_iter();
+    match &part {
+        Some(part) => RequestFingerprint::of_content(fields.chain([part.as_slice()])),
+        None => {
+            let segments = request.body.segments().map(|segment| &segment[..]);
+            RequestFingerprint::of_content(fields.chain(segments))
+        }
+    }
 }
 
 /// Returns the failure of an attempt whose connection broke: whether its target has ended as well.
--- a/daemon/src/relay/response_memory.rs
+++ b/daemon/src/relay/response_memory.rs
@@ -6,26 +6,33 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use celerypond_relay::AttemptFailure;
+use celerypond_relay::{AttemptFailure, ProcessLimits};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
 /// The maximum size of one response that is not a stream.
 const MAX_BODY_BYTES: usize = 32 << 20;
-/// The maximum sum of the bytes of all bodies beyond [`FREE_BYTES`] of each.
-const MAX_TOTAL_BYTES: usize = 48 << 20;
 /// The bytes of each body that do not count, so that usual responses are received while faulty
 /// targets fill the memory.
 const FREE_BYTES: usize = 64 << 10;
 
 /// Limits the memory of all response bodies that are held at the same time. Faulty targets may send
 /// bodies without end, under any number of requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ResponseMemory {
+    /// The maximum sum of the bytes of all bodies beyond [`FREE_BYTES`] of each.
+    max_total: usize,
     used: AtomicUsize,
 }
 
 impl ResponseMemory {
+    pub(super) fn new(limits: &ProcessLimits) -> Self {
+        Self {
+            max_total: limits.response_bytes(),
+            used: AtomicUsize::new(0),
+        }
+    }
+
     /// Returns the number of bytes that count towards the limit.
     pub(super) fn used(&self) -> usize {
         self.used.load(Relaxed)
@@ -97,7 +104,7 @@
         let more = counted - self.counted;
         let grown = used.fetch_update(Relaxed, Relaxed, |used| {
             let sum = used + more;
-            (sum <= MAX_TOTAL_BYTES).then_some(sum)
+            (sum <= self.memory.max_total).then_some(sum)
         });
         if grown.is_ok() {
             self.counted = counted;
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -206,6 +206,7 @@
 
 async fn run_maintenance(state: Arc<RelayState>) {
     let mut previous = None;
+    let mut was_short = false;
     let mut open_logged = Instant::now();
     loop {
         let due = Instant::now() + SWEEP_INTERVAL;
@@ -218,6 +219,7 @@
                 prompt_parts::poll(&state);
                 report_dropped_lines(&state);
                 report_staleness(&state, &mut previous);
+                report_shortage(&state, &mut was_short);
                 if open_logged.elapsed() >= OPEN_INTERVAL {
                     open_logged = Instant::now();
                     log_open(&state);
@@ -264,6 +266,23 @@
     }
 }
 
+/// Logs when callers begin to hold more memory or connections than they may, and when that ends.
+fn report_shortage(state: &RelayState, was_short: &mut bool) {
+    let is_short = state.callers.take_short();
+    if std::mem::replace(was_short, is_short) == is_short {
+        return;
+    }
+    let limits = state.settings.load().limits;
+    log::warn!(
+        is_short,
+        bytes = state.callers.used(),
+        max_bytes = limits.caller_bytes(),
+        open = state.caller_connections.len(),
+        max_open = limits.caller_connections();
+        "memory for callers changed"
+    );
+}
+
 /// Logs when requests begin to be refused because the data is too old, and when that ends.
 fn report_staleness(state: &RelayState, previous: &mut Option<Outdated>) {
     let stale = state.stale();
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -21,8 +21,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
-    connections::Connections, datagrams::Datagram, fleet::Fleet, response_memory::ResponseMemory,
-    rollouts::Rollouts, store_view::StoreView, watch_duty::WatchDuty,
+    caller_account::CallerAccount, connections::Connections, datagrams::Datagram, fleet::Fleet,
+    response_memory::ResponseMemory, rollouts::Rollouts, store_view::StoreView,
+    watch_duty::WatchDuty,
 };
 use crate::peers::Peers;
 
@@ -54,6 +55,8 @@
     /// Connections to other instances, through which requests are relayed.
     pub(super) peer_connections: Connections,
     pub(super) response_memory: Arc<ResponseMemory>,
+    /// What callers make this instance hold.
+    pub(super) callers: CallerAccount,
     /// Notices for all other instances.
     notices: mpsc::UnboundedSender<Datagram>,
     /// Notifies that a target could not be connected to.
@@ -133,7 +136,8 @@
             watch_duty: WatchDuty::new(settings.bounds.watch_wait()),
             connections: Connections::new(settings.ip),
             peer_connections: Connections::new(settings.ip),
-            response_memory: Arc::default(),
+            response_memory: Arc::new(ResponseMemory::new(&settings.limits)),
+            callers: CallerAccount::new(&settings.limits),
             notices,
             connection_failed: Notify::new(),
             partitions: Mutex::default(),
@@ -335,6 +339,7 @@
             (Gauge::TargetsSlow, slow_targets as u64),
             (Gauge::PartsQuarantined, quarantined as u64),
             (Gauge::ResponseBytes, self.response_memory.used() as u64),
+            (Gauge::CallerBytes, self.callers.used() as u64),
             (Gauge::ConfigVersion, self.view.config_version()),
             (Gauge::ConfigNewest, self.newest_config()),
             (Gauge::RoutedTargets, self.view.targets().len() as u64),
