listener: close the oldest connection at ports for other calls

The oldest connection is closed for a new one; refusing new ones would let silent clients shut out all others.

--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -1,10 +1,10 @@
 //! Accepts connections until the instance ends.
 
-use std::{future::Future, io, time::Duration};
+use std::{collections::VecDeque, future::Future, io, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpStream},
-    task::JoinSet,
+    task::{AbortHandle, JoinSet},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -39,19 +39,32 @@
 }
 
 /// Serves each connection of a listener in its own task until `shutdown`, then aborts all of them.
+///
+/// At most `max_connections` are open: the oldest one is aborted for a new one, since clients that
+/// only keep their connections would shut out all others.
 pub async fn serve<F>(
     listener: impl Accept,
+    max_connections: usize,
     shutdown: CancellationToken,
     handle: impl Fn(TcpStream) -> F,
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
     let mut connections = JoinSet::new();
+    let mut handles: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         tokio::select! {
             () = shutdown.cancelled() => break,
             stream = accept(&listener) => {
-                connections.spawn(handle(stream));
+                if handles.len() >= max_connections {
+                    handles.retain(|handle| !handle.is_finished());
+                }
+                if connections.len() >= max_connections && let Some(oldest) = handles.pop_front() {
+                    oldest.abort();
+                    // The aborted one returns its descriptor.
+                    let _ = connections.join_next().await;
+                }
+                handles.push_back(connections.spawn(handle(stream)));
             }
             Some(_) = connections.join_next() => {}
         }
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -12,6 +12,9 @@
 
 use crate::{forward, gossip, keeper_records, listener, node::Node, watch::BundleMessage};
 
+/// The maximum number of open connections of other instances.
+const MAX_CONNECTIONS: usize = 4_096;
+
 /// Handles the calls of other instances.
 #[derive(Clone)]
 struct PeerServer(Arc<Node>);
@@ -19,7 +22,7 @@
 /// Serves peers on a listener until the instance shuts down.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
     let ending = node.shutdown.clone();
-    listener::serve(listener, ending, |socket| {
+    listener::serve(listener, MAX_CONNECTIONS, ending, |socket| {
         let server = PeerServer(Arc::clone(&node));
         // It is not an error if a peer disconnects during a call.
         serve_connection(socket, server.serve()).map(|_| ())
--- a/daemon/src/relay/endpoints.rs
+++ b/daemon/src/relay/endpoints.rs
@@ -27,7 +27,11 @@
 /// Serves the endpoints on a listener until the instance ends.
 pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
     let ending = state.ending.clone();
-    listener::serve(listener, ending, |stream| serve(Arc::clone(&state), stream)).await;
+    let max_connections = state.settings.load().limits.endpoint_connections();
+    listener::serve(listener, max_connections, ending, |stream| {
+        serve(Arc::clone(&state), stream)
+    })
+    .await;
 }
 
 async fn serve(state: Arc<RelayState>, stream: tokio::net::TcpStream) {
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -26,8 +26,9 @@
 /// Serves the calls of other instances until the instance ends.
 pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
     let ending = state.ending.clone();
+    let max_connections = state.settings.load().limits.peer_connections();
     let transfers = Arc::new(Semaphore::new(MAX_TRANSFERS));
-    listener::serve(listener, ending, |socket| {
+    listener::serve(listener, max_connections, ending, |socket| {
         let server = Server {
             state: Arc::clone(&state),
             transfers: Arc::clone(&transfers),
--- a/daemon/tests/test_listener.rs
+++ b/daemon/tests/test_listener.rs
@@ -11,6 +11,7 @@
 
 use celerypond_daemon::listener::{self, Accept};
 use tokio::{
+    io::AsyncReadExt as _,
     net::{TcpListener, TcpStream},
     time::{sleep, Instant},
 };
@@ -56,7 +57,7 @@
     let failing = FailingListener::new(usize::MAX).await;
     let attempts = Arc::clone(&failing.attempts);
     let shutdown = CancellationToken::new();
-    let serving = listener::serve(failing, shutdown.clone(), |_| future::ready(()));
+    let serving = listener::serve(failing, usize::MAX, shutdown.clone(), |_| future::ready(()));
     let serving = tokio::spawn(serving);
     sleep(Duration::from_secs(2)).await;
     shutdown.cancel();
@@ -75,3 +76,24 @@
     let _accepted = listener::accept(&failing).await;
     assert!(started.elapsed() < Duration::from_millis(500));
 }
+
+// Guards against clients that shut out all others by keeping their connections.
+#[tokio::test]
+async fn oldest_connection_is_closed_for_a_new_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let shutdown = CancellationToken::new();
+    let hold = |stream: TcpStream| async move {
+        let _stream = stream;
+        future::pending::<()>().await;
+    };
+    let serving = tokio::spawn(listener::serve(listener, 2, shutdown.clone(), hold));
+    let mut connections = Vec::new();
+    for _ in 0..3 {
+        connections.push(TcpStream::connect(address).await.unwrap());
+    }
+    let mut byte = [0; 1];
+    assert_eq!(connections[0].read(&mut byte).await.unwrap(), 0);
+    shutdown.cancel();
+    serving.await.unwrap();
+}
