--- a/daemon/tests/test_relaying_process.rs
+++ b/daemon/tests/test_relaying_process.rs
@@ -3,73 +3,29 @@
 use std::{
     fs, io,
     io::Write as _,
-    net::{Ipv4Addr, SocketAddr},
+    net::Ipv4Addr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Command, Stdio},
     thread,
     time::Duration,
 };
 
-use celerypond_standins::{
-    fixtures::{settings_file, SETTINGS_VARIABLE},
-    loopback,
-};
-use rustix::process::{kill_process, Pid, Signal};
+use celerypond_standins::{fixtures::SETTINGS_VARIABLE, loopback};
+use rustix::process::Signal;
 use tokio::{
     net::TcpStream,
     time::{sleep, Instant},
 };
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_celerypondd");
-/// The ports for callers, for readiness checks, and the first one for other instances.
-const PORTS: [u16; 3] = [8_740, 8_749, 7_410];
-/// How long a condition is waited for.
-const TIMEOUT: Duration = Duration::from_secs(10);
+use crate::process::{settings, wait_until, Process, PORTS, PROGRAM};
+
 /// How long a planned stop may take: the grace period in the settings plus one second.
 const STOP_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// A process that is killed when this is dropped.
-struct Process(Child);
-
-impl Process {
-    fn is_running(&mut self) -> bool {
-        matches!(self.0.try_wait(), Ok(None))
-    }
-
-    fn signal(&mut self, signal: Signal) {
-        assert!(self.is_running(), "the process has ended");
-        let pid = i32::try_from(self.0.id()).ok().and_then(Pid::from_raw);
-        kill_process(pid.unwrap(), signal).unwrap();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn settings(ip: Ipv4Addr, store: SocketAddr) -> String {
-    settings_file(&ip.to_string(), PORTS, "", store)
-}
-
 async fn accepts_connections(ip: Ipv4Addr) -> bool {
     TcpStream::connect((ip, PORTS[1])).await.is_ok()
 }
 
-/// Waits until a condition holds; returns whether it did in time.
-async fn wait_until<F: Future<Output = bool>>(mut check: impl FnMut() -> F) -> bool {
-    let end = Instant::now() + TIMEOUT;
-    while !check().await {
-        if Instant::now() > end {
-            return false;
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
-    true
-}
-
 /// Returns whether a process has opened its standard input once more, which it does to read its settings from there.
 fn reads_settings(process: &Process) -> bool {
     let files = PathBuf::from(format!("/proc/{}/fd", process.0.id()));
