relay: wait for addresses that are in use instead of ending

Callers saw: a process that was started while its predecessor at the same addresses still drained ended with code 1, and again at each further start, until the predecessor was gone; so did one beside another program that held any of its ports, the one for metrics included, which it does not need.

Cause: the process took an address in use as final: the UDP port of peers at once, TCP ports after 20 tries of 50 ms, where a planned stop may hold them for the whole grace period. All addresses counted as needed.

The datagram socket is bound first: a process keeps it to its end, so a successor holds and shows nothing until its predecessor is gone. Then come the ports for peers, relayed requests and callers, all or none, without a limit of time; the wait is logged once a second, SIGTERM ends it, and the settings are read anew for each attempt. The incarnation begins when the sockets are bound, so other instances never name a process that cannot serve. The ports for readiness, the directory and metrics are retried in the background.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -50,6 +50,7 @@
 mod routed_request;
 mod run_copy;
 mod single_response;
+mod sockets;
 mod start;
 mod state;
 mod statements;
--- a/daemon/src/relay/endpoints.rs
+++ b/daemon/src/relay/endpoints.rs
@@ -1,6 +1,11 @@
 //! HTTP endpoints besides requests: readiness, the directory of instances, and metrics.
 
-use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use celerypond_adapter::directory;
 use celerypond_relay::directory_addresses;
@@ -12,6 +17,7 @@
 use super::{
     members,
     reply::{full_body, Reply},
+    sockets,
     state::RelayState,
 };
 use crate::listener;
@@ -24,8 +30,28 @@
 /// How long a connection may stay open without a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Starts to serve the endpoints at an address. If it cannot be bound, that is retried in the
+/// background, as the instance can serve callers without it.
+pub(super) async fn start(state: &Arc<RelayState>, address: SocketAddr) {
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            state.tasks.spawn(run(Arc::clone(state), listener));
+        }
+        Err(_) => {
+            state.tasks.spawn(run_when_free(Arc::clone(state), address));
+        }
+    }
+}
+
+async fn run_when_free(state: Arc<RelayState>, address: SocketAddr) {
+    tokio::select! {
+        () = state.ending.cancelled() => {}
+        listener = sockets::listen_when_free(address) => run(Arc::clone(&state), listener).await,
+    }
+}
+
 /// Serves the endpoints on a listener until the instance ends.
-pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
+async fn run(state: Arc<RelayState>, listener: TcpListener) {
     let ending = state.ending.clone();
     let max_connections = state.settings.load().limits.endpoint_connections();
     listener::serve(listener, max_connections, ending, |stream| {
--- a/daemon/src/relay/reload.rs
+++ b/daemon/src/relay/reload.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerypond_adapter::settings;
+use celerypond_relay::Settings;
 use tokio::signal::unix::Signal;
 
 use super::state::RelayState;
@@ -12,7 +13,7 @@
 
 /// Applies changes of the settings file until the instance ends.
 pub(super) async fn run(state: Arc<RelayState>, mut hangup: Signal) {
-    let mut text = read_settings();
+    let mut text = read_text();
     // The file may have changed since it was read at the start. Faults in it would have been
     // reported then.
     if let Some(Ok(new)) = text.as_deref().map(settings::parse)
@@ -27,7 +28,7 @@
             _ = hangup.recv() => log::info!(signal = "SIGHUP"; "signal received"),
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
-        let new_text = read_settings();
+        let new_text = read_text();
         if new_text == text {
             continue;
         }
@@ -46,6 +47,11 @@
     }
 }
 
-fn read_settings() -> Option<String> {
+/// Returns the settings in the file, unless it has faults.
+pub(super) fn read_settings() -> Option<Settings> {
+    settings::parse(&read_text()?).ok()
+}
+
+fn read_text() -> Option<String> {
     std::fs::read_to_string(settings::path()).ok()
 }
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -1,7 +1,6 @@
 //! Starts and ends a relaying instance.
 
 use std::{
-    net::SocketAddr,
     sync::{atomic::Ordering::Relaxed, Arc},
     time::Duration,
 };
@@ -11,7 +10,6 @@
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error;
 use tokio::{
-    net::{TcpListener, UdpSocket},
     signal::unix::{signal, SignalKind},
     sync::mpsc,
     time::{timeout, Instant},
@@ -24,6 +22,7 @@
     reload,
     request::Origin,
     restarted_engines, rollout_driver,
+    sockets::Sockets,
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
 };
@@ -37,10 +36,6 @@
 /// The minimum delay of a timer that is logged. Targets count as silent after a few hundred
 /// milliseconds, which a delayed instance cannot tell from its own delay.
 const MIN_LOGGED_DELAY: Duration = Duration::from_millis(100);
-/// How often binding a port is retried, since a previous process may still hold it.
-const MAX_BIND_RETRIES: usize = 20;
-/// The interval between two attempts to bind a port.
-const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long background tasks may take to end.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -51,9 +46,6 @@
     /// A signal handler cannot be set.
     #[error("cannot install signal handlers")]
     Signals,
-    /// An address cannot be listened on.
-    #[error("cannot listen on {0}")]
-    Listen(SocketAddr),
 }
 
 /// Relays requests until SIGTERM. The settings are read again when their file changes.
@@ -64,7 +56,15 @@
 pub async fn run(settings: Settings) -> Result<(), Report<RelayError>> {
     let hangup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
     let mut terminate = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
-    let instance = Instance::start(settings).await?;
+    let current_settings = || reload::read_settings().unwrap_or_else(|| settings.clone());
+    let (sockets, settings) = tokio::select! {
+        bound = Sockets::bind(current_settings) => bound,
+        _ = terminate.recv() => {
+            log::info!(signal = "SIGTERM"; "signal received while waiting for an address");
+            return Ok(());
+        }
+    };
+    let instance = Instance::start_with(settings, sockets).await;
     let state = Arc::clone(&instance.state);
     instance.state.tasks.spawn(reload::run(state, hangup));
     terminate.recv().await;
@@ -79,18 +79,26 @@
 }
 
 impl Instance {
-    /// Starts an instance.
-    ///
-    /// # Errors
-    ///
-    /// A [`RelayError`] if an address cannot be listened on.
-    pub async fn start(settings: Settings) -> Result<Self, Report<RelayError>> {
+    /// Starts an instance as soon as the addresses that it needs can be bound.
+    pub async fn start(settings: Settings) -> Self {
+        let (sockets, settings) = Sockets::bind(|| settings.clone()).await;
+        Self::start_with(settings, sockets).await
+    }
+
+    /// Starts an instance with the sockets that it needs.
+    async fn start_with(settings: Settings, sockets: Sockets) -> Self {
+        // The incarnation is later than that of a process that had these sockets before.
         let gossip = members::gossip(&settings, Instant::now());
         let (notice_sender, notices) = mpsc::unbounded_channel();
         let state = Arc::new(RelayState::new(settings, gossip, notice_sender));
         fleet::refresh(&state);
-        listen(&state, notices).await?;
+        serve_sockets(&state, sockets, notices);
         let settings = state.settings.load_full();
+        let listen = settings.listen;
+        let endpoint_addresses = [listen.ready, listen.directory, listen.metrics];
+        for address in endpoint_addresses.into_iter().flatten() {
+            endpoints::start(&state, address).await;
+        }
         log::info!(
             instance = settings.instance.as_str(),
             data_centre = settings.data_centre.as_str(),
@@ -106,7 +114,7 @@
             .tasks
             .spawn(restarted_engines::run(Arc::clone(&state)));
         state.tasks.spawn(run_maintenance(Arc::clone(&state)));
-        Ok(Self { state })
+        Self { state }
     }
 
     /// Stops as planned: accepts no new callers, and waits for open requests within the grace
@@ -140,19 +148,20 @@
     }
 }
 
-async fn listen(
+fn serve_sockets(
     state: &Arc<RelayState>,
+    sockets: Sockets,
     notices: mpsc::UnboundedReceiver<Datagram>,
-) -> Result<(), Report<RelayError>> {
-    let settings = state.settings.load_full();
-    let address = members::address(&settings);
-    let peer_listener = bind(address).await?;
+) {
+    let Sockets {
+        datagrams: datagram_socket,
+        peers,
+        relayed,
+        callers,
+    } = sockets;
     state
         .tasks
-        .spawn(peer_service::run(Arc::clone(state), peer_listener));
-    let datagram_socket = UdpSocket::bind(address).await;
-    let datagram_socket = datagram_socket.change_context(RelayError::Listen(address))?;
-    let datagram_socket = Arc::new(datagram_socket);
+        .spawn(peer_service::run(Arc::clone(state), peers));
     state.tasks.spawn(rollout_driver::run(
         Arc::clone(state),
         Arc::clone(&datagram_socket),
@@ -169,39 +178,14 @@
     state
         .tasks
         .spawn(datagrams::run(Arc::clone(state), datagram_socket));
-    let relay_listener = bind(peer_relay::address(address)).await?;
     state
         .tasks
-        .spawn(peer_relay::run(Arc::clone(state), relay_listener));
-    let listen = settings.listen;
-    let endpoint_addresses = [listen.ready, listen.directory, listen.metrics];
-    for address in endpoint_addresses.into_iter().flatten() {
-        let listener = bind(address).await?;
-        state
-            .tasks
-            .spawn(endpoints::run(Arc::clone(state), listener));
-    }
-    if let Some(address) = settings.listen.callers {
-        let listener = bind(address).await?;
+        .spawn(peer_relay::run(Arc::clone(state), relayed));
+    if let Some(listener) = callers {
         state
             .tasks
             .spawn(callers::run(Arc::clone(state), listener, Origin::Caller));
     }
-    Ok(())
-}
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, Report<RelayError>> {
-    let mut retries = 0;
-    loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => return Ok(listener),
-            Err(error) if retries == MAX_BIND_RETRIES => {
-                return Err(Report::new(error).change_context(RelayError::Listen(address)));
-            }
-            Err(_) => retries += 1,
-        }
-        tokio::time::sleep(BIND_RETRY_INTERVAL).await;
-    }
 }
 
 async fn run_maintenance(state: Arc<RelayState>) {
--- a/daemon/tests/test_process_starts.rs
+++ b/daemon/tests/test_process_starts.rs
@@ -29,9 +29,10 @@
 const EVENTS: u64 = 40;
 const EVENT_GAP: Duration = Duration::from_millis(50);
 
-/// A store with a target, and the settings of an instance.
+/// A store with targets, and the settings of an instance.
 struct Platform {
-    target: Target,
+    writer: Target,
+    _shop: Target,
     _store: Store,
     ip: Ipv4Addr,
     text: String,
@@ -39,22 +40,21 @@
 }
 
 impl Platform {
-    /// Starts a store and a target; `ip` is the number of the instance's address.
+    /// Starts a store and targets; `ip` is the number of the instance's address.
     async fn start(ip: u8) -> Self {
         let store = Store::start().await.unwrap();
         store.put("config/main", &config(1));
-        let target = Target::start(|request, _| respond(request)).await.unwrap();
-        for (name, service) in [("i-0", "shop"), ("i-1", "writer")] {
-            store.put(
-                &format!("servers/{name}"),
-                &target_entry(service, target.address),
-            );
-        }
+        let shop = Target::start(|request, _| respond(request, "i-0"));
+        let writer = Target::start(|request, _| respond(request, "i-1"));
+        let (shop, writer) = (shop.await.unwrap(), writer.await.unwrap());
+        store.put("servers/i-0", &target_entry("shop", shop.address));
+        store.put("servers/i-1", &target_entry("writer", writer.address));
         let ip = loopback::address(ip);
         let directory = format!("listen.directory={ip}:{DIRECTORY_PORT}\n");
         Self {
             text: settings(ip, store.server.address) + &directory,
-            target,
+            writer,
+            _shop: shop,
             _store: store,
             ip,
             files: tempfile::tempdir().unwrap(),
@@ -87,8 +87,8 @@
     }
 }
 
-fn respond(request: &ReceivedRequest) -> Vec<Action> {
-    if let Some(actions) = platform_response(request, "i-0") {
+fn respond(request: &ReceivedRequest, name: &str) -> Vec<Action> {
+    if let Some(actions) = platform_response(request, name) {
         return actions;
     }
     if request.request_line.contains("/draft/") {
@@ -142,7 +142,7 @@
     let address = platform.callers();
     let request = routed_request("POST /draft/1", "long", 8_000, "long");
     let stream = tokio::spawn(async move { send(address, &request).await });
-    let is_sent = || async { platform.target.running().contains(&"long".to_owned()) };
+    let is_sent = || async { platform.writer.running().contains(&"long".to_owned()) };
     assert!(wait_until(is_sent).await);
     previous.signal(Signal::TERM);
     let mut process = platform.start_instance();
