connections: leave the ports of outgoing connections to listeners

Callers saw: an instance whose port lies in the system's range of ephemeral ports could not listen on it while a connection to a target had been opened from it by a process at the same address, nor for a minute after that connection had ended (TIME_WAIT).

Cause: connections are opened from the instance's own address, and the socket was bound without SO_REUSEADDR, so that the listener's own SO_REUSEADDR had no effect.

Evidence: before, instance_listens_on_a_port_from_which_a_target_was_called fails (no answer within 10 s); now it passes.

--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -270,6 +270,9 @@
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
+        // Without it, no instance at this address could listen on the port that the system assigns,
+        // also after the connection has ended.
+        socket.set_reuseaddr(true)?;
         socket.bind(SocketAddr::new(self.own_ip, 0))?;
         socket.connect(address).await
     }
--- a/daemon/tests/test_process_starts.rs
+++ b/daemon/tests/test_process_starts.rs
@@ -32,7 +32,7 @@
 /// A store with targets, and the settings of an instance.
 struct Platform {
     writer: Target,
-    _shop: Target,
+    shop: Target,
     _store: Store,
     ip: Ipv4Addr,
     text: String,
@@ -54,7 +54,7 @@
         Self {
             text: settings(ip, store.server.address) + &directory,
             writer,
-            _shop: shop,
+            shop: shop,
             _store: store,
             ip,
             files: tempfile::tempdir().unwrap(),
@@ -206,6 +206,52 @@
     assert!(wait_until(is_served).await);
 }
 
+/// Returns the local port of a connection from an address to a server.
+fn source_port(ip: Ipv4Addr, server: SocketAddr) -> Option<u16> {
+    let SocketAddr::V4(server) = server else {
+        return None;
+    };
+    let address = |ip: Ipv4Addr| format!("{:08X}", u32::from_ne_bytes(ip.octets()));
+    let (local, remote) = (
+        address(ip),
+        format!("{}:{:04X}", address(*server.ip()), server.port()),
+    );
+    let sockets = fs::read_to_string("/proc/net/tcp").unwrap();
+    sockets.lines().find_map(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        let (from, to) = (fields.next()?, fields.next()?);
+        let port = from.strip_prefix(&local)?.strip_prefix(':')?;
+        (to == remote).then(|| u16::from_str_radix(port, 16).ok())?
+    })
+}
+
+// Guards against an instance that cannot listen on a port because a connection to a target was opened from it.
+#[tokio::test]
+async fn instance_listens_on_a_port_from_which_a_target_was_called() {
+    let platform = Platform::start(61).await;
+    let _caller = platform.start_instance();
+    assert!(wait_until(|| platform.serves()).await);
+    let port = source_port(platform.ip, platform.shop.address).unwrap();
+    let [callers, ready, peers] = PORTS;
+    // Only the address is shared with the instance that has called the target.
+    let mut text = platform.text.clone();
+    for (old, new) in [
+        (callers, port),
+        (ready, ready + 1),
+        (DIRECTORY_PORT, DIRECTORY_PORT + 1),
+    ] {
+        text = text.replace(&format!(":{old}\n"), &format!(":{new}\n"));
+    }
+    let peer_ports = format!("internalPorts={peers},");
+    text = text.replace(&peer_ports, &format!("internalPorts={},", peers + 3));
+    let path = platform.files.path().join("other.conf");
+    fs::write(&path, text).unwrap();
+    let _process = Process::start(&path);
+    let request = routed_request("GET /safe/1", "r", 2_000, "r");
+    let serves = || async { status((platform.ip, port).into(), &request).await == Some(200) };
+    assert!(wait_until(serves).await);
+}
+
 /// What is wrong with the settings file when the process starts.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
