relay: wait for settings without faults instead of ending

Callers saw: a process whose settings file was missing, empty, cut short or had a fault at that moment ended with code 2, and again at each start, while a running one keeps the settings that it had.

Cause: at the start any fault was taken as final, though the platform writes the file and may do so just then.

--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -1,6 +1,6 @@
 //! The daemon as an instance that relays requests.
 
-use std::{process::ExitCode, time::Duration};
+use std::{fmt::Display, fs, process::ExitCode, thread, time::Duration};
 
 use celerypond_adapter::settings;
 use celerypond_daemon::relay;
@@ -17,27 +17,23 @@
 /// requests, and the reader of the log may have stopped.
 const PANIC_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The interval at which a settings file with faults is read again.
+const SETTINGS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Runs the instance, or only checks its settings if `check` is set.
 pub(crate) fn main(check: bool) -> ExitCode {
     if let Err(error) = ignore_hangup() {
         eprintln!("cannot install signal handlers: {error}");
         return ExitCode::FAILURE;
     }
-    let path = settings::path();
-    let text = match std::fs::read_to_string(&path) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("{}: {error}", path.display());
-            return ExitCode::from(BAD_SETTINGS);
-        }
-    };
-    let settings = match settings::parse(&text) {
+    let settings = match read_settings() {
         Ok(settings) => settings,
         Err(faults) => {
-            for fault in faults {
-                eprintln!("{}: {fault}", path.display());
+            report(&faults);
+            if check {
+                return ExitCode::from(BAD_SETTINGS);
             }
-            return ExitCode::from(BAD_SETTINGS);
+            wait_for_settings(faults)
         }
     };
     if check {
@@ -47,6 +43,40 @@
     serve(settings)
 }
 
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// Returns the faults to be reported.
+fn read_settings() -> Result<Settings, Vec<String>> {
+    let path = settings::path();
+    let fault = |fault: &dyn Display| format!("{}: {fault}", path.display());
+    let text = fs::read_to_string(&path).map_err(|error| vec![fault(&error)])?;
+    settings::parse(&text).map_err(|faults| faults.iter().map(|found| fault(found)).collect())
+}
+
+/// Waits until the settings file has no faults; `faults` are those that were reported. The file may
+/// be written while the process starts.
+fn wait_for_settings(mut faults: Vec<String>) -> Settings {
+    loop {
+        thread::sleep(SETTINGS_POLL_INTERVAL);
+        match read_settings() {
+            Ok(settings) => return settings,
+            Err(found) if found == faults => {}
+            Err(found) => {
+                report(&found);
+                faults = found;
+            }
+        }
+    }
+}
+
+fn report(faults: &[String]) {
+    for fault in faults {
+        eprintln!("{fault}");
+    }
+}
+
 /// Keeps SIGHUP from ending the process, which is its default action. The platform sends it when
 /// the settings change, which may be before the instance handles it.
 fn ignore_hangup() -> std::io::Result<()> {
--- a/daemon/tests/test_process_starts.rs
+++ b/daemon/tests/test_process_starts.rs
@@ -54,7 +54,7 @@
         Self {
             text: settings(ip, store.server.address) + &directory,
             writer,
-            shop: shop,
+            shop,
             _store: store,
             ip,
             files: tempfile::tempdir().unwrap(),
