relay: survive signals, and stop as planned on SIGINT and SIGQUIT

Callers saw: their open requests cut off as the process ended at once by SIGUSR1, SIGUSR2, SIGALRM, SIGINT or SIGQUIT.

Cause: only SIGHUP and SIGTERM had handlers; the default action of the others ends the process.

SIGINT and SIGQUIT now begin the same planned stop as SIGTERM. The others are handled like SIGHUP from the first moment of main and have no effect.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -49,6 +49,7 @@
 mod rollouts;
 mod routed_request;
 mod run_copy;
+mod signals;
 mod single_response;
 mod sockets;
 mod start;
@@ -66,6 +67,7 @@
 use celerypond_telemetry::LogRateLimiter;
 
 pub use inbox::{Inbox, Received};
+pub use signals::ignore_signals;
 pub use start::{run, Instance, RelayError};
 
 /// The maximum number of log lines per second, for routine lines and for failures. A request writes
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -22,6 +22,7 @@
     reload,
     request::Origin,
     restarted_engines, rollout_driver,
+    signals::StopSignals,
     sockets::Sockets,
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
@@ -48,27 +49,27 @@
     Signals,
 }
 
-/// Relays requests until SIGTERM. The settings are read again when their file changes.
+/// Relays requests until SIGTERM, SIGINT or SIGQUIT. The settings are read again when their file changes.
 ///
 /// # Errors
 ///
 /// A [`RelayError`] if the instance cannot start.
 pub async fn run(settings: Settings) -> Result<(), Report<RelayError>> {
     let hangup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
-    let mut terminate = signal(SignalKind::terminate()).change_context(RelayError::Signals)?;
+    let mut stops = StopSignals::new().change_context(RelayError::Signals)?;
     let current_settings = || reload::read_settings().unwrap_or_else(|| settings.clone());
     let (sockets, settings) = tokio::select! {
         bound = Sockets::bind(current_settings) => bound,
-        _ = terminate.recv() => {
-            log::info!(signal = "SIGTERM"; "signal received while waiting for an address");
+        signal = stops.recv() => {
+            log::info!(signal; "signal received while waiting for an address");
             return Ok(());
         }
     };
     let instance = Instance::start_with(settings, sockets).await;
     let state = Arc::clone(&instance.state);
     instance.state.tasks.spawn(reload::run(state, hangup));
-    terminate.recv().await;
-    log::info!(signal = "SIGTERM"; "signal received");
+    let signal = stops.recv().await;
+    log::info!(signal; "signal received");
     instance.stop().await;
     Ok(())
 }
--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -6,10 +6,7 @@
 use celerypond_daemon::relay;
 use celerypond_relay::Settings;
 use celerypond_telemetry::{LogFormat, LogSettings, Output};
-use tokio::{
-    runtime::{Builder, Runtime},
-    signal::unix::{signal, SignalKind},
-};
+use tokio::runtime::{Builder, Runtime};
 
 use crate::BAD_SETTINGS;
 
@@ -22,7 +19,7 @@
 
 /// Runs the instance, or only checks its settings if `check` is set.
 pub(crate) fn main(check: bool) -> ExitCode {
-    if let Err(error) = ignore_hangup() {
+    if let Err(error) = relay::ignore_signals() {
         eprintln!("cannot install signal handlers: {error}");
         return ExitCode::FAILURE;
     }
@@ -77,15 +74,6 @@
     }
 }
 
-/// Keeps SIGHUP from ending the process, which is its default action. The platform sends it when
-/// the settings change, which may be before the instance handles it.
-fn ignore_hangup() -> std::io::Result<()> {
-    let runtime = Builder::new_current_thread().enable_io().build()?;
-    let _context = runtime.enter();
-    // The handler stays installed when this and the runtime are dropped.
-    signal(SignalKind::hangup()).map(drop)
-}
-
 fn serve(settings: Settings) -> ExitCode {
     let logs = LogSettings {
         level: log::LevelFilter::Info,
