relay: limit what is read of a connection without a message

Callers saw: no answers, or 503, from an instance while some targets, or callers that nobody controls, sent a chunk's size without an end (leading zeros) or interim responses without an end. The instance's one thread read and parsed these, up to the deadlines of their requests, and everything else on it waited, heartbeats included.

Cause: limits were on memory: heads, bodies and buffers. Framing takes none, and the HTTP library sets it no limit, so nothing counted it.

A meter on each connection counts bytes that are read and is reset when a message begins or a part of a body is received. Beyond four buffers without either, reads fail, and the connection ends like one with a broken message. It stands at targets, other instances, callers and endpoints. Four buffers are what may be read ahead of a slow reader.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -6,16 +6,17 @@
 use celerypond_adapter::headers;
 use celerypond_relay::{AttemptFailure, TargetRequestHead, TargetResponseHead};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use hyper::body::Incoming;
 use tokio::time::{timeout, Instant};
 
 use super::{
-    connections::{Connections, ReusedConnection, Sender},
+    connections::{Connections, ReusedConnection},
     fullness,
     lease::Lease,
+    metered_body::MeteredBody,
     rate_limits,
     reachability::record_connection,
     request_body::RequestBody,
+    sender::Sender,
     state::RelayState,
     statements,
 };
@@ -49,13 +50,13 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) head: TargetResponseHead,
-    pub(super) body: Incoming,
+    pub(super) body: MeteredBody,
     sender: Sender,
 }
 
 impl OpenResponse {
     /// Creates a response that arrived on a connection.
-    pub(super) fn new(response: Response<Incoming>, sender: Sender) -> Self {
+    pub(super) fn new(response: Response<MeteredBody>, sender: Sender) -> Self {
         let (parts, body) = response.into_parts();
         Self {
             status: parts.status,
@@ -209,7 +210,7 @@
     state: &Arc<RelayState>,
     caller_request: &CallerRequest,
     lease: &mut Lease,
-    (response, sent): (Response<Incoming>, Instant),
+    (response, sent): (Response<MeteredBody>, Instant),
     sender: Sender,
 ) -> Result<OpenResponse, AttemptFailure> {
     let response = OpenResponse::new(response, sender);
@@ -260,7 +261,7 @@
 /// `Broken` if the body ended early or is too large, `Silent` if it did not end in time.
 pub(super) async fn read_body(
     state: &RelayState,
-    body: &mut Incoming,
+    body: &mut MeteredBody,
     limit: Duration,
 ) -> Result<Bytes, AttemptFailure> {
     let collected = timeout(limit, state.response_memory.collect(body)).await;
--- a/daemon/src/relay/body_receiver.rs
+++ b/daemon/src/relay/body_receiver.rs
@@ -4,11 +4,13 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use thiserror::Error;
 use tokio::time::{sleep_until, Instant};
 
-use super::{caller_connection::CallerConnection, request_body::RequestBody};
+use super::{
+    caller_connection::CallerConnection, metered_body::MeteredBody, request_body::RequestBody,
+};
 
 /// The minimum size of a segment, unless the body is shorter.
 const MIN_SEGMENT: usize = 4 << 10;
@@ -40,7 +42,7 @@
 /// A [`BodyFailure`] if it cannot be received; a length beyond the limit is refused before any byte
 /// is read.
 pub(super) async fn receive(
-    body: &mut Incoming,
+    body: &mut MeteredBody,
     limit: usize,
     deadline: Instant,
     connection: &CallerConnection,
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -2,14 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use http::Request;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     caller_connection::CallerConnection,
     caller_socket::CallerSocket,
+    framing_meter::FramingMeter,
     idle_timer::IdleTimer,
+    metered_body::MeteredBody,
+    metered_socket::MeteredSocket,
     request::{self, Origin},
     state::RelayState,
 };
@@ -52,12 +56,14 @@
         log::debug!(error:% = error; "cannot disable Nagle's algorithm on a caller's socket");
     }
     let limits = state.view.table().config().limits;
+    let buffer = limits.head_bytes.max(MIN_BUFFER);
+    let meter = FramingMeter::new(buffer);
     let mut builder = http1::Builder::new();
     builder
         .timer(IdleTimer(Arc::clone(&state)))
         // Switches the timeout on; the timer decides when it ends.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER));
+        .max_buf_size(buffer);
     // A connection that is accepted during a stop gets its first request answered, and is closed
     // with the listener if none comes.
     let draining = match state.stopping.is_cancelled() {
@@ -67,8 +73,10 @@
     let caller = Arc::new(connection);
     let service = {
         let (state, caller) = (Arc::clone(&state), Arc::clone(&caller));
+        let meter = meter.clone();
         // Boxed, so that a connection without a request has no room for one.
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
+            let request = request.map(|body| MeteredBody::new(body, meter.clone()));
             Box::pin(request::answer(
                 Arc::clone(&state),
                 request,
@@ -79,6 +87,7 @@
     };
     let unread_timeout = state.settings.load().unread_timeout;
     let socket = CallerSocket::new(stream, Arc::clone(&caller), unread_timeout);
+    let socket = MeteredSocket::new(socket, meter);
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     tokio::select! {
         // A connection that has to close reads no further request.
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -13,7 +13,7 @@
 };
 
 use celerypond_relay::{running_timeout_at, ConnectionLimit};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::{
@@ -22,7 +22,7 @@
 };
 use tokio_util::task::TaskTracker;
 
-use super::request_body::RequestBody;
+use super::{framing_meter::FramingMeter, metered_socket::MeteredSocket, sender::Sender};
 
 /// The timeout of a connection attempt. Targets accept within a few milliseconds. One that does not
 /// is unreachable or has lost its power, and sends no error.
@@ -46,8 +46,6 @@
 /// The maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-pub(super) type Sender = SendRequest<RequestBody>;
-
 struct IdleConnection {
     sender: Sender,
     idle_since: Instant,
@@ -251,9 +249,11 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let (sender, connection) = http1::Builder::new()
+        let meter = FramingMeter::new(MAX_BUFFER_BYTES);
+        let socket = MeteredSocket::new(stream, meter.clone());
+        let (requests, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
         self.tasks.spawn(async move {
@@ -261,7 +261,7 @@
             let _ = connection.await;
             drop(open);
         });
-        Ok(sender)
+        Ok(Sender::new(requests, meter))
     }
 
     /// Opens a TCP connection from the address that this instance is known by.
--- a/daemon/src/relay/endpoints.rs
+++ b/daemon/src/relay/endpoints.rs
@@ -15,7 +15,9 @@
 use tokio::net::TcpListener;
 
 use super::{
+    framing_meter::FramingMeter,
     members,
+    metered_socket::MeteredSocket,
     reply::{full_body, Reply},
     sockets,
     state::RelayState,
@@ -30,6 +32,9 @@
 /// How long a connection may stay open without a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The size of the buffer of a connection, which is the maximum of a request's head.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// Starts to serve the endpoints at an address. If it cannot be bound, that is retried in the
 /// background, as the instance can serve callers without it.
 pub(super) async fn start(state: &Arc<RelayState>, address: SocketAddr) {
@@ -65,14 +70,18 @@
     let Ok(caller) = stream.peer_addr() else {
         return;
     };
+    let meter = FramingMeter::new(MAX_BUFFER_BYTES);
+    let socket = MeteredSocket::new(stream, meter.clone());
     let service = service_fn(move |request| {
+        meter.reset();
         let reply = respond(&state, &request, caller.ip());
         async { Ok::<Reply, Infallible>(reply) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
     // The client may disconnect at any time.
     let _ = connection.await;
 }
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -20,12 +20,13 @@
 use super::{
     attempt::OpenResponse,
     callers,
-    connections::{ReusedConnection, Sender},
+    connections::ReusedConnection,
     reply::{Reason, Reply},
     request::Origin,
     request_body::RequestBody,
     routed_request::RoutedRequest,
     run_copy::{CopyLocation, OrderedCopy},
+    sender::Sender,
     state::RelayState,
     statements,
 };
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -12,7 +12,7 @@
     header::{EXPECT, HOST, TRANSFER_ENCODING},
     Request, Response, StatusCode,
 };
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use rand::Rng as _;
 use smol_str::SmolStr;
 use tokio::time::Instant;
@@ -22,6 +22,7 @@
     body_receiver::{self, BodyFailure},
     caller_connection::CallerConnection,
     members,
+    metered_body::MeteredBody,
     open_request::{OpenRequest, RequestRecord, TrackedBody},
     peer_relay,
     reply::{self, Reason, Reply},
@@ -68,7 +69,7 @@
 /// Answers a request.
 pub(super) async fn answer(
     state: Arc<RelayState>,
-    mut request: Request<Incoming>,
+    mut request: Request<MeteredBody>,
     origin: Origin,
     caller: Arc<CallerConnection>,
 ) -> Result<Response<TrackedBody>, Infallible> {
@@ -100,7 +101,7 @@
 
 /// Returns whether a request's head, counted without optional spaces, is longer than the
 /// configuration allows. Before there is one, no limit is known.
-fn exceeds_limit(state: &RelayState, request: &Request<Incoming>) -> bool {
+fn exceeds_limit(state: &RelayState, request: &Request<MeteredBody>) -> bool {
     let target = request.uri().path_and_query();
     let mut size = request.method().as_str().len()
         + target.map_or(0, |target| target.as_str().len())
@@ -120,7 +121,11 @@
 
 /// Returns whether another instance has admitted a request by a configuration that is newer than
 /// that of this instance.
-fn has_newer_config(state: &RelayState, request: &mut Request<Incoming>, origin: Origin) -> bool {
+fn has_newer_config(
+    state: &RelayState,
+    request: &mut Request<MeteredBody>,
+    origin: Origin,
+) -> bool {
     if origin == Origin::Caller {
         return false;
     }
@@ -172,7 +177,7 @@
 
 async fn route_request(
     state: &Arc<RelayState>,
-    request: &mut Request<Incoming>,
+    request: &mut Request<MeteredBody>,
     head: CallerHead,
     record: &Arc<RequestRecord>,
     caller: &CallerConnection,
@@ -341,7 +346,7 @@
 
 /// Receives the body, and takes the headers from the request before.
 async fn receive_body(
-    request: &mut Request<Incoming>,
+    request: &mut Request<MeteredBody>,
     id: SmolStr,
     limit: usize,
     deadline: &RequestDeadline,
@@ -403,7 +408,7 @@
 ///
 /// If the connection were closed before that, it would be reset, and a caller that writes its whole
 /// body first would not get the response.
-fn discard_rest(state: &RelayState, request: Request<Incoming>) {
+fn discard_rest(state: &RelayState, request: Request<MeteredBody>) {
     // A caller that waits until it is told to go on has not sent the body, and reading would tell
     // it to. The header is taken from a request whose body was read.
     if request.body().is_end_stream() || request.headers().contains_key(EXPECT) {
--- a/daemon/src/relay/response_memory.rs
+++ b/daemon/src/relay/response_memory.rs
@@ -8,7 +8,8 @@
 use bytes::{Bytes, BytesMut};
 use celerypond_relay::{AttemptFailure, ProcessLimits};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+
+use super::metered_body::MeteredBody;
 
 /// The maximum size of one response that is not a stream.
 const MAX_BODY_BYTES: usize = 32 << 20;
@@ -46,7 +47,7 @@
     /// left.
     pub(super) async fn collect(
         self: &Arc<Self>,
-        body: &mut Incoming,
+        body: &mut MeteredBody,
     ) -> Result<Bytes, AttemptFailure> {
         let mut held = HeldBytes::new(self);
         let mut bytes = BytesMut::new();
--- a/daemon/tests/crowds/main.rs
+++ b/daemon/tests/crowds/main.rs
@@ -161,6 +161,22 @@
     vec![Action::Hang]
 }
 
+/// Answers with a chunk whose size has no end.
+fn chunk_size_without_end(request: &ReceivedRequest) -> Vec<Action> {
+    let id = request.id();
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s.{id}\r\n{CHUNKED}");
+    vec![
+        Action::Send(head.into_bytes()),
+        Action::Repeat(vec![b'0'; 64 << 10], PIECE_PAUSE),
+    ]
+}
+
+/// Answers with interim responses without end.
+fn interim_responses_without_end(_: &ReceivedRequest) -> Vec<Action> {
+    let interim = b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(2 << 10);
+    vec![Action::Repeat(interim, PIECE_PAUSE)]
+}
+
 fn with_length(len: u64) -> String {
     format!("Content-Length: {len}\r\n\r\n")
 }
@@ -367,6 +383,53 @@
     crowd.leave().await;
 }
 
+// Guards against callers that take all processor time with framing that has no end.
+#[rstest]
+#[case::chunk_size(16, |process: &Process| process.callers())]
+#[case::chunk_size_at_the_directory(17, |process: &Process| process.directory())]
+#[tokio::test]
+async fn framing_without_end_of_callers_leaves_processor_time(
+    #[case] number: u8,
+    #[case] port: fn(&Process) -> SocketAddr,
+) {
+    let mut bed = Bed::start(number, BODY_LIMITS, answer).await;
+    let shape = endless(CHUNKED.to_owned(), vec![b'0'; 64 << 10]);
+    let mut crowd = Crowd::gather(port(&bed.process), TINY_CROWD, &shape).await;
+    bed.assert_serves_within_limits(CHECKS).await;
+    assert_eq!(bed.received_from_crowd(), 0);
+    let statuses = crowd.statuses();
+    assert_eq!(statuses.len(), TINY_CROWD);
+    let is_allowed = |status: &u16| [0, 400, 404].contains(status);
+    assert!(statuses.iter().all(is_allowed), "{statuses:?}");
+    crowd.leave().await;
+}
+
+// Guards against targets that take all processor time with framing that has no end.
+#[rstest]
+#[case::chunk_size(18, chunk_size_without_end)]
+#[case::interim_responses(19, interim_responses_without_end)]
+#[tokio::test]
+async fn framing_without_end_of_targets_leaves_processor_time(
+    #[case] number: u8,
+    #[case] respond: fn(&ReceivedRequest) -> Vec<Action>,
+) {
+    let mut bed = Bed::start(number, BODY_LIMITS, respond).await;
+    let shape = Shape {
+        headers: Some("\r\n".to_owned()),
+        ..silence()
+    };
+    let mut crowd = Crowd::gather(bed.process.callers(), TINY_CROWD, &shape).await;
+    bed.assert_serves_within_limits(CHECKS).await;
+    // Each is answered long before its deadline; 503 states that it has not run.
+    let statuses = crowd.statuses();
+    assert_eq!(statuses.len(), TINY_CROWD);
+    let failed = statuses.iter().filter(|status| **status == 502).count();
+    assert_eq!(bed.received_from_crowd(), failed);
+    let is_allowed = |status: &u16| [502, 503].contains(status);
+    assert!(statuses.iter().all(is_allowed), "{statuses:?}");
+    crowd.leave().await;
+}
+
 // Guards against limits on memory that refuse a single request of the largest size.
 #[tokio::test]
 async fn one_request_of_the_largest_size_is_served() {
