relay: an unframed response that ends before its request was written is broken

Callers saw: 200 with a part of a response as the whole of it.

Cause: a response without a length ends with its connection, and an orderly end was taken for that even if the reset for the rest of the upload had yet to come. A reset alone was detected before.

The connection knows whether parts of the body wait to be taken or written, and reports its end as a reset then. The kernel holds at most 64 KiB that it has not sent, so that it does not hide megabytes of them.

What is left: up to 64 KiB that the kernel holds, and bytes on their way, cannot be seen.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -66,6 +66,8 @@
 mod stream_admission;
 mod target_sync;
 mod target_watch;
+mod upload;
+mod upload_socket;
 mod watch_duty;
 
 use celerypond_telemetry::LogRateLimiter;
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -22,7 +22,10 @@
 };
 use tokio_util::task::TaskTracker;
 
-use super::{framing_meter::FramingMeter, metered_socket::MeteredSocket, sender::Sender};
+use super::{
+    framing_meter::FramingMeter, metered_socket::MeteredSocket, sender::Sender, upload::Upload,
+    upload_socket::UploadSocket,
+};
 
 /// The timeout of a connection attempt. Targets accept within a few milliseconds. One that does not
 /// is unreachable or has lost its power, and sends no error.
@@ -43,6 +46,8 @@
 /// The size of the buffer of a connection, which is the maximum of a response's head. A faulty target
 /// may send one without end.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// The maximum number of bytes that the kernel holds before it has sent them.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// The maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -249,8 +254,13 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        // Without it, connections still work, but less is known of how far a body was sent.
+        if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+            log::debug!(error:% = error; "cannot limit the unsent bytes of a connection");
+        }
         let meter = FramingMeter::new(MAX_BUFFER_BYTES);
-        let socket = MeteredSocket::new(stream, meter.clone());
+        let upload = Upload::default();
+        let socket = UploadSocket::new(MeteredSocket::new(stream, meter.clone()), upload.clone());
         let (requests, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
@@ -261,7 +271,7 @@
             let _ = connection.await;
             drop(open);
         });
-        Ok(Sender::new(requests, meter))
+        Ok(Sender::new(requests, meter, upload))
     }
 
     /// Opens a TCP connection from the address that this instance is known by.
--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
 
+use super::upload::Upload;
+
 /// The body of a request, in segments whose sizes depend on its length only.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RequestBody {
@@ -17,6 +19,8 @@
     rest: Option<Arc<[Bytes]>>,
     /// The index of the segment that is sent next.
     next: usize,
+    /// The upload on the connection that sends the body.
+    upload: Option<Upload>,
 }
 
 impl From<Bytes> for RequestBody {
@@ -37,10 +41,16 @@
         Self {
             first,
             rest: (!rest.is_empty()).then(|| rest.into()),
-            next: 0,
+            ..Self::default()
         }
     }
 
+    /// Records on a connection that this body is to be sent, and how far it was.
+    pub(super) fn begin_upload(&mut self, upload: &Upload) {
+        upload.set_body_open(self.remaining() > 0);
+        self.upload = Some(upload.clone());
+    }
+
     /// Returns the segments.
     pub(super) fn segments(&self) -> impl Iterator<Item = &Bytes> {
         let rest = self.rest.iter().flat_map(|rest| rest.iter());
@@ -66,6 +76,9 @@
         let frame = segment.map(|segment| Ok(Frame::data(segment.clone())));
         drop(segments);
         self.next += 1;
+        if let Some(upload) = &self.upload {
+            upload.set_body_open(self.remaining() > 0);
+        }
         Poll::Ready(frame)
     }
 
--- a/daemon/src/relay/sender.rs
+++ b/daemon/src/relay/sender.rs
@@ -6,18 +6,30 @@
     client::conn::{http1::SendRequest, TrySendError},
 };
 
-use super::{framing_meter::FramingMeter, metered_body::MeteredBody, request_body::RequestBody};
+use super::{
+    framing_meter::FramingMeter, metered_body::MeteredBody, request_body::RequestBody,
+    upload::Upload,
+};
 
 /// Sends requests on a connection, one after the other.
 #[derive(Debug)]
 pub(super) struct Sender {
     requests: SendRequest<RequestBody>,
     meter: FramingMeter,
+    upload: Upload,
 }
 
 impl Sender {
-    pub(super) const fn new(requests: SendRequest<RequestBody>, meter: FramingMeter) -> Self {
-        Self { requests, meter }
+    pub(super) const fn new(
+        requests: SendRequest<RequestBody>,
+        meter: FramingMeter,
+        upload: Upload,
+    ) -> Self {
+        Self {
+            requests,
+            meter,
+            upload,
+        }
     }
 
     pub(super) fn is_ready(&self) -> bool {
@@ -36,9 +48,9 @@
     /// Sends a request and waits for the head of its response.
     pub(super) async fn send_request(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> hyper::Result<Response<MeteredBody>> {
-        self.meter.reset();
+        self.begin(&mut request);
         let response = self.requests.send_request(request).await?;
         Ok(self.metered(response))
     }
@@ -46,13 +58,18 @@
     /// Does the same, and returns the request if nothing of it was sent.
     pub(super) async fn try_send_request(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> Result<Response<MeteredBody>, TrySendError<Request<RequestBody>>> {
-        self.meter.reset();
+        self.begin(&mut request);
         let response = self.requests.try_send_request(request).await?;
         Ok(self.metered(response))
     }
 
+    fn begin(&self, request: &mut Request<RequestBody>) {
+        self.meter.reset();
+        request.body_mut().begin_upload(&self.upload);
+    }
+
     fn metered(&self, response: Response<Incoming>) -> Response<MeteredBody> {
         response.map(|body| MeteredBody::new(body, self.meter.clone()))
     }
