relay: pass on only responses with a final status

Callers saw: status 600 or 999, or 101 without having asked for a change of protocols, with the stamp of a target, as the answer to their requests (reports MIXED). 000, 099, 199, 1000 and -1 were 502 before.

Cause: the HTTP library accepts each number of three digits from 100 on, and nothing here decided what becomes of it.

A response whose status is outside of 200 to 599 is now a failed attempt like one of another request: it may have run.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Returns whether the status is that of a response at all: neither a number without a meaning in
+    /// HTTP nor a change of protocols, which is never asked for.
+    pub(super) fn has_final_status(&self) -> bool {
+        (200..600).contains(&self.status.as_u16())
+    }
+
     /// Keeps the connection for further requests. The body must have been read to its end.
     pub(super) fn keep(self, state: &RelayState, lease: &Lease) {
         self.keep_in(&state.connections, lease.address);
@@ -214,6 +220,9 @@
     sender: Sender,
 ) -> Result<OpenResponse, AttemptFailure> {
     let response = OpenResponse::new(response, sender);
+    if !response.has_final_status() {
+        return Err(AttemptFailure::Foreign);
+    }
     statements::record(state, lease, &caller_request.id, &response);
     if response.head.request.as_ref() != Some(&caller_request.id) {
         return Err(AttemptFailure::Foreign);
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -233,7 +233,9 @@
     if let Some(target) = target.filter(|_| response.head.is_leaving) {
         statements::record_relayed(&request.state, &target);
     }
-    if response.head.request.as_ref() != Some(&request.caller_request.id) {
+    if !response.has_final_status()
+        || response.head.request.as_ref() != Some(&request.caller_request.id)
+    {
         return Err(AttemptFailure::Foreign);
     }
     Ok(PeerResponse { address, response })
