callers: read no more while others free what they were told to give up

Callers saw: nothing yet; the platform ends a process over its memory, and all its requests with it. In a crowd of 1,200 callers with heads of 48 kB, or of 150 with bodies of 1 MiB, the process exceeded the limit of the test.

Cause: the account deducts at once what a connection is told to give up, but its task frees it when it is scheduled next. All ready connections read before that, each as much as had become free on paper.

The account keeps what is yet to be freed. While that is more than a quarter of the maximum, other connections put off their reads for one turn of the scheduler, at most 100 times each.

--- a/crates/relay/src/caller_budget.rs
+++ b/crates/relay/src/caller_budget.rs
@@ -8,6 +8,9 @@
     pub struct CallerKey;
 }
 
+/// The part of the maximum that may be held by connections which were told to give it up.
+const MAX_RELEASING_DIVISOR: usize = 4;
+
 /// How a connection has to give up what it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eviction {
@@ -51,6 +54,8 @@
     max_bytes: usize,
     max_connections: usize,
     used: usize,
+    /// The bytes that connections were told to give up and have not freed yet.
+    releasing: usize,
     /// The connections that were told to close and have not ended.
     closing: usize,
     connections: SlotMap<CallerKey, CallerUse>,
@@ -77,6 +82,7 @@
             max_bytes,
             max_connections,
             used: 0,
+            releasing: 0,
             closing: 0,
             connections: SlotMap::with_key(),
         }
@@ -87,6 +93,14 @@
         self.used
     }
 
+    /// Returns whether connections have yet to free so much that no more should be read before.
+    ///
+    /// What they were told to give up no longer counts as used, but all others could be read into
+    /// memory before the first of them gets to free it.
+    pub const fn is_releasing(&self) -> bool {
+        self.releasing > self.max_bytes / MAX_RELEASING_DIVISOR
+    }
+
     /// Adds a connection, which waits for a request.
     ///
     /// # Errors
@@ -131,10 +145,11 @@
         let Some(connection) = self.connections.get_mut(key) else {
             return Vec::new();
         };
-        let previous = connection.bytes();
+        let (previous, releasing) = (connection.bytes(), connection.releasing());
         change(connection);
         let current = connection.bytes();
         self.used = self.used - previous + current;
+        self.releasing = self.releasing - releasing + connection.releasing();
         match current > previous {
             true => self.make_room(key, now),
             false => Vec::new(),
@@ -145,6 +160,7 @@
     pub fn close(&mut self, key: CallerKey) {
         if let Some(connection) = self.connections.remove(key) {
             self.used -= connection.bytes();
+            self.releasing -= connection.releasing();
             self.closing -= usize::from(connection.is_closing());
         }
     }
@@ -185,12 +201,14 @@
             return Eviction::Close(key);
         };
         self.used -= connection.bytes();
+        self.releasing -= connection.releasing();
         let is_rejected = !must_close && connection.reject();
         if !is_rejected {
             connection.close();
             self.closing += 1;
         }
         self.used += connection.bytes();
+        self.releasing += connection.releasing();
         match is_rejected {
             true => Eviction::Reject(key),
             false => Eviction::Close(key),
--- a/crates/relay/src/caller_use.rs
+++ b/crates/relay/src/caller_use.rs
@@ -1,3 +1,5 @@
+use std::mem;
+
 use tokio::time::Instant;
 
 /// The memory of a connection besides what depends on its requests.
@@ -50,6 +52,8 @@
     /// The bytes of each [`CallerShare`].
     shares: [usize; 3],
     tenure: Tenure,
+    /// The bytes that it was told to give up and has not freed yet.
+    releasing: usize,
 }
 
 impl CallerUse {
@@ -59,9 +63,15 @@
             since: now,
             shares: [0; 3],
             tenure: Tenure::Kept,
+            releasing: 0,
         }
     }
 
+    /// Returns the bytes that it was told to give up and has not freed yet.
+    pub(crate) const fn releasing(&self) -> usize {
+        self.releasing
+    }
+
     pub(crate) fn bytes(&self) -> usize {
         let serving = match self.stage {
             CallerStage::Serving => SERVING_BYTES,
@@ -88,6 +98,7 @@
         // The response to a rejected request may remain unread.
         if self.tenure == Tenure::Rejected {
             self.tenure = Tenure::Kept;
+            self.releasing = 0;
         }
         self.stage = stage;
         self.since = now;
@@ -99,6 +110,10 @@
             Tenure::Rejected => share == CallerShare::Body,
             Tenure::Closing => true,
         };
+        let is_freed = self.tenure == Tenure::Rejected && is_given_up && bytes == 0;
+        if is_freed {
+            self.releasing = 0;
+        }
         if !is_given_up {
             self.shares[share as usize] = bytes;
         }
@@ -108,7 +123,7 @@
     pub(crate) fn reject(&mut self) -> bool {
         let is_receiving = self.stage == CallerStage::Receiving;
         if is_receiving {
-            self.shares[CallerShare::Body as usize] = 0;
+            self.releasing = mem::take(&mut self.shares[CallerShare::Body as usize]);
             self.tenure = Tenure::Rejected;
         }
         is_receiving
@@ -116,6 +131,7 @@
 
     /// Gives up all but the connection itself, which is about to end.
     pub(crate) fn close(&mut self) {
+        self.releasing += self.shares.iter().sum::<usize>();
         self.shares = [0; 3];
         self.tenure = Tenure::Closing;
     }
--- a/crates/relay/tests/test_caller_budget.rs
+++ b/crates/relay/tests/test_caller_budget.rs
@@ -57,6 +57,35 @@
     }
 }
 
+// Guards against a process that reads into memory for many connections what others were told to give up, but still hold.
+#[rstest]
+#[case::rejected(CallerStage::Receiving, CallerShare::Body)]
+#[case::closed(CallerStage::Waiting, CallerShare::Buffer)]
+fn bytes_that_were_given_up_count_until_they_are_freed(
+    #[case] stage: CallerStage,
+    #[case] share: CallerShare,
+) {
+    let mut callers = Callers::new(100);
+    let mut evicted = Vec::new();
+    for _ in 0..32 {
+        let key = callers.open();
+        callers.enter(key, stage);
+        callers.now += Duration::from_millis(1);
+        evicted.extend(callers.budget.resize(key, share, BODY, callers.now));
+    }
+    assert!(callers.budget.used() <= MAX_BYTES);
+    assert!(callers.budget.is_releasing());
+    for eviction in evicted {
+        match eviction {
+            Eviction::Reject(key) => {
+                callers.budget.resize(key, share, 0, callers.now);
+            }
+            Eviction::Close(key) => callers.budget.close(key),
+        }
+    }
+    assert!(!callers.budget.is_releasing());
+}
+
 // Guards against small requests that are refused because large ones take all memory.
 #[test]
 fn small_body_is_received_beside_large_ones_that_wait() {
--- a/daemon/src/relay/caller_account.rs
+++ b/daemon/src/relay/caller_account.rs
@@ -43,6 +43,11 @@
         self.lock().budget.used()
     }
 
+    /// Returns whether connections have yet to free what they were told to give up.
+    pub(super) fn is_releasing(&self) -> bool {
+        self.lock().budget.is_releasing()
+    }
+
     /// Returns whether memory or connections were short since the last call.
     pub(super) fn take_short(&self) -> bool {
         self.is_short.swap(false, Relaxed)
--- a/daemon/src/relay/caller_connection.rs
+++ b/daemon/src/relay/caller_connection.rs
@@ -69,6 +69,11 @@
         self.signals.close.notified().await;
     }
 
+    /// Returns whether other connections should free what they hold before this one reads more.
+    pub(super) fn has_to_yield(&self) -> bool {
+        self.state.callers.is_releasing()
+    }
+
     /// Records the size of the buffer for the next bytes, with the head that is being received.
     pub(super) fn record_buffer(&self, size: usize) {
         self.resize(CallerShare::Buffer, size);
--- a/daemon/src/relay/caller_socket.rs
+++ b/daemon/src/relay/caller_socket.rs
@@ -17,12 +17,18 @@
 
 use super::caller_connection::CallerConnection;
 
+/// How often a read is put off for other connections to free what they hold, which they do when they
+/// are scheduled next.
+const MAX_YIELDS: usize = 100;
+
 /// A socket that counts what is read and what its caller does not read.
 pub(super) struct CallerSocket {
     stream: TcpStream,
     connection: Arc<CallerConnection>,
     /// The size of the buffer that was recorded.
     buffer: usize,
+    /// How often the next read was put off.
+    yields: usize,
     unread_timeout: Duration,
     /// The end of the time for which a response may remain unread; `None` while it is read.
     unread_timer: Option<Pin<Box<Sleep>>>,
@@ -38,6 +44,7 @@
             stream,
             connection,
             buffer: 0,
+            yields: 0,
             unread_timeout,
             unread_timer: None,
         }
@@ -75,6 +82,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.yields < MAX_YIELDS && self.connection.has_to_yield() {
+            self.yields += 1;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        self.yields = 0;
         let (room, filled) = (buffer.remaining(), buffer.filled().len());
         let held = room + self.connection.extend_head(0);
         if held != self.buffer {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -356,7 +356,10 @@
     let body = request.body_mut();
     let body = match body.is_end_stream() {
         true => RequestBody::default(),
-        false => body_receiver::receive(body, limit, deadline.end, caller).await?,
+        false => {
+            let received = body_receiver::receive(body, limit, deadline.end, caller).await;
+            received.inspect_err(|_| caller.set_body(0))?
+        }
     };
     caller.record_whole();
     Ok(CallerRequest {
