copies: use no copy by a name that its engine gave before it started again

An engine had crashed and was back; streams that had waited for the retry budget went on from a copy by its handle, which the engine had given to the copy of another run since.

Cause: a handle is only unique within one start of its engine, and the location of a copy kept the address and the handle.

It keeps the engine's start (born) as well, and when the engine was last known to run. A copy is not used, nor released, if the list of targets has another start at the address. If the engine was not known to run for 300 ms, it is connected to: if it is back, its report must state the same start. Relayed streams pass both on.

--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -35,7 +35,8 @@
 /// one must not decide about it.
 const CONFIG_VERSION: HeaderName = HeaderName::from_static("config-version");
 /// Where a copy of the memory of a stream's run is: the engine that holds it and, if the copy was
-/// ordered, where from and under which name, separated by spaces.
+/// ordered, where from and under which name, the start of that engine and for how long it was not
+/// known to run in milliseconds, separated by spaces.
 const RUN_COPY: HeaderName = HeaderName::from_static("run-copy");
 /// The targets that ended while they ran a request, as a notice in JSON.
 const TARGET_LOSSES: HeaderName = HeaderName::from_static("target-losses");
@@ -75,10 +76,17 @@
     let mut fields = value.to_str().ok()?.split(' ');
     let holder = TargetName::new(fields.next()?);
     let ordered = match (fields.next(), fields.next()) {
-        (Some(from), Some(handle)) => Some(OrderedCopy {
-            from: from.parse().ok()?,
-            handle: handle.into(),
-        }),
+        (Some(from), Some(handle)) => {
+            let born = fields.next().and_then(|born| born.parse().ok());
+            let age = fields.next().and_then(|age| age.parse().ok());
+            let age = Duration::from_millis(age.unwrap_or(u64::from(u32::MAX)));
+            Some(OrderedCopy {
+                from: from.parse().ok()?,
+                handle: handle.into(),
+                born,
+                known_at: Instant::now().checked_sub(age)?,
+            })
+        }
         _ => None,
     };
     let holder = state.view.targets().key_of(&holder)?;
@@ -131,7 +139,14 @@
     let targets = state.view.targets();
     let holder = targets.get(copy.holder)?.entry.name.as_str();
     let text = match &copy.ordered {
-        Some(ordered) => format!("{holder} {} {}", ordered.from, ordered.handle),
+        Some(ordered) => {
+            let OrderedCopy { from, handle, .. } = ordered;
+            let born = ordered
+                .born
+                .map_or_else(|| "-".to_owned(), |born| born.to_string());
+            let age = ordered.known_at.elapsed().as_millis();
+            format!("{holder} {from} {handle} {born} {age}")
+        }
         None => holder.to_owned(),
     };
     HeaderValue::from_str(&text).ok()
--- a/daemon/src/relay/relayed_stream.rs
+++ b/daemon/src/relay/relayed_stream.rs
@@ -264,7 +264,7 @@
             let uses_copy =
                 !self.request.is_partitioned() && self.request.losses.separation().is_none();
             let copy_holder = match uses_copy {
-                true => self.lease_copy_holder(&mut copies),
+                true => self.lease_copy_holder(&mut copies).await,
                 false => None,
             };
             let prefers_peer = copy_holder.is_none() && self.request.prefers_peer();
@@ -321,11 +321,26 @@
     }
 
     /// Leases the next engine that holds a copy and accepts new work.
-    fn lease_copy_holder(
+    async fn lease_copy_holder(
         &mut self,
         copies: &mut impl Iterator<Item = CopyLocation>,
     ) -> Option<(Lease, CopyLocation)> {
-        copies.find_map(|copy| Some((self.request.lease_copy_holder(copy.holder)?, copy)))
+        for copy in copies {
+            if let Some(ordered) = &copy.ordered
+                && !ordered.is_current(&self.request.state).await
+            {
+                log::info!(
+                    request = self.request.caller_request.id.as_str(),
+                    from:% = ordered.from;
+                    "copy not used, its engine started again"
+                );
+                continue;
+            }
+            if let Some(lease) = self.request.lease_copy_holder(copy.holder) {
+                return Some((lease, copy));
+            }
+        }
+        None
     }
 
     /// Sends the request to one engine and waits for its first event.
@@ -620,6 +635,7 @@
             request: self.request.caller_request.id.clone(),
             engine: lease.key,
             address: lease.address,
+            born: lease.born,
             requirements: self.request.requirements.clone(),
         };
         Some(RunCopy::start(&self.request.state, source, backup_holder))
--- a/daemon/src/relay/relocation.rs
+++ b/daemon/src/relay/relocation.rs
@@ -169,7 +169,7 @@
             return false;
         };
         self.drain(&mut current).await;
-        let from = current.lease.address;
+        let (from, born) = (current.lease.address, current.lease.born);
         drop(current.response);
         self.request.record_move(current.lease.key);
         drop(current.lease);
@@ -182,6 +182,8 @@
             ordered: Some(OrderedCopy {
                 from,
                 handle: handle.clone(),
+                born,
+                known_at: started,
             }),
         });
         let result = self.find_engine(copies.collect(), true).await;
--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -30,6 +30,8 @@
 /// The interval between two orders to update a copy. What is generated meanwhile, about 25 tokens,
 /// is read again within a few milliseconds.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(800);
+/// The time in which no engine that has ended is back and has been ordered to copy.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(300);
 /// The timeout of an order to copy. A whole prompt takes tens of milliseconds, and may wait for
 /// others.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -59,6 +61,52 @@
 pub(super) struct OrderedCopy {
     pub(super) from: SocketAddr,
     pub(super) handle: SmolStr,
+    /// The start of the engine that it was ordered from, in Unix milliseconds.
+    pub(super) born: Option<u64>,
+    /// When that engine was last known to run.
+    pub(super) known_at: Instant,
+}
+
+impl OrderedCopy {
+    /// Returns whether the name still denotes this copy. An engine that starts again begins its names
+    /// anew, and may have given this one to the copy of another run.
+    pub(super) async fn is_current(&self, state: &RelayState) -> bool {
+        if self.has_listed_replacement(state) {
+            return false;
+        }
+        if self.known_at.elapsed() < MIN_RESTART_TIME {
+            return true;
+        }
+        // Nothing can have been ordered from an engine that is not back.
+        if !state.connections.is_alive(self.from).await {
+            return true;
+        }
+        let Ok(path) = engine::REPORT_PATH.parse() else {
+            return false;
+        };
+        let report = engine_calls::call(
+            state,
+            self.from,
+            Method::GET,
+            path,
+            Vec::new(),
+            ORDER_TIMEOUT,
+        );
+        let report = report.await.filter(|it| it.status == StatusCode::OK);
+        report.is_some_and(|report| {
+            let born = engine::decode_born(&report.body);
+            born.is_none() || born == self.born
+        })
+    }
+
+    /// Returns whether the list of targets has another start of the engine.
+    fn has_listed_replacement(&self, state: &RelayState) -> bool {
+        let targets = state.view.targets();
+        let owner = targets.owner_of(self.from);
+        let listed = owner.and_then(|owner| targets.get(owner)?.entry.born);
+        let starts = self.born.zip(listed);
+        starts.is_some_and(|(ordered, listed)| ordered != listed)
+    }
 }
 
 /// The copy of one run, which is updated while the run continues.
@@ -73,6 +121,8 @@
     pub(super) request: SmolStr,
     pub(super) engine: TargetKey,
     pub(super) address: SocketAddr,
+    /// The start of the engine.
+    pub(super) born: Option<u64>,
     pub(super) requirements: TargetRequirements,
 }
 
@@ -125,9 +175,13 @@
         }
     }
 
-    /// Returns where the copy is, if there is one.
+    /// Returns where the copy is, if there is one. The run's engine ran until now.
     pub(super) fn location(&self) -> Option<CopyLocation> {
-        current_location(&self.location)
+        let mut location = current_location(&self.location)?;
+        if let Some(ordered) = &mut location.ordered {
+            ordered.known_at = Instant::now();
+        }
+        Some(location)
     }
 }
 
@@ -268,6 +322,8 @@
             ordered: Some(OrderedCopy {
                 from: self.run.address,
                 handle,
+                born: self.run.born,
+                known_at: Instant::now(),
             }),
         })
     }
@@ -330,6 +386,9 @@
 
     /// Releases an ordered copy; returns whether its engine has stated that it is gone.
     async fn release(&self, ordered: &OrderedCopy) -> bool {
+        if ordered.has_listed_replacement(&self.state) {
+            return true;
+        }
         let Ok(path) = engine::copy_release_path(&ordered.handle).parse() else {
             return true;
         };
