members: contact the seeds of settings that were read again

A machine was added while its seeds were gone, never joined the others, and knew only what the store told it; then the store turned it away. The settings had named live seeds since, and SIGHUP had come.

Cause: the gossip kept the seeds of the start. It gets those of each settings that are read now.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -168,6 +168,12 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Sets the addresses that are contacted while no member is known to have them. Those that were
+    /// known at the start may be gone.
+    pub fn set_seeds(&mut self, seeds: Vec<SmolStr>) {
+        self.settings.seeds = seeds;
+    }
+
     /// Applies the platform's list of instances.
     pub fn update_listed_members(&mut self, list: &[ListedMember], now: Instant) {
         let others: Vec<ListedMember> = list
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -10,7 +10,7 @@
 use celerypond_relay::{PeerCounts, Settings};
 use celerypond_types::Revision;
 use rand::{rngs::SmallRng, SeedableRng as _};
-use smol_str::format_smolstr;
+use smol_str::{format_smolstr, SmolStr};
 use tokio::time::Instant;
 
 use super::{fleet, state::RelayState};
@@ -31,15 +31,26 @@
         address: format_smolstr!("{}", address(settings)),
         data_centre: settings.data_centre.clone(),
     };
-    let seeds = seed_addresses(settings);
+    let seeds = gossip_seeds(settings);
     let settings = celerypond_fleet::GossipSettings {
         round_interval: ROUND_INTERVAL,
-        seeds: seeds.map(|seed| format_smolstr!("{seed}")).collect(),
+        seeds,
         ..celerypond_fleet::GossipSettings::default()
     };
     Gossip::new(identity, settings, SmallRng::from_os_rng(), now)
 }
 
+/// Applies the seeds of settings that were read again.
+pub(super) fn update_seeds(state: &RelayState) {
+    let seeds = gossip_seeds(&state.settings.load());
+    state.gossip().set_seeds(seeds);
+}
+
+fn gossip_seeds(settings: &Settings) -> Vec<SmolStr> {
+    let seeds = seed_addresses(settings);
+    seeds.map(|seed| format_smolstr!("{seed}")).collect()
+}
+
 /// Returns the addresses of the other instances that the settings name.
 pub(super) fn seed_addresses(settings: &Settings) -> impl Iterator<Item = SocketAddr> + '_ {
     let others = settings.seeds.iter().filter(|seed| seed.0 != settings.ip);
--- a/daemon/src/relay/reload.rs
+++ b/daemon/src/relay/reload.rs
@@ -6,7 +6,7 @@
 use celerypond_relay::Settings;
 use tokio::signal::unix::Signal;
 
-use super::state::RelayState;
+use super::{members, state::RelayState};
 
 /// The interval at which the file is read, since it may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -19,8 +19,7 @@
     if let Some(Ok(new)) = text.as_deref().map(settings::parse)
         && new != **state.settings.load()
     {
-        log::info!("settings reloaded");
-        state.settings.store(Arc::new(new));
+        apply(&state, new);
     }
     loop {
         tokio::select! {
@@ -34,10 +33,7 @@
         }
         text = new_text;
         match settings::parse(text.as_deref().unwrap_or_default()) {
-            Ok(new) => {
-                log::info!("settings reloaded");
-                state.settings.store(Arc::new(new));
-            }
+            Ok(new) => apply(&state, new),
             Err(faults) => {
                 for fault in faults {
                     log::error!(fault:% = fault; "invalid settings, keeping the previous ones");
@@ -47,6 +43,12 @@
     }
 }
 
+fn apply(state: &RelayState, new: Settings) {
+    log::info!(seeds = new.seeds.len(); "settings reloaded");
+    state.settings.store(Arc::new(new));
+    members::update_seeds(state);
+}
+
 /// Returns the settings in the file, unless it has faults.
 pub(super) fn read_settings() -> Option<Settings> {
     settings::parse(&read_text()?).ok()
--- a/daemon/tests/test_process_starts.rs
+++ b/daemon/tests/test_process_starts.rs
@@ -206,6 +206,33 @@
     assert!(wait_until(is_served).await);
 }
 
+// Guards against an instance that stays alone, with what the store told it last, as its seeds were gone when it started.
+#[tokio::test]
+async fn instance_joins_by_the_seeds_of_changed_settings() {
+    let platform = Platform::start(62).await;
+    let _first = platform.start_instance();
+    assert!(wait_until(|| platform.serves()).await);
+    let (ip, gone) = (loopback::address(63), loopback::address(64));
+    let text = platform
+        .text
+        .replace(&platform.ip.to_string(), &ip.to_string());
+    let path = platform.files.path().join("added.conf");
+    let with_seed = |seed: Ipv4Addr| format!("{text}seeds={seed}:1\n");
+    fs::write(&path, with_seed(gone)).unwrap();
+    let mut added = Process::start(&path);
+    let directory = (platform.ip, DIRECTORY_PORT).into();
+    let query = request_bytes("GET /celerypond/resolve?name=a.example", &[], "");
+    let is_named = || async {
+        let response = timeout(Duration::from_secs(1), send(directory, &query)).await;
+        response.is_ok_and(|response| response.body.contains(&ip.to_string()))
+    };
+    sleep(HELD_FOR).await;
+    assert!(!is_named().await);
+    fs::write(&path, with_seed(platform.ip)).unwrap();
+    added.signal(Signal::HUP);
+    assert!(wait_until(is_named).await, "the instance did not join");
+}
+
 /// Returns the local port of a connection from an address to a server.
 fn source_port(ip: Ipv4Addr, server: SocketAddr) -> Option<u16> {
     let SocketAddr::V4(server) = server else {
