relay: start a background task again when it panics

Callers saw: nothing yet; found by reading (a panic in a task that nothing starts again). An instance without, say, the task that accepts callers, or the one that follows the configuration, would go on and count as live.

Cause: tasks were spawned, and only joined at the end. A panic ends the task, not the process.

The sender of notices is left out, as its receiver cannot be handed on, and so are the tasks of single connections.

Evidence: task_that_panics_starts_again_until_it_ends.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod server;
 pub mod service_call;
 pub mod store;
+pub mod supervised;
 pub mod suspects;
 pub mod target_watch;
 pub mod watch;
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts connections until the instance ends.
 
-use std::{collections::VecDeque, future::Future, io, time::Duration};
+use std::{collections::VecDeque, future::Future, io, sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -25,6 +25,12 @@
     }
 }
 
+impl Accept for Arc<TcpListener> {
+    async fn accept(&self) -> io::Result<TcpStream> {
+        Accept::accept(&**self).await
+    }
+}
+
 /// Accepts a connection, and pauses after each failure.
 pub async fn accept(listener: &impl Accept) -> TcpStream {
     loop {
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -25,7 +25,7 @@
 
 /// Accepts connections of callers, or of instances that relay their requests, until the instance
 /// closes to them.
-pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener, origin: Origin) {
+pub(super) async fn run(state: Arc<RelayState>, listener: Arc<TcpListener>, origin: Origin) {
     loop {
         let stream = tokio::select! {
             () = state.closed.cancelled() => return,
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -60,7 +60,7 @@
 }
 
 /// Serves the requests that other instances relay until the instance closes to callers.
-pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
+pub(super) async fn run(state: Arc<RelayState>, listener: Arc<TcpListener>) {
     callers::run(state, listener, Origin::Peer).await;
 }
 
--- a/daemon/src/relay/peer_service.rs
+++ b/daemon/src/relay/peer_service.rs
@@ -24,7 +24,7 @@
 const LINK_TIME_PER_BYTE: Duration = Duration::from_micros(1);
 
 /// Serves the calls of other instances until the instance ends.
-pub(super) async fn run(state: Arc<RelayState>, listener: TcpListener) {
+pub(super) async fn run(state: Arc<RelayState>, listener: Arc<TcpListener>) {
     let ending = state.ending.clone();
     let max_connections = state.settings.load().limits.peer_connections();
     let transfers = Arc::new(Semaphore::new(MAX_TRANSFERS));
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -27,6 +27,7 @@
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
 };
+use crate::supervised;
 
 /// The interval of checks of idle connections, of targets whose entries are missing, and of
 /// staleness.
@@ -107,14 +108,12 @@
             pid = std::process::id();
             "started"
         );
-        state.tasks.spawn(config_sync::run(Arc::clone(&state)));
-        state.tasks.spawn(target_watch::run(Arc::clone(&state)));
-        state.tasks.spawn(members::run(Arc::clone(&state)));
-        state.tasks.spawn(target_sync::run(Arc::clone(&state)));
-        state
-            .tasks
-            .spawn(restarted_engines::run(Arc::clone(&state)));
-        state.tasks.spawn(run_maintenance(Arc::clone(&state)));
+        spawn(&state, "config_sync", config_sync::run);
+        spawn(&state, "target_watch", target_watch::run);
+        spawn(&state, "members", members::run);
+        spawn(&state, "target_sync", target_sync::run);
+        spawn(&state, "restarted_engines", restarted_engines::run);
+        spawn(&state, "maintenance", run_maintenance);
         Self { state }
     }
 
@@ -160,35 +159,52 @@
         relayed,
         callers,
     } = sockets;
-    state
-        .tasks
-        .spawn(peer_service::run(Arc::clone(state), peers));
-    state.tasks.spawn(rollout_driver::run(
-        Arc::clone(state),
-        Arc::clone(&datagram_socket),
-    ));
+    // Its notices come from one receiver, which cannot be handed on to another start.
     state.tasks.spawn(notices::run(
         Arc::clone(state),
         Arc::clone(&datagram_socket),
         notices,
     ));
-    state.tasks.spawn(reachability::run(
-        Arc::clone(state),
-        Arc::clone(&datagram_socket),
-    ));
-    state
-        .tasks
-        .spawn(datagrams::run(Arc::clone(state), datagram_socket));
-    state
-        .tasks
-        .spawn(peer_relay::run(Arc::clone(state), relayed));
-    if let Some(listener) = callers {
-        state
-            .tasks
-            .spawn(callers::run(Arc::clone(state), listener, Origin::Caller));
+    let socket = Arc::clone(&datagram_socket);
+    spawn(state, "rollout_driver", move |state| {
+        rollout_driver::run(state, Arc::clone(&socket))
+    });
+    let socket = Arc::clone(&datagram_socket);
+    spawn(state, "reachability", move |state| {
+        reachability::run(state, Arc::clone(&socket))
+    });
+    spawn(state, "datagrams", move |state| {
+        datagrams::run(state, Arc::clone(&datagram_socket))
+    });
+    let peers = Arc::new(peers);
+    spawn(state, "peer_service", move |state| {
+        peer_service::run(state, Arc::clone(&peers))
+    });
+    let relayed = Arc::new(relayed);
+    spawn(state, "peer_relay", move |state| {
+        peer_relay::run(state, Arc::clone(&relayed))
+    });
+    if let Some(listener) = callers.map(Arc::new) {
+        spawn(state, "callers", move |state| {
+            callers::run(state, Arc::clone(&listener), Origin::Caller)
+        });
     }
 }
 
+/// Spawns a task that starts again when it panics.
+fn spawn<F>(
+    state: &Arc<RelayState>,
+    name: &'static str,
+    task: impl Fn(Arc<RelayState>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let task_state = Arc::clone(state);
+    state.tasks.spawn(async move {
+        supervised::run(name, || task(Arc::clone(&task_state))).await;
+    });
+}
+
 async fn run_maintenance(state: Arc<RelayState>) {
     let mut previous = None;
     let mut was_short = false;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -15,4 +15,5 @@
 mod test_process_starts;
 mod test_relaying_process;
 mod test_rollouts;
+mod test_supervised;
 mod test_targets;
