telemetry: report the memory of the process before it is ended over it

A process over its memory is killed and logs nothing then, so that this end could not be told from another signal. The gauge process.resident_bytes is set when metrics are read, and a line says when the process begins to use more than four fifths of its memory, with what callers and responses hold of it, and when that ends.

--- a/crates/telemetry/src/gauge.rs
+++ b/crates/telemetry/src/gauge.rs
@@ -56,6 +56,8 @@
         ResponseBytes = "relay.response_bytes",
         /// Bytes that callers make the instance hold, by connections, requests and unread responses.
         CallerBytes = "relay.caller_bytes",
+        /// The resident memory of the process in bytes, as the kernel counts it.
+        ResidentBytes = "process.resident_bytes",
         /// Milliseconds since the store last confirmed the list of targets.
         TargetsAge = "relay.targets_age_ms",
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod progress_timeouts;
 pub mod relay;
+pub mod resident_memory;
 pub mod rollouts;
 pub mod roster;
 pub mod server;
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -27,7 +27,7 @@
     state::{Outdated, RelayState},
     stop, target_sync, target_watch,
 };
-use crate::supervised;
+use crate::{resident_memory, supervised};
 
 /// The interval of checks of idle connections, of targets whose entries are missing, and of
 /// staleness.
@@ -208,6 +208,7 @@
 async fn run_maintenance(state: Arc<RelayState>) {
     let mut previous = None;
     let mut was_short = false;
+    let mut was_nearly_full = false;
     let mut open_logged = Instant::now();
     loop {
         let due = Instant::now() + SWEEP_INTERVAL;
@@ -224,6 +225,7 @@
                 if open_logged.elapsed() >= OPEN_INTERVAL {
                     open_logged = Instant::now();
                     log_open(&state);
+                    report_memory(&state, &mut was_nearly_full);
                 }
             }
         }
@@ -284,6 +286,27 @@
     );
 }
 
+/// Logs when the process begins to use nearly all of the memory that it may, and when that ends. A
+/// process over its memory is killed and logs nothing then.
+fn report_memory(state: &RelayState, was_nearly_full: &mut bool) {
+    let Some(bytes) = resident_memory::read() else {
+        return;
+    };
+    let max_bytes = state.settings.load().limits.memory as u64;
+    let is_nearly_full = bytes > max_bytes / 5 * 4;
+    if std::mem::replace(was_nearly_full, is_nearly_full) == is_nearly_full {
+        return;
+    }
+    log::warn!(
+        is_nearly_full,
+        bytes,
+        max_bytes,
+        callers = state.callers.used(),
+        responses = state.response_memory.used();
+        "memory of the process changed"
+    );
+}
+
 /// Logs when requests begin to be refused because the data is too old, and when that ends.
 fn report_staleness(state: &RelayState, previous: &mut Option<Outdated>) {
     let stale = state.stale();
--- a/daemon/src/relay/state.rs
+++ b/daemon/src/relay/state.rs
@@ -26,6 +26,7 @@
     watch_duty::WatchDuty,
 };
 use crate::peers::Peers;
+use crate::resident_memory;
 
 /// The timeout of a call to the store, which normally answers within milliseconds.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -348,6 +349,9 @@
             (Gauge::Connections, self.caller_connections.len() as u64),
             (Gauge::LiveInstances, self.instance_count() as u64),
         ];
+        if let Some(bytes) = resident_memory::read() {
+            self.metrics.set(Gauge::ResidentBytes, bytes);
+        }
         if let Some(age) = self.watch_duty.age(Instant::now()) {
             let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             self.metrics.set(Gauge::TargetsAge, age);
