--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
 };
@@ -37,6 +37,10 @@
 const CALLER_PORT: u16 = 8_740;
 /// Port for the readiness check.
 const READY_PORT: u16 = 8_749;
+/// Port for metrics.
+const METRICS_PORT: u16 = 9_464;
+/// Number of addresses that an instance binds.
+pub(crate) const BOUND_ADDRESSES: usize = 6;
 /// First port for connections of other instances.
 const FIRST_PEER_PORT: u16 = 7_410;
 
@@ -211,6 +215,19 @@
     routed_request("POST /draft/1", id, 8_000, id)
 }
 
+/// Returns the address of an instance at which one of its ports is bound, and whether it is for datagrams.
+pub(crate) fn bound_address(n: usize, index: usize) -> (SocketAddr, bool) {
+    let (port, is_datagram) = [
+        (CALLER_PORT, false),
+        (READY_PORT, false),
+        (FIRST_PEER_PORT, false),
+        (FIRST_PEER_PORT + 1, false),
+        (METRICS_PORT, false),
+        (FIRST_PEER_PORT, true),
+    ][index % BOUND_ADDRESSES];
+    (format!("{}:{port}", ip(n)).parse().unwrap(), is_datagram)
+}
+
 /// Returns the address of an instance for callers.
 pub(crate) fn address(n: usize) -> SocketAddr {
     format!("{}:{CALLER_PORT}", ip(n)).parse().unwrap()
@@ -236,6 +253,9 @@
 /// An instance run as a process.
 pub(crate) struct Process {
     child: Child,
+    /// Earlier processes that were told to stop when this one was started.
+    draining: Vec<Child>,
+    started: Instant,
     settings_path: PathBuf,
 }
 
@@ -259,13 +279,48 @@
         let child = spawn(&settings_path);
         Self {
             child,
+            draining: Vec::new(),
+            started: Instant::now(),
             settings_path,
         }
     }
 
+    /// Tells the process to stop, and starts another one at its addresses at once.
+    pub(crate) fn replace(&mut self) {
+        self.signal(Signal::TERM);
+        let child = spawn(&self.settings_path);
+        self.started = Instant::now();
+        self.draining
+            .push(std::mem::replace(&mut self.child, child));
+    }
+
+    /// Returns the number of replaced processes that have not exited [`STOP_TIMEOUT`] after the last of them was told to.
+    pub(crate) async fn wait_for_draining(&mut self) -> usize {
+        let until = Instant::now() + STOP_TIMEOUT;
+        loop {
+            let is_running = |child: &mut Child| matches!(child.try_wait(), Ok(None));
+            self.draining.retain_mut(is_running);
+            if self.draining.is_empty() || Instant::now() > until {
+                return self.draining.len();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Returns for how long the process has run.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Returns the path of the settings file.
+    pub(crate) fn settings_path(&self) -> &Path {
+        &self.settings_path
+    }
+
     /// Starts the process again after it has exited.
     pub(crate) fn restart(&mut self) {
         self.child = spawn(&self.settings_path);
+        self.started = Instant::now();
     }
 
     /// Sends a signal to the process unless it has exited.
@@ -316,6 +371,10 @@
     fn drop(&mut self) {
         self.signal(Signal::KILL);
         let _ = self.child.wait();
+        for mut child in self.draining.drain(..) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod lag;
 mod log_lines;
+mod overlaps;
 mod partitions;
 mod record;
 mod starvation;
@@ -66,6 +67,10 @@
 const FIRST_SEED_WITH_URGENCY: u64 = 90_000;
 /// Seeds from this one on have targets that want no requests for some time, or state that they leave.
 const FIRST_SEED_WITH_STATEMENTS: u64 = 100_000;
+/// Seeds from this one on start processes that lack an address or their settings at first.
+const FIRST_SEED_WITH_OVERLAPS: u64 = 110_000;
+/// Seeds with such processes of a run without environment variables.
+const SHORT_OVERLAP_RUN: [u64; 1] = [110_000];
 /// Seeds with such targets of a run without environment variables.
 const SHORT_STATEMENT_RUN: [u64; 2] = [100_000, 100_001];
 /// Seeds with streams of two priorities of a run without environment variables.
@@ -204,13 +209,23 @@
 // kills of instances and outages of the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn targets_get_no_requests_that_they_have_declined() {
-    let range = FIRST_SEED_WITH_STATEMENTS..u64::MAX;
+    let range = FIRST_SEED_WITH_STATEMENTS..FIRST_SEED_WITH_OVERLAPS;
     for seed in seeds(SHORT_STATEMENT_RUN.into_iter(), range) {
         let _guard = SOAK_LOCK.lock().await;
         statements::run(seed).await;
     }
 }
 
+// Guards against processes that end by themselves, or never serve, because at their start the previous process drains,
+// another program holds one of their addresses, or their settings are being written.
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_that_lack_something_at_their_start_serve_in_the_end() {
+    let range = FIRST_SEED_WITH_OVERLAPS..u64::MAX;
+    for seed in seeds(SHORT_OVERLAP_RUN.into_iter(), range) {
+        run(seed).await;
+    }
+}
+
 fn urgency_seeds(default: [u64; 1]) -> Vec<u64> {
     let range = FIRST_SEED_WITH_URGENCY..FIRST_SEED_WITH_STATEMENTS;
     seeds(default.into_iter(), range)
@@ -229,7 +244,10 @@
     let mut fleet = Fleet::start(instances).await;
     let callers = Callers::start(&fleet, &responses, seed);
     let mut violations = Vec::new();
-    if seed >= FIRST_SEED_WITH_PARTITIONS {
+    if seed >= FIRST_SEED_WITH_OVERLAPS {
+        let duration = SINGLE_INSTANCE_FAULT_DURATION;
+        violations = overlaps::inject_overlaps(&mut fleet, &mut rng, duration).await;
+    } else if seed >= FIRST_SEED_WITH_PARTITIONS {
         let duration = SINGLE_INSTANCE_FAULT_DURATION;
         violations = partitions::inject_partitions(&mut fleet, &mut rng, duration).await;
     } else if seed >= FIRST_SEED_WITH_SINGLE_INSTANCE_FAULTS {
