relay: accept relayed requests only from known instances

A request there gets 503 unless it comes from the address of an instance that the gossip knows. Instances connect from the address by which they are known.

--- a/daemon/src/relay/caller_connection.rs
+++ b/daemon/src/relay/caller_connection.rs
@@ -1,8 +1,11 @@
 //! A connection for requests, and what it makes this instance hold.
 
-use std::sync::{
-    atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed},
-    Arc,
+use std::{
+    net::IpAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed},
+        Arc,
+    },
 };
 
 use celerypond_relay::{CallerKey, CallerShare, CallerStage, TooManyCallers};
@@ -29,6 +32,8 @@
 pub(super) struct CallerConnection {
     state: Arc<RelayState>,
     key: CallerKey,
+    /// The address of the caller; `None` if the connection had ended before it was known.
+    address: Option<IpAddr>,
     signals: Arc<CallerSignals>,
     is_serving: AtomicBool,
     /// The bytes of a head that is being received.
@@ -45,12 +50,16 @@
     /// # Errors
     ///
     /// [`TooManyCallers`] if a request runs on each connection that there may be.
-    pub(super) fn open(state: &Arc<RelayState>) -> Result<Self, TooManyCallers> {
+    pub(super) fn open(
+        state: &Arc<RelayState>,
+        address: Option<IpAddr>,
+    ) -> Result<Self, TooManyCallers> {
         let signals = Arc::<CallerSignals>::default();
         let key = state.callers.open(&state.metrics, &signals)?;
         Ok(Self {
             state: Arc::clone(state),
             key,
+            address,
             signals,
             is_serving: AtomicBool::new(false),
             head: AtomicUsize::new(0),
@@ -59,6 +68,11 @@
         })
     }
 
+    /// Returns the address of the caller.
+    pub(super) const fn address(&self) -> Option<IpAddr> {
+        self.address
+    }
+
     /// Waits until the request that is being received has to be refused.
     pub(super) async fn rejected(&self) {
         self.signals.reject.notified().await;
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -31,7 +31,8 @@
             () = state.closed.cancelled() => return,
             stream = listener::accept(&listener) => stream,
         };
-        let Ok(connection) = CallerConnection::open(&state) else {
+        let address = stream.peer_addr().ok().map(|address| address.ip());
+        let Ok(connection) = CallerConnection::open(&state, address) else {
             // Its caller learns at once that its request was not read.
             drop(stream);
             continue;
--- a/daemon/src/relay/members.rs
+++ b/daemon/src/relay/members.rs
@@ -1,7 +1,7 @@
 //! Membership: the gossip among instances.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{atomic::Ordering::Relaxed, Arc},
     time::Duration,
 };
@@ -103,6 +103,17 @@
     addresses
 }
 
+/// Returns whether another instance is known to have this address.
+pub(super) fn has_member_at(state: &RelayState, ip: IpAddr) -> bool {
+    let gossip = state.gossip();
+    let addresses = gossip
+        .membership()
+        .iter()
+        .map(|(_, member)| &member.address);
+    let mut addresses = addresses.filter_map(|address| address.parse::<SocketAddr>().ok());
+    addresses.any(|address| address.ip() == ip)
+}
+
 /// Returns the number of other instances by state.
 pub(super) fn peer_counts(state: &RelayState) -> PeerCounts {
     let gossip = state.gossip();
--- a/daemon/src/relay/reply.rs
+++ b/daemon/src/relay/reply.rs
@@ -41,6 +41,8 @@
     BadRequest,
     /// The body of the request did not arrive by its deadline.
     BodyTimeout,
+    /// The request came as relayed, but from no known instance.
+    UnknownPeer,
     /// There is no memory for the body of the request.
     NoMemory,
     /// No target was left to try, or those that were tried refused.
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -83,9 +83,9 @@
     let id = head.request.clone();
     let method = request.method().clone();
     let open_request = OpenRequest::new(&state, id.clone(), origin, started, active);
-    let mut reply = match has_newer_config(&state, &mut request, origin) {
-        true => refuse_newer_config(&state, &head),
-        false => route_request(&state, &mut request, head, open_request.record(), &caller).await,
+    let mut reply = match refuse_peer(&state, &mut request, origin, &head, &caller) {
+        Some(refusal) => refusal,
+        None => route_request(&state, &mut request, head, open_request.record(), &caller).await,
     };
     if origin == Origin::Peer {
         peer_relay::name_target(&mut reply);
@@ -119,16 +119,33 @@
     reply
 }
 
-/// Returns whether another instance has admitted a request by a configuration that is newer than
-/// that of this instance.
-fn has_newer_config(
+/// Refuses a request that no other instance can have relayed, or that this one must not decide about.
+/// Returns `None` for others.
+fn refuse_peer(
     state: &RelayState,
     request: &mut Request<MeteredBody>,
     origin: Origin,
-) -> bool {
+    head: &CallerHead,
+    caller: &CallerConnection,
+) -> Option<Reply> {
     if origin == Origin::Caller {
-        return false;
+        return None;
     }
+    // Whoever else connects could set the headers that only instances set for each other.
+    let is_member = caller
+        .address()
+        .is_some_and(|ip| members::has_member_at(state, ip));
+    if !is_member {
+        let id = head.request.as_deref().unwrap_or_default();
+        let time_left = head.deadline.unwrap_or_default();
+        return Some(reply::not_run(id, time_left, None, Reason::UnknownPeer));
+    }
+    has_newer_config(state, request).then(|| refuse_newer_config(state, head))
+}
+
+/// Returns whether another instance has admitted a request by a configuration that is newer than
+/// that of this instance.
+fn has_newer_config(state: &RelayState, request: &mut Request<MeteredBody>) -> bool {
     state.metrics.add(Counter::RelayedForPeers, 1);
     let version = peer_relay::take_config_version(request.headers_mut());
     version.is_some_and(|version| version > state.view.config_version())
