relay: count the runs of a request at both instances of a relayed one

The number of runs at targets that have not ended goes along in a header, and the other instance begins with it.

--- a/daemon/src/relay/failed_attempt.rs
+++ b/daemon/src/relay/failed_attempt.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns the number of runs that count towards the limit of the route.
+    pub(super) const fn counted_runs(&self) -> u32 {
+        self.runs.saturating_sub(self.ended_runs)
+    }
+
     /// Returns the number of targets at which the request may run.
     const fn max_runs(&self) -> u32 {
         self.route.attempts + self.ended_runs
--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -45,6 +45,8 @@
 /// Whether the stream was admitted by its urgency. An instance that reaches no engine relays streams
 /// without having admitted them.
 const ADMITTED: HeaderName = HeaderName::from_static("run-admitted");
+/// At how many targets the request has run that did not end.
+const RUN_COUNT: HeaderName = HeaderName::from_static("run-count");
 /// The target whose response an instance relays to another one.
 const RUN_TARGET: HeaderName = HeaderName::from_static("run-target");
 /// The distance of the port for relayed requests from the first port for other instances.
@@ -104,6 +106,13 @@
     headers.remove(ADMITTED).is_some()
 }
 
+/// Removes the number of a relayed request's runs from its headers and returns it.
+pub(super) fn take_runs(headers: &mut HeaderMap) -> u32 {
+    let count = headers.remove(RUN_COUNT);
+    let count = count.and_then(|count| count.to_str().ok()?.parse().ok());
+    count.unwrap_or_default()
+}
+
 /// Removes the targets that ended while they ran a relayed request from its headers, and records
 /// them.
 pub(super) fn take_losses(state: &RelayState, headers: &mut HeaderMap) {
@@ -271,6 +280,7 @@
     headers.remove(TARGET_LOSSES);
     headers.remove(URGENCY);
     headers.remove(ADMITTED);
+    headers.insert(RUN_COUNT, HeaderValue::from(request.counted_runs()));
     if let Some(urgency) = request.requirements.urgency {
         headers.insert(URGENCY, HeaderValue::from(urgency.level()));
         if request.is_admitted {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -238,14 +238,15 @@
         Err(denied) => return denial(denied, &id),
     };
     let deadline = RequestDeadline::new(started, head.deadline, route.timeout);
-    let (passed_copy, passed_urgency, is_admitted) = match origin {
-        Origin::Caller => (None, None, false),
+    let (passed_copy, passed_urgency, is_admitted, passed_runs) = match origin {
+        Origin::Caller => (None, None, false, 0),
         Origin::Peer => {
             peer_relay::take_losses(state, request.headers_mut());
             let urgency = peer_relay::take_urgency(request.headers_mut());
             let is_admitted = peer_relay::take_admitted(request.headers_mut());
             let copy = peer_relay::take_copy(state, request.headers_mut());
-            (copy, urgency, is_admitted)
+            let runs = peer_relay::take_runs(request.headers_mut());
+            (copy, urgency, is_admitted, runs)
         }
     };
     let limit = state.view.table().config().limits.body_bytes;
@@ -281,6 +282,7 @@
     );
     routed.passed_copy = passed_copy;
     routed.is_admitted = is_admitted;
+    routed.runs = passed_runs;
     routed.requirements.urgency = passed_urgency.or(urgency);
     // A relayed request has the time that the other instance has left.
     let usual_deadline = head.deadline.filter(|_| origin == Origin::Caller);
