relay: one socket that is observed in place of two wrappers

The sockets that limit framing and that tell of unfinished uploads passed on seven calls each in the same words, one inside the other at targets. One socket takes two closures, which the meter and the upload fill.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -26,8 +26,8 @@
 mod lease;
 mod members;
 mod metered_body;
-mod metered_socket;
 mod notices;
+mod observed_socket;
 mod open_request;
 mod order_proxy;
 mod order_store;
@@ -67,7 +67,6 @@
 mod target_sync;
 mod target_watch;
 mod upload;
-mod upload_socket;
 mod watch_duty;
 
 use celerypond_telemetry::LogRateLimiter;
--- a/daemon/src/relay/callers.rs
+++ b/daemon/src/relay/callers.rs
@@ -13,7 +13,7 @@
     framing_meter::FramingMeter,
     idle_timer::IdleTimer,
     metered_body::MeteredBody,
-    metered_socket::MeteredSocket,
+    observed_socket::ObservedSocket,
     request::{self, Origin},
     state::RelayState,
 };
@@ -88,7 +88,7 @@
     };
     let unread_timeout = state.settings.load().unread_timeout;
     let socket = CallerSocket::new(stream, Arc::clone(&caller), unread_timeout);
-    let socket = MeteredSocket::new(socket, meter);
+    let socket = ObservedSocket::new(socket, move |len| meter.add(len), |_| {});
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     tokio::select! {
         // A connection that has to close reads no further request.
--- a/daemon/src/relay/connections.rs
+++ b/daemon/src/relay/connections.rs
@@ -23,8 +23,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::{
-    framing_meter::FramingMeter, metered_socket::MeteredSocket, sender::Sender, upload::Upload,
-    upload_socket::UploadSocket,
+    framing_meter::FramingMeter, observed_socket::ObservedSocket, sender::Sender, upload::Upload,
 };
 
 /// The timeout of a connection attempt. Targets accept within a few milliseconds. One that does not
@@ -260,7 +259,14 @@
         }
         let meter = FramingMeter::new(MAX_BUFFER_BYTES);
         let upload = Upload::default();
-        let socket = UploadSocket::new(MeteredSocket::new(stream, meter.clone()), upload.clone());
+        let (read_meter, read_upload) = (meter.clone(), upload.clone());
+        let on_read = move |len| {
+            read_meter.add(len)?;
+            read_upload.check_read(len)
+        };
+        let write_upload = upload.clone();
+        let on_write = move |is_blocked| write_upload.set_write_blocked(is_blocked);
+        let socket = ObservedSocket::new(stream, on_read, on_write);
         let (requests, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
--- a/daemon/src/relay/endpoints.rs
+++ b/daemon/src/relay/endpoints.rs
@@ -17,7 +17,7 @@
 use super::{
     framing_meter::FramingMeter,
     members,
-    metered_socket::MeteredSocket,
+    observed_socket::ObservedSocket,
     reply::{full_body, Reply},
     sockets,
     state::RelayState,
@@ -71,12 +71,13 @@
         return;
     };
     let meter = FramingMeter::new(MAX_BUFFER_BYTES);
-    let socket = MeteredSocket::new(stream, meter.clone());
+    let service_meter = meter.clone();
     let service = service_fn(move |request| {
-        meter.reset();
+        service_meter.reset();
         let reply = respond(&state, &request, caller.ip());
         async { Ok::<Reply, Infallible>(reply) }
     });
+    let socket = ObservedSocket::new(stream, move |len| meter.add(len), |_| {});
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
--- a/daemon/src/relay/framing_meter.rs
+++ b/daemon/src/relay/framing_meter.rs
@@ -1,8 +1,11 @@
 //! Limits what is read of a connection without a message coming out of it.
 
-use std::sync::{
-    atomic::{AtomicUsize, Ordering::Relaxed},
-    Arc,
+use std::{
+    io,
+    sync::{
+        atomic::{AtomicUsize, Ordering::Relaxed},
+        Arc,
+    },
 };
 
 /// The maximum number of bytes, as a multiple of the connection's buffer. One part of a body may
@@ -29,14 +32,21 @@
         }
     }
 
-    /// Adds bytes that were read, and returns whether there may be as many.
-    pub(super) fn add(&self, len: usize) -> bool {
+    /// Adds bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidData` if there are more than may be.
+    pub(super) fn add(&self, len: usize) -> io::Result<()> {
         let before = self.read.fetch_add(len, Relaxed);
         let is_allowed = before.saturating_add(len) <= self.max;
         if !is_allowed && before <= self.max {
             log::warn!(max = self.max; "connection given up, bytes without a message");
         }
-        is_allowed
+        match is_allowed {
+            true => Ok(()),
+            false => Err(io::ErrorKind::InvalidData.into()),
+        }
     }
 
     /// Records that a message began or that a part of a body was received.
--- a/daemon/src/relay/upload_socket.rs
+++ b/daemon/src/relay/observed_socket.rs
@@ -1,4 +1,4 @@
-//! A socket whose end is an error while a request is being written.
+//! A socket whose reads and writes are observed.
 
 use std::{
     io,
@@ -8,42 +8,62 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::upload::Upload;
-
-/// A socket whose end is an error while a request is being written.
-pub(super) struct UploadSocket<S> {
+/// A socket that passes on what is read and written, and reports it.
+///
+/// `on_read` gets the number of bytes of each read, 0 at the end, and may make the read fail.
+/// `on_write` gets whether a write waits.
+pub(super) struct ObservedSocket<S, R, W> {
     socket: S,
-    upload: Upload,
+    on_read: R,
+    on_write: W,
 }
 
-impl<S> UploadSocket<S> {
-    pub(super) const fn new(socket: S, upload: Upload) -> Self {
-        Self { socket, upload }
+impl<S, R, W> ObservedSocket<S, R, W>
+where
+    R: FnMut(usize) -> io::Result<()>,
+    W: FnMut(bool),
+{
+    pub(super) const fn new(socket: S, on_read: R, on_write: W) -> Self {
+        Self {
+            socket,
+            on_read,
+            on_write,
+        }
     }
 
-    fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.upload.set_write_blocked(written.is_pending());
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        (self.on_write)(written.is_pending());
         written
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for UploadSocket<S> {
+impl<S, R, W> AsyncRead for ObservedSocket<S, R, W>
+where
+    S: AsyncRead + Unpin,
+    R: FnMut(usize) -> io::Result<()> + Unpin,
+    W: Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled = buffer.filled().len();
+        let (filled, room) = (buffer.filled().len(), buffer.remaining());
         ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
-        let is_end = buffer.filled().len() == filled && buffer.remaining() > 0;
-        Poll::Ready(match is_end && self.upload.is_unfinished() {
-            true => Err(io::ErrorKind::ConnectionReset.into()),
-            false => Ok(()),
+        // A read without room says nothing of the end.
+        Poll::Ready(match room {
+            0 => Ok(()),
+            _ => (self.on_read)(buffer.filled().len() - filled),
         })
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for UploadSocket<S> {
+impl<S, R, W> AsyncWrite for ObservedSocket<S, R, W>
+where
+    S: AsyncWrite + Unpin,
+    R: FnMut(usize) -> io::Result<()> + Unpin,
+    W: FnMut(bool) + Unpin,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
+use hyper::body::{Body as _, Frame, SizeHint};
 
 use super::upload::Upload;
 
@@ -47,7 +47,7 @@
 
     /// Records on a connection that this body is to be sent, and how far it was.
     pub(super) fn begin_upload(&mut self, upload: &Upload) {
-        upload.set_body_open(self.remaining() > 0);
+        upload.set_body_open(!self.is_end_stream());
         self.upload = Some(upload.clone());
     }
 
@@ -77,7 +77,7 @@
         drop(segments);
         self.next += 1;
         if let Some(upload) = &self.upload {
-            upload.set_body_open(self.remaining() > 0);
+            upload.set_body_open(!self.is_end_stream());
         }
         Poll::Ready(frame)
     }
--- a/daemon/src/relay/upload.rs
+++ b/daemon/src/relay/upload.rs
@@ -1,8 +1,11 @@
 //! How far the body of a request was sent.
 
-use std::sync::{
-    atomic::{AtomicBool, Ordering::Relaxed},
-    Arc,
+use std::{
+    io,
+    sync::{
+        atomic::{AtomicBool, Ordering::Relaxed},
+        Arc,
+    },
 };
 
 /// Whether a connection has parts of the current request's body that were not written yet.
@@ -26,7 +29,16 @@
         self.is_write_blocked.store(is_blocked, Relaxed);
     }
 
-    pub(super) fn is_unfinished(&self) -> bool {
-        self.is_body_open.load(Relaxed) || self.is_write_blocked.load(Relaxed)
+    /// Checks the number of bytes of a read, which is 0 at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectionReset` at the end while the request is being written.
+    pub(super) fn check_read(&self, len: usize) -> io::Result<()> {
+        let is_unfinished = self.is_body_open.load(Relaxed) || self.is_write_blocked.load(Relaxed);
+        match len == 0 && is_unfinished {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(()),
+        }
     }
 }
