targets: one comparison of a target's starts

Whether an engine had started again since a copy was ordered was decided beside Targets::is_replaced, by the same comparison. Both call Targets::has_other_start now.

--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -554,13 +554,25 @@
     /// assert!(!Targets::default().is_replaced(TargetKey::default(), address, Some(1)));
     /// ```
     pub fn is_replaced(&self, key: TargetKey, address: SocketAddr, born: Option<u64>) -> bool {
-        self.owner_of(address).is_some_and(|owner| {
-            let owner_born = self.get(owner).and_then(|target| target.entry.born);
-            let has_other_start = born
-                .zip(owner_born)
-                .is_some_and(|(before, now)| before != now);
-            owner != key || has_other_start
-        })
+        let has_other_owner = self.owner_of(address).is_some_and(|owner| owner != key);
+        has_other_owner || self.has_other_start(address, born)
+    }
+
+    /// Returns whether the target at an address was not started at `born`, in Unix milliseconds, as
+    /// far as both are known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerypond_relay::Targets;
+    ///
+    /// let address = "10.0.0.7:8080".parse().unwrap();
+    /// assert!(!Targets::default().has_other_start(address, Some(1)));
+    /// ```
+    pub fn has_other_start(&self, address: SocketAddr, born: Option<u64>) -> bool {
+        let owner = self.owner_of(address).and_then(|owner| self.get(owner));
+        let starts = born.zip(owner.and_then(|owner| owner.entry.born));
+        starts.is_some_and(|(before, now)| before != now)
     }
 
     /// Returns the latest target that has an address, which responds there.
--- a/daemon/src/relay/run_copy.rs
+++ b/daemon/src/relay/run_copy.rs
@@ -102,10 +102,7 @@
     /// Returns whether the list of targets has another start of the engine.
     fn has_listed_replacement(&self, state: &RelayState) -> bool {
         let targets = state.view.targets();
-        let owner = targets.owner_of(self.from);
-        let listed = owner.and_then(|owner| targets.get(owner)?.entry.born);
-        let starts = self.born.zip(listed);
-        starts.is_some_and(|(ordered, listed)| ordered != listed)
+        targets.has_other_start(self.from, self.born)
     }
 }
 
