relay: one reader of the settings file, and no second read at the start

The program and the reload each read and parsed the file, and binding the addresses read it again at once. The program calls the reader of the reload, and binding reads it only after an attempt has failed. 21 tests of processes pass.

--- a/daemon/src/relay.rs
+++ b/daemon/src/relay.rs
@@ -72,6 +72,7 @@
 use celerypond_telemetry::LogRateLimiter;
 
 pub use inbox::{Inbox, Received};
+pub use reload::read_settings;
 pub use signals::ignore_signals;
 pub use start::{run, Instance, RelayError};
 
--- a/daemon/src/relay/reload.rs
+++ b/daemon/src/relay/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the settings file.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, fs, sync::Arc, time::Duration};
 
 use celerypond_adapter::settings;
 use celerypond_relay::Settings;
@@ -49,11 +49,18 @@
     members::update_seeds(state);
 }
 
-/// Returns the settings in the file, unless it has faults.
-pub(super) fn read_settings() -> Option<Settings> {
-    settings::parse(&read_text()?).ok()
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// Returns the faults to be reported.
+pub fn read_settings() -> Result<Settings, Vec<String>> {
+    let path = settings::path();
+    let fault = |fault: &dyn Display| format!("{}: {fault}", path.display());
+    let text = fs::read_to_string(&path).map_err(|error| vec![fault(&error)])?;
+    settings::parse(&text).map_err(|faults| faults.iter().map(|found| fault(found)).collect())
 }
 
 fn read_text() -> Option<String> {
-    std::fs::read_to_string(settings::path()).ok()
+    fs::read_to_string(settings::path()).ok()
 }
--- a/daemon/src/relay/sockets.rs
+++ b/daemon/src/relay/sockets.rs
@@ -34,15 +34,17 @@
 }
 
 impl Sockets {
-    /// Binds all addresses, as soon as all of them can be bound; `settings` returns the current
-    /// settings for each attempt, and the ones that were used are returned.
+    /// Binds all addresses, as soon as all of them can be bound. `reread` returns the current settings
+    /// for each further attempt, if there are any; those that were used are returned.
     ///
     /// The previous process at these addresses may still be draining, for which there is no limit
     /// here. Nothing is listened on meanwhile, or callers and other instances would wait for answers.
-    pub(super) async fn bind(mut settings: impl FnMut() -> Settings) -> (Self, Settings) {
+    pub(super) async fn bind(
+        mut settings: Settings,
+        reread: impl Fn() -> Option<Settings>,
+    ) -> (Self, Settings) {
         let mut wait = BindWait::new();
         loop {
-            let settings = settings();
             match Self::try_bind(&settings).await {
                 Ok(sockets) => {
                     wait.end();
@@ -50,6 +52,7 @@
                 }
                 Err(failure) => wait.pause(failure.address, &failure.error).await,
             }
+            settings = reread().unwrap_or(settings);
         }
     }
 
--- a/daemon/src/relay/start.rs
+++ b/daemon/src/relay/start.rs
@@ -58,9 +58,8 @@
 pub async fn run(settings: Settings) -> Result<(), Report<RelayError>> {
     let hangup = signal(SignalKind::hangup()).change_context(RelayError::Signals)?;
     let mut stops = StopSignals::new().change_context(RelayError::Signals)?;
-    let current_settings = || reload::read_settings().unwrap_or_else(|| settings.clone());
     let (sockets, settings) = tokio::select! {
-        bound = Sockets::bind(current_settings) => bound,
+        bound = Sockets::bind(settings, || reload::read_settings().ok()) => bound,
         signal = stops.recv() => {
             log::info!(signal; "signal received while waiting for an address");
             return Ok(());
@@ -83,7 +82,7 @@
 impl Instance {
     /// Starts an instance as soon as the addresses that it needs can be bound.
     pub async fn start(settings: Settings) -> Self {
-        let (sockets, settings) = Sockets::bind(|| settings.clone()).await;
+        let (sockets, settings) = Sockets::bind(settings, || None).await;
         Self::start_with(settings, sockets).await
     }
 
--- a/daemon/src/relaying.rs
+++ b/daemon/src/relaying.rs
@@ -1,8 +1,7 @@
 //! The daemon as an instance that relays requests.
 
-use std::{fmt::Display, fs, process::ExitCode, thread, time::Duration};
+use std::{process::ExitCode, thread, time::Duration};
 
-use celerypond_adapter::settings;
 use celerypond_daemon::relay;
 use celerypond_relay::Settings;
 use celerypond_telemetry::{LogFormat, LogSettings, Output};
@@ -23,7 +22,7 @@
         eprintln!("cannot install signal handlers: {error}");
         return ExitCode::FAILURE;
     }
-    let settings = match read_settings() {
+    let settings = match relay::read_settings() {
         Ok(settings) => settings,
         Err(faults) => {
             report(&faults);
@@ -40,24 +39,12 @@
     serve(settings)
 }
 
-/// Reads the settings file.
-///
-/// # Errors
-///
-/// Returns the faults to be reported.
-fn read_settings() -> Result<Settings, Vec<String>> {
-    let path = settings::path();
-    let fault = |fault: &dyn Display| format!("{}: {fault}", path.display());
-    let text = fs::read_to_string(&path).map_err(|error| vec![fault(&error)])?;
-    settings::parse(&text).map_err(|faults| faults.iter().map(|found| fault(found)).collect())
-}
-
 /// Waits until the settings file has no faults; `faults` are those that were reported. The file may
 /// be written while the process starts.
 fn wait_for_settings(mut faults: Vec<String>) -> Settings {
     loop {
         thread::sleep(SETTINGS_POLL_INTERVAL);
-        match read_settings() {
+        match relay::read_settings() {
             Ok(settings) => return settings,
             Err(found) if found == faults => {}
             Err(found) => {
