peer_relay: what a relayed request brings along is one value

The run count had become the fourth of a tuple that the request took apart by as many calls. RelayedState takes all of it from the headers, and is empty for callers. 69 tests of relayed requests, partitions and urgencies pass.

--- a/daemon/src/relay/peer_relay.rs
+++ b/daemon/src/relay/peer_relay.rs
@@ -72,8 +72,35 @@
     version.to_str().ok()?.parse().ok()
 }
 
+/// What another instance tells of a request that it relays.
+#[derive(Debug, Default)]
+pub(super) struct RelayedState {
+    /// The copy of its run.
+    pub(super) copy: Option<CopyLocation>,
+    /// Its urgency.
+    pub(super) urgency: Option<Urgency>,
+    /// Whether it was admitted by its urgency.
+    pub(super) is_admitted: bool,
+    /// The number of its runs.
+    pub(super) runs: u32,
+}
+
+impl RelayedState {
+    /// Removes it from the headers of a request, and records the targets that ended while they ran
+    /// the request.
+    pub(super) fn take(state: &RelayState, headers: &mut HeaderMap) -> Self {
+        take_losses(state, headers);
+        Self {
+            copy: take_copy(state, headers),
+            urgency: take_urgency(headers),
+            is_admitted: take_admitted(headers),
+            runs: take_runs(headers),
+        }
+    }
+}
+
 /// Removes the location of a run's copy from the headers of a relayed request and returns it.
-pub(super) fn take_copy(state: &RelayState, headers: &mut HeaderMap) -> Option<CopyLocation> {
+fn take_copy(state: &RelayState, headers: &mut HeaderMap) -> Option<CopyLocation> {
     let value = headers.remove(RUN_COPY)?;
     let mut fields = value.to_str().ok()?.split(' ');
     let holder = TargetName::new(fields.next()?);
@@ -96,18 +123,18 @@
 }
 
 /// Removes the urgency from the headers of a relayed request and returns it.
-pub(super) fn take_urgency(headers: &mut HeaderMap) -> Option<Urgency> {
+fn take_urgency(headers: &mut HeaderMap) -> Option<Urgency> {
     let level = headers.remove(URGENCY)?;
     Some(Urgency::new(level.to_str().ok()?.parse().ok()?))
 }
 
 /// Removes whether the stream was admitted from the headers of a relayed request and returns it.
-pub(super) fn take_admitted(headers: &mut HeaderMap) -> bool {
+fn take_admitted(headers: &mut HeaderMap) -> bool {
     headers.remove(ADMITTED).is_some()
 }
 
 /// Removes the number of a relayed request's runs from its headers and returns it.
-pub(super) fn take_runs(headers: &mut HeaderMap) -> u32 {
+fn take_runs(headers: &mut HeaderMap) -> u32 {
     let count = headers.remove(RUN_COUNT);
     let count = count.and_then(|count| count.to_str().ok()?.parse().ok());
     count.unwrap_or_default()
@@ -115,7 +142,7 @@
 
 /// Removes the targets that ended while they ran a relayed request from its headers, and records
 /// them.
-pub(super) fn take_losses(state: &RelayState, headers: &mut HeaderMap) {
+fn take_losses(state: &RelayState, headers: &mut HeaderMap) {
     let value = headers.remove(TARGET_LOSSES);
     let notice = value.and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
     if let Some(notice) = notice {
--- a/daemon/src/relay/request.rs
+++ b/daemon/src/relay/request.rs
@@ -24,7 +24,7 @@
     members,
     metered_body::MeteredBody,
     open_request::{OpenRequest, RequestRecord, TrackedBody},
-    peer_relay,
+    peer_relay::{self, RelayedState},
     reply::{self, Reason, Reply},
     request_body::RequestBody,
     routed_request::RoutedRequest,
@@ -238,16 +238,9 @@
         Err(denied) => return denial(denied, &id),
     };
     let deadline = RequestDeadline::new(started, head.deadline, route.timeout);
-    let (passed_copy, passed_urgency, is_admitted, passed_runs) = match origin {
-        Origin::Caller => (None, None, false, 0),
-        Origin::Peer => {
-            peer_relay::take_losses(state, request.headers_mut());
-            let urgency = peer_relay::take_urgency(request.headers_mut());
-            let is_admitted = peer_relay::take_admitted(request.headers_mut());
-            let copy = peer_relay::take_copy(state, request.headers_mut());
-            let runs = peer_relay::take_runs(request.headers_mut());
-            (copy, urgency, is_admitted, runs)
-        }
+    let relayed = match origin {
+        Origin::Caller => RelayedState::default(),
+        Origin::Peer => RelayedState::take(state, request.headers_mut()),
     };
     let limit = state.view.table().config().limits.body_bytes;
     let received = receive_body(request, id.clone(), limit, &deadline, caller).await;
@@ -280,10 +273,10 @@
         account,
         (deadline, record),
     );
-    routed.passed_copy = passed_copy;
-    routed.is_admitted = is_admitted;
-    routed.runs = passed_runs;
-    routed.requirements.urgency = passed_urgency.or(urgency);
+    routed.passed_copy = relayed.copy;
+    routed.is_admitted = relayed.is_admitted;
+    routed.runs = relayed.runs;
+    routed.requirements.urgency = relayed.urgency.or(urgency);
     // A relayed request has the time that the other instance has left.
     let usual_deadline = head.deadline.filter(|_| origin == Origin::Caller);
     if let Some(deadline) = usual_deadline {
