standins: the platform's words of two tests stand there

Tests of the daemon wrote a target's head and the directory's path themselves. chunked_head, which events begins with, the readiness check and the directory query stand in the stand-ins now, and the tests that had them in the same words call them.

--- a/daemon/tests/crowds/main.rs
+++ b/daemon/tests/crowds/main.rs
@@ -11,7 +11,7 @@
 use celerypond_standins::{
     caller::{open_head, routed_request, send, ReceivedResponse},
     fixtures::{config, target_entry},
-    responses::{ok, platform_response},
+    responses::{chunked_head, ok, platform_response},
     store::Store,
     target::{Action, ReceivedRequest, Target},
 };
@@ -163,10 +163,8 @@
 
 /// Answers with a chunk whose size has no end.
 fn chunk_size_without_end(request: &ReceivedRequest) -> Vec<Action> {
-    let id = request.id();
-    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s.{id}\r\n{CHUNKED}");
     vec![
-        Action::Send(head.into_bytes()),
+        chunked_head(request),
         Action::Repeat(vec![b'0'; 64 << 10], PIECE_PAUSE),
     ]
 }
--- a/daemon/tests/test_process_starts.rs
+++ b/daemon/tests/test_process_starts.rs
@@ -8,7 +8,7 @@
 };
 
 use celerypond_standins::{
-    caller::{request_bytes, routed_request, send},
+    caller::{directory_query, readiness_check, request_bytes, routed_request, send},
     fixtures::{config, target_entry},
     loopback,
     responses::{end_of_chunks, events, ok, platform_response},
@@ -82,8 +82,7 @@
 
     /// Returns whether the instance states that it is ready.
     async fn is_ready(&self) -> bool {
-        let check = request_bytes("GET /celerypond/ready", &[], "");
-        status((self.ip, PORTS[1]).into(), &check).await == Some(200)
+        status((self.ip, PORTS[1]).into(), &readiness_check()).await == Some(200)
     }
 }
 
@@ -221,7 +220,7 @@
     fs::write(&path, with_seed(gone)).unwrap();
     let mut added = Process::start(&path);
     let directory = (platform.ip, DIRECTORY_PORT).into();
-    let query = request_bytes("GET /celerypond/resolve?name=a.example", &[], "");
+    let query = directory_query();
     let is_named = || async {
         let response = timeout(Duration::from_secs(1), send(directory, &query)).await;
         response.is_ok_and(|response| response.body.contains(&ip.to_string()))
